Lay out the design, the interfaces and the build

Cause: the project needs a design that its packages can be written against. Conclusion: the packages can be written independently behind these headers.

--- /dev/null
+++ b/include/hawthornbeam/journal/journal.hpp
@@ -0,0 +1,122 @@
+/// \file
+/// Durable log of one job partition in the key-value service.
+#ifndef HAWTHORNBEAM_JOURNAL_JOURNAL_HPP
+#define HAWTHORNBEAM_JOURNAL_JOURNAL_HPP
+
+#include "hawthornbeam/platform/kv_service.hpp"
+#include "hawthornbeam/support/event_loop.hpp"
+#include "hawthornbeam/support/log.hpp"
+#include "hawthornbeam/support/random_source.hpp"
+#include "hawthornbeam/wire/messages.hpp"
+
+#include <functional>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace hawthornbeam
+{
+
+/// A job was accepted.
+struct job_accepted
+{
+    wire::job_spec job;
+    wall_time at{};
+};
+/// Tasks ended since the last record of the job.
+struct job_progress
+{
+    job_id id;
+    std::vector<wire::task_result> ended;
+};
+/// The job has its final verdict.
+struct job_ended
+{
+    job_id id;
+    wire::job_verdict verdict = wire::job_verdict::done;
+    std::string reason;
+};
+/// A cancellation was accepted; its tasks may still be stopping.
+struct job_cancelling
+{
+    job_id id;
+};
+
+using journal_record =
+    std::variant<job_accepted, job_progress, job_ended, job_cancelling>;
+
+/// A job as the journal knows it.
+struct journaled_job
+{
+    wire::job_spec job;
+    wall_time accepted{};
+    std::vector<wire::task_result> ended;
+    bool cancelling = false;
+    bool has_verdict = false;
+    wire::job_verdict verdict = wire::job_verdict::accepted;
+    std::string reason;
+};
+
+/// What a claim found.
+struct claimed_partition
+{
+    epoch owner_epoch;
+    std::vector<journaled_job> jobs;
+};
+
+/// The journal of one partition: segments written with compare-and-swap. Appends are
+/// group-committed: one write in flight, the next takes all that waits.
+class partition_journal
+{
+public:
+    struct options
+    {
+        partition_id partition;
+        instance_id self;
+        std::uint64_t seed = 1;
+        std::size_t most_segment_bytes = std::size_t{16} << 10U;
+        std::size_t most_segments = 32; ///< More start a compaction.
+        duration least_append_gap = std::chrono::milliseconds(100);
+        std::size_t most_waiting_records = 10000;
+        /// Ended jobs are kept this long for callers that ask or submit again.
+        duration ended_job_retention = std::chrono::minutes(10);
+    };
+
+    partition_journal(kv_service& kv, event_loop& loop, const logger& log,
+                      options settings);
+    ~partition_journal();
+
+    /// Reads the journal and claims the next epoch. Fails with conflict when another
+    /// claim won, and with unavailable when the service cannot be reached.
+    void claim(std::function<void(result<claimed_partition>)> done);
+    /// Makes \p record durable. Fails with unavailable when it is known not to be
+    /// durable, with conflict when another instance has claimed the partition, and with
+    /// limit_exceeded when too many records wait. A record whose write has an unknown
+    /// outcome is read back until its outcome is known, so no other failure exists.
+    void append(journal_record record, std::function<void(result<bool>)> done);
+    /// Waits for the write in flight and marks the partition as free for a successor.
+    void release(std::function<void(result<bool>)> done);
+    /// Called once when another instance has claimed the partition.
+    void on_fenced(std::function<void()> handler);
+
+    bool is_owner() const;
+    epoch owner_epoch() const;
+    std::size_t waiting_records() const;
+    /// True while the last call to the service failed.
+    bool is_degraded() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+/// Who owns a partition according to its journal; empty owner when released or unclaimed.
+struct partition_owner
+{
+    epoch owner_epoch;
+    instance_id owner;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- /dev/null
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -0,0 +1,253 @@
+/// \file
+/// Messages between instances.
+#ifndef HAWTHORNBEAM_WIRE_MESSAGES_HPP
+#define HAWTHORNBEAM_WIRE_MESSAGES_HPP
+
+#include "hawthornbeam/platform/worker_gateway.hpp"
+#include "hawthornbeam/support/ids.hpp"
+#include "hawthornbeam/support/units.hpp"
+#include "hawthornbeam/table/table.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hawthornbeam::wire
+{
+
+/// Version of the inner protocol; instances refuse other versions in the handshake.
+inline constexpr std::uint32_t protocol_version = 1;
+
+/// A job as a caller submitted it.
+struct job_spec
+{
+    job_id id;
+    request_id request;
+    row_id row;
+    std::uint32_t tasks = 1;
+    resources size; ///< Declared size of each task.
+    bool idempotent = false;
+    bool synchronous = false;     ///< The caller waits for the result; not journaled.
+    std::int64_t run_time_ms = 0; ///< Declared; zero when unknown.
+    /// Time the caller waits from submission, in ms; zero means no deadline.
+    std::int64_t deadline_ms = 0;
+    bool spread_domains = false; ///< Spread tasks over failure domains.
+    std::string payload;
+};
+
+enum class job_verdict : std::uint8_t
+{
+    accepted, ///< Queued; a durable job is journaled.
+    done,     ///< All tasks ended; outputs are whole.
+    not_run,  ///< Refused or cancelled before any task ran.
+    unknown,  ///< It cannot be known whether it ran.
+    cancelled ///< Ended by a cancellation after some task had run.
+};
+
+/// Lower-case name of \p verdict.
+const char* to_string(job_verdict verdict);
+
+/// Result of one task of a job.
+struct task_result
+{
+    std::uint32_t index = 0;
+    task_state state = task_state::finished;
+    bool known = true; ///< False when the outcome cannot be known.
+    std::string output;
+};
+
+/// State of a job as its owner knows it.
+struct job_status
+{
+    job_id id;
+    request_id request;
+    row_id row;
+    job_verdict verdict = job_verdict::accepted;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    std::uint32_t ended = 0;
+    std::string reason; ///< Why it was refused, or what a waiting task waits for.
+    std::int64_t retry_after_ms = 0; ///< When to submit again; zero when pointless.
+    std::vector<task_result> results;
+};
+
+struct submit_request
+{
+    job_spec job;
+};
+struct submit_reply
+{
+    job_status status;
+};
+struct job_query
+{
+    job_id id;
+};
+struct job_reply
+{
+    bool found = false;
+    job_status status;
+};
+struct job_list_request
+{
+    partner_id partner; ///< Empty selects all partners.
+    row_id row;         ///< Empty selects all rows.
+    std::uint32_t most = 100;
+};
+struct job_list_reply
+{
+    std::vector<job_status> jobs;
+};
+/// Cancels one job, or all jobs of a row when the id is zero.
+struct cancel_request
+{
+    job_id id;
+    row_id row;
+    partner_id partner;
+};
+struct cancel_reply
+{
+    bool found = false;
+    std::uint32_t jobs = 0;
+    std::uint32_t tasks = 0;
+};
+/// Asks a slice owner to start tasks; answered when they are queued there.
+struct start_request
+{
+    partition_id partition;
+    epoch owner_epoch;
+    instance_id job_owner;
+    row_id row;
+    bool all_at_once = false;
+    bool spread_domains = false;
+    std::int64_t deadline_ms =
+        0; ///< Remaining time until the start is pointless; 0: none.
+    std::vector<task_start> tasks;
+};
+struct start_reply
+{
+    bool queued = false; ///< False: none of the tasks was or will be started.
+    std::string reason;
+    epoch known_epoch; ///< The highest epoch the slice owner knows for the partition.
+};
+/// What became of a task; sent by the slice owner to the job owner.
+enum class task_event : std::uint8_t
+{
+    placed,  ///< Runs on the named worker.
+    not_run, ///< Will not be started by this slice owner; was not run.
+    ended,   ///< Ended; state and output are present.
+    unknown  ///< Its worker is lost; it may have run.
+};
+struct task_update
+{
+    task_id id;
+    row_id row;
+    task_event event = task_event::placed;
+    worker_id worker;
+    task_state state = task_state::running;
+    std::string output;
+};
+/// Reports updates; the answer says which the job owner has recorded.
+struct update_request
+{
+    std::vector<task_update> updates;
+};
+struct update_reply
+{
+    std::vector<task_id> recorded;
+};
+struct stop_request
+{
+    std::vector<task_id> tasks;
+};
+struct stop_reply
+{
+    std::vector<task_id> not_started; ///< Removed from the queue; were not run.
+};
+/// Asks a slice owner for all tasks of a partition, and fences lower epochs there.
+struct inventory_request
+{
+    partition_id partition;
+    epoch owner_epoch;
+    instance_id job_owner;
+};
+struct inventory_reply
+{
+    bool accepted = false; ///< False when a higher epoch is known.
+    epoch known_epoch;
+    /// Slices whose workers have all been listed; the inventory covers only these.
+    std::vector<slice_id> complete_slices;
+    std::vector<task_update> tasks;
+    std::vector<task_id> queued;
+};
+struct epochs_request
+{
+};
+struct epochs_reply
+{
+    std::vector<std::pair<partition_id, epoch>> epochs;
+};
+struct table_fetch
+{
+    table_version known;
+};
+struct table_reply
+{
+    table_version version;
+    std::string json; ///< Empty when the peer has nothing newer.
+};
+struct status_request
+{
+    bool with_metrics = false;
+};
+/// Load of one row at a slice owner.
+struct row_load
+{
+    row_id row;
+    resources running;
+    std::uint32_t tasks_running = 0;
+    std::uint32_t tasks_waiting = 0;
+};
+struct status_reply
+{
+    instance_id id;
+    failure_domain_id failure_domain;
+    table_version table;
+    bool leaving = false;
+    bool kv_reachable = false;
+    std::vector<slice_id> slices;
+    std::vector<partition_id> partitions;
+    resources capacity;
+    resources free;
+    std::vector<row_load> rows;
+    std::string metrics; ///< Metrics snapshot, when asked for.
+};
+/// Fallback answer when a request cannot be served.
+struct failure_reply
+{
+    error_code code = error_code::internal;
+    std::string message;
+};
+
+/// All requests; the index in the variant is the message type on the wire, so new
+/// types go at the end.
+using request =
+    std::variant<submit_request, job_query, job_list_request, cancel_request,
+                 start_request, update_request, stop_request, inventory_request,
+                 epochs_request, table_fetch, status_request>;
+/// All replies; same rule.
+using reply = std::variant<failure_reply, submit_reply, job_reply, job_list_reply,
+                           cancel_reply, start_reply, update_reply, stop_reply,
+                           inventory_reply, epochs_reply, table_reply, status_reply>;
+
+/// Serializes to portable binary.
+std::string encode(const request& message);
+std::string encode(const reply& message);
+/// Fails with invalid_input when \p bytes is truncated, has bytes left over or names an
+/// unknown message.
+result<request> decode_request(std::string_view bytes);
+result<reply> decode_reply(std::string_view bytes);
+
+} // namespace hawthornbeam::wire
+
+#endif
