Extend the messages for refusals, draining and task leases

Cause: the slice owner and the job owner need the reason of a refusal, a way to take back waiting tasks only, the row of queued tasks at an inventory, and the time after which an unreachable worker has ended its tasks.

--- a/include/hawthornbeam/platform/worker_gateway.hpp
+++ b/include/hawthornbeam/platform/worker_gateway.hpp
@@ -41,6 +41,8 @@
 {
     generation granted; ///< Rises whenever the owner changes.
     duration length{};  ///< Counted from before the request was sent.
+    /// The worker ends its tasks by itself when no owner has renewed for this long.
+    duration task_lease{};
 };
 
 /// A task as it is sent to a worker.
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -82,6 +82,7 @@
 struct job_query
 {
     job_id id;
+    bool explain = false; ///< Fill in what a waiting job waits for.
 };
 struct job_reply
 {
@@ -146,6 +147,10 @@
     worker_id worker;
     task_state state = task_state::running;
     std::string output;
+    /// With not_run: why, and when another try may succeed.
+    error_code code = error_code::unavailable;
+    std::string reason;
+    std::int64_t retry_after_ms = 0;
 };
 /// Reports updates; the answer says which the job owner has recorded.
 struct update_request
@@ -159,10 +164,12 @@
 struct stop_request
 {
     std::vector<task_id> tasks;
+    bool stop_running = true; ///< False: only tasks that wait are taken back.
 };
 struct stop_reply
 {
     std::vector<task_id> not_started; ///< Removed from the queue; were not run.
+    std::vector<task_id> not_known;   ///< Not at this slice owner.
 };
 /// Asks a slice owner for all tasks of a partition, and fences lower epochs there.
 struct inventory_request
@@ -171,6 +178,12 @@
     epoch owner_epoch;
     instance_id job_owner;
 };
+/// A task that waits at a slice owner.
+struct queued_task
+{
+    task_id id;
+    row_id row;
+};
 struct inventory_reply
 {
     bool accepted = false; ///< False when a higher epoch is known.
@@ -178,7 +191,7 @@
     /// Slices whose workers have all been listed; the inventory covers only these.
     std::vector<slice_id> complete_slices;
     std::vector<task_update> tasks;
-    std::vector<task_id> queued;
+    std::vector<queued_task> queued;
 };
 struct epochs_request
 {
@@ -199,6 +212,19 @@
 struct status_request
 {
     bool with_metrics = false;
+    bool with_workers = false;
+};
+/// A worker as its slice owner sees it.
+struct worker_status
+{
+    worker_id id;
+    failure_domain_id failure_domain;
+    rack_id rack;
+    resources capacity;
+    bool leaving = false;
+    bool drained = false;
+    bool lease_held = false;
+    std::string unschedulable_reason;
 };
 /// Load of one row at a slice owner.
 struct row_load
@@ -221,6 +247,26 @@
     resources free;
     std::vector<row_load> rows;
     std::string metrics; ///< Metrics snapshot, when asked for.
+    std::vector<worker_status> workers; ///< When asked for.
+};
+/// Stops or resumes new tasks on a worker.
+struct drain_request
+{
+    worker_id worker;
+    bool drained = true;
+};
+struct drain_reply
+{
+    bool owned = false; ///< False: the receiver does not own the worker.
+};
+/// Why a task waits at a slice owner.
+struct explain_request
+{
+    task_id task;
+};
+struct explain_reply
+{
+    std::string reason; ///< Empty when the task does not wait there.
 };
 /// Fallback answer when a request cannot be served.
 struct failure_reply
@@ -234,11 +280,11 @@
 using request =
     std::variant<submit_request, job_query, job_list_request, cancel_request,
                  start_request, update_request, stop_request, inventory_request,
-                 epochs_request, table_fetch, status_request>;
+                 epochs_request, table_fetch, status_request, drain_request, explain_request>;
 /// All replies; same rule.
 using reply = std::variant<failure_reply, submit_reply, job_reply, job_list_reply,
                            cancel_reply, start_reply, update_reply, stop_reply,
-                           inventory_reply, epochs_reply, table_reply, status_reply>;
+                           inventory_reply, epochs_reply, table_reply, status_reply, drain_reply, explain_reply>;
 
 /// Serializes to portable binary.
 std::string encode(const request& message);
--- /dev/null
+++ b/lib/instance/partition_set.cpp
@@ -0,0 +1,270 @@
+/// \file
+/// Implements claims and inventories of job partitions.
+#include "lib/instance/partition_set.hpp"
+
+#include "hawthornbeam/membership/rendezvous.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// Claims in flight at once; bounds the calls to the key-value service at a takeover.
+constexpr std::size_t most_claims_in_flight = 4;
+constexpr duration claim_retry = std::chrono::milliseconds(500);
+constexpr duration inventory_retry = std::chrono::milliseconds(250);
+constexpr duration inventory_deadline = std::chrono::seconds(2);
+constexpr double retry_spread = 0.5;
+
+} // namespace
+
+instance_id partition_owner_of(const membership& members, partition_id partition)
+{
+    return rendezvous_owner(fmt::format("partition/{}", partition.value()),
+                            members.candidates());
+}
+
+partition_set::partition_set(context& shared, fleet& hosts, observer& watcher)
+    : shared_(shared), fleet_(hosts), watcher_(watcher)
+{
+    for (std::uint16_t number = 0; number < shared.options.partitions; ++number)
+        entries_[partition_id(number)];
+}
+
+partition_set::~partition_set() = default;
+
+partition_set::entry& partition_set::at(partition_id partition)
+{
+    return entries_.at(partition);
+}
+
+void partition_set::follow_assignment()
+{
+    for (auto& [partition, state] : entries_)
+    {
+        const bool wanted =
+            !leaving_ &&
+            partition_owner_of(shared_.parts.members, partition) == shared_.options.self;
+        if (wanted && state.current == phase::unowned)
+            claim(partition);
+        else if (!wanted && state.current != phase::unowned)
+            give_up(partition);
+    }
+}
+
+void partition_set::claim(partition_id partition)
+{
+    if (claims_in_flight_ >= most_claims_in_flight)
+        return claim_later(partition);
+    entry& state = at(partition);
+    state.current = phase::claiming;
+    state.retry.reset();
+    state.journal = std::make_unique<partition_journal>(
+        shared_.parts.kv, shared_.parts.loop, shared_.parts.log,
+        partition_journal::options{.partition = partition,
+                                   .self = shared_.options.self,
+                                   .seed = shared_.random.next(),
+                                   .ended_job_retention =
+                                       shared_.options.ended_job_retention});
+    const std::uint64_t round = ++state.round;
+    ++claims_in_flight_;
+    state.journal->claim(shared_.guarded(
+        [this, partition, round](result<claimed_partition> claimed) {
+            --claims_in_flight_;
+            entry& owned = at(partition);
+            if (owned.round != round || owned.current != phase::claiming)
+                return;
+            if (!claimed)
+            {
+                shared_.parts.log.warning("partitions", "a claim failed",
+                                          {{"partition", partition.value()},
+                                           {"error", claimed.error().message}});
+                owned.current = phase::unowned;
+                return claim_later(partition);
+            }
+            owned.journal->on_fenced(shared_.guarded([this, partition] {
+                shared_.parts.log.warning("partitions", "another instance took over",
+                                          {{"partition", partition.value()}});
+                give_up(partition);
+                claim_later(partition);
+            }));
+            owned.current = phase::taking_inventory;
+            watcher_.on_claimed(partition, claimed.value().jobs);
+            begin_inventory(partition);
+        }));
+}
+
+void partition_set::claim_later(partition_id partition)
+{
+    at(partition).retry = shared_.parts.loop.after(
+        shared_.random.jitter(claim_retry, retry_spread), [this, partition] {
+            const bool wanted = !leaving_ && partition_owner_of(shared_.parts.members,
+                                                                partition) ==
+                                                 shared_.options.self;
+            if (wanted && at(partition).current == phase::unowned)
+                claim(partition);
+        });
+}
+
+void partition_set::give_up(partition_id partition)
+{
+    entry& state = at(partition);
+    if (state.current == phase::unowned)
+        return;
+    const bool was_owner = state.current != phase::claiming;
+    state.current = phase::unowned;
+    state.inventory_running = false;
+    state.retry.reset();
+    ++state.round;
+    if (was_owner)
+        watcher_.on_lost(partition);
+    const std::uint64_t number = next_release_++;
+    partition_journal& journal = *(releasing_[number] = std::move(state.journal));
+    const std::function<void()> finish = shared_.guarded([this, number] {
+        // Posted, because a journal must not be destroyed inside its own callback.
+        shared_.parts.loop.post(shared_.guarded([this, number] {
+            releasing_.erase(number);
+            if (leaving_ && releasing_.empty() && left_)
+                std::exchange(left_, nullptr)();
+        }));
+    });
+    if (journal.is_owner())
+        journal.release([finish](result<bool>) { finish(); });
+    else
+        finish();
+}
+
+void partition_set::leave(std::function<void()> done)
+{
+    leaving_ = true;
+    left_ = std::move(done);
+    follow_assignment();
+    if (releasing_.empty() && left_)
+        std::exchange(left_, nullptr)();
+}
+
+void partition_set::repeat_inventories()
+{
+    for (const auto& [partition, state] : entries_)
+        if (state.current == phase::taking_inventory || state.current == phase::active)
+            begin_inventory(partition);
+}
+
+void partition_set::repeat_inventory(partition_id partition)
+{
+    const entry& state = at(partition);
+    if (state.current == phase::active && !state.inventory_running)
+        begin_inventory(partition);
+}
+
+void partition_set::begin_inventory(partition_id partition)
+{
+    entry& state = at(partition);
+    ++state.round;
+    state.inventory_running = true;
+    state.covered.clear();
+    ask_for_inventory(partition);
+}
+
+void partition_set::ask_for_inventory(partition_id partition)
+{
+    entry& state = at(partition);
+    const std::uint64_t round = state.round;
+    wire::inventory_request message;
+    message.partition = partition;
+    message.owner_epoch = state.journal->owner_epoch();
+    message.job_owner = shared_.options.self;
+    std::set<instance_id> owners;
+    for (const slice_id& slice : fleet_.slices())
+        if (!state.covered.contains(slice))
+            owners.insert(fleet_.owner_of(slice));
+    for (const instance_id& owner : owners)
+    {
+        const member* target = shared_.parts.members.find(owner);
+        if (target == nullptr)
+            continue;
+        shared_.parts.peers.call(
+            target->peer, message, inventory_deadline,
+            shared_.guarded([this, partition, round, owner](result<wire::reply> answer) {
+                const wire::inventory_reply* reply =
+                    answer ? std::get_if<wire::inventory_reply>(&answer.value()) : nullptr;
+                if (reply != nullptr)
+                    inventory_answered(partition, round, owner, *reply);
+            }));
+    }
+    state.retry = shared_.parts.loop.after(
+        shared_.random.jitter(inventory_retry, retry_spread), [this, partition] {
+            if (at(partition).inventory_running)
+                check_coverage(partition);
+        });
+}
+
+void partition_set::inventory_answered(partition_id partition, std::uint64_t round,
+                                       const instance_id& from,
+                                       const wire::inventory_reply& reply)
+{
+    entry& state = at(partition);
+    if (state.round != round || !state.inventory_running)
+        return;
+    if (!reply.accepted)
+    {
+        // A newer owner exists; the next append would fail as well.
+        give_up(partition);
+        return claim_later(partition);
+    }
+    state.covered.insert(reply.complete_slices.begin(), reply.complete_slices.end());
+    watcher_.on_inventory(partition, from, reply);
+    const std::set<slice_id>& slices = fleet_.slices();
+    if (fleet_.is_known() && std::includes(state.covered.begin(), state.covered.end(),
+                                           slices.begin(), slices.end()))
+        check_coverage(partition);
+}
+
+void partition_set::check_coverage(partition_id partition)
+{
+    entry& state = at(partition);
+    const std::set<slice_id>& slices = fleet_.slices();
+    if (!fleet_.is_known() || !std::includes(state.covered.begin(), state.covered.end(),
+                                             slices.begin(), slices.end()))
+        return ask_for_inventory(partition);
+    state.inventory_running = false;
+    state.retry.reset();
+    state.current = phase::active;
+    watcher_.on_inventory_complete(partition);
+}
+
+bool partition_set::is_active(partition_id partition) const
+{
+    return entries_.at(partition).current == phase::active;
+}
+
+bool partition_set::is_owned(partition_id partition) const
+{
+    const phase current = entries_.at(partition).current;
+    return current == phase::active || current == phase::taking_inventory;
+}
+
+epoch partition_set::epoch_of(partition_id partition) const
+{
+    return entries_.at(partition).journal->owner_epoch();
+}
+
+partition_journal& partition_set::journal(partition_id partition)
+{
+    return *at(partition).journal;
+}
+
+std::vector<partition_id> partition_set::owned() const
+{
+    std::vector<partition_id> owned;
+    for (const auto& [partition, state] : entries_)
+        if (state.current == phase::active || state.current == phase::taking_inventory)
+            owned.push_back(partition);
+    return owned;
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/instance/partition_set.hpp
@@ -0,0 +1,98 @@
+/// \file
+/// Which job partitions this instance owns, and their journals and inventories.
+#ifndef HAWTHORNBEAM_LIB_INSTANCE_PARTITION_SET_HPP
+#define HAWTHORNBEAM_LIB_INSTANCE_PARTITION_SET_HPP
+
+#include "hawthornbeam/journal/journal.hpp"
+#include "lib/instance/fleet.hpp"
+
+namespace hawthornbeam
+{
+
+/// The instance that should own \p partition; empty when there is no candidate.
+instance_id partition_owner_of(const membership& members, partition_id partition);
+
+/// Claims partitions, takes their inventories and gives them up.
+class partition_set
+{
+public:
+    /// Learns what happens to partitions.
+    class observer
+    {
+    public:
+        virtual ~observer() = default;
+        /// The claim succeeded; \p jobs comes from the journal.
+        virtual void on_claimed(partition_id partition,
+                                const std::vector<journaled_job>& jobs) = 0;
+        /// One slice owner's answer to the inventory.
+        virtual void on_inventory(partition_id partition, const instance_id& from,
+                                  const wire::inventory_reply& reply) = 0;
+        /// All slices have been covered: what was not found does not run.
+        virtual void on_inventory_complete(partition_id partition) = 0;
+        /// Another instance owns the partition now, or it was given up.
+        virtual void on_lost(partition_id partition) = 0;
+    };
+
+    partition_set(context& shared, fleet& hosts, observer& watcher);
+    ~partition_set();
+
+    /// Claims and gives up partitions so that they match the member list.
+    void follow_assignment();
+    /// Takes the inventory of all owned partitions again, after a slice owner was lost.
+    void repeat_inventories();
+    void repeat_inventory(partition_id partition);
+    /// Gives all partitions up.
+    void leave(std::function<void()> done);
+
+    /// True when the partition is owned and its first inventory is complete.
+    bool is_active(partition_id partition) const;
+    /// True when owned, active or not yet.
+    bool is_owned(partition_id partition) const;
+    epoch epoch_of(partition_id partition) const;
+    partition_journal& journal(partition_id partition);
+    std::vector<partition_id> owned() const;
+
+private:
+    enum class phase : std::uint8_t
+    {
+        unowned,
+        claiming,
+        taking_inventory,
+        active
+    };
+    struct entry
+    {
+        std::unique_ptr<partition_journal> journal;
+        phase current = phase::unowned;
+        bool inventory_running = false;
+        /// Counts inventories; answers to an earlier one are ignored.
+        std::uint64_t round = 0;
+        std::set<slice_id> covered;
+        timer_handle retry;
+    };
+
+    entry& at(partition_id partition);
+    void claim(partition_id partition);
+    void claim_later(partition_id partition);
+    void give_up(partition_id partition);
+    void begin_inventory(partition_id partition);
+    void ask_for_inventory(partition_id partition);
+    void inventory_answered(partition_id partition, std::uint64_t round,
+                            const instance_id& from, const wire::inventory_reply& reply);
+    void check_coverage(partition_id partition);
+
+    context& shared_;
+    fleet& fleet_;
+    observer& watcher_;
+    std::map<partition_id, entry> entries_;
+    /// Journals whose release is in flight.
+    std::map<std::uint64_t, std::unique_ptr<partition_journal>> releasing_;
+    std::uint64_t next_release_ = 0;
+    std::size_t claims_in_flight_ = 0;
+    bool leaving_ = false;
+    std::function<void()> left_;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- /dev/null
+++ b/lib/instance/slice_owner.hpp
@@ -0,0 +1,123 @@
+/// \file
+/// Owns slices: starts tasks on their workers and reports what becomes of them.
+#ifndef HAWTHORNBEAM_LIB_INSTANCE_SLICE_OWNER_HPP
+#define HAWTHORNBEAM_LIB_INSTANCE_SLICE_OWNER_HPP
+
+#include "hawthornbeam/policy/scheduler.hpp"
+#include "lib/instance/fleet.hpp"
+#include "lib/instance/update_sender.hpp"
+#include "lib/instance/worker_session.hpp"
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+
+namespace hawthornbeam
+{
+
+/// The slice owner role of an instance.
+class slice_owner final : private worker_session::observer
+{
+public:
+    slice_owner(context& shared, fleet& hosts, update_sender::route find_job_owner);
+    ~slice_owner() override;
+
+    /// Acquires and releases workers so that they match the fleet's assignment.
+    void follow_assignment();
+    void set_table(const operators_table& table);
+    void set_remote_usage(const std::vector<policy::row_usage>& usage);
+    /// Stops or resumes new starts, while the instance is isolated.
+    void set_paused(bool paused);
+    /// Gives all workers back and returns waiting tasks to their job owners.
+    void leave(std::function<void()> done);
+
+    wire::start_reply start(const wire::start_request& message);
+    wire::stop_reply stop(const wire::stop_request& message);
+    wire::inventory_reply inventory(const wire::inventory_request& message);
+    wire::epochs_reply epochs() const;
+    /// Raises the known epoch of a partition.
+    void learn_epoch(partition_id partition, epoch value);
+
+    /// Fills the parts of a status that the slice owner knows.
+    void describe(wire::status_reply& status) const;
+    /// True when this instance owns \p worker; then it is drained or resumed.
+    bool drain(const worker_id& worker, bool drained);
+    /// Why a task waits here; empty when it does not.
+    std::string explain(const task_id& task) const;
+    std::size_t open_work() const;
+
+private:
+    enum class task_phase : std::uint8_t
+    {
+        waiting,
+        starting,
+        running,
+        ended
+    };
+    struct tracked_task
+    {
+        task_start start; ///< Its payload is dropped once the task runs.
+        epoch owner_epoch;
+        worker_id worker;
+        boot_time enqueued{};
+        task_phase phase = task_phase::waiting;
+        bool stop_requested = false;
+        task_state state = task_state::running;
+        std::string output; ///< Kept until the worker may forget it.
+    };
+
+    void on_reconciled(worker_session& session, std::vector<task_report> tasks) override;
+    void on_reports(worker_session& session, std::vector<task_report> tasks) override;
+    void on_lost(worker_session& session) override;
+
+    void open_session(const host_entry& host);
+    void drop_session(const worker_id& worker, bool worker_is_gone);
+    void report_lost_later(const tracked_task& task, boot_time ended_by);
+    void finish_leaving();
+    void settle_missing(const task_id& id);
+    void schedule_acknowledgements();
+    void acknowledge_recorded();
+    void update_schedulable(const worker_session& session);
+    void adopt(const worker_session& session, const task_report& report);
+    void task_ended(const worker_id& worker, const task_report& report);
+    void send_update(const tracked_task& task, wire::task_event event, task_state state,
+                     std::string output);
+    void refuse(const policy::refusal& refused);
+    void schedule_decision();
+    void decide();
+    void start_on(const worker_id& worker, std::vector<task_id> ids);
+    void starts_answered(const worker_id& worker,
+                         const std::vector<start_outcome>& outcomes);
+    void apply_preemption(const policy::preemption& what);
+    void update_recorded(const wire::task_update& update);
+    void learn_epochs_of_members();
+    bool knows_epochs() const { return epoch_answers_missing_ == 0; }
+
+    context& shared_;
+    fleet& fleet_;
+    policy::scheduler scheduler_;
+    update_sender updates_;
+    std::map<worker_id, std::unique_ptr<worker_session>> sessions_;
+    std::map<worker_id, bool> drained_;
+    std::unordered_map<task_id, tracked_task> tasks_;
+    std::map<partition_id, epoch> epochs_;
+    std::size_t epoch_answers_missing_ = 0;
+    std::uint64_t epoch_round_ = 0;
+    bool paused_ = false;
+    bool leaving_ = false;
+    bool decision_scheduled_ = false;
+    std::size_t closing_ = 0;
+    std::function<void()> left_;
+    bool acknowledge_scheduled_ = false;
+    /// Recorded outcomes and when their workers may forget them.
+    std::deque<std::pair<boot_time, task_id>> recorded_;
+    std::map<std::uint64_t, timer_handle> lost_timers_;
+    std::uint64_t next_lost_timer_ = 0;
+    timer_handle decision_timer_;
+    timer_handle period_timer_;
+    timer_handle acknowledge_timer_;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- /dev/null
+++ b/lib/instance/slice_reports.cpp
@@ -0,0 +1,219 @@
+/// \file
+/// Implements what the slice owner does with the reports of its workers.
+#include "lib/instance/slice_owner.hpp"
+
+#include <unordered_set>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// Outcomes stay on the worker this long after they were recorded, so that a job owner
+/// that takes over finds those whose answer its predecessor may not have delivered. It
+/// exceeds the time of a takeover.
+constexpr duration acknowledge_delay = std::chrono::seconds(10);
+constexpr duration acknowledge_period = std::chrono::seconds(1);
+
+policy::ending ending_of(task_state state, bool stop_requested)
+{
+    switch (state)
+    {
+    case task_state::running:
+    case task_state::finished:
+        return policy::ending::success;
+    case task_state::failed:
+        return policy::ending::failure;
+    case task_state::stopped:
+        return stop_requested ? policy::ending::cancelled : policy::ending::preempted;
+    }
+    return policy::ending::success;
+}
+
+} // namespace
+
+void slice_owner::on_reconciled(worker_session& session, std::vector<task_report> tasks)
+{
+    const worker_id worker = session.host().id;
+    std::unordered_set<task_id> listed;
+    for (const task_report& report : tasks)
+    {
+        listed.insert(report.id);
+        adopt(session, report);
+    }
+    std::vector<task_id> missing;
+    for (const auto& [id, task] : tasks_)
+        if (task.worker == worker && !listed.contains(id))
+            missing.push_back(id);
+    for (const task_id& id : missing)
+        settle_missing(id);
+    shared_.parts.log.info("slice_owner", "a worker is owned",
+                           {{"worker", worker.value()},
+                            {"tasks", static_cast<std::uint64_t>(tasks.size())}});
+    update_schedulable(session);
+}
+
+void slice_owner::settle_missing(const task_id& id)
+{
+    tracked_task& task = tasks_.at(id);
+    switch (task.phase)
+    {
+    case task_phase::waiting:
+        task.worker = worker_id();
+        return;
+    case task_phase::starting:
+        // The new generation keeps the old call from starting it after this point.
+        task.phase = task_phase::waiting;
+        task.worker = worker_id();
+        scheduler_.placement_failed(id, shared_.now());
+        return;
+    case task_phase::running:
+        // The worker has lost its state and does not run the task any more.
+        scheduler_.task_ended(id, policy::ending::lost, shared_.now());
+        send_update(task, wire::task_event::unknown, task_state::failed, std::string());
+        tasks_.erase(id);
+        return;
+    case task_phase::ended:
+        return;
+    }
+}
+
+void slice_owner::adopt(const worker_session& session, const task_report& report)
+{
+    const auto existing = tasks_.find(report.id);
+    if (existing == tasks_.end() || existing->second.phase == task_phase::waiting)
+    {
+        if (existing != tasks_.end())
+            scheduler_.cancel(report.id);
+        tracked_task& task = tasks_[report.id];
+        task.start.id = report.id;
+        task.start.row = report.row;
+        task.start.size = report.size;
+        task.start.idempotent = report.idempotent;
+        task.start.job_owner = report.job_owner;
+        task.start.payload = std::string();
+        task.worker = session.host().id;
+        task.phase = task_phase::running;
+        if (report.state == task_state::running)
+        {
+            policy::waiting_task waiting;
+            waiting.id = report.id;
+            waiting.row = report.row;
+            waiting.size = report.size;
+            waiting.enqueued = shared_.now();
+            waiting.idempotent = report.idempotent;
+            scheduler_.adopt(waiting, session.host().id, shared_.now());
+        }
+    }
+    tracked_task& task = tasks_.at(report.id);
+    if (report.state != task_state::running)
+        return task_ended(session.host().id, report);
+    if (task.phase == task_phase::ended)
+        return;
+    task.phase = task_phase::running;
+    task.start.payload = std::string();
+    send_update(task, wire::task_event::placed, task_state::running, std::string());
+}
+
+void slice_owner::on_reports(worker_session& session, std::vector<task_report> tasks)
+{
+    bool ended = false;
+    for (const task_report& report : tasks)
+    {
+        if (report.state != task_state::running)
+        {
+            if (!tasks_.contains(report.id))
+                adopt(session, report);
+            else
+                task_ended(session.host().id, report);
+            ended = true;
+            continue;
+        }
+        const std::optional<finding> rejected =
+            scheduler_.report_usage(report.id, report.used_cores, report.used_memory);
+        if (!rejected)
+            continue;
+        shared_.parts.metrics.add("hawthornbeam_usage_reports_rejected_total", {});
+        shared_.parts.log.debug(
+            "slice_owner", "a usage report was rejected",
+            {{"worker", session.host().id.value()}, {"finding", rejected->text()}});
+    }
+    if (ended)
+        schedule_decision();
+}
+
+void slice_owner::on_lost(worker_session& session) { update_schedulable(session); }
+
+void slice_owner::task_ended(const worker_id& worker, const task_report& report)
+{
+    tracked_task& task = tasks_.at(report.id);
+    if (task.phase == task_phase::ended)
+        return;
+    task.phase = task_phase::ended;
+    task.worker = worker;
+    task.state = report.state;
+    task.output = report.output;
+    task.start.payload = std::string();
+    scheduler_.task_ended(report.id, ending_of(report.state, task.stop_requested),
+                          shared_.now());
+    send_update(task, wire::task_event::ended, report.state, report.output);
+}
+
+void slice_owner::send_update(const tracked_task& task, wire::task_event event,
+                              task_state state, std::string output)
+{
+    wire::task_update update;
+    update.id = task.start.id;
+    update.row = task.start.row;
+    update.event = event;
+    update.worker = task.worker;
+    update.state = state;
+    update.output = std::move(output);
+    updates_.send(std::move(update));
+}
+
+void slice_owner::update_recorded(const wire::task_update& update)
+{
+    if (update.event != wire::task_event::ended)
+        return;
+    const auto found = tasks_.find(update.id);
+    if (found == tasks_.end() || found->second.phase != task_phase::ended)
+        return;
+    recorded_.emplace_back(shared_.now() + acknowledge_delay, update.id);
+    if (!acknowledge_scheduled_)
+        schedule_acknowledgements();
+}
+
+void slice_owner::schedule_acknowledgements()
+{
+    acknowledge_scheduled_ = true;
+    acknowledge_timer_ = shared_.parts.loop.after(acknowledge_period, [this] {
+        acknowledge_scheduled_ = false;
+        acknowledge_recorded();
+    });
+}
+
+void slice_owner::acknowledge_recorded()
+{
+    std::map<worker_id, std::vector<task_id>> batches;
+    while (!recorded_.empty() && recorded_.front().first <= shared_.now())
+    {
+        const auto found = tasks_.find(recorded_.front().second);
+        recorded_.pop_front();
+        if (found == tasks_.end())
+            continue;
+        batches[found->second.worker].push_back(found->first);
+        tasks_.erase(found);
+    }
+    for (auto& [worker, ids] : batches)
+    {
+        const auto session = sessions_.find(worker);
+        if (session != sessions_.end() && session->second->is_reconciled())
+            session->second->acknowledge(std::move(ids));
+    }
+    if (!recorded_.empty())
+        schedule_acknowledgements();
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/instance/update_sender.hpp
@@ -0,0 +1,57 @@
+/// \file
+/// Delivers task updates to job owners until they are recorded.
+#ifndef HAWTHORNBEAM_LIB_INSTANCE_UPDATE_SENDER_HPP
+#define HAWTHORNBEAM_LIB_INSTANCE_UPDATE_SENDER_HPP
+
+#include "lib/instance/context.hpp"
+
+#include <map>
+#include <unordered_map>
+
+namespace hawthornbeam
+{
+
+/// Keeps the newest update of each task and repeats it until its job owner has recorded
+/// it. Updates for the same instance travel together.
+class update_sender
+{
+public:
+    /// Yields the instance that records the updates of a task; empty while unknown.
+    using route = std::function<instance_id(const task_id&)>;
+    using recorded = std::function<void(const wire::task_update&)>;
+
+    update_sender(context& shared, route find_owner, recorded on_recorded);
+
+    /// Replaces an update of the same task that has not been recorded.
+    void send(wire::task_update update);
+    /// Forgets the update of a task.
+    void drop(const task_id& task) { pending_.erase(task); }
+    std::size_t pending() const { return pending_.size(); }
+
+private:
+    struct entry
+    {
+        wire::task_update update;
+        bool in_flight = false;
+        /// Counts replacements, so that an answer to an older update settles nothing.
+        std::uint64_t revision = 0;
+    };
+
+    void schedule(duration delay);
+    void flush();
+    void send_batch(const instance_id& to, std::vector<task_id> ids);
+    void settle(const std::vector<std::pair<task_id, std::uint64_t>>& sent,
+                const std::vector<task_id>& confirmed);
+
+    context& shared_;
+    route route_;
+    recorded recorded_;
+    std::unordered_map<task_id, entry> pending_;
+    std::uint64_t next_revision_ = 1;
+    bool scheduled_ = false;
+    timer_handle timer_;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- /dev/null
+++ b/lib/instance/worker_session.cpp
@@ -0,0 +1,312 @@
+/// \file
+/// Implements the owner lease of one worker.
+#include "lib/instance/worker_session.hpp"
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// Part of the lease that is used; the rest allows for clock drift.
+constexpr double usable_lease_fraction = 0.9;
+/// Task lease of a worker that has never answered.
+constexpr duration assumed_task_lease = std::chrono::seconds(66);
+/// Added to a task lease for the drift of two clocks and for the way of the last renewal.
+constexpr duration lease_drift_allowance = std::chrono::seconds(6);
+constexpr duration retry_base = std::chrono::milliseconds(500);
+constexpr double retry_spread = 0.5;
+constexpr duration events_retry = std::chrono::milliseconds(100);
+
+} // namespace
+
+class worker_session::implementation
+    : public std::enable_shared_from_this<worker_session::implementation>
+{
+public:
+    enum class phase
+    {
+        idle,
+        acquiring,
+        reading,
+        holding,
+        closed
+    };
+
+    implementation(context& shared_context, host_entry entry, observer& watcher_ref,
+                   worker_session& session)
+        : shared(shared_context), host(std::move(entry)), watcher(watcher_ref),
+          self(session)
+    {
+    }
+
+    worker_gateway& gateway() { return shared.parts.workers; }
+    bool may_start() const
+    {
+        return current == phase::holding && shared.now() < deadline;
+    }
+
+    void acquire();
+    void read_tasks();
+    void wait_for_events();
+    void events_failed(const error& why);
+    void lose(const error& why);
+    void retry_acquire();
+    void note_renewal(const lease_grant& grant, boot_time sent_at);
+    void finish_start(const std::vector<task_id>& sent,
+                      result<std::vector<start_outcome>> outcome,
+                      const std::function<void(std::vector<start_outcome>)>& done);
+    void release_when_idle();
+
+    context& shared;
+    host_entry host;
+    observer& watcher;
+    worker_session& self;
+    phase current = phase::idle;
+    generation held;
+    boot_time deadline = boot_time::min();
+    boot_time renewed{};
+    boot_time renewal_sent{};
+    duration task_lease = assumed_task_lease;
+    std::uint64_t seen = 0;
+    std::size_t starts_in_flight = 0;
+    /// Counts acquisitions; callbacks of an earlier one are ignored.
+    std::uint64_t round = 0;
+    std::function<void()> closed;
+    timer_handle retry;
+};
+
+void worker_session::implementation::note_renewal(const lease_grant& grant,
+                                                  boot_time sent_at)
+{
+    held = grant.granted;
+    renewed = sent_at;
+    task_lease = grant.task_lease + lease_drift_allowance;
+    deadline = sent_at + duration(static_cast<duration::rep>(
+                             static_cast<double>(grant.length.count()) *
+                             usable_lease_fraction));
+}
+
+void worker_session::implementation::acquire()
+{
+    current = phase::acquiring;
+    const std::uint64_t mine = ++round;
+    const boot_time sent_at = shared.now();
+    const std::weak_ptr<implementation> weak = weak_from_this();
+    gateway().acquire(host.address, shared.options.self,
+                      [weak, mine, sent_at](result<lease_grant> grant) {
+                          const std::shared_ptr<implementation> state = weak.lock();
+                          if (!state || state->round != mine)
+                              return;
+                          if (!grant)
+                              return state->retry_acquire();
+                          state->note_renewal(grant.value(), sent_at);
+                          state->read_tasks();
+                      });
+}
+
+void worker_session::implementation::retry_acquire()
+{
+    if (current == phase::closed)
+        return;
+    current = phase::idle;
+    ++round;
+    const duration delay = shared.random.jitter(retry_base, retry_spread);
+    retry = shared.parts.loop.after(delay, [this] { acquire(); });
+}
+
+void worker_session::implementation::read_tasks()
+{
+    current = phase::reading;
+    const std::uint64_t mine = round;
+    const std::weak_ptr<implementation> weak = weak_from_this();
+    gateway().list(host.address, [weak, mine](result<std::vector<task_report>> tasks) {
+        const std::shared_ptr<implementation> state = weak.lock();
+        if (!state || state->round != mine)
+            return;
+        // A list that arrives after the lease has ended may miss later starts of a
+        // successor.
+        if (!tasks || state->shared.now() >= state->deadline)
+            return state->retry_acquire();
+        state->current = phase::holding;
+        state->seen = 0;
+        state->watcher.on_reconciled(state->self, std::move(tasks).value());
+        if (state->current == phase::holding && state->round == mine)
+            state->wait_for_events();
+    });
+}
+
+void worker_session::implementation::wait_for_events()
+{
+    const std::uint64_t mine = round;
+    const boot_time sent_at = shared.now();
+    renewal_sent = sent_at;
+    const std::weak_ptr<implementation> weak = weak_from_this();
+    gateway().events(host.address, held, seen, shared.options.events_wait,
+                     [weak, mine, sent_at](result<worker_events> events) {
+                         const std::shared_ptr<implementation> state = weak.lock();
+                         if (!state || state->round != mine)
+                             return;
+                         if (!events)
+                             return state->events_failed(events.error());
+                         state->note_renewal(events.value().lease, sent_at);
+                         state->seen = events.value().seen;
+                         if (!events.value().tasks.empty())
+                             state->watcher.on_reports(state->self,
+                                                       std::move(events.value().tasks));
+                         if (state->current == phase::holding && state->round == mine)
+                             state->wait_for_events();
+                     });
+}
+
+void worker_session::implementation::events_failed(const error& why)
+{
+    // While the lease certainly lasts, one failed call is no reason to give it up.
+    if (why.code == error_code::conflict || shared.now() >= deadline)
+        return lose(why);
+    const std::uint64_t mine = round;
+    retry = shared.parts.loop.after(events_retry, [this, mine] {
+        if (round == mine && current == phase::holding)
+            wait_for_events();
+    });
+}
+
+void worker_session::implementation::lose(const error& why)
+{
+    shared.parts.log.warning("worker", "the owner lease of a worker was lost",
+                             {{"worker", host.id.value()}, {"error", why.message}});
+    current = phase::idle;
+    deadline = boot_time::min();
+    watcher.on_lost(self);
+    retry_acquire();
+}
+
+void worker_session::implementation::finish_start(
+    const std::vector<task_id>& sent, result<std::vector<start_outcome>> outcome,
+    const std::function<void(std::vector<start_outcome>)>& done)
+{
+    --starts_in_flight;
+    if (outcome)
+        done(std::move(outcome).value());
+    else
+    {
+        // Not sent, or refused as a whole: none of the tasks was started.
+        std::vector<start_outcome> none;
+        if (outcome.error().code != error_code::outcome_unknown)
+            for (const task_id& id : sent)
+                none.push_back(start_outcome{id, false, outcome.error().message});
+        done(std::move(none));
+        if (current == phase::holding)
+        {
+            current = phase::idle;
+            deadline = boot_time::min();
+            watcher.on_lost(self);
+            acquire();
+        }
+    }
+    release_when_idle();
+}
+
+void worker_session::implementation::release_when_idle()
+{
+    if (current != phase::closed || starts_in_flight > 0 || !closed)
+        return;
+    const std::function<void()> done = std::move(closed);
+    closed = nullptr;
+    if (held == generation())
+        return done();
+    gateway().release(host.address, held, [done](result<bool>) { done(); });
+}
+
+worker_session::worker_session(context& shared, host_entry host, observer& watcher)
+    : implementation_(
+          std::make_shared<implementation>(shared, std::move(host), watcher, *this))
+{
+}
+
+worker_session::~worker_session()
+{
+    ++implementation_->round;
+    implementation_->current = implementation::phase::closed;
+    implementation_->retry.reset();
+}
+
+void worker_session::open()
+{
+    if (implementation_->current == implementation::phase::idle)
+        implementation_->acquire();
+}
+
+void worker_session::close(std::function<void()> done)
+{
+    ++implementation_->round;
+    implementation_->retry.reset();
+    implementation_->current = implementation::phase::closed;
+    implementation_->deadline = boot_time::min();
+    implementation_->closed = std::move(done);
+    implementation_->release_when_idle();
+}
+
+const host_entry& worker_session::host() const { return implementation_->host; }
+
+void worker_session::set_leaving(bool leaving) { implementation_->host.leaving = leaving; }
+
+bool worker_session::may_start() const { return implementation_->may_start(); }
+
+bool worker_session::is_reconciled() const
+{
+    return implementation_->current == implementation::phase::holding;
+}
+
+boot_time worker_session::tasks_end_by() const
+{
+    // A renewal may have been applied although its answer never came.
+    return std::max(implementation_->renewal_sent, implementation_->renewed) +
+           implementation_->task_lease;
+}
+
+void worker_session::start(std::vector<task_start> tasks,
+                           std::function<void(std::vector<start_outcome>)> done)
+{
+    implementation& state = *implementation_;
+    std::vector<task_id> sent;
+    for (const task_start& task : tasks)
+        sent.push_back(task.id);
+    if (!state.may_start())
+    {
+        std::vector<start_outcome> none;
+        for (const task_id& id : sent)
+            none.push_back(start_outcome{id, false, "the owner lease is not held"});
+        return done(std::move(none));
+    }
+    ++state.starts_in_flight;
+    const std::shared_ptr<implementation> keep = implementation_;
+    state.gateway().start(
+        state.host.address, state.held, std::move(tasks),
+        [keep, sent, done = std::move(done)](result<std::vector<start_outcome>> outcome) {
+            keep->finish_start(sent, std::move(outcome), done);
+        });
+}
+
+void worker_session::control(const task_id& task, task_action action)
+{
+    implementation& state = *implementation_;
+    const logger& log = state.shared.parts.log;
+    state.gateway().control(state.host.address, state.held, task, action,
+                            [&log, task](result<bool> applied) {
+                                if (!applied)
+                                    log.debug("worker", "a control call failed",
+                                              {{"task", task.text()},
+                                               {"error", applied.error().message}});
+                            });
+}
+
+void worker_session::acknowledge(std::vector<task_id> tasks)
+{
+    // A lost acknowledgement is repeated after the next reconciliation.
+    implementation_->gateway().acknowledge(implementation_->host.address,
+                                           implementation_->held, std::move(tasks),
+                                           [](result<bool>) {});
+}
+
+} // namespace hawthornbeam
