--- a/include/hawthornbeam/instance/instance.hpp
+++ b/include/hawthornbeam/instance/instance.hpp
@@ -79,7 +79,7 @@
     /// means that it cannot be known.
     void submit(wire::job_spec job, callback<wire::job_status> done);
     /// Status and results of a job; not_found when its owner does not know it.
-    void query(const job_id& id, callback<wire::job_status> done);
+    void query(const wire::job_query& question, callback<wire::job_status> done);
     /// Jobs at all reachable owners.
     void list(const wire::job_list_request& selector,
               callback<std::vector<wire::job_status>> done);
--- /dev/null
+++ b/lib/instance/dispatcher.hpp
@@ -0,0 +1,92 @@
+/// \file
+/// Chooses slice owners for waiting tasks and sends the tasks there.
+#ifndef HAWTHORNBEAM_LIB_INSTANCE_DISPATCHER_HPP
+#define HAWTHORNBEAM_LIB_INSTANCE_DISPATCHER_HPP
+
+#include "lib/instance/fleet.hpp"
+#include "lib/instance/job_state.hpp"
+#include "lib/instance/load_view.hpp"
+
+#include <deque>
+#include <optional>
+
+namespace hawthornbeam
+{
+
+/// Names a task of a job, whatever its attempt.
+struct slot_ref
+{
+    job_id job;
+    std::uint32_t index = 0;
+
+    friend bool operator==(const slot_ref&, const slot_ref&) = default;
+};
+
+/// Queues of waiting tasks by row. Few tasks of a row wait at a slice owner at a time;
+/// the rest stays here, so that they go where room appears first.
+class dispatcher
+{
+public:
+    /// What the dispatcher needs of the job owner.
+    class jobs
+    {
+    public:
+        virtual ~jobs() = default;
+        virtual job_state* find_job(const job_id& id) = 0;
+        /// The epoch of a partition; nullopt while this instance may not start its tasks.
+        virtual std::optional<epoch> epoch_of(partition_id partition) = 0;
+        virtual std::uint64_t next_sequence(partition_id partition) = 0;
+        /// Slice owner \p owner does not take the tasks; they wait again.
+        virtual void start_refused(const std::vector<slot_ref>& slots) = 0;
+        /// The start request's outcome is unknown; the tasks may be at \p owner.
+        virtual void start_uncertain(const std::vector<slot_ref>& slots) = 0;
+    };
+
+    dispatcher(context& shared, fleet& hosts, load_view& loads, jobs& owner);
+
+    /// Queues a slot whose phase is waiting.
+    void add(const job_state& job, std::uint32_t index);
+    void schedule();
+    /// A dispatched task of \p row left the queue of slice owner \p owner.
+    void left_queue(const instance_id& owner, const row_id& row);
+    /// Tasks of \p row that wait here, some of which may have ended meanwhile.
+    std::size_t waiting(const row_id& row) const;
+    /// True when some slice owner other than \p busy has free room for \p size.
+    bool has_room_elsewhere(const resources& size, const instance_id& busy) const;
+    /// Why the first waiting task of \p job is still here.
+    std::string explain(const job_state& job) const;
+
+private:
+    struct row_queue
+    {
+        std::deque<slot_ref> slots;
+    };
+    struct batch
+    {
+        wire::start_request message;
+        std::vector<slot_ref> slots;
+    };
+
+    void dispatch();
+    bool dispatch_row(const table_row& row, row_queue& queue);
+    bool dispatch_gang(const job_state& job, row_queue& queue);
+    std::optional<instance_id> choose(const row_id& row, const resources& size,
+                                      std::uint64_t tasks);
+    std::size_t& outstanding(const instance_id& owner, const row_id& row);
+    void append(batch& target, job_state& job, std::uint32_t index, epoch owner_epoch,
+                const instance_id& owner);
+    void send(const instance_id& owner, batch ready);
+
+    context& shared_;
+    fleet& fleet_;
+    load_view& loads_;
+    jobs& jobs_;
+    std::map<row_id, row_queue> queues_;
+    std::map<std::pair<instance_id, row_id>, std::size_t> outstanding_;
+    bool scheduled_ = false;
+    timer_handle timer_;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- /dev/null
+++ b/lib/instance/job_owner.hpp
@@ -0,0 +1,128 @@
+/// \file
+/// Owns job partitions: accepts jobs, has their tasks started, records their results.
+#ifndef HAWTHORNBEAM_LIB_INSTANCE_JOB_OWNER_HPP
+#define HAWTHORNBEAM_LIB_INSTANCE_JOB_OWNER_HPP
+
+#include "lib/instance/dispatcher.hpp"
+#include "lib/instance/partition_set.hpp"
+#include "lib/instance/retry_budget.hpp"
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace hawthornbeam
+{
+
+/// The job owner role of an instance.
+class job_owner final : private partition_set::observer, private dispatcher::jobs
+{
+public:
+    using submit_callback = std::function<void(result<wire::job_status>)>;
+    using update_callback = std::function<void(wire::update_reply)>;
+
+    job_owner(context& shared, fleet& hosts, load_view& loads);
+    ~job_owner() override;
+
+    /// Follows the member list: partitions move, and tasks at lost slice owners are
+    /// looked for.
+    void members_changed();
+    void schedule_dispatch() { dispatcher_.schedule(); }
+    void leave(std::function<void()> done);
+
+    /// Accepts a job or finds the one of the same id. \p done runs once: for a
+    /// synchronous job with its final status, else once the job is durable. An error
+    /// means that this instance did not take it and will not run it.
+    void submit(const wire::job_spec& spec, submit_callback done);
+    /// Status of a job; fails with unavailable while the partition is not owned here.
+    result<wire::job_status> query(const job_id& id) const;
+    std::vector<wire::job_status> list(const wire::job_list_request& selector) const;
+    wire::cancel_reply cancel(const wire::cancel_request& selector);
+    /// Records updates; answers when those of durable jobs are in the journal.
+    void update(const instance_id& from, const wire::update_request& message,
+                update_callback done);
+
+    std::vector<partition_id> partitions() const { return partitions_.owned(); }
+    /// The first waiting task of a job that is at a slice owner, with that owner.
+    std::optional<std::pair<instance_id, task_id>>
+    waiting_elsewhere(const job_id& id) const;
+    /// Why a job waits here; empty when none of its tasks does.
+    std::string explain(const job_id& id) const;
+    /// Synchronous jobs whose caller waits.
+    std::size_t open_requests() const;
+    std::size_t live_jobs() const { return jobs_.size(); }
+
+private:
+    struct recording;
+
+    // partition_set::observer
+    void on_claimed(partition_id partition,
+                    const std::vector<journaled_job>& jobs) override;
+    void on_inventory(partition_id partition, const instance_id& from,
+                      const wire::inventory_reply& reply) override;
+    void on_inventory_complete(partition_id partition) override;
+    void on_lost(partition_id partition) override;
+
+    // dispatcher::jobs
+    job_state* find_job(const job_id& id) override;
+    std::optional<epoch> epoch_of(partition_id partition) override;
+    std::uint64_t next_sequence(partition_id partition) override;
+    void start_refused(const std::vector<slot_ref>& slots) override;
+    void start_uncertain(const std::vector<slot_ref>& slots) override;
+
+    std::optional<error> admission_fault(const wire::job_spec& spec) const;
+    void accept(const wire::job_spec& spec, submit_callback done);
+    void journal_acceptance(const job_id& id, submit_callback done);
+    wire::job_status refused_unwritten(const job_id& id, const error& why);
+    void queue_all(job_state& job);
+    void requeue(job_state& job, std::uint32_t index);
+    void back_off(job_state& job, std::uint32_t index, duration delay);
+    void leave_dispatched(job_state& job, task_slot& slot);
+
+    job_state& recovered_job(const task_id& task, const row_id& row);
+    void apply(job_state& job, const wire::task_update& update, const instance_id& from);
+    void apply_placed(job_state& job, std::uint32_t index, const instance_id& from);
+    void apply_ended(job_state& job, const wire::task_update& update);
+    void apply_not_run(job_state& job, const wire::task_update& update);
+    void end_task(job_state& job, std::uint32_t index, task_state state, bool known,
+                  std::string output);
+    void end_or_retry_lost(job_state& job, std::uint32_t index);
+    void refuse_job(job_state& job, const wire::task_update& update);
+    void finish_if_ended(job_state& job);
+    void finish(job_state& job, wire::job_verdict verdict);
+    void answer_waiters(job_state& job);
+    void count_outcomes(const job_state& job);
+    void append_ended(const job_state& job);
+    void append_progress(job_state& job, std::vector<std::uint32_t> indexes,
+                         std::function<void(bool)> done);
+
+    std::uint32_t cancel_job(job_state& job);
+    void take_back_stuck();
+    void send_stop(const instance_id& owner, std::vector<task_id> ids, bool stop_running);
+    void stop_answered(const instance_id& owner, const std::vector<task_id>& ids,
+                       const result<wire::reply>& answer);
+    void forget_old_jobs();
+    void write_left_over_results();
+    void refuse_late_jobs();
+    void mark_orphans();
+    job_state* find_current(const task_id& task);
+
+    context& shared_;
+    fleet& fleet_;
+    partition_set partitions_;
+    dispatcher dispatcher_;
+    retry_budget retries_;
+    std::unordered_map<job_id, job_state> jobs_;
+    /// Ended jobs in the order they ended.
+    std::deque<job_id> ended_jobs_;
+    /// Synchronous jobs by the time after which a start is pointless.
+    std::multimap<boot_time, job_id> start_deadlines_;
+    std::set<instance_id> known_members_;
+    std::map<std::uint64_t, timer_handle> back_offs_;
+    std::uint64_t next_back_off_ = 0;
+    timer_handle housekeeping_;
+    timer_handle deadline_check_;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- a/lib/instance/job_state.cpp
+++ b/lib/instance/job_state.cpp
@@ -7,6 +7,21 @@
 namespace hawthornbeam
 {
 
+namespace
+{
+
+/// Attempts of different owners must not collide, since workers remember the ids of
+/// tasks that they have run.
+std::uint16_t first_attempt(epoch owner_epoch)
+{
+    constexpr std::uint64_t attempts_per_owner = 256;
+    constexpr std::uint64_t owners = 256;
+    return static_cast<std::uint16_t>((owner_epoch.value() % owners) *
+                                      attempts_per_owner);
+}
+
+} // namespace
+
 wire::job_status status_of(const job_state& job)
 {
     wire::job_status status;
@@ -16,21 +31,20 @@
     status.verdict = job.verdict;
     status.running = job.placed;
     status.ended = job.ended;
-    status.waiting =
-        job.is_ended()
-            ? 0
-            : static_cast<std::uint32_t>(job.slots.size()) - job.placed - job.ended;
+    status.waiting = job.is_ended() ? 0
+                                    : static_cast<std::uint32_t>(job.slots.size()) -
+                                          job.placed - job.ended;
     status.reason = job.reason;
     status.retry_after_ms = job.retry_after_ms;
     status.results = job.results;
     std::sort(status.results.begin(), status.results.end(),
-              [](const wire::task_result& a, const wire::task_result& b) {
-                  return a.index < b.index;
-              });
+              [](const wire::task_result& a, const wire::task_result& b)
+              { return a.index < b.index; });
     return status;
 }
 
-job_state restore(const journaled_job& journaled, partition_id partition, boot_time now)
+job_state restore(const journaled_job& journaled, partition_id partition,
+                  epoch owner_epoch, boot_time now)
 {
     job_state job;
     job.spec = journaled.job;
@@ -45,6 +59,7 @@
     {
         slot.phase = slot_phase::orphaned;
         slot.since = now;
+        slot.attempt = first_attempt(owner_epoch);
     }
     for (const wire::task_result& ended : journaled.ended)
     {
@@ -73,8 +88,9 @@
     if (!job.cancelling)
         return job.results.size() == job.slots.size() ? wire::job_verdict::done
                                                       : wire::job_verdict::not_run;
-    const bool any_run = std::any_of(job.slots.begin(), job.slots.end(),
-                                     [](const task_slot& slot) { return slot.was_placed; });
+    const bool any_run =
+        std::any_of(job.slots.begin(), job.slots.end(),
+                    [](const task_slot& slot) { return slot.was_placed; });
     return any_run ? wire::job_verdict::cancelled : wire::job_verdict::not_run;
 }
 
--- a/lib/instance/job_state.hpp
+++ b/lib/instance/job_state.hpp
@@ -8,7 +8,7 @@
 #include "hawthornbeam/wire/messages.hpp"
 
 #include <functional>
-#include <map>
+#include <set>
 #include <vector>
 
 namespace hawthornbeam
@@ -17,11 +17,11 @@
 /// Where a task is.
 enum class slot_phase : std::uint8_t
 {
-    waiting,    ///< Here, in the queue of its row.
+    waiting,     ///< Here, in the queue of its row.
     backing_off, ///< Here, until its retry is due.
-    dispatched, ///< Waits at a slice owner.
-    placed,     ///< Runs on a worker.
-    orphaned,   ///< Its slice owner is gone; an inventory will tell.
+    dispatched,  ///< Waits at a slice owner.
+    placed,      ///< Runs on a worker.
+    orphaned,    ///< Its slice owner is gone; an inventory will tell.
     ended
 };
 
@@ -45,6 +45,9 @@
     partition_id partition;
     std::vector<task_slot> slots;
     std::vector<wire::task_result> results;
+    /// Ended tasks of a durable job whose results are not in the journal yet.
+    std::set<std::uint32_t> unrecorded;
+    std::size_t writes_in_flight = 0;
     std::vector<status_callback> waiters; ///< Callers of a synchronous job.
     boot_time accepted{};
     boot_time start_by = boot_time::max();
@@ -65,7 +68,8 @@
 /// The status callers see.
 wire::job_status status_of(const job_state& job);
 /// A job of the journal with its unfinished tasks orphaned.
-job_state restore(const journaled_job& journaled, partition_id partition, boot_time now);
+job_state restore(const journaled_job& journaled, partition_id partition,
+                  epoch owner_epoch, boot_time now);
 /// The verdict of a job whose tasks have all ended.
 wire::job_verdict final_verdict(const job_state& job);
 
--- a/lib/instance/partition_set.hpp
+++ b/lib/instance/partition_set.hpp
@@ -49,6 +49,8 @@
     /// True when owned, active or not yet.
     bool is_owned(partition_id partition) const;
     epoch epoch_of(partition_id partition) const;
+    /// Number of the next start request of an owned partition.
+    std::uint64_t next_sequence(partition_id partition);
     partition_journal& journal(partition_id partition);
     std::vector<partition_id> owned() const;
 
@@ -65,6 +67,8 @@
         std::unique_ptr<partition_journal> journal;
         phase current = phase::unowned;
         bool inventory_running = false;
+        std::uint64_t sequence = 0; ///< Of the last start request.
+        std::uint64_t fenced = 0;   ///< Sequence that the running inventory fences.
         /// Counts inventories; answers to an earlier one are ignored.
         std::uint64_t round = 0;
         std::set<slice_id> covered;
--- /dev/null
+++ b/lib/instance/router.cpp
@@ -0,0 +1,304 @@
+/// \file
+/// Implements the routing of requests to job owners.
+#include "lib/instance/router.hpp"
+
+#include "lib/instance/partition_set.hpp"
+
+#include <algorithm>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+constexpr duration retry_delay = std::chrono::milliseconds(100);
+constexpr double retry_spread = 0.5;
+/// How long a request is repeated while nobody owns its partition; a little more than
+/// the time of a takeover.
+constexpr duration routing_patience = std::chrono::seconds(8);
+/// An owner keeps outcomes findable for at least this long, so a repeat within it cannot
+/// start a task again.
+constexpr duration uncertain_patience = std::chrono::seconds(8);
+constexpr duration call_deadline = std::chrono::seconds(3);
+/// Time for the journal to make a job durable before the call is given up.
+constexpr duration accept_deadline = std::chrono::seconds(5);
+/// Longest run time of a synchronous task beyond what it declares.
+constexpr duration synchronous_margin = std::chrono::seconds(30);
+
+error no_owner()
+{
+    return make_error(error_code::unavailable,
+                      "no instance owns the job's partition yet");
+}
+
+} // namespace
+
+/// One submission on its way.
+struct router::submission
+{
+    wire::job_spec job;
+    callback<wire::job_status> done;
+    boot_time give_up_at{};
+    boot_time start_by = boot_time::max();
+    /// Set once an owner may have taken the job without answering.
+    bool uncertain = false;
+};
+
+router::router(context& shared) : shared_(shared) {}
+
+void router::later(duration delay, std::function<void()> action)
+{
+    const std::uint64_t number = next_timer_++;
+    timers_[number] = shared_.parts.loop.after(delay,
+                                               [this, number, action = std::move(action)]
+                                               {
+                                                   const timer_handle keep =
+                                                       std::move(timers_[number]);
+                                                   timers_.erase(number);
+                                                   action();
+                                               });
+}
+
+void router::submit(wire::job_spec job, callback<wire::job_status> done)
+{
+    ++open_submissions_;
+    const std::shared_ptr<submission> attempt = std::make_shared<submission>();
+    attempt->give_up_at = shared_.now() + routing_patience;
+    if (job.deadline_ms > 0)
+    {
+        attempt->start_by = shared_.now() + std::chrono::milliseconds(job.deadline_ms);
+        attempt->give_up_at = std::min(attempt->give_up_at, attempt->start_by);
+    }
+    attempt->job = std::move(job);
+    attempt->done = std::move(done);
+    try_submit(attempt);
+}
+
+void router::try_submit(const std::shared_ptr<submission>& attempt)
+{
+    const partition_id partition = attempt->job.id.partition(shared_.options.partitions);
+    const member* target =
+        shared_.parts.members.find(partition_owner_of(shared_.parts.members, partition));
+    if (target == nullptr)
+        return retry_submit(attempt, no_owner());
+    duration deadline = accept_deadline;
+    if (attempt->job.synchronous)
+    {
+        const duration to_start = attempt->start_by == boot_time::max()
+                                      ? duration::zero()
+                                      : attempt->start_by - shared_.now();
+        attempt->job.deadline_ms = std::max<std::int64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(to_start).count(), 1);
+        deadline = to_start + std::chrono::milliseconds(attempt->job.run_time_ms) * 2 +
+                   synchronous_margin;
+    }
+    shared_.parts.peers.call(
+        target->peer, wire::submit_request{attempt->job}, deadline,
+        shared_.guarded([this, attempt](result<wire::reply> answer)
+                        { submit_answered(attempt, std::move(answer)); }));
+}
+
+void router::submit_answered(const std::shared_ptr<submission>& attempt,
+                             result<wire::reply> answer)
+{
+    if (answer)
+    {
+        const wire::submit_reply* reply =
+            std::get_if<wire::submit_reply>(&answer.value());
+        if (reply == nullptr)
+            return finish_submit(
+                attempt, make_error(error_code::internal, "unexpected kind of reply"));
+        const bool has_moved = attempt->job.synchronous &&
+                               reply->status.verdict == wire::job_verdict::accepted;
+        if (!has_moved)
+            return finish_submit(attempt, reply->status);
+        if (!attempt->uncertain)
+            attempt->give_up_at = shared_.now() + uncertain_patience;
+        attempt->uncertain = true;
+        return retry_submit(attempt, no_owner());
+    }
+    const error& why = answer.error();
+    if (why.code == error_code::outcome_unknown)
+    {
+        if (!attempt->uncertain)
+            attempt->give_up_at = shared_.now() + uncertain_patience;
+        attempt->uncertain = true;
+        return retry_submit(attempt, why);
+    }
+    if (why.code == error_code::unavailable)
+        return retry_submit(attempt, why);
+    if (attempt->uncertain)
+        return finish_submit(attempt,
+                             make_error(error_code::outcome_unknown, why.message));
+    finish_submit(attempt, why);
+}
+
+void router::retry_submit(const std::shared_ptr<submission>& attempt, const error& why)
+{
+    if (shared_.now() >= attempt->give_up_at)
+    {
+        const error_code code =
+            attempt->uncertain ? error_code::outcome_unknown : error_code::unavailable;
+        return finish_submit(attempt, make_error(code, why.message));
+    }
+    later(shared_.random.jitter(retry_delay, retry_spread),
+          [this, attempt] { try_submit(attempt); });
+}
+
+void router::finish_submit(const std::shared_ptr<submission>& attempt,
+                           result<wire::job_status> outcome)
+{
+    --open_submissions_;
+    attempt->done(std::move(outcome));
+}
+
+void router::query(const wire::job_query& question, callback<wire::job_status> done)
+{
+    try_query(question, shared_.now() + routing_patience, std::move(done));
+}
+
+void router::try_query(const wire::job_query& question, boot_time give_up_at,
+                       callback<wire::job_status> done)
+{
+    const partition_id partition = question.id.partition(shared_.options.partitions);
+    const member* target =
+        shared_.parts.members.find(partition_owner_of(shared_.parts.members, partition));
+    const std::function<void(const error&)> again =
+        [this, question, give_up_at, done](const error& why)
+    {
+        if (shared_.now() >= give_up_at)
+            return done(why);
+        later(shared_.random.jitter(retry_delay, retry_spread),
+              [this, question, give_up_at, done]
+              { try_query(question, give_up_at, done); });
+    };
+    if (target == nullptr)
+        return again(no_owner());
+    shared_.parts.peers.call(
+        target->peer, question, call_deadline,
+        shared_.guarded(
+            [done, again](result<wire::reply> answer)
+            {
+                if (!answer)
+                {
+                    const bool may_recover =
+                        answer.error().code == error_code::unavailable ||
+                        answer.error().code == error_code::outcome_unknown;
+                    return may_recover ? again(answer.error()) : done(answer.error());
+                }
+                const wire::job_reply* reply =
+                    std::get_if<wire::job_reply>(&answer.value());
+                if (reply == nullptr || !reply->found)
+                    return done(make_error(error_code::not_found, "no such job"));
+                done(reply->status);
+            }));
+}
+
+void router::call_all(const wire::request& message, const reply_handler& each,
+                      const std::function<void()>& finally)
+{
+    const std::vector<member> all = shared_.parts.members.members();
+    const std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(all.size());
+    if (all.empty())
+        return finally();
+    for (const member& one : all)
+        shared_.parts.peers.call(
+            one.peer, message, call_deadline,
+            shared_.guarded(
+                [open, each, finally, id = one.id](result<wire::reply> answer)
+                {
+                    each(id, std::move(answer));
+                    if (--*open == 0)
+                        finally();
+                }));
+}
+
+void router::list(const wire::job_list_request& selector,
+                  callback<std::vector<wire::job_status>> done)
+{
+    using jobs = std::vector<wire::job_status>;
+    const std::shared_ptr<jobs> found = std::make_shared<jobs>();
+    call_all(
+        selector,
+        [found](const instance_id&, result<wire::reply> answer)
+        {
+            wire::job_list_reply* reply =
+                answer ? std::get_if<wire::job_list_reply>(&answer.value()) : nullptr;
+            if (reply != nullptr)
+                found->insert(found->end(), reply->jobs.begin(), reply->jobs.end());
+        },
+        [found, most = selector.most, done]
+        {
+            std::sort(found->begin(), found->end(),
+                      [](const wire::job_status& a, const wire::job_status& b)
+                      { return a.id < b.id; });
+            if (found->size() > most)
+                found->resize(most);
+            done(std::move(*found));
+        });
+}
+
+void router::cancel(const wire::cancel_request& selector,
+                    callback<wire::cancel_reply> done)
+{
+    const std::shared_ptr<wire::cancel_reply> sum =
+        std::make_shared<wire::cancel_reply>();
+    call_all(
+        selector,
+        [sum](const instance_id&, result<wire::reply> answer)
+        {
+            const wire::cancel_reply* reply =
+                answer ? std::get_if<wire::cancel_reply>(&answer.value()) : nullptr;
+            if (reply == nullptr)
+                return;
+            sum->found = sum->found || reply->found;
+            sum->jobs += reply->jobs;
+            sum->tasks += reply->tasks;
+        },
+        [sum, done] { done(*sum); });
+}
+
+void router::statuses(const wire::status_request& what,
+                      callback<std::vector<wire::status_reply>> done)
+{
+    using replies = std::vector<wire::status_reply>;
+    const std::shared_ptr<replies> found = std::make_shared<replies>();
+    call_all(
+        what,
+        [found](const instance_id&, result<wire::reply> answer)
+        {
+            wire::status_reply* reply =
+                answer ? std::get_if<wire::status_reply>(&answer.value()) : nullptr;
+            if (reply != nullptr)
+                found->push_back(std::move(*reply));
+        },
+        [found, done]
+        {
+            std::sort(found->begin(), found->end(),
+                      [](const wire::status_reply& a, const wire::status_reply& b)
+                      { return a.id < b.id; });
+            done(std::move(*found));
+        });
+}
+
+void router::drain(const wire::drain_request& message, callback<bool> done)
+{
+    const std::shared_ptr<bool> owned = std::make_shared<bool>(false);
+    call_all(
+        message,
+        [owned](const instance_id&, result<wire::reply> answer)
+        {
+            const wire::drain_reply* reply =
+                answer ? std::get_if<wire::drain_reply>(&answer.value()) : nullptr;
+            *owned = *owned || (reply != nullptr && reply->owned);
+        },
+        [owned, done]
+        {
+            if (*owned)
+                return done(true);
+            done(make_error(error_code::not_found, "no instance owns this worker"));
+        });
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/instance/router.hpp
@@ -0,0 +1,60 @@
+/// \file
+/// Receiver: sends the requests of callers to the instances that own their jobs.
+#ifndef HAWTHORNBEAM_LIB_INSTANCE_ROUTER_HPP
+#define HAWTHORNBEAM_LIB_INSTANCE_ROUTER_HPP
+
+#include "lib/instance/context.hpp"
+
+#include <map>
+
+namespace hawthornbeam
+{
+
+/// Finds the owner of a job and repeats a request while ownership moves. Repeating is
+/// safe, because an owner recognizes a job by its id and knows from the journal and from
+/// the inventory of the workers what has been started.
+class router
+{
+public:
+    template <class T>
+    using callback = std::function<void(result<T>)>;
+
+    explicit router(context& shared);
+
+    void submit(wire::job_spec job, callback<wire::job_status> done);
+    void query(const wire::job_query& question, callback<wire::job_status> done);
+    void list(const wire::job_list_request& selector,
+              callback<std::vector<wire::job_status>> done);
+    void cancel(const wire::cancel_request& selector, callback<wire::cancel_reply> done);
+    void statuses(const wire::status_request& what,
+                  callback<std::vector<wire::status_reply>> done);
+    void drain(const wire::drain_request& message, callback<bool> done);
+    /// Submissions whose answer is still due.
+    std::size_t open_submissions() const { return open_submissions_; }
+
+private:
+    struct submission;
+    using reply_handler = std::function<void(const instance_id&, result<wire::reply>)>;
+
+    void try_submit(const std::shared_ptr<submission>& attempt);
+    void submit_answered(const std::shared_ptr<submission>& attempt,
+                         result<wire::reply> answer);
+    void retry_submit(const std::shared_ptr<submission>& attempt, const error& why);
+    void finish_submit(const std::shared_ptr<submission>& attempt,
+                       result<wire::job_status> outcome);
+    void try_query(const wire::job_query& question, boot_time give_up_at,
+                   callback<wire::job_status> done);
+    /// Calls all members; \p each runs for each answer and \p finally once after them.
+    void call_all(const wire::request& message, const reply_handler& each,
+                  const std::function<void()>& finally);
+    void later(duration delay, std::function<void()> action);
+
+    context& shared_;
+    std::size_t open_submissions_ = 0;
+    std::map<std::uint64_t, timer_handle> timers_;
+    std::uint64_t next_timer_ = 0;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -43,10 +43,12 @@
       updates_(shared, std::move(find_job_owner),
                [this](const wire::task_update& update) { update_recorded(update); })
 {
-    period_timer_ = shared_.parts.loop.every(decision_period, [this] {
-        if (scheduler_.waiting() > 0)
-            decide();
-    });
+    period_timer_ = shared_.parts.loop.every(decision_period,
+                                             [this]
+                                             {
+                                                 if (scheduler_.waiting() > 0)
+                                                     decide();
+                                             });
 }
 
 slice_owner::~slice_owner() = default;
@@ -111,8 +113,8 @@
 void slice_owner::open_session(const host_entry& host)
 {
     std::unique_ptr<worker_session>& session = sessions_[host.id];
-    session = std::make_unique<worker_session>(shared_, host,
-                                               static_cast<worker_session::observer&>(*this));
+    session = std::make_unique<worker_session>(
+        shared_, host, static_cast<worker_session::observer&>(*this));
     scheduler_.add_worker(
         policy::worker_info{host.id, host.failure_domain, host.rack, host.capacity});
     scheduler_.set_schedulable(host.id, false);
@@ -136,25 +138,32 @@
         tasks_.erase(entry);
     }
     ++closing_;
-    session->close(shared_.guarded([this, session] {
-        --closing_;
-        finish_leaving();
-    }));
+    session->close(shared_.guarded(
+        [this, session]
+        {
+            --closing_;
+            finish_leaving();
+        }));
 }
 
 void slice_owner::report_lost_later(const tracked_task& task, boot_time ended_by)
 {
     // The worker may still run the task until its task lease has ended; only then is a
     // second start safe.
-    const wire::task_update update{
-        task.start.id, task.start.row, wire::task_event::unknown, task.worker,
-        task_state::failed, std::string()};
+    wire::task_update update;
+    update.id = task.start.id;
+    update.row = task.start.row;
+    update.event = wire::task_event::unknown;
+    update.worker = task.worker;
+    update.state = task_state::failed;
     const duration delay = std::max(ended_by - shared_.now(), duration::zero());
     const std::uint64_t number = next_lost_timer_++;
-    lost_timers_[number] = shared_.parts.loop.after(delay, [this, update, number] {
-        updates_.send(update);
-        lost_timers_.erase(number);
-    });
+    lost_timers_[number] = shared_.parts.loop.after(delay,
+                                                    [this, update, number]
+                                                    {
+                                                        updates_.send(update);
+                                                        lost_timers_.erase(number);
+                                                    });
 }
 
 void slice_owner::update_schedulable(const worker_session& session)
@@ -189,45 +198,52 @@
         ++epoch_answers_missing_;
         shared_.parts.peers.call(
             other.peer, wire::epochs_request{}, epochs_deadline,
-            shared_.guarded([this, round](result<wire::reply> answer) {
-                if (round != epoch_round_)
-                    return;
-                --epoch_answers_missing_;
-                const wire::epochs_reply* reply =
-                    answer ? std::get_if<wire::epochs_reply>(&answer.value()) : nullptr;
-                if (reply == nullptr)
-                    return;
-                for (const auto& [partition, value] : reply->epochs)
-                    learn_epoch(partition, value);
-            }));
+            shared_.guarded(
+                [this, round](result<wire::reply> answer)
+                {
+                    if (round != epoch_round_)
+                        return;
+                    --epoch_answers_missing_;
+                    const wire::epochs_reply* reply =
+                        answer ? std::get_if<wire::epochs_reply>(&answer.value())
+                               : nullptr;
+                    if (reply == nullptr)
+                        return;
+                    for (const auto& [partition, value] : reply->epochs)
+                        learn_epoch(partition, value);
+                }));
     }
 }
 
 void slice_owner::learn_epoch(partition_id partition, epoch value)
 {
-    epoch& known = epochs_[partition];
-    known = std::max(known, value);
+    fence& current = fences_[partition];
+    if (value > current.known)
+        current = fence{value, 0};
 }
 
 wire::epochs_reply slice_owner::epochs() const
 {
     wire::epochs_reply reply;
-    reply.epochs.assign(epochs_.begin(), epochs_.end());
+    for (const auto& [partition, current] : fences_)
+        reply.epochs.emplace_back(partition, current.known);
     return reply;
 }
 
 wire::start_reply slice_owner::start(const wire::start_request& message)
 {
     wire::start_reply reply;
-    epoch& known = epochs_[message.partition];
-    reply.known_epoch = known;
-    if (message.owner_epoch < known)
+    learn_epoch(message.partition, message.owner_epoch);
+    const fence& current = fences_[message.partition];
+    reply.known_epoch = current.known;
+    if (message.owner_epoch < current.known)
         reply.reason = "the partition has a newer owner";
+    else if (message.sequence <= current.sequence)
+        reply.reason = "the request is older than an inventory";
     else if (leaving_ || !knows_epochs())
         reply.reason = leaving_ ? "the instance is leaving" : "takeover is in progress";
     if (!reply.reason.empty())
         return reply;
-    known = message.owner_epoch;
     reply.queued = true;
     bool gang_refused = false;
     for (const task_start& start : message.tasks)
@@ -310,15 +326,28 @@
     return reply;
 }
 
+wire::task_update slice_owner::inventory_entry(const task_id& id,
+                                               const tracked_task& task)
+{
+    wire::task_update update;
+    update.id = id;
+    update.row = task.start.row;
+    update.event = task.phase == task_phase::ended ? wire::task_event::ended
+                                                   : wire::task_event::placed;
+    update.worker = task.worker;
+    update.state = task.state;
+    return update;
+}
+
 wire::inventory_reply slice_owner::inventory(const wire::inventory_request& message)
 {
     wire::inventory_reply reply;
-    epoch& known = epochs_[message.partition];
-    reply.known_epoch = known;
-    if (message.owner_epoch < known)
+    learn_epoch(message.partition, message.owner_epoch);
+    fence& current = fences_[message.partition];
+    reply.known_epoch = current.known;
+    if (message.owner_epoch < current.known)
         return reply;
-    known = message.owner_epoch;
-    reply.known_epoch = known;
+    current.sequence = std::max(current.sequence, message.fenced_sequence);
     reply.accepted = true;
     std::map<slice_id, bool> complete;
     for (const auto& [id, host] : fleet_.workers())
@@ -343,11 +372,7 @@
         if (task.phase == task_phase::waiting)
             reply.queued.push_back(wire::queued_task{id, task.start.row});
         else
-            reply.tasks.push_back(wire::task_update{
-                id, task.start.row,
-                task.phase == task_phase::ended ? wire::task_event::ended
-                                                : wire::task_event::placed,
-                task.worker, task.state, task.output});
+            reply.tasks.push_back(inventory_entry(id, task));
     }
     return reply;
 }
@@ -393,16 +418,21 @@
 {
     leaving_ = true;
     left_ = std::move(done);
+    return_waiting("the instance is leaving");
+    follow_assignment();
+    finish_leaving();
+}
+
+void slice_owner::return_waiting(const char* reason)
+{
     std::vector<task_id> waiting;
     for (const auto& [id, task] : tasks_)
         if (task.phase == task_phase::waiting)
             waiting.push_back(id);
     for (const task_id& id : waiting)
         if (scheduler_.cancel(id) == policy::cancel_outcome::removed)
-            refuse(policy::refusal{id, error_code::unavailable, "the instance is leaving",
+            refuse(policy::refusal{id, error_code::unavailable, reason,
                                    std::chrono::milliseconds(100)});
-    follow_assignment();
-    finish_leaving();
 }
 
 void slice_owner::finish_leaving()
@@ -419,10 +449,12 @@
     if (decision_scheduled_)
         return;
     decision_scheduled_ = true;
-    decision_timer_ = shared_.parts.loop.after(decision_delay, [this] {
-        decision_scheduled_ = false;
-        decide();
-    });
+    decision_timer_ = shared_.parts.loop.after(decision_delay,
+                                               [this]
+                                               {
+                                                   decision_scheduled_ = false;
+                                                   decide();
+                                               });
 }
 
 void slice_owner::decide()
@@ -459,7 +491,8 @@
     if (session == sessions_.end())
         return;
     shared_.parts.metrics.add("hawthornbeam_preemptions_total", {});
-    session->second->control(what.task, actions.at(static_cast<std::size_t>(what.action)));
+    session->second->control(what.task,
+                             actions.at(static_cast<std::size_t>(what.action)));
 }
 
 void slice_owner::start_on(const worker_id& worker, std::vector<task_id> ids)
@@ -471,9 +504,8 @@
         starts.push_back(tasks_.at(id).start);
     session->second->start(
         std::move(starts),
-        shared_.guarded([this, worker](std::vector<start_outcome> outcomes) {
-            starts_answered(worker, outcomes);
-        }));
+        shared_.guarded([this, worker](std::vector<start_outcome> outcomes)
+                        { starts_answered(worker, outcomes); }));
 }
 
 void slice_owner::starts_answered(const worker_id& worker,
--- a/lib/instance/slice_owner.hpp
+++ b/lib/instance/slice_owner.hpp
@@ -32,6 +32,7 @@
     void leave(std::function<void()> done);
 
     wire::start_reply start(const wire::start_request& message);
+
     wire::stop_reply stop(const wire::stop_request& message);
     wire::inventory_reply inventory(const wire::inventory_request& message);
     wire::epochs_reply epochs() const;
@@ -82,7 +83,9 @@
     void task_ended(const worker_id& worker, const task_report& report);
     void send_update(const tracked_task& task, wire::task_event event, task_state state,
                      std::string output);
+    static wire::task_update inventory_entry(const task_id& id, const tracked_task& task);
     void refuse(const policy::refusal& refused);
+    void return_waiting(const char* reason);
     void schedule_decision();
     void decide();
     void start_on(const worker_id& worker, std::vector<task_id> ids);
@@ -100,7 +103,12 @@
     std::map<worker_id, std::unique_ptr<worker_session>> sessions_;
     std::map<worker_id, bool> drained_;
     std::unordered_map<task_id, tracked_task> tasks_;
-    std::map<partition_id, epoch> epochs_;
+    struct fence
+    {
+        epoch known;
+        std::uint64_t sequence = 0; ///< Requests of `known` up to it are refused.
+    };
+    std::map<partition_id, fence> fences_;
     std::size_t epoch_answers_missing_ = 0;
     std::uint64_t epoch_round_ = 0;
     bool paused_ = false;
--- a/lib/instance/slice_reports.cpp
+++ b/lib/instance/slice_reports.cpp
@@ -143,7 +143,14 @@
         schedule_decision();
 }
 
-void slice_owner::on_lost(worker_session& session) { update_schedulable(session); }
+void slice_owner::on_lost(worker_session& session)
+{
+    update_schedulable(session);
+    // While this instance did not hold the lease, job owners may have concluded from the
+    // inventory of a successor that the tasks waiting here do not run, and may have sent
+    // them elsewhere.
+    return_waiting("the owner lease of a worker was lost");
+}
 
 void slice_owner::task_ended(const worker_id& worker, const task_report& report)
 {
@@ -188,10 +195,12 @@
 void slice_owner::schedule_acknowledgements()
 {
     acknowledge_scheduled_ = true;
-    acknowledge_timer_ = shared_.parts.loop.after(acknowledge_period, [this] {
-        acknowledge_scheduled_ = false;
-        acknowledge_recorded();
-    });
+    acknowledge_timer_ = shared_.parts.loop.after(acknowledge_period,
+                                                  [this]
+                                                  {
+                                                      acknowledge_scheduled_ = false;
+                                                      acknowledge_recorded();
+                                                  });
 }
 
 void slice_owner::acknowledge_recorded()
