--- a/test/standins/fake_kv.cpp
+++ b/test/standins/fake_kv.cpp
@@ -119,7 +119,12 @@
                           { client->watch(prefix, after, end, done); });
         };
         store->watches.emplace(id, again);
-        watch_timers.emplace(id, loop.after(end - now, [again] { action(again)(); }));
+        watch_timers.emplace(id, loop.after(end - now,
+                                            [again]
+                                            {
+                                                const action run = again;
+                                                run();
+                                            }));
     }
 
     event_loop& loop;
