Add the operators' table: check, JSON form, edits and store

The table needs a whole check with JSON pointers, a stored form with a format number, edits of one row and a store that never reports a false 'not written'.

--- a/include/hawthornbeam/table/table.hpp
+++ b/include/hawthornbeam/table/table.hpp
@@ -72,20 +72,60 @@
     const table_row* find(const row_id& id) const;
 };
 
-/// Checks all rows and sorts them by id. All findings are reported together.
+/// Checks all rows, names the faults by JSON pointers into {"rows": [...]} in the given
+/// order and then sorts the rows by id. All findings are reported together.
 findings check_rows(std::vector<table_row>& rows);
 
-/// Writes a table as JSON; the form kept in the key-value service and served to callers.
+/// Format of the stored form; raised when an older reader would misread the value.
+inline constexpr std::uint64_t table_format = 1;
+
+/// Writes a table in the form of docs/api.md.
 std::string to_json(const operators_table& table);
-/// Parses to_json()'s form. Unknown fields, wrong types and faulty rows are findings;
-/// the table is present only when there is none.
+/// Writes to_json()'s form with a field "format" for the key-value service.
+std::string to_stored_json(const operators_table& table);
+/// Result of parse_table_json().
 struct parsed_table
 {
     std::optional<operators_table> table;
     findings faults;
 };
+/// Parses both forms. Unknown fields, wrong types, a newer format and faulty rows are
+/// findings; the table is present only when there is none.
 parsed_table parse_table_json(std::string_view text);
 
+/// Rows of an edit; present only when they have no findings.
+struct parsed_rows
+{
+    std::optional<std::vector<table_row>> rows;
+    findings faults;
+};
+/// Parses and checks the body of a whole-table edit, {"rows": [...]}.
+parsed_rows parse_rows_json(std::string_view text);
+/// Applies a JSON merge patch to the row \p id of \p rows, or to a new row with default
+/// values, and checks all rows. Null restores a field's default. Pointers of faults in
+/// the patched row are relative to \p patch; other pointers begin with "/rows".
+parsed_rows patch_row(std::vector<table_row> rows, const row_id& id,
+                      std::string_view patch);
+
+/// A field of a row that differs between two tables.
+struct changed_field
+{
+    row_id row;
+    std::string field;  ///< For example "weight" or "limits/queue_length".
+    std::string before; ///< JSON text.
+    std::string after;  ///< JSON text.
+
+    friend bool operator==(const changed_field&, const changed_field&) = default;
+};
+/// What distinguishes two tables, ordered by row id and field.
+struct table_difference
+{
+    std::vector<row_id> added;
+    std::vector<row_id> removed;
+    std::vector<changed_field> changed;
+};
+table_difference difference(const operators_table& before, const operators_table& after);
+
 } // namespace hawthornbeam
 
 #endif
--- a/include/hawthornbeam/table/table_store.hpp
+++ b/include/hawthornbeam/table/table_store.hpp
@@ -24,6 +24,7 @@
         stale,       ///< If-Match does not name the current version; `current` is set.
         faulty,      ///< The rows have findings; nothing was written.
         unavailable, ///< Known not to be written.
+        unknown, ///< May have been written; `message` names the change id to look for.
     };
     kind what = kind::unavailable;
     operators_table current; ///< The table in force after the edit or race.
@@ -43,6 +44,10 @@
         duration poll_period = std::chrono::minutes(1);
         duration watch_wait = std::chrono::seconds(30);
         std::uint64_t history_length = 50;
+        /// An edit keeps trying this long while the service is away.
+        duration edit_limit = std::chrono::seconds(5);
+        duration least_back_off = std::chrono::milliseconds(200);
+        duration most_back_off = std::chrono::minutes(1);
     };
 
     table_store(kv_service& kv, event_loop& loop, const logger& log, options settings);
@@ -55,10 +60,11 @@
     /// Installs a table received from a peer when it is newer; true when installed.
     bool install(const operators_table& table);
     /// Replaces all rows when \p if_match is the current version. The outcome is final:
-    /// after an unknown outcome the key is read back and the change id compared.
+    /// after an unknown outcome the key is read back and the change id compared, and the
+    /// write is repeated with the same change id until it is resolved or the limit ends.
     void replace(std::vector<table_row> rows, table_version if_match, std::string author,
                  std::function<void(edit_outcome)> done);
-    /// The last edits, newest first, at most \p most.
+    /// The last edits, newest first, at most \p most; one read for each.
     void history(std::size_t most,
                  std::function<void(result<std::vector<operators_table>>)> done);
 
--- /dev/null
+++ b/lib/table/table_edit_run.cpp
@@ -0,0 +1,261 @@
+/// \file
+/// Implements one edit of the operators' table.
+#include "table_edit_run.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// Old history entries removed after one edit: its own successor's slot and leftovers of
+/// edits whose editor died or whose deletes failed.
+constexpr int most_removed_entries = 3;
+constexpr double back_off_spread = 0.5;
+
+/// Each step is one call. Before a table is overwritten its history entry is written, so
+/// an editor whose answer was lost finds its change id either in the table or in the
+/// history, however many edits followed.
+class edit_run : public std::enable_shared_from_this<edit_run>
+{
+public:
+    edit_run(std::shared_ptr<edit_context> context, operators_table wanted,
+             table_version if_match, std::function<void(edit_outcome)> done)
+        : context_(std::move(context)), wanted_(std::move(wanted)), if_match_(if_match),
+          done_(std::move(done)),
+          end_(context_->loop.clock().now() + context_->settings.edit_limit),
+          back_off_(context_->settings.least_back_off)
+    {
+        wanted_.version = if_match.next();
+        json_ = to_stored_json(wanted_);
+    }
+
+    void read_table()
+    {
+        context_->kv.read(
+            kv_cause::table, table_key,
+            [self = shared_from_this()](result<std::optional<kv_entry>> answer)
+            {
+                self->note(answer.has_value());
+                if (!answer)
+                    return self->try_again(answer.error());
+                self->decide(decode_stored_table(answer.value()));
+            });
+    }
+
+private:
+    void note(bool success) const { context_->answered(success); }
+
+    void decide(const result<stored_table>& stored)
+    {
+        if (!stored)
+            return finish_undecided(stored.error().message);
+        const stored_table& found = stored.value();
+        context_->seen(found.table);
+        if (found.table.change == wanted_.change)
+            return accept(found.table);
+        if (found.table.version == if_match_)
+            return write_history(found);
+        if (!maybe_written_ || found.table.version <= wanted_.version)
+            return finish(edit_outcome::kind::stale, found.table,
+                          "the table has changed");
+        look_in_history(found.table);
+    }
+
+    /// The table was edited again after the write with the lost answer.
+    void look_in_history(const operators_table& newest)
+    {
+        context_->kv.read(
+            kv_cause::table, history_key(wanted_.version),
+            [self = shared_from_this(), newest](result<std::optional<kv_entry>> answer)
+            {
+                self->note(answer.has_value());
+                if (!answer)
+                    return self->try_again(answer.error());
+                const result<stored_table> entry = decode_stored_table(answer.value());
+                if (!entry || entry.value().table.version != self->wanted_.version)
+                    return self->finish_undecided("its history entry is gone");
+                const bool is_ours = entry.value().table.change == self->wanted_.change;
+                self->finish(is_ours ? edit_outcome::kind::accepted
+                                     : edit_outcome::kind::stale,
+                             newest, is_ours ? "" : "the table has changed");
+            });
+    }
+
+    void write_history(const stored_table& current)
+    {
+        const table_version version = current.table.version;
+        if (version == table_version() || version <= context_->history_written)
+            return write_table(current.revision);
+        context_->kv.write(
+            kv_cause::table, history_key(version), current.json, kv_revision(),
+            [self = shared_from_this(), version,
+             revision = current.revision](result<kv_revision> answer)
+            {
+                const bool exists = answer || answer.error().code == error_code::conflict;
+                self->note(exists);
+                if (!exists)
+                    return self->try_again(answer.error());
+                self->context_->history_written =
+                    std::max(self->context_->history_written, version);
+                self->write_table(revision);
+            });
+    }
+
+    void write_table(kv_revision expected)
+    {
+        context_->kv.write(kv_cause::table, table_key, json_, expected,
+                           [self = shared_from_this()](result<kv_revision> answer)
+                           {
+                               const bool is_known =
+                                   answer || answer.error().code == error_code::conflict;
+                               self->note(is_known);
+                               if (answer)
+                                   return self->accept(self->wanted_);
+                               if (answer.error().code == error_code::limit_exceeded)
+                                   return self->finish(
+                                       edit_outcome::kind::faulty, operators_table(), "",
+                                       {finding{"", 0, "/rows", "the table is too large",
+                                                "at most 1 MiB as JSON"}});
+                               if (answer.error().code == error_code::outcome_unknown)
+                                   self->maybe_written_ = true;
+                               if (is_known)
+                                   return self->read_table();
+                               self->try_again(answer.error());
+                           });
+    }
+
+    void accept(const operators_table& table)
+    {
+        context_->seen(table);
+        context_->log.info("table", "table accepted",
+                           {{"version", table.version.value()},
+                            {"author", table.author},
+                            {"change", table.change.value()}});
+        finish(edit_outcome::kind::accepted, table, "");
+        context_->kv.write(
+            kv_cause::table, history_key(table.version), json_, kv_revision(),
+            [self = shared_from_this(),
+             version = table.version](result<kv_revision> answer)
+            {
+                const bool exists = answer || answer.error().code == error_code::conflict;
+                self->note(exists);
+                if (!exists) // The next editor writes it.
+                    return;
+                self->context_->history_written =
+                    std::max(self->context_->history_written, version);
+                self->trim(version, most_removed_entries);
+            });
+    }
+
+    /// Removes entries older than the history's length, newest of them first.
+    void trim(table_version newest, int most)
+    {
+        const std::uint64_t length = context_->settings.history_length;
+        if (newest.value() <= length || most == 0)
+            return;
+        const std::string key = history_key(table_version(newest.value() - length));
+        context_->kv.read(kv_cause::table, key,
+                          [self = shared_from_this(), key, newest,
+                           most](result<std::optional<kv_entry>> answer)
+                          {
+                              self->note(answer.has_value());
+                              if (!answer || !answer.value())
+                                  return;
+                              self->context_->kv.remove(
+                                  kv_cause::table, key, answer.value()->revision,
+                                  [self, newest, most](result<bool> removed)
+                                  {
+                                      if (removed)
+                                          self->trim(table_version(newest.value() - 1),
+                                                     most - 1);
+                                  });
+                          });
+    }
+
+    void try_again(const error& cause)
+    {
+        const duration delay = context_->random.jitter(back_off_, back_off_spread);
+        if (context_->loop.clock().now() + delay >= end_)
+            return finish_undecided(cause.message);
+        back_off_ = std::min(back_off_ * 2, context_->settings.most_back_off);
+        timer_ = context_->loop.after(delay,
+                                      [self = weak_from_this()]
+                                      {
+                                          if (const std::shared_ptr<edit_run> run =
+                                                  self.lock())
+                                              run->resume();
+                                      });
+        waiting_ = shared_from_this();
+    }
+
+    void resume()
+    {
+        const std::shared_ptr<edit_run> self = std::move(waiting_);
+        waiting_ = nullptr;
+        read_table();
+    }
+
+    void finish_undecided(const std::string& cause)
+    {
+        if (maybe_written_)
+            return finish(edit_outcome::kind::unknown, operators_table(),
+                          fmt::format("it cannot be known whether change {} was "
+                                      "written: {}",
+                                      wanted_.change.value(), cause));
+        finish(edit_outcome::kind::unavailable, operators_table(),
+               fmt::format("not written: {}", cause));
+    }
+
+    void finish(edit_outcome::kind what, const operators_table& current,
+                std::string message, findings faults = {})
+    {
+        const std::function<void(edit_outcome)> done = std::move(done_);
+        done_ = nullptr;
+        if (done)
+            done(edit_outcome{what, current, std::move(faults), std::move(message)});
+    }
+
+    std::shared_ptr<edit_context> context_;
+    operators_table wanted_;
+    table_version if_match_;
+    std::function<void(edit_outcome)> done_;
+    boot_time end_;
+    duration back_off_;
+    std::string json_;
+    bool maybe_written_ = false;
+    timer_handle timer_;
+    std::shared_ptr<edit_run> waiting_; ///< Keeps itself alive between two attempts.
+};
+
+} // namespace
+
+std::string history_key(table_version version)
+{
+    return fmt::format("table_history/{}", version.value());
+}
+
+result<stored_table> decode_stored_table(const std::optional<kv_entry>& entry)
+{
+    if (!entry)
+        return stored_table();
+    parsed_table parsed = parse_table_json(entry->value);
+    if (!parsed.table)
+        return make_error(error_code::invalid_input,
+                          fmt::format("the value of key {} cannot be read: {}",
+                                      entry->key, parsed.faults.front().text()));
+    return stored_table{std::move(*parsed.table), entry->revision, entry->value};
+}
+
+void run_edit(const std::shared_ptr<edit_context>& context, operators_table wanted,
+              table_version if_match, std::function<void(edit_outcome)> done)
+{
+    const std::shared_ptr<edit_run> run =
+        std::make_shared<edit_run>(context, std::move(wanted), if_match, std::move(done));
+    run->read_table();
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/table/table_store.cpp
@@ -0,0 +1,313 @@
+/// \file
+/// Implements reading and watching of the operators' table.
+#include "hawthornbeam/table/table_store.hpp"
+
+#include "table_edit_run.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// The poll period and the back-off vary by this much, so that instances that saw the
+/// same outage do not all return at once.
+constexpr double poll_spread = 0.5;
+/// A watch that returns sooner than this without a change is not repeated at once.
+constexpr duration least_watch_time = std::chrono::seconds(1);
+
+bool is_answer(const error& failure)
+{
+    return failure.code != error_code::unavailable &&
+           failure.code != error_code::outcome_unknown;
+}
+
+} // namespace
+
+class table_store::implementation
+    : public std::enable_shared_from_this<table_store::implementation>
+{
+public:
+    implementation(kv_service& service, event_loop& event_loop, const logger& log,
+                   options settings)
+        : kv(service), loop(event_loop), log_(log), settings_(std::move(settings)),
+          random(settings_.seed), poll_back_off(settings_.least_back_off),
+          watch_back_off(settings_.least_back_off)
+    {
+    }
+
+    /// The parts that edits share with the store. Edits refer to the store weakly.
+    void make_context()
+    {
+        const std::weak_ptr<implementation> self = weak_from_this();
+        context = std::shared_ptr<edit_context>(new edit_context{
+            kv, loop, log_, settings_, random_source(random.next()),
+            [self](const operators_table& table)
+            {
+                if (const std::shared_ptr<implementation> store = self.lock())
+                    store->install(table);
+            },
+            [self](bool success)
+            {
+                if (const std::shared_ptr<implementation> store = self.lock(); success)
+                    store->note_answer();
+            },
+            table_version()});
+    }
+
+    void note_answer() { last_answer = loop.clock().now(); }
+
+    bool install(const operators_table& table)
+    {
+        if (table.version <= current.version)
+            return false;
+        current = table;
+        log_.info("table", "table installed",
+                  {{"version", table.version.value()},
+                   {"rows", static_cast<std::uint64_t>(table.rows.size())}});
+        const std::vector<std::function<void(const operators_table&)>> called = handlers;
+        for (const std::function<void(const operators_table&)>& handler : called)
+            handler(current);
+        return true;
+    }
+
+    void install_stored(const std::optional<kv_entry>& entry)
+    {
+        const result<stored_table> stored = decode_stored_table(entry);
+        if (stored)
+        {
+            install(stored.value().table);
+            return;
+        }
+        if (stored.error().message != last_fault)
+            log_.error("table", "the stored table is damaged and was not installed",
+                       {{"reason", stored.error().message}});
+        last_fault = stored.error().message;
+    }
+
+    void poll()
+    {
+        kv.read(kv_cause::table, table_key,
+                [self = weak_from_this()](result<std::optional<kv_entry>> answer)
+                {
+                    if (const std::shared_ptr<implementation> store = self.lock())
+                        store->polled(answer);
+                });
+    }
+
+    void polled(const result<std::optional<kv_entry>>& answer)
+    {
+        if (answer)
+        {
+            note_answer();
+            install_stored(answer.value());
+            poll_back_off = settings_.least_back_off;
+            return poll_after(settings_.poll_period);
+        }
+        poll_after(std::min(poll_back_off, settings_.poll_period));
+        poll_back_off = std::min(poll_back_off * 2, settings_.most_back_off);
+    }
+
+    void poll_after(duration delay)
+    {
+        poll_timer =
+            loop.after(random.jitter(delay, poll_spread),
+                       [self = weak_from_this()]
+                       {
+                           if (const std::shared_ptr<implementation> store = self.lock())
+                               store->poll();
+                       });
+    }
+
+    void watch()
+    {
+        const std::uint64_t round = watch_round;
+        watch_started = loop.clock().now();
+        kv.watch(kv_cause::table, table_key, watched, settings_.watch_wait,
+                 [self = weak_from_this(), round](result<kv_changes> answer)
+                 {
+                     const std::shared_ptr<implementation> store = self.lock();
+                     if (store && store->watch_round == round)
+                         store->watch_returned(answer);
+                 });
+    }
+
+    void watch_returned(const result<kv_changes>& answer)
+    {
+        if (!answer)
+        {
+            if (is_answer(answer.error()))
+                note_answer();
+            watch_after(random.jitter(watch_back_off, poll_spread));
+            watch_back_off = std::min(watch_back_off * 2, settings_.most_back_off);
+            return;
+        }
+        note_answer();
+        watch_back_off = settings_.least_back_off;
+        const kv_changes& changes = answer.value();
+        const bool is_idle = changes.changed.empty() &&
+                             loop.clock().now() - watch_started < least_watch_time;
+        watched = changes.seen;
+        for (const kv_entry& entry : changes.changed)
+            if (entry.key == table_key) // The prefix matches the history as well.
+                install_stored(entry);
+        if (changes.skipped)
+            poll();
+        watch_after(is_idle ? random.jitter(least_watch_time, poll_spread)
+                            : duration::zero());
+    }
+
+    void watch_after(duration delay)
+    {
+        watch_timer =
+            loop.after(delay,
+                       [self = weak_from_this()]
+                       {
+                           if (const std::shared_ptr<implementation> store = self.lock())
+                               store->watch();
+                       });
+    }
+
+    void set_watching(bool wanted)
+    {
+        if (wanted == is_watching)
+            return;
+        is_watching = wanted;
+        ++watch_round; // The answer of an open watch is ignored.
+        watch_timer.reset();
+        watched = kv_revision();
+        if (wanted)
+            watch();
+    }
+
+    change_id next_change()
+    {
+        return change_id(fmt::format("{}:{}:{:x}:{}", settings_.self.value(),
+                                     loop.clock().wall_now().time_since_epoch().count(),
+                                     settings_.seed, ++edits));
+    }
+
+    /// Collects history entries from \p version downward.
+    void read_history(table_version version, std::size_t most,
+                      std::vector<operators_table> found,
+                      std::function<void(result<std::vector<operators_table>>)> done)
+    {
+        if (most == 0 || version == table_version())
+            return done(std::move(found));
+        kv.read(kv_cause::table, history_key(version),
+                [self = weak_from_this(), version, most, found = std::move(found),
+                 done = std::move(done)](result<std::optional<kv_entry>> answer) mutable
+                {
+                    const std::shared_ptr<implementation> store = self.lock();
+                    if (!store)
+                        return;
+                    if (!answer)
+                        return done(answer.error());
+                    const result<stored_table> entry =
+                        decode_stored_table(answer.value());
+                    if (!entry)
+                        return done(entry.error());
+                    // The newest entry is absent while its editor still writes it.
+                    if (answer.value())
+                        found.push_back(entry.value().table);
+                    else if (version == store->current.version)
+                        found.push_back(store->current);
+                    else
+                        return done(std::move(found));
+                    store->read_history(table_version(version.value() - 1), most - 1,
+                                        std::move(found), std::move(done));
+                });
+    }
+
+    kv_service& kv;
+    event_loop& loop;
+    const logger& log_;
+    options settings_;
+    random_source random;
+    std::shared_ptr<edit_context> context;
+    operators_table current;
+    std::vector<std::function<void(const operators_table&)>> handlers;
+    boot_time last_answer = boot_time::min();
+    std::string last_fault;
+    duration poll_back_off;
+    duration watch_back_off;
+    timer_handle poll_timer;
+    timer_handle watch_timer;
+    bool is_watching = false;
+    std::uint64_t watch_round = 0;
+    kv_revision watched;
+    boot_time watch_started{};
+    std::uint64_t edits = 0;
+};
+
+table_store::table_store(kv_service& kv, event_loop& loop, const logger& log,
+                         options settings)
+    : implementation_(
+          std::make_shared<implementation>(kv, loop, log, std::move(settings)))
+{
+    implementation_->make_context();
+}
+
+table_store::~table_store() = default;
+
+void table_store::start()
+{
+    implementation_->poll();
+}
+
+void table_store::set_watching(bool watching)
+{
+    implementation_->set_watching(watching);
+}
+
+bool table_store::install(const operators_table& table)
+{
+    return implementation_->install(table);
+}
+
+void table_store::replace(std::vector<table_row> rows, table_version if_match,
+                          std::string author, std::function<void(edit_outcome)> done)
+{
+    findings faults = check_rows(rows);
+    if (!faults.empty())
+        return implementation_->loop.post(
+            [done = std::move(done), faults = std::move(faults),
+             current = implementation_->current] {
+                done(edit_outcome{edit_outcome::kind::faulty, current, faults, ""});
+            });
+    operators_table wanted;
+    wanted.change = implementation_->next_change();
+    wanted.author = std::move(author);
+    wanted.accepted = implementation_->loop.clock().wall_now();
+    wanted.rows = std::move(rows);
+    run_edit(implementation_->context, std::move(wanted), if_match, std::move(done));
+}
+
+void table_store::history(std::size_t most,
+                          std::function<void(result<std::vector<operators_table>>)> done)
+{
+    const std::size_t bounded =
+        std::min<std::size_t>(most, implementation_->settings_.history_length);
+    implementation_->read_history(implementation_->current.version, bounded, {},
+                                  std::move(done));
+}
+
+const operators_table& table_store::current() const
+{
+    return implementation_->current;
+}
+
+void table_store::on_installed(std::function<void(const operators_table&)> handler)
+{
+    implementation_->handlers.push_back(std::move(handler));
+}
+
+boot_time table_store::last_answer() const
+{
+    return implementation_->last_answer;
+}
+
+} // namespace hawthornbeam
