--- a/include/hawthornbeam/journal/journal.hpp
+++ b/include/hawthornbeam/journal/journal.hpp
@@ -64,8 +64,16 @@
     std::vector<journaled_job> jobs;
 };
 
-/// The journal of one partition: segments written with compare-and-swap. Appends are
-/// group-committed: one write in flight, the next takes all that waits.
+/// The journal of one partition. One key, the head, holds the owner, the newest records
+/// and the names of the segments and snapshot values before them; every change of the
+/// journal is a compare-and-swap of the head, which is never deleted. The other values
+/// are written once and never changed. Appends are group-committed: one write in flight,
+/// the next takes all that waits. docs/durable-state.md has the reasons and figures.
+///
+/// Calls: an append batch makes one, and one more when it fills a segment; a claim makes
+/// two, whatever the number of jobs, and one delete for each value left by a crash; a
+/// compaction one for each snapshot value, one for the head and one delete for each old
+/// value; at rest there is none. Retries of failed calls come on top.
 class partition_journal
 {
 public:
@@ -78,6 +86,12 @@
         std::size_t most_segments = 32; ///< More start a compaction.
         duration least_append_gap = std::chrono::milliseconds(100);
         std::size_t most_waiting_records = 10000;
+        /// A snapshot is split into values of this size; a larger one than
+        /// most_snapshot_parts values is refused and the segments are kept.
+        std::size_t snapshot_part_bytes = std::size_t{512} << 10U;
+        std::size_t most_snapshot_parts = 64;
+        duration least_back_off = std::chrono::milliseconds(100);
+        duration most_back_off = std::chrono::seconds(5);
         /// Ended jobs are kept this long for callers that ask or submit again.
         duration ended_job_retention = std::chrono::minutes(10);
     };
@@ -87,14 +101,20 @@
     ~partition_journal();
 
     /// Reads the journal and claims the next epoch. Fails with conflict when another
-    /// claim won, and with unavailable when the service cannot be reached.
+    /// claim won, with unavailable when the service cannot be reached, and with
+    /// invalid_input, naming the key, when a value is damaged; nothing is written then.
     void claim(std::function<void(result<claimed_partition>)> done);
     /// Makes \p record durable. Fails with unavailable when it is known not to be
     /// durable, with conflict when another instance has claimed the partition, and with
-    /// limit_exceeded when too many records wait. A record whose write has an unknown
-    /// outcome is read back until its outcome is known, so no other failure exists.
+    /// limit_exceeded when too many records wait or the record is too large for a value.
+    /// A record whose write has an unknown outcome is read back until its outcome is
+    /// known; a record that a later claim found is reported as durable. outcome_unknown
+    /// is left for a head that was damaged, deleted or claimed very often meanwhile.
     void append(journal_record record, std::function<void(result<bool>)> done);
-    /// Waits for the write in flight and marks the partition as free for a successor.
+    /// Reads the head, after a pause for example, and fences this instance when another
+    /// one has claimed the partition; one call. Fails with conflict or unavailable.
+    void confirm(std::function<void(result<bool>)> done);
+    /// Waits for all appends and marks the partition as free for a successor.
     void release(std::function<void(result<bool>)> done);
     /// Called once when another instance has claimed the partition.
     void on_fenced(std::function<void()> handler);
@@ -102,7 +122,7 @@
     bool is_owner() const;
     epoch owner_epoch() const;
     std::size_t waiting_records() const;
-    /// True while the last call to the service failed.
+    /// True while the last call to the service failed or one has waited for 2 s.
     bool is_degraded() const;
 
 private:
@@ -117,6 +137,10 @@
     instance_id owner;
 };
 
+/// Reads who owns \p partition; one call.
+void read_partition_owner(kv_service& kv, partition_id partition,
+                          std::function<void(result<partition_owner>)> done);
+
 } // namespace hawthornbeam
 
 #endif
--- /dev/null
+++ b/lib/journal/journal_append.cpp
@@ -0,0 +1,236 @@
+/// \file
+/// Implements appends with group commit.
+#include "journal_core.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// Leaves room for the names and claims of a head below the service's 1 MiB.
+constexpr std::size_t most_record_bytes = std::size_t{900} << 10U;
+
+std::size_t sum_of_sizes(const std::vector<std::string>& records)
+{
+    std::size_t sum = 0;
+    for (const std::string& record : records)
+        sum += record.size();
+    return sum;
+}
+
+} // namespace
+
+void partition_journal::implementation::append(journal_record record,
+                                               std::function<void(result<bool>)> done)
+{
+    const auto fail = [this, &done](error_code code, const char* message)
+    {
+        loop.post([done = std::move(done), cause = make_error(code, message)]
+                  { done(cause); });
+    };
+    if (!is_owner)
+        return fail(error_code::conflict, "this instance does not own the partition");
+    if (release_done)
+        return fail(error_code::unavailable, "the partition is being released");
+    if (waiting.size() >= settings.most_waiting_records)
+        return fail(error_code::limit_exceeded, "too many records wait for the journal");
+    if (is_stuck())
+        return fail(error_code::unavailable, "the key-value service is away");
+    waiting_record item;
+    item.record = journal_form::timed_record{std::move(record), loop.clock().wall_now()};
+    item.bytes = journal_form::encode_record(item.record);
+    if (item.bytes.size() > most_record_bytes)
+        return fail(error_code::limit_exceeded, "the record is larger than 900 KiB");
+    item.done = std::move(done);
+    waiting.push_back(std::move(item));
+    run_next();
+}
+
+bool partition_journal::implementation::is_stuck() const
+{
+    return is_degraded_now && writing && writing->is_unresolved();
+}
+
+void partition_journal::implementation::run_next()
+{
+    if (is_busy || !is_owner)
+        return;
+    if (is_compaction_due())
+        return compact();
+    if (waiting.empty())
+    {
+        if (release_done)
+            release_when_idle();
+        return;
+    }
+    if (is_batch_scheduled)
+        return;
+    is_batch_scheduled = true;
+    const boot_time now = loop.clock().now();
+    const bool is_due =
+        last_batch == boot_time::min() || now - last_batch >= settings.least_append_gap;
+    // Even a due batch waits for the end of the current callback, to take all its
+    // records.
+    const duration delay =
+        is_due ? duration::zero() : settings.least_append_gap - (now - last_batch);
+    batch_timer = loop.after(delay,
+                             [self = weak_from_this()]
+                             {
+                                 const std::shared_ptr<implementation> journal =
+                                     self.lock();
+                                 if (!journal)
+                                     return;
+                                 journal->is_batch_scheduled = false;
+                                 journal->start_batch();
+                             });
+}
+
+void partition_journal::implementation::start_batch()
+{
+    if (is_busy || !is_owner || waiting.empty())
+        return run_next();
+    is_busy = true;
+    last_batch = loop.clock().now();
+    take_batch();
+    if (!head.records.empty() &&
+        sum_of_sizes(head.records) + batch_bytes > settings.most_segment_bytes)
+        return roll_over();
+    write_batch(head);
+}
+
+void partition_journal::implementation::take_batch()
+{
+    assert(batch.empty() && "the former batch has been resolved");
+    batch_bytes = 0;
+    while (!waiting.empty() &&
+           (batch.empty() ||
+            batch_bytes + waiting.front().bytes.size() <= settings.most_segment_bytes))
+    {
+        batch_bytes += waiting.front().bytes.size();
+        batch.push_back(std::move(waiting.front()));
+        waiting.pop_front();
+    }
+}
+
+/// Copies the head's records into a segment of their own. Nothing depends on the copy
+/// until the head names it, so a failure here is a certain failure of the batch. The name
+/// is kept for the next attempt, which writes the same bytes.
+void partition_journal::implementation::roll_over()
+{
+    if (pending_segment.empty())
+        pending_segment =
+            "segment." + std::to_string(head.epoch) + "." + std::to_string(++counter);
+    const head_write::environment calls = around();
+    calls.calling();
+    kv.write(kv_cause::journal, key(pending_segment),
+             journal_form::encode_segment(head.records), kv_revision(),
+             [self = weak_from_this(), calls](const result<kv_revision>& answer)
+             {
+                 const std::shared_ptr<implementation> journal = self.lock();
+                 if (!journal)
+                     return;
+                 const bool exists =
+                     answer || answer.error().code == error_code::conflict;
+                 calls.answered(exists);
+                 if (!exists)
+                 {
+                     journal->is_busy = false;
+                     journal->finish_batch(
+                         make_error(error_code::unavailable, answer.error().message));
+                     return journal->run_next();
+                 }
+                 journal->values[journal->key(journal->pending_segment)] =
+                     answer ? answer.value() : kv_revision();
+                 journal_form::stored_head next = journal->head;
+                 next.segments.push_back(journal->pending_segment);
+                 next.records.clear();
+                 journal->write_batch(std::move(next));
+             });
+}
+
+void partition_journal::implementation::write_batch(journal_form::stored_head next)
+{
+    for (const waiting_record& item : batch)
+        next.records.push_back(item.bytes);
+    write_head(std::move(next),
+               [self = weak_from_this()](const head_result& outcome)
+               {
+                   if (const std::shared_ptr<implementation> journal = self.lock())
+                       journal->batch_resolved(outcome);
+               });
+}
+
+void partition_journal::implementation::batch_resolved(const head_result& outcome)
+{
+    is_busy = false;
+    switch (outcome.what)
+    {
+    case head_outcome::written:
+        settle_pending_segment();
+        for (const waiting_record& item : batch)
+            state.apply(item.record);
+        drop_ended();
+        finish_batch(true);
+        break;
+    case head_outcome::refused:
+        finish_batch(make_error(error_code::unavailable, outcome.message));
+        break;
+    case head_outcome::fenced_after:
+        finish_batch(true);
+        fence(make_error(error_code::conflict, outcome.message));
+        break;
+    case head_outcome::fenced:
+        finish_batch(make_error(error_code::conflict, outcome.message));
+        fence(make_error(error_code::conflict, outcome.message));
+        break;
+    case head_outcome::lost:
+        log.error("journal", "the outcome of an append cannot be known",
+                  {{"partition", static_cast<int>(settings.partition.value())},
+                   {"reason", outcome.message}});
+        finish_batch(make_error(error_code::outcome_unknown, outcome.message));
+        fence(make_error(error_code::conflict, outcome.message));
+        break;
+    }
+    run_next();
+}
+
+/// A pending segment holds the records of the head before the last write. When that write
+/// did not name it, its bytes are out of date and its name must not be used again.
+void partition_journal::implementation::settle_pending_segment()
+{
+    if (pending_segment.empty())
+        return;
+    if (head.segments.empty() || head.segments.back() != pending_segment)
+        leave(pending_segment);
+    pending_segment.clear();
+    remove_leftovers();
+}
+
+void partition_journal::implementation::finish_batch(const result<bool>& outcome)
+{
+    const std::vector<waiting_record> finished = std::move(batch);
+    batch.clear();
+    for (const waiting_record& item : finished)
+        item.done(outcome);
+}
+
+void partition_journal::implementation::fail_waiting(const error& cause)
+{
+    const std::deque<waiting_record> failed = std::move(waiting);
+    waiting.clear();
+    for (const waiting_record& item : failed)
+        item.done(cause);
+}
+
+void partition_journal::implementation::drop_ended()
+{
+    state.drop_ended(loop.clock().wall_now() -
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         settings.ended_job_retention));
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/journal/partition_state.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// The jobs of a partition, built from its snapshot and records.
+#ifndef HAWTHORNBEAM_LIB_JOURNAL_PARTITION_STATE_HPP
+#define HAWTHORNBEAM_LIB_JOURNAL_PARTITION_STATE_HPP
+
+#include "stored_form.hpp"
+
+#include <map>
+
+namespace hawthornbeam
+{
+
+/// Jobs by id. Records of unknown jobs are ignored: they belong to ended jobs whose
+/// retention is over.
+class partition_state
+{
+public:
+    void apply(const journal_form::timed_record& record);
+    /// Drops jobs that ended before \p limit.
+    void drop_ended(wall_time limit);
+    std::string encode() const;
+    std::vector<journaled_job> jobs() const;
+
+    /// Reads what \p head names out of \p entries, which are ordered by key. Fails with
+    /// not_found when a named key is absent and with invalid_input when one is damaged.
+    static result<partition_state> load(const std::string& prefix,
+                                        const journal_form::stored_head& head,
+                                        const std::vector<kv_entry>& entries);
+
+private:
+    result<bool> apply_all(const std::vector<std::string>& records,
+                           const std::string& key);
+    void keep(journal_form::kept_job job);
+
+    std::map<job_id, journal_form::kept_job> jobs_;
+    std::multimap<wall_time, job_id> by_end_;
+};
+
+/// The entry named \p key, or nullptr; \p entries are ordered by key.
+const kv_entry* find_entry(const std::vector<kv_entry>& entries, const std::string& key);
+
+} // namespace hawthornbeam
+
+#endif
