Bind the platform interfaces to HTTP/JSON

Cause: the product needs a way to the key-value service, the workers and the host list. PUT and DELETE use a new connection each, because libsoup repeats them on a reused connection that breaks, which would report a conflict for a write that took effect. Private headers are included by their path from the source directory.

--- /dev/null
+++ b/lib/platform/http_client.cpp
@@ -0,0 +1,278 @@
+/// \file
+/// Implements the HTTP client over libsoup.
+#include "lib/platform/http_client.hpp"
+
+#include <cassert>
+#include <fmt/format.h>
+#include <libsoup/soup.h>
+#include <map>
+#include <set>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// An idle connection may have gone silent without a sign, so it is not kept for long.
+constexpr std::chrono::seconds most_idle_time(5);
+/// Over all hosts; stays below the usual limit of open files.
+constexpr int most_connections = 4096;
+
+struct http_call
+{
+    http_call() : cancellable(g_cancellable_new()) {}
+    http_call(const http_call&) = delete;
+    http_call& operator=(const http_call&) = delete;
+    ~http_call() { g_object_unref(cancellable); }
+
+    std::string what; ///< "METHOD URL" for messages.
+    std::string host;
+    http_client::callback done; ///< Empty once the call has ended.
+    timer_handle timeout;
+    GCancellable* cancellable;
+    bool sent = false;
+};
+
+using call_pointer = std::shared_ptr<http_call>;
+
+/// Scheme, host and port of \p url.
+std::string host_of(const std::string& url)
+{
+    const std::size_t scheme_end = url.find("://");
+    if (scheme_end == std::string::npos)
+        return url;
+    return url.substr(0, url.find('/', scheme_end + 3));
+}
+
+/// Tells whether libsoup would send a request again after its connection broke. Its
+/// retry of a compare-and-swap that took effect would report a conflict.
+bool may_be_resent(const std::string& method)
+{
+    return method != "POST" && method != "GET";
+}
+
+void mark_sent(SoupMessage* /*message*/, gpointer data)
+{
+    (*static_cast<call_pointer*>(data))->sent = true;
+}
+
+void drop_call(gpointer data, GClosure* /*closure*/)
+{
+    delete static_cast<call_pointer*>(data);
+}
+
+SoupSession* new_session(unsigned connections_per_host)
+{
+    SoupSession* session = soup_session_new_with_options(
+        "max-conns", most_connections, "max-conns-per-host",
+        static_cast<int>(connections_per_host), "idle-timeout",
+        static_cast<guint>(most_idle_time.count()), "timeout", 0U, nullptr);
+    // Platform addresses are reached directly, whatever the environment names as proxy.
+    soup_session_set_proxy_resolver(session, nullptr);
+    return session;
+}
+
+} // namespace
+
+class http_client::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(event_loop& loop, const logger& log, unsigned connections_per_host)
+        : loop_(loop), log_(log), session_(new_session(connections_per_host))
+    {
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    ~implementation() { g_object_unref(session_); }
+
+    void send(http_request request, callback done);
+    void close();
+
+private:
+    /// Passed through libsoup to the end of one call.
+    struct completion
+    {
+        std::weak_ptr<implementation> client;
+        call_pointer call;
+        SoupMessage* message;
+    };
+
+    static void read_answer(GObject* session, GAsyncResult* answer, gpointer data);
+    SoupMessage* build_message(const http_request& request, const call_pointer& call);
+    bool needs_fresh_connection(const http_request& request, const std::string& host);
+    void time_out(const call_pointer& call);
+    void finish(const call_pointer& call, result<http_reply> reply);
+
+    event_loop& loop_;
+    const logger& log_;
+    SoupSession* session_;
+    std::set<call_pointer> open_;
+    /// Hosts with a recent timeout. Until this time their idle connections may be silent
+    /// too; afterwards the idle limit has closed them.
+    std::map<std::string, boot_time> suspected_until_;
+};
+
+void http_client::implementation::send(http_request request, callback done)
+{
+    const call_pointer call = std::make_shared<http_call>();
+    call->what = request.method + " " + request.url;
+    call->host = host_of(request.url);
+    call->done = std::move(done);
+    open_.insert(call);
+    SoupMessage* message = build_message(request, call);
+    const std::weak_ptr<implementation> self = weak_from_this();
+    if (message == nullptr)
+    {
+        loop_.post(
+            [self, call]
+            {
+                const std::shared_ptr<implementation> client = self.lock();
+                if (client)
+                    client->finish(call, make_error(error_code::unavailable,
+                                                    call->what + ": the URL is invalid"));
+            });
+        return;
+    }
+    call->timeout = loop_.after(request.timeout, [this, call] { time_out(call); });
+    soup_session_send_and_read_async(session_, message, G_PRIORITY_DEFAULT,
+                                     call->cancellable, read_answer,
+                                     new completion{self, call, message});
+}
+
+SoupMessage* http_client::implementation::build_message(const http_request& request,
+                                                        const call_pointer& call)
+{
+    SoupMessage* message = soup_message_new(request.method.c_str(), request.url.c_str());
+    if (message == nullptr)
+        return nullptr;
+    guint flags = SOUP_MESSAGE_NO_REDIRECT;
+    if (needs_fresh_connection(request, call->host))
+        flags |= SOUP_MESSAGE_NEW_CONNECTION;
+    soup_message_set_flags(message, static_cast<SoupMessageFlags>(flags));
+    if (may_be_resent(request.method))
+        soup_message_headers_replace(soup_message_get_request_headers(message),
+                                     "Connection", "close");
+    if (!request.body.empty())
+    {
+        GBytes* body = g_bytes_new(request.body.data(), request.body.size());
+        soup_message_set_request_body_from_bytes(message, "application/octet-stream",
+                                                 body);
+        g_bytes_unref(body);
+    }
+    g_signal_connect_data(message, "starting", G_CALLBACK(mark_sent),
+                          new call_pointer(call), drop_call, GConnectFlags());
+    return message;
+}
+
+bool http_client::implementation::needs_fresh_connection(const http_request& request,
+                                                         const std::string& host)
+{
+    // libsoup sends again only on connections that were used before.
+    if (may_be_resent(request.method))
+        return true;
+    const auto suspected = suspected_until_.find(host);
+    if (suspected == suspected_until_.end())
+        return false;
+    if (loop_.clock().now() < suspected->second)
+        return true;
+    suspected_until_.erase(suspected);
+    return false;
+}
+
+void http_client::implementation::read_answer(GObject* session, GAsyncResult* answer,
+                                              gpointer data)
+{
+    const std::unique_ptr<completion> ended(static_cast<completion*>(data));
+    GError* failure = nullptr;
+    GBytes* body =
+        soup_session_send_and_read_finish(SOUP_SESSION(session), answer, &failure);
+    const std::shared_ptr<implementation> client = ended->client.lock();
+    const call_pointer& call = ended->call;
+    const unsigned status = soup_message_get_status(ended->message);
+    g_object_unref(ended->message);
+    if (failure != nullptr)
+    {
+        const error_code code =
+            call->sent ? error_code::outcome_unknown : error_code::unavailable;
+        error reported = make_error(code, call->what + ": " + failure->message);
+        g_error_free(failure);
+        if (client)
+            client->finish(call, std::move(reported));
+        return;
+    }
+    gsize size = 0;
+    const char* bytes = static_cast<const char*>(g_bytes_get_data(body, &size));
+    http_reply reply{status, size == 0 ? std::string() : std::string(bytes, size)};
+    g_bytes_unref(body);
+    if (client)
+        client->finish(call, std::move(reply));
+}
+
+void http_client::implementation::time_out(const call_pointer& call)
+{
+    const boot_time now = loop_.clock().now();
+    std::erase_if(suspected_until_,
+                  [now](const std::pair<const std::string, boot_time>& host)
+                  { return host.second <= now; });
+    suspected_until_[call->host] = now + most_idle_time;
+    // Ends the call inside libsoup, which closes its connection.
+    g_cancellable_cancel(call->cancellable);
+    const error_code code =
+        call->sent ? error_code::outcome_unknown : error_code::unavailable;
+    finish(call, make_error(code, call->what + ": no whole answer in time"));
+}
+
+void http_client::implementation::finish(const call_pointer& call,
+                                         result<http_reply> reply)
+{
+    if (!call->done)
+        return;
+    const callback done = std::exchange(call->done, nullptr);
+    call->timeout.reset();
+    open_.erase(call);
+    if (!reply)
+        log_.debug(
+            "http_client", "call failed",
+            {{"code", to_string(reply.error().code)}, {"reason", reply.error().message}});
+    done(std::move(reply));
+}
+
+void http_client::implementation::close()
+{
+    const std::set<call_pointer> open = std::exchange(open_, {});
+    for (const call_pointer& call : open)
+    {
+        call->done = nullptr;
+        call->timeout.reset();
+        g_cancellable_cancel(call->cancellable);
+    }
+    soup_session_abort(session_);
+}
+
+http_client::http_client(event_loop& loop, const logger& log,
+                         unsigned connections_per_host)
+    : implementation_(std::make_shared<implementation>(loop, log, connections_per_host))
+{
+    assert(connections_per_host > 0 && "calls need a connection");
+}
+
+http_client::~http_client()
+{
+    implementation_->close();
+}
+
+void http_client::send(http_request request, callback done)
+{
+    implementation_->send(std::move(request), std::move(done));
+}
+
+std::string percent_encode(const std::string& text)
+{
+    gchar* escaped = g_uri_escape_string(text.c_str(), "/", FALSE);
+    std::string encoded(escaped);
+    g_free(escaped);
+    return encoded;
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/platform/http_worker_gateway.cpp
@@ -0,0 +1,273 @@
+/// \file
+/// Implements the HTTP binding of the workers.
+#include "hawthornbeam/platform/http_worker_gateway.hpp"
+
+#include "lib/platform/json_call.hpp"
+
+#include <array>
+#include <cassert>
+#include <set>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+constexpr std::array<const char*, 4> state_names{"running", "finished", "failed",
+                                                 "stopped"};
+constexpr std::array<const char*, 3> action_names{"stop", "checkpoint", "throttle"};
+
+std::int64_t to_milliseconds(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+json encode_start(const task_start& task)
+{
+    return json{{"id", task.id.text()},
+                {"row", task.row.value()},
+                {"size", encode_resources(task.size)},
+                {"declared_run_ms", to_milliseconds(task.declared_run_time)},
+                {"idempotent", task.idempotent},
+                {"job_owner", task.job_owner.value()},
+                {"payload", encode_bytes(task.payload)}};
+}
+
+json encode_ids(const std::vector<task_id>& ids)
+{
+    json texts = json::array();
+    for (const task_id& id : ids)
+        texts.push_back(id.text());
+    return texts;
+}
+
+task_id task_id_at(const json& object, const char* name)
+{
+    const std::optional<task_id> id = task_id::parse(text_at(object, name));
+    if (!id)
+        throw malformed_json(std::string(name) + " is no task id");
+    return *id;
+}
+
+task_state state_at(const json& object, const char* name)
+{
+    const std::string text = text_at(object, name);
+    for (std::size_t i = 0; i < state_names.size(); ++i)
+        if (text == state_names[i])
+            return static_cast<task_state>(i);
+    throw malformed_json(std::string(name) + " is no task state");
+}
+
+lease_grant decode_lease(const json& lease)
+{
+    const std::uint64_t length = unsigned_at(lease, "lease_ms");
+    // An absurd length would let an owner trust its lease forever.
+    constexpr std::uint64_t longest = std::uint64_t{60} * 60 * 1000;
+    if (length > longest)
+        throw malformed_json("lease_ms is longer than an hour");
+    return lease_grant{generation(unsigned_at(lease, "generation")),
+                       std::chrono::milliseconds(length)};
+}
+
+task_report decode_report(const json& report)
+{
+    task_report decoded;
+    decoded.id = task_id_at(report, "id");
+    decoded.row = row_id(text_at(report, "row"));
+    decoded.size = resources_at(report, "size");
+    decoded.idempotent = flag_at(report, "idempotent");
+    decoded.job_owner = instance_id(text_at(report, "job_owner"));
+    decoded.state = state_at(report, "state");
+    decoded.output = bytes_at(report, "output");
+    decoded.used_cores = usage_at(report, "used_cores");
+    decoded.used_memory = usage_at(report, "used_memory");
+    return decoded;
+}
+
+std::vector<task_report> decode_reports(const json& answer)
+{
+    std::vector<task_report> reports;
+    for (const json& report : array_at(answer, "tasks"))
+        reports.push_back(decode_report(report));
+    return reports;
+}
+
+worker_events decode_events(const json& answer)
+{
+    return worker_events{unsigned_at(answer, "seen"), decode_lease(answer.at("lease")),
+                         decode_reports(answer)};
+}
+
+std::optional<task_report> decode_task(const json& answer)
+{
+    const json& task = answer.at("task");
+    if (task.is_null())
+        return std::nullopt;
+    return decode_report(task);
+}
+
+/// Demands one outcome for each task of \p asked: a task without an outcome may run.
+std::vector<start_outcome> decode_outcomes(const json& answer, std::set<task_id> asked)
+{
+    std::vector<start_outcome> outcomes;
+    for (const json& outcome : array_at(answer, "outcomes"))
+    {
+        outcomes.push_back(start_outcome{task_id_at(outcome, "id"),
+                                         flag_at(outcome, "accepted"),
+                                         text_at(outcome, "reason")});
+        if (asked.erase(outcomes.back().id) == 0)
+            throw malformed_json("an outcome is doubled or was not asked for");
+    }
+    if (!asked.empty())
+        throw malformed_json("a task has no outcome");
+    return outcomes;
+}
+
+} // namespace
+
+class http_worker_gateway::implementation
+{
+public:
+    implementation(event_loop& loop, const logger& log, http_worker_options options)
+        : options_(options), client_(loop, log, options.most_connections)
+    {
+    }
+
+    http_request read_request(const worker_address& worker, const std::string& path) const
+    {
+        return http_request{
+            "GET", "http://" + worker.value() + path, {}, options_.timeout};
+    }
+    http_request post_request(const worker_address& worker, const std::string& path,
+                              const json& body) const
+    {
+        return http_request{"POST", "http://" + worker.value() + path, print_json(body),
+                            options_.timeout};
+    }
+    /// Posts \p body and yields the boolean member \p verdict of the answer.
+    void post_verdict(const worker_address& worker, const std::string& path,
+                      const json& body, const char* verdict, callback<bool> done)
+    {
+        call_json<bool>(
+            client_, post_request(worker, path, body), call_effect::write,
+            [verdict](const json& answer) { return flag_at(answer, verdict); },
+            std::move(done));
+    }
+
+    http_client& client() { return client_; }
+    const http_worker_options& options() const { return options_; }
+
+private:
+    http_worker_options options_;
+    http_client client_;
+};
+
+http_worker_gateway::http_worker_gateway(event_loop& loop, const logger& log,
+                                         http_worker_options options)
+    : implementation_(std::make_unique<implementation>(loop, log, options))
+{
+}
+
+http_worker_gateway::~http_worker_gateway() = default;
+
+worker_capabilities http_worker_gateway::capabilities() const
+{
+    return implementation_->options().capabilities;
+}
+
+void http_worker_gateway::acquire(const worker_address& worker, const instance_id& owner,
+                                  callback<lease_grant> done)
+{
+    call_json<lease_grant>(implementation_->client(),
+                           implementation_->post_request(worker, "/lease/acquire",
+                                                         {{"owner", owner.value()}}),
+                           call_effect::write, decode_lease, std::move(done));
+}
+
+void http_worker_gateway::release(const worker_address& worker, generation held,
+                                  callback<bool> done)
+{
+    implementation_->post_verdict(worker, "/lease/release",
+                                  {{"generation", held.value()}}, "released",
+                                  std::move(done));
+}
+
+void http_worker_gateway::start(const worker_address& worker, generation held,
+                                std::vector<task_start> tasks,
+                                callback<std::vector<start_outcome>> done)
+{
+    json encoded = json::array();
+    std::set<task_id> asked;
+    for (const task_start& task : tasks)
+    {
+        encoded.push_back(encode_start(task));
+        asked.insert(task.id);
+    }
+    assert(asked.size() == tasks.size() && "a start call names each task once");
+    call_json<std::vector<start_outcome>>(
+        implementation_->client(),
+        implementation_->post_request(
+            worker, "/start",
+            {{"generation", held.value()}, {"tasks", std::move(encoded)}}),
+        call_effect::write,
+        [asked = std::move(asked)](const json& answer)
+        { return decode_outcomes(answer, asked); },
+        std::move(done));
+}
+
+void http_worker_gateway::events(const worker_address& worker, generation held,
+                                 std::uint64_t after, duration wait,
+                                 callback<worker_events> done)
+{
+    http_request request =
+        implementation_->post_request(worker, "/events",
+                                      {{"generation", held.value()},
+                                       {"after", after},
+                                       {"wait_ms", to_milliseconds(wait)}});
+    request.timeout = wait + implementation_->options().wait_margin;
+    // Renewing a lease twice does no harm, so the call counts as a read.
+    call_json<worker_events>(implementation_->client(), std::move(request),
+                             call_effect::read, decode_events, std::move(done));
+}
+
+void http_worker_gateway::list(const worker_address& worker,
+                               callback<std::vector<task_report>> done)
+{
+    call_json<std::vector<task_report>>(
+        implementation_->client(), implementation_->read_request(worker, "/tasks"),
+        call_effect::read, decode_reports, std::move(done));
+}
+
+void http_worker_gateway::task(const worker_address& worker, const task_id& id,
+                               callback<std::optional<task_report>> done)
+{
+    call_json<std::optional<task_report>>(
+        implementation_->client(),
+        implementation_->read_request(worker, "/tasks/" + id.text()), call_effect::read,
+        decode_task, std::move(done));
+}
+
+void http_worker_gateway::acknowledge(const worker_address& worker, generation held,
+                                      std::vector<task_id> tasks, callback<bool> done)
+{
+    implementation_->post_verdict(
+        worker, "/acknowledge",
+        {{"generation", held.value()}, {"tasks", encode_ids(tasks)}}, "acknowledged",
+        std::move(done));
+}
+
+void http_worker_gateway::control(const worker_address& worker, generation held,
+                                  const task_id& id, task_action action,
+                                  callback<bool> done)
+{
+    const std::size_t index = static_cast<std::size_t>(action);
+    assert(index < action_names.size() && "every action has a name");
+    implementation_->post_verdict(worker, "/control",
+                                  {{"generation", held.value()},
+                                   {"task", id.text()},
+                                   {"action", action_names[index]}},
+                                  "applied", std::move(done));
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/platform/json_call.cpp
@@ -0,0 +1,75 @@
+/// \file
+/// Implements the mapping of HTTP answers to error codes.
+#include "lib/platform/json_call.hpp"
+
+#include <fmt/format.h>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+error_code unclear(call_effect effect)
+{
+    return effect == call_effect::read ? error_code::unavailable
+                                       : error_code::outcome_unknown;
+}
+
+/// Statuses not named here do not tell whether a write took effect.
+error_code code_of_status(unsigned status, call_effect effect)
+{
+    switch (status)
+    {
+    case 400:
+        return error_code::invalid_input;
+    case 401:
+    case 403:
+        return error_code::denied;
+    case 404:
+        return error_code::not_found;
+    case 409:
+        return error_code::conflict;
+    case 413:
+    case 429:
+        return error_code::limit_exceeded;
+    case 503:
+        return error_code::unavailable;
+    default:
+        return unclear(effect);
+    }
+}
+
+std::string reason_in(const json& answer, unsigned status)
+{
+    if (answer.is_object() && answer.contains("error") && answer["error"].is_string())
+        return answer["error"].get<std::string>();
+    return fmt::format("the answer has status {}", status);
+}
+
+} // namespace
+
+error malformed_answer(call_effect effect, const std::string& reason)
+{
+    return make_error(unclear(effect), "malformed answer: " + reason);
+}
+
+result<json> accept_reply(result<http_reply> reply, call_effect effect)
+{
+    if (!reply)
+    {
+        error failure = std::move(reply).error();
+        if (failure.code == error_code::outcome_unknown)
+            failure.code = unclear(effect);
+        return failure;
+    }
+    const unsigned status = reply.value().status;
+    json answer = parse_json(reply.value().body);
+    if (status < 200 || status > 299)
+        return make_error(code_of_status(status, effect), reason_in(answer, status));
+    if (answer.is_discarded())
+        return malformed_answer(effect, "it is no JSON");
+    return answer;
+}
+
+} // namespace hawthornbeam
