--- /dev/null
+++ b/test/standins/worker_state.hpp
@@ -0,0 +1,122 @@
+/// \file
+/// State of the stand-in for one worker, without transport.
+#ifndef HAWTHORNBEAM_TEST_STANDINS_WORKER_STATE_HPP
+#define HAWTHORNBEAM_TEST_STANDINS_WORKER_STATE_HPP
+
+#include "hawthornbeam/platform/worker_gateway.hpp"
+
+#include <map>
+
+namespace hawthornbeam::standins
+{
+
+/// Properties of one worker.
+struct worker_options
+{
+    worker_id id;
+    resources capacity;
+    duration lease = std::chrono::seconds(4);
+    /// Usage is reported this often and shows what was true this long ago.
+    duration usage_lag = std::chrono::seconds(2);
+    /// How long the ids of acknowledged tasks are remembered.
+    duration memory = std::chrono::minutes(10);
+};
+
+/// One event of a worker, for the invariant checker.
+struct history_entry
+{
+    boot_time at;
+    worker_id worker;
+    /// acquire, release, lapse, start, duplicate, reject, fenced, end, acknowledge, kill.
+    std::string event;
+    generation lease;      ///< Generation that the worker had granted last.
+    std::string subject;   ///< Task id or owner.
+    std::string detail;    ///< Reason or final state.
+    resources size;        ///< Of the task.
+    instance_id job_owner; ///< Of the task.
+};
+
+/// One worker: grants the owner lease, runs tasks by its clock, keeps their outcomes.
+///
+/// A payload begins with any number of directives, each ended by ';':
+/// "sleep=MS" sets the run time, "fail" ends the task as failed, "service" runs until
+/// stopped, "use=FACTOR" scales the reported usage of the declared size (may be "nan",
+/// "inf" or negative). Without "sleep" a task runs for its declared run time. A finished
+/// task's output is its whole payload.
+class worker_state
+{
+public:
+    worker_state(const clock_source& clock, worker_options options);
+
+    /// Grants a new generation unless another owner holds the lease.
+    result<lease_grant> acquire(const instance_id& owner);
+    result<bool> release(generation held);
+    result<std::vector<start_outcome>> start(generation held,
+                                             const std::vector<task_start>& tasks);
+    /// Renews the lease.
+    result<lease_grant> renew(generation held);
+    /// Ended tasks and usage reports after \p after, without waiting.
+    result<worker_events> events(generation held, std::uint64_t after);
+    std::vector<task_report> list() const;
+    std::optional<task_report> task(const task_id& id) const;
+    result<bool> acknowledge(generation held, const std::vector<task_id>& tasks);
+    /// False when the task does not run.
+    result<bool> control(generation held, const task_id& id, task_action action);
+
+    /// Ends the tasks whose run time has passed.
+    void advance();
+    /// When advance() has something to do next.
+    std::optional<boot_time> next_end() const;
+    /// True when a task ended after event number \p after.
+    bool ended_after(std::uint64_t after) const;
+    /// Success when \p held is the current generation and its lease has not ended.
+    result<bool> check_lease(generation held) const;
+
+    /// From now on every task fails as soon as it is started, or no longer does.
+    void fail_everything(bool on) { fails_everything_ = on; }
+    /// Ends the current lease now.
+    void lapse_lease();
+    /// Loses all tasks, as when the machine dies. Generations and the history go on.
+    void kill();
+
+    const worker_options& options() const { return options_; }
+    const std::vector<history_entry>& history() const { return history_; }
+
+private:
+    struct held_task
+    {
+        task_report report;
+        std::optional<boot_time> end; ///< Absent for services.
+        boot_time started;
+        std::string payload;
+        bool fails = false;
+        double usage_factor = 1;
+        std::uint64_t event = 0; ///< Number of the end or of the last usage report.
+        std::optional<boot_time> forget_at; ///< Set when acknowledged.
+    };
+
+    start_outcome start_one(const task_start& task);
+    std::string reason_to_reject(const task_start& task) const;
+    void begin(const task_start& task);
+    void end(held_task& task, task_state state, std::string output);
+    void report_usage();
+    void forget_old_tasks();
+    resources used() const;
+    void record(const std::string& event, const std::string& subject,
+                const std::string& detail = {}, const task_report* task = nullptr);
+
+    const clock_source& clock_;
+    worker_options options_;
+    instance_id owner_;
+    generation granted_;
+    boot_time lease_end_;
+    std::map<task_id, held_task> tasks_;
+    std::uint64_t last_event_ = 0;
+    boot_time next_usage_;
+    bool fails_everything_ = false;
+    std::vector<history_entry> history_;
+};
+
+} // namespace hawthornbeam::standins
+
+#endif
