--- a/lib/platform/http_worker_gateway.cpp
+++ b/lib/platform/http_worker_gateway.cpp
@@ -59,15 +59,21 @@
     throw malformed_json(std::string(name) + " is no task state");
 }
 
-lease_grant decode_lease(const json& lease)
+duration lease_length_at(const json& object, const char* name)
 {
-    const std::uint64_t length = unsigned_at(lease, "lease_ms");
-    // An absurd length would let an owner trust its lease forever.
+    // A longer one would overflow as nanoseconds or let an owner trust it forever.
     constexpr std::uint64_t longest = std::uint64_t{60} * 60 * 1000;
+    const std::uint64_t length = unsigned_at(object, name);
     if (length > longest)
-        throw malformed_json("lease_ms is longer than an hour");
+        throw malformed_json(std::string(name) + " is longer than an hour");
+    return std::chrono::milliseconds(length);
+}
+
+lease_grant decode_lease(const json& lease)
+{
     return lease_grant{generation(unsigned_at(lease, "generation")),
-                       std::chrono::milliseconds(length)};
+                       lease_length_at(lease, "lease_ms"),
+                       lease_length_at(lease, "task_lease_ms")};
 }
 
 task_report decode_report(const json& report)
--- a/test/standins/worker_state.cpp
+++ b/test/standins/worker_state.cpp
@@ -64,14 +64,21 @@
 
 result<lease_grant> worker_state::acquire(const instance_id& owner)
 {
+    advance();
     if (clock_.now() < lease_end_ && owner != owner_)
         return make_error(error_code::conflict, "the lease is held by " + owner_.value());
     owner_ = owner;
     // A new generation for the same owner fences the starts of its former life.
     granted_ = granted_.next();
-    lease_end_ = clock_.now() + options_.lease;
     record("acquire", owner.value());
-    return lease_grant{granted_, options_.lease};
+    return extend_lease();
+}
+
+lease_grant worker_state::extend_lease()
+{
+    lease_end_ = clock_.now() + options_.lease;
+    task_lease_end_ = clock_.now() + options_.task_lease;
+    return lease_grant{granted_, options_.lease, options_.task_lease};
 }
 
 result<bool> worker_state::release(generation held)
@@ -85,8 +92,7 @@
 result<lease_grant> worker_state::renew(generation held)
 {
     BOOST_OUTCOME_TRY(check_lease(held));
-    lease_end_ = clock_.now() + options_.lease;
-    return lease_grant{granted_, options_.lease};
+    return extend_lease();
 }
 
 result<bool> worker_state::check_lease(generation held) const
@@ -181,7 +187,7 @@
     report_usage();
     worker_events found;
     found.seen = last_event_;
-    found.lease = lease_grant{granted_, options_.lease};
+    found.lease = lease_grant{granted_, options_.lease, options_.task_lease};
     for (const std::pair<const task_id, held_task>& task : tasks_)
         if (task.second.event > after && !task.second.forget_at)
             found.tasks.push_back(task.second.report);
@@ -262,12 +268,22 @@
 }
 
 void worker_state::advance()
+{
+    end_due_tasks();
+    if (task_lease_end_ <= clock_.now())
+        for (std::pair<const task_id, held_task>& task : tasks_)
+            if (task.second.report.state == task_state::running)
+                end(task.second, task_state::stopped, "task lease ended");
+    forget_old_tasks();
+}
+
+void worker_state::end_due_tasks()
 {
     const boot_time now = clock_.now();
     std::vector<held_task*> due;
     for (std::pair<const task_id, held_task>& task : tasks_)
         if (task.second.report.state == task_state::running && task.second.end &&
-            *task.second.end <= now)
+            *task.second.end <= std::min(now, task_lease_end_))
             due.push_back(&task.second);
     std::stable_sort(due.begin(), due.end(),
                      [](const held_task* a, const held_task* b)
@@ -275,7 +291,6 @@
     for (held_task* task : due)
         end(*task, task->fails ? task_state::failed : task_state::finished,
             std::move(task->payload));
-    forget_old_tasks();
 }
 
 void worker_state::forget_old_tasks()
@@ -289,9 +304,14 @@
 {
     std::optional<boot_time> next;
     for (const std::pair<const task_id, held_task>& task : tasks_)
-        if (task.second.report.state == task_state::running && task.second.end &&
-            (!next || *task.second.end < *next))
-            next = task.second.end;
+    {
+        if (task.second.report.state != task_state::running)
+            continue;
+        const boot_time due = task.second.end
+                                  ? std::min(*task.second.end, task_lease_end_)
+                                  : task_lease_end_;
+        next = next ? std::min(*next, due) : due;
+    }
     return next;
 }
 
--- a/test/standins/worker_state.hpp
+++ b/test/standins/worker_state.hpp
@@ -16,6 +16,8 @@
     worker_id id;
     resources capacity;
     duration lease = std::chrono::seconds(4);
+    /// The worker stops its tasks when its lease was not renewed for this long.
+    duration task_lease = std::chrono::seconds(60);
     /// Usage is reported this often and shows what was true this long ago.
     duration usage_lag = std::chrono::seconds(2);
     /// How long the ids of acknowledged tasks are remembered.
@@ -63,7 +65,7 @@
     /// False when the task does not run.
     result<bool> control(generation held, const task_id& id, task_action action);
 
-    /// Ends the tasks whose run time has passed.
+    /// Ends the tasks whose run time or task lease has passed.
     void advance();
     /// When advance() has something to do next.
     std::optional<boot_time> next_end() const;
@@ -95,6 +97,8 @@
         std::optional<boot_time> forget_at; ///< Set when acknowledged.
     };
 
+    lease_grant extend_lease();
+    void end_due_tasks();
     start_outcome start_one(const task_start& task);
     std::string reason_to_reject(const task_start& task) const;
     void begin(const task_start& task);
@@ -110,6 +114,7 @@
     instance_id owner_;
     generation granted_;
     boot_time lease_end_;
+    boot_time task_lease_end_;
     std::map<task_id, held_task> tasks_;
     std::uint64_t last_event_ = 0;
     boot_time next_usage_;
