--- a/include/hawthornbeam/settings/settings.hpp
+++ b/include/hawthornbeam/settings/settings.hpp
@@ -19,8 +19,10 @@
 /// What a token's holder may do.
 enum class access_role : std::uint8_t
 {
-    partner,  ///< Submits and reads its own partner's work; reads the table.
-    operator_ ///< Also edits the table and acts on all work and workers.
+    partner, ///< Submits and reads its own partner's work; reads the table.
+    /// Also edits the table and acts on all work and workers. The underscore avoids the
+    /// keyword.
+    operator_ // NOLINT(readability-identifier-naming)
 };
 
 /// A token that callers present as "Authorization: Bearer TOKEN".
--- a/include/hawthornbeam/support/toml_tree.hpp
+++ b/include/hawthornbeam/support/toml_tree.hpp
@@ -11,12 +11,13 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace hawthornbeam
 {
 
+struct toml_member;
+
 /// A value of a TOML document. Only the member that belongs to its kind is set.
 struct toml_node
 {
@@ -36,13 +37,20 @@
     std::int64_t integer = 0;
     double number = 0;
     bool boolean = false;
-    std::vector<toml_node> items;                           ///< Of an array.
-    std::vector<std::pair<std::string, toml_node>> members; ///< Of a table, by key.
+    std::vector<toml_node> items;     ///< Of an array.
+    std::vector<toml_member> members; ///< Of a table, by key.
 
     /// The member named \p key, or nullptr.
     const toml_node* find(std::string_view key) const;
 };
 
+/// A key of a table and its value.
+struct toml_member
+{
+    std::string key;
+    toml_node value;
+};
+
 /// A document, or the syntax error in it.
 struct parsed_toml
 {
--- a/lib/support/toml_tree.cpp
+++ b/lib/support/toml_tree.cpp
@@ -78,7 +78,7 @@
     if (const toml::table* table = source.as_table())
     {
         for (toml::table::const_iterator i = table->cbegin(); i != table->cend(); ++i)
-            node.members.emplace_back(std::string(i->first.str()), convert(i->second));
+            node.members.push_back({std::string(i->first.str()), convert(i->second)});
     }
     else if (const toml::array* array = source.as_array())
     {
@@ -95,9 +95,9 @@
 
 const toml_node* toml_node::find(std::string_view key) const
 {
-    for (const std::pair<std::string, toml_node>& member : members)
-        if (member.first == key)
-            return &member.second;
+    for (const toml_member& member : members)
+        if (member.key == key)
+            return &member.value;
     return nullptr;
 }
 
@@ -260,11 +260,11 @@
     std::string expected;
     for (const std::string& key : known_)
         expected += (expected.empty() ? "" : ", ") + key;
-    for (const std::pair<std::string, toml_node>& member : table_.members)
-        if (!known_.contains(member.first))
-            report(member.first,
-                   member.second.what == toml_node::kind::table ? "is an unknown table"
-                                                                : "is an unknown key",
+    for (const toml_member& member : table_.members)
+        if (!known_.contains(member.key))
+            report(member.key,
+                   member.value.what == toml_node::kind::table ? "is an unknown table"
+                                                               : "is an unknown key",
                    "one of " + expected);
 }
 
