--- /dev/null
+++ b/lib/wire/codec.hpp
@@ -0,0 +1,226 @@
+/// \file
+/// Archives over cereal's portable binary that bound what they read. Include in .cpp
+/// files only.
+#ifndef HAWTHORNBEAM_LIB_WIRE_CODEC_HPP
+#define HAWTHORNBEAM_LIB_WIRE_CODEC_HPP
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <streambuf>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace hawthornbeam::wire
+{
+
+/// Reads from a view without a copy.
+class view_buffer final : public std::streambuf
+{
+public:
+    explicit view_buffer(std::string_view bytes)
+    {
+        char* begin = const_cast<char*>(bytes.data());
+        setg(begin, begin, begin + bytes.size());
+    }
+    std::size_t remaining() const { return static_cast<std::size_t>(egptr() - gptr()); }
+};
+
+/// Appends to a string.
+class append_buffer final : public std::streambuf
+{
+public:
+    explicit append_buffer(std::string& target) : target_(target) {}
+
+protected:
+    std::streamsize xsputn(const char* data, std::streamsize size) override
+    {
+        target_.append(data, static_cast<std::size_t>(size));
+        return size;
+    }
+    int_type overflow(int_type c) override
+    {
+        target_.push_back(static_cast<char>(c));
+        return c;
+    }
+
+private:
+    std::string& target_;
+};
+
+/// Writes portable binary; lengths of strings and vectors are written as \p Size.
+template <class Size>
+class bounded_output : public cereal::OutputArchive<bounded_output<Size>>
+{
+public:
+    explicit bounded_output(std::string& target)
+        : cereal::OutputArchive<bounded_output<Size>>(this), buffer_(target),
+          stream_(&buffer_), archive_(stream_)
+    {
+    }
+    template <class T>
+    void put(const T& value)
+    {
+        archive_(value);
+    }
+    void put_size(std::size_t size)
+    {
+        if (size > std::numeric_limits<Size>::max())
+            throw cereal::Exception("a string or list is too long");
+        archive_(static_cast<Size>(size));
+    }
+    void put_bytes(const std::string& text)
+    {
+        archive_(cereal::binary_data(text.data(), text.size()));
+    }
+
+private:
+    append_buffer buffer_;
+    std::ostream stream_;
+    cereal::PortableBinaryOutputArchive archive_;
+};
+
+/// Reads what bounded_output wrote. A size is checked against the bytes that are left
+/// before anything is allocated for it, because the bytes may be hostile.
+template <class Size>
+class bounded_input : public cereal::InputArchive<bounded_input<Size>>
+{
+public:
+    explicit bounded_input(std::string_view bytes)
+        : cereal::InputArchive<bounded_input<Size>>(this), buffer_(bytes),
+          stream_(&buffer_), archive_(stream_)
+    {
+    }
+    template <class T>
+    void take(T& value)
+    {
+        archive_(value);
+    }
+    /// Reads the number of elements that follow, each of at least \p least bytes.
+    std::size_t take_size(std::size_t least)
+    {
+        Size size = 0;
+        archive_(size);
+        if (size > remaining() / least)
+            throw cereal::Exception("a size exceeds the bytes that follow");
+        return size;
+    }
+    void take_bytes(std::string& text)
+    {
+        archive_(cereal::binary_data(text.data(), text.size()));
+    }
+    std::size_t remaining() const { return buffer_.remaining(); }
+    /// Throws unless everything was read.
+    void finish() const
+    {
+        if (remaining() != 0)
+            throw cereal::Exception("bytes are left over after the message");
+    }
+
+private:
+    view_buffer buffer_;
+    std::istream stream_;
+    cereal::PortableBinaryInputArchive archive_;
+};
+
+template <class Size, class T>
+std::enable_if_t<std::is_arithmetic_v<T>> save(bounded_output<Size>& archive,
+                                               const T& value)
+{
+    archive.put(value);
+}
+template <class Size, class T>
+std::enable_if_t<std::is_arithmetic_v<T>> load(bounded_input<Size>& archive, T& value)
+{
+    if constexpr (std::is_same_v<T, bool>)
+    {
+        // Any other value in a bool would be undefined behaviour.
+        std::uint8_t byte = 0;
+        archive.take(byte);
+        if (byte > 1)
+            throw cereal::Exception("a flag is neither 0 nor 1");
+        value = byte == 1;
+    }
+    else
+        archive.take(value);
+}
+
+template <class Size>
+void save(bounded_output<Size>& archive, const std::string& text)
+{
+    archive.put_size(text.size());
+    archive.put_bytes(text);
+}
+template <class Size>
+void load(bounded_input<Size>& archive, std::string& text)
+{
+    text.resize(archive.take_size(1));
+    archive.take_bytes(text);
+}
+
+/// Bytes of the smallest encoded T: a default value has empty strings and lists.
+template <class Size, class T>
+std::size_t least_size()
+{
+    static const std::size_t size = []
+    {
+        std::string bytes;
+        bounded_output<Size> archive(bytes);
+        const std::size_t before = bytes.size();
+        archive(T{});
+        return bytes.size() - before;
+    }();
+    return size;
+}
+
+template <class Size, class T>
+void save(bounded_output<Size>& archive, const std::vector<T>& list)
+{
+    archive.put_size(list.size());
+    for (const T& element : list)
+        archive(element);
+}
+template <class Size, class T>
+void load(bounded_input<Size>& archive, std::vector<T>& list)
+{
+    const std::size_t count = archive.take_size(least_size<Size, T>());
+    list.clear();
+    list.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        archive(list.emplace_back());
+}
+
+template <class Archive, class A, class B>
+void serialize(Archive& archive, std::pair<A, B>& pair)
+{
+    archive(pair.first, pair.second);
+}
+
+/// Serializes an enumeration of consecutive values from 0 to \p last as one byte.
+template <class Archive, class Enum>
+void enumeration(Archive& archive, Enum& value, Enum last)
+{
+    std::uint8_t byte = static_cast<std::uint8_t>(value);
+    archive(byte);
+    if (byte > static_cast<std::uint8_t>(last))
+        throw cereal::Exception("an enumeration has an unknown value");
+    value = static_cast<Enum>(byte);
+}
+
+/// Serializes a duration in nanoseconds.
+template <class Archive>
+void nanoseconds(Archive& archive, std::chrono::nanoseconds& value)
+{
+    std::int64_t count = value.count();
+    archive(count);
+    value = std::chrono::nanoseconds(count);
+}
+
+} // namespace hawthornbeam::wire
+
+#endif
--- /dev/null
+++ b/lib/wire/frame.hpp
@@ -0,0 +1,60 @@
+/// \file
+/// Frames on a connection between instances.
+#ifndef HAWTHORNBEAM_LIB_WIRE_FRAME_HPP
+#define HAWTHORNBEAM_LIB_WIRE_FRAME_HPP
+
+#include "hawthornbeam/support/ids.hpp"
+#include "hawthornbeam/support/result.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace hawthornbeam::wire
+{
+
+/// Bytes of the big-endian length that precedes each frame.
+inline constexpr std::size_t length_bytes = 4;
+
+enum class frame_kind : std::uint8_t
+{
+    hello,       ///< First frame in both directions.
+    request,     ///< Body is an encoded request.
+    reply,       ///< Body is an encoded reply to the request with this id.
+    probe,       ///< Asks for a probe_answer.
+    probe_answer ///< Shows that the peer's loop runs.
+};
+
+struct frame
+{
+    frame_kind kind = frame_kind::probe;
+    std::uint64_t id = 0;         ///< Of the request; zero for other kinds.
+    std::int64_t deadline_ms = 0; ///< Remaining time the caller waits; requests only.
+    std::string body;
+};
+
+/// Who speaks on the other end.
+struct hello
+{
+    std::uint32_t version = 0;
+    instance_id id;
+    std::uint64_t session = 0; ///< Random; differs between lives of an instance.
+};
+
+/// The frame with its length prefix.
+std::string encode_frame(const frame& value);
+/// Decodes a frame without its length prefix.
+result<frame> decode_frame(std::string_view bytes);
+
+/// The body of a hello frame.
+std::string encode_hello(const hello& value);
+/// Fails with invalid_input for a foreign protocol, and with a hello of another
+/// version, whose remaining layout is not known, returns only the version.
+result<hello> decode_hello(std::string_view bytes);
+
+/// Reads a length prefix; \p bytes has at least length_bytes.
+std::size_t read_length(std::string_view bytes);
+
+} // namespace hawthornbeam::wire
+
+#endif
