--- a/include/hawthornbeam/membership/membership.hpp
+++ b/include/hawthornbeam/membership/membership.hpp
@@ -116,6 +116,8 @@
     void on_newer_table(std::function<void(const member& from)> handler);
     /// When the last message of any other member arrived; min() when none has.
     boot_time last_contact() const;
+    /// Datagrams dropped because they could not be decoded.
+    std::uint64_t malformed_datagrams() const;
 
 private:
     class implementation;
