--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -246,7 +246,7 @@
     resources capacity;
     resources free;
     std::vector<row_load> rows;
-    std::string metrics; ///< Metrics snapshot, when asked for.
+    std::string metrics;                ///< Metrics snapshot, when asked for.
     std::vector<worker_status> workers; ///< When asked for.
 };
 /// Stops or resumes new tasks on a worker.
@@ -277,14 +277,15 @@
 
 /// All requests; the index in the variant is the message type on the wire, so new
 /// types go at the end.
-using request =
-    std::variant<submit_request, job_query, job_list_request, cancel_request,
-                 start_request, update_request, stop_request, inventory_request,
-                 epochs_request, table_fetch, status_request, drain_request, explain_request>;
+using request = std::variant<submit_request, job_query, job_list_request, cancel_request,
+                             start_request, update_request, stop_request,
+                             inventory_request, epochs_request, table_fetch,
+                             status_request, drain_request, explain_request>;
 /// All replies; same rule.
-using reply = std::variant<failure_reply, submit_reply, job_reply, job_list_reply,
-                           cancel_reply, start_reply, update_reply, stop_reply,
-                           inventory_reply, epochs_reply, table_reply, status_reply, drain_reply, explain_reply>;
+using reply =
+    std::variant<failure_reply, submit_reply, job_reply, job_list_reply, cancel_reply,
+                 start_reply, update_reply, stop_reply, inventory_reply, epochs_reply,
+                 table_reply, status_reply, drain_reply, explain_reply>;
 
 /// Serializes to portable binary.
 std::string encode(const request& message);
--- a/lib/instance/context.hpp
+++ b/lib/instance/context.hpp
@@ -26,7 +26,8 @@
     auto guarded(Callback callback) const
     {
         return [weak = std::weak_ptr<int>(life),
-                callback = std::move(callback)](auto&&... arguments) mutable {
+                callback = std::move(callback)](auto&&... arguments) mutable
+        {
             if (weak.lock())
                 callback(std::forward<decltype(arguments)>(arguments)...);
         };
--- a/lib/instance/fleet.cpp
+++ b/lib/instance/fleet.cpp
@@ -38,10 +38,10 @@
 
 std::uint64_t owner_share::most_tasks(const resources& size) const
 {
-    const std::int64_t most = std::min(
-        {quotient(capacity.processors.value(), size.processors.value()),
-         quotient(capacity.memory.value(), size.memory.value()),
-         quotient(capacity.accelerators.value(), size.accelerators.value())});
+    const std::int64_t most =
+        std::min({quotient(capacity.processors.value(), size.processors.value()),
+                  quotient(capacity.memory.value(), size.memory.value()),
+                  quotient(capacity.accelerators.value(), size.accelerators.value())});
     return static_cast<std::uint64_t>(std::max<std::int64_t>(most, 0));
 }
 
@@ -50,7 +50,8 @@
 void fleet::start()
 {
     poll();
-    timer_ = shared_.parts.loop.every(shared_.options.host_list_period, [this] { poll(); });
+    timer_ =
+        shared_.parts.loop.every(shared_.options.host_list_period, [this] { poll(); });
 }
 
 void fleet::poll()
@@ -58,16 +59,18 @@
     if (polling_)
         return;
     polling_ = true;
-    shared_.parts.hosts.list(shared_.guarded([this](result<std::vector<host_entry>> hosts) {
-        polling_ = false;
-        if (!hosts)
+    shared_.parts.hosts.list(shared_.guarded(
+        [this](result<std::vector<host_entry>> hosts)
         {
-            shared_.parts.log.debug("fleet", "the host list did not answer",
-                                    {{"error", hosts.error().message}});
-            return;
-        }
-        install(hosts.value());
-    }));
+            polling_ = false;
+            if (!hosts)
+            {
+                shared_.parts.log.debug("fleet", "the host list did not answer",
+                                        {{"error", hosts.error().message}});
+                return;
+            }
+            install(hosts.value());
+        }));
 }
 
 void fleet::install(const std::vector<host_entry>& hosts)
@@ -78,9 +81,8 @@
     const bool unchanged =
         known_ && next.size() == workers_.size() &&
         std::equal(next.begin(), next.end(), workers_.begin(),
-                   [](const auto& a, const auto& b) {
-                       return a.first == b.first && same_host(a.second, b.second);
-                   });
+                   [](const auto& a, const auto& b)
+                   { return a.first == b.first && same_host(a.second, b.second); });
     if (unchanged)
         return;
     known_ = true;
@@ -153,9 +155,9 @@
 {
     if (!known_ || workers_.empty())
         return false;
-    return std::none_of(workers_.begin(), workers_.end(), [&](const auto& worker) {
-        return size.fits_in(worker.second.capacity);
-    });
+    return std::none_of(workers_.begin(), workers_.end(),
+                        [&](const auto& worker)
+                        { return size.fits_in(worker.second.capacity); });
 }
 
 } // namespace hawthornbeam
--- a/lib/instance/job_state.cpp
+++ b/lib/instance/job_state.cpp
@@ -16,17 +16,15 @@
     status.verdict = job.verdict;
     status.running = job.placed;
     status.ended = job.ended;
-    status.waiting =
-        job.is_ended()
-            ? 0
-            : static_cast<std::uint32_t>(job.slots.size()) - job.placed - job.ended;
+    status.waiting = job.is_ended() ? 0
+                                    : static_cast<std::uint32_t>(job.slots.size()) -
+                                          job.placed - job.ended;
     status.reason = job.reason;
     status.retry_after_ms = job.retry_after_ms;
     status.results = job.results;
     std::sort(status.results.begin(), status.results.end(),
-              [](const wire::task_result& a, const wire::task_result& b) {
-                  return a.index < b.index;
-              });
+              [](const wire::task_result& a, const wire::task_result& b)
+              { return a.index < b.index; });
     return status;
 }
 
@@ -73,8 +71,9 @@
     if (!job.cancelling)
         return job.results.size() == job.slots.size() ? wire::job_verdict::done
                                                       : wire::job_verdict::not_run;
-    const bool any_run = std::any_of(job.slots.begin(), job.slots.end(),
-                                     [](const task_slot& slot) { return slot.was_placed; });
+    const bool any_run =
+        std::any_of(job.slots.begin(), job.slots.end(),
+                    [](const task_slot& slot) { return slot.was_placed; });
     return any_run ? wire::job_verdict::cancelled : wire::job_verdict::not_run;
 }
 
--- a/lib/instance/job_state.hpp
+++ b/lib/instance/job_state.hpp
@@ -17,11 +17,11 @@
 /// Where a task is.
 enum class slot_phase : std::uint8_t
 {
-    waiting,    ///< Here, in the queue of its row.
+    waiting,     ///< Here, in the queue of its row.
     backing_off, ///< Here, until its retry is due.
-    dispatched, ///< Waits at a slice owner.
-    placed,     ///< Runs on a worker.
-    orphaned,   ///< Its slice owner is gone; an inventory will tell.
+    dispatched,  ///< Waits at a slice owner.
+    placed,      ///< Runs on a worker.
+    orphaned,    ///< Its slice owner is gone; an inventory will tell.
     ended
 };
 
--- a/lib/instance/partition_set.cpp
+++ b/lib/instance/partition_set.cpp
@@ -73,7 +73,8 @@
     const std::uint64_t round = ++state.round;
     ++claims_in_flight_;
     state.journal->claim(shared_.guarded(
-        [this, partition, round](result<claimed_partition> claimed) {
+        [this, partition, round](result<claimed_partition> claimed)
+        {
             --claims_in_flight_;
             entry& owned = at(partition);
             if (owned.round != round || owned.current != phase::claiming)
@@ -86,12 +87,14 @@
                 owned.current = phase::unowned;
                 return claim_later(partition);
             }
-            owned.journal->on_fenced(shared_.guarded([this, partition] {
-                shared_.parts.log.warning("partitions", "another instance took over",
-                                          {{"partition", partition.value()}});
-                give_up(partition);
-                claim_later(partition);
-            }));
+            owned.journal->on_fenced(shared_.guarded(
+                [this, partition]
+                {
+                    shared_.parts.log.warning("partitions", "another instance took over",
+                                              {{"partition", partition.value()}});
+                    give_up(partition);
+                    claim_later(partition);
+                }));
             owned.current = phase::taking_inventory;
             watcher_.on_claimed(partition, claimed.value().jobs);
             begin_inventory(partition);
@@ -101,10 +104,12 @@
 void partition_set::claim_later(partition_id partition)
 {
     at(partition).retry = shared_.parts.loop.after(
-        shared_.random.jitter(claim_retry, retry_spread), [this, partition] {
-            const bool wanted = !leaving_ && partition_owner_of(shared_.parts.members,
-                                                                partition) ==
-                                                 shared_.options.self;
+        shared_.random.jitter(claim_retry, retry_spread),
+        [this, partition]
+        {
+            const bool wanted =
+                !leaving_ && partition_owner_of(shared_.parts.members, partition) ==
+                                 shared_.options.self;
             if (wanted && at(partition).current == phase::unowned)
                 claim(partition);
         });
@@ -124,14 +129,18 @@
         watcher_.on_lost(partition);
     const std::uint64_t number = next_release_++;
     partition_journal& journal = *(releasing_[number] = std::move(state.journal));
-    const std::function<void()> finish = shared_.guarded([this, number] {
-        // Posted, because a journal must not be destroyed inside its own callback.
-        shared_.parts.loop.post(shared_.guarded([this, number] {
-            releasing_.erase(number);
-            if (leaving_ && releasing_.empty() && left_)
-                std::exchange(left_, nullptr)();
-        }));
-    });
+    const std::function<void()> finish = shared_.guarded(
+        [this, number]
+        {
+            // Posted, because a journal must not be destroyed inside its own callback.
+            shared_.parts.loop.post(shared_.guarded(
+                [this, number]
+                {
+                    releasing_.erase(number);
+                    if (leaving_ && releasing_.empty() && left_)
+                        std::exchange(left_, nullptr)();
+                }));
+        });
     if (journal.is_owner())
         journal.release([finish](result<bool>) { finish(); });
     else
@@ -189,18 +198,23 @@
             continue;
         shared_.parts.peers.call(
             target->peer, message, inventory_deadline,
-            shared_.guarded([this, partition, round, owner](result<wire::reply> answer) {
-                const wire::inventory_reply* reply =
-                    answer ? std::get_if<wire::inventory_reply>(&answer.value()) : nullptr;
-                if (reply != nullptr)
-                    inventory_answered(partition, round, owner, *reply);
-            }));
+            shared_.guarded(
+                [this, partition, round, owner](result<wire::reply> answer)
+                {
+                    const wire::inventory_reply* reply =
+                        answer ? std::get_if<wire::inventory_reply>(&answer.value())
+                               : nullptr;
+                    if (reply != nullptr)
+                        inventory_answered(partition, round, owner, *reply);
+                }));
     }
-    state.retry = shared_.parts.loop.after(
-        shared_.random.jitter(inventory_retry, retry_spread), [this, partition] {
-            if (at(partition).inventory_running)
-                check_coverage(partition);
-        });
+    state.retry =
+        shared_.parts.loop.after(shared_.random.jitter(inventory_retry, retry_spread),
+                                 [this, partition]
+                                 {
+                                     if (at(partition).inventory_running)
+                                         check_coverage(partition);
+                                 });
 }
 
 void partition_set::inventory_answered(partition_id partition, std::uint64_t round,
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -43,10 +43,12 @@
       updates_(shared, std::move(find_job_owner),
                [this](const wire::task_update& update) { update_recorded(update); })
 {
-    period_timer_ = shared_.parts.loop.every(decision_period, [this] {
-        if (scheduler_.waiting() > 0)
-            decide();
-    });
+    period_timer_ = shared_.parts.loop.every(decision_period,
+                                             [this]
+                                             {
+                                                 if (scheduler_.waiting() > 0)
+                                                     decide();
+                                             });
 }
 
 slice_owner::~slice_owner() = default;
@@ -111,8 +113,8 @@
 void slice_owner::open_session(const host_entry& host)
 {
     std::unique_ptr<worker_session>& session = sessions_[host.id];
-    session = std::make_unique<worker_session>(shared_, host,
-                                               static_cast<worker_session::observer&>(*this));
+    session = std::make_unique<worker_session>(
+        shared_, host, static_cast<worker_session::observer&>(*this));
     scheduler_.add_worker(
         policy::worker_info{host.id, host.failure_domain, host.rack, host.capacity});
     scheduler_.set_schedulable(host.id, false);
@@ -136,10 +138,12 @@
         tasks_.erase(entry);
     }
     ++closing_;
-    session->close(shared_.guarded([this, session] {
-        --closing_;
-        finish_leaving();
-    }));
+    session->close(shared_.guarded(
+        [this, session]
+        {
+            --closing_;
+            finish_leaving();
+        }));
 }
 
 void slice_owner::report_lost_later(const tracked_task& task, boot_time ended_by)
@@ -147,14 +151,16 @@
     // The worker may still run the task until its task lease has ended; only then is a
     // second start safe.
     const wire::task_update update{
-        task.start.id, task.start.row, wire::task_event::unknown, task.worker,
-        task_state::failed, std::string()};
+        task.start.id, task.start.row,     wire::task_event::unknown,
+        task.worker,   task_state::failed, std::string()};
     const duration delay = std::max(ended_by - shared_.now(), duration::zero());
     const std::uint64_t number = next_lost_timer_++;
-    lost_timers_[number] = shared_.parts.loop.after(delay, [this, update, number] {
-        updates_.send(update);
-        lost_timers_.erase(number);
-    });
+    lost_timers_[number] = shared_.parts.loop.after(delay,
+                                                    [this, update, number]
+                                                    {
+                                                        updates_.send(update);
+                                                        lost_timers_.erase(number);
+                                                    });
 }
 
 void slice_owner::update_schedulable(const worker_session& session)
@@ -189,17 +195,20 @@
         ++epoch_answers_missing_;
         shared_.parts.peers.call(
             other.peer, wire::epochs_request{}, epochs_deadline,
-            shared_.guarded([this, round](result<wire::reply> answer) {
-                if (round != epoch_round_)
-                    return;
-                --epoch_answers_missing_;
-                const wire::epochs_reply* reply =
-                    answer ? std::get_if<wire::epochs_reply>(&answer.value()) : nullptr;
-                if (reply == nullptr)
-                    return;
-                for (const auto& [partition, value] : reply->epochs)
-                    learn_epoch(partition, value);
-            }));
+            shared_.guarded(
+                [this, round](result<wire::reply> answer)
+                {
+                    if (round != epoch_round_)
+                        return;
+                    --epoch_answers_missing_;
+                    const wire::epochs_reply* reply =
+                        answer ? std::get_if<wire::epochs_reply>(&answer.value())
+                               : nullptr;
+                    if (reply == nullptr)
+                        return;
+                    for (const auto& [partition, value] : reply->epochs)
+                        learn_epoch(partition, value);
+                }));
     }
 }
 
@@ -419,10 +428,12 @@
     if (decision_scheduled_)
         return;
     decision_scheduled_ = true;
-    decision_timer_ = shared_.parts.loop.after(decision_delay, [this] {
-        decision_scheduled_ = false;
-        decide();
-    });
+    decision_timer_ = shared_.parts.loop.after(decision_delay,
+                                               [this]
+                                               {
+                                                   decision_scheduled_ = false;
+                                                   decide();
+                                               });
 }
 
 void slice_owner::decide()
@@ -459,7 +470,8 @@
     if (session == sessions_.end())
         return;
     shared_.parts.metrics.add("hawthornbeam_preemptions_total", {});
-    session->second->control(what.task, actions.at(static_cast<std::size_t>(what.action)));
+    session->second->control(what.task,
+                             actions.at(static_cast<std::size_t>(what.action)));
 }
 
 void slice_owner::start_on(const worker_id& worker, std::vector<task_id> ids)
@@ -471,9 +483,8 @@
         starts.push_back(tasks_.at(id).start);
     session->second->start(
         std::move(starts),
-        shared_.guarded([this, worker](std::vector<start_outcome> outcomes) {
-            starts_answered(worker, outcomes);
-        }));
+        shared_.guarded([this, worker](std::vector<start_outcome> outcomes)
+                        { starts_answered(worker, outcomes); }));
 }
 
 void slice_owner::starts_answered(const worker_id& worker,
--- a/lib/instance/slice_reports.cpp
+++ b/lib/instance/slice_reports.cpp
@@ -143,7 +143,10 @@
         schedule_decision();
 }
 
-void slice_owner::on_lost(worker_session& session) { update_schedulable(session); }
+void slice_owner::on_lost(worker_session& session)
+{
+    update_schedulable(session);
+}
 
 void slice_owner::task_ended(const worker_id& worker, const task_report& report)
 {
@@ -188,10 +191,12 @@
 void slice_owner::schedule_acknowledgements()
 {
     acknowledge_scheduled_ = true;
-    acknowledge_timer_ = shared_.parts.loop.after(acknowledge_period, [this] {
-        acknowledge_scheduled_ = false;
-        acknowledge_recorded();
-    });
+    acknowledge_timer_ = shared_.parts.loop.after(acknowledge_period,
+                                                  [this]
+                                                  {
+                                                      acknowledge_scheduled_ = false;
+                                                      acknowledge_recorded();
+                                                  });
 }
 
 void slice_owner::acknowledge_recorded()
--- a/lib/instance/update_sender.cpp
+++ b/lib/instance/update_sender.cpp
@@ -38,10 +38,12 @@
     if (scheduled_)
         return;
     scheduled_ = true;
-    timer_ = shared_.parts.loop.after(delay, [this] {
-        scheduled_ = false;
-        flush();
-    });
+    timer_ = shared_.parts.loop.after(delay,
+                                      [this]
+                                      {
+                                          scheduled_ = false;
+                                          flush();
+                                      });
 }
 
 void update_sender::flush()
@@ -56,9 +58,9 @@
         const instance_id owner = route_(id);
         std::vector<task_id>& batch = batches[owner];
         const std::size_t size = slot.update.output.size();
-        const bool fits = batch.empty() ||
-                          (batch.size() < most_updates_per_request &&
-                           bytes[owner] + size <= most_output_bytes_per_request);
+        const bool fits =
+            batch.empty() || (batch.size() < most_updates_per_request &&
+                              bytes[owner] + size <= most_output_bytes_per_request);
         if (owner.empty() || !fits)
         {
             left_over = true;
@@ -90,11 +92,13 @@
     }
     shared_.parts.peers.call(
         target->peer, std::move(message), call_deadline,
-        shared_.guarded([this, sent = std::move(sent)](result<wire::reply> answer) {
-            const wire::update_reply* reply =
-                answer ? std::get_if<wire::update_reply>(&answer.value()) : nullptr;
-            settle(sent, reply != nullptr ? reply->recorded : std::vector<task_id>());
-        }));
+        shared_.guarded(
+            [this, sent = std::move(sent)](result<wire::reply> answer)
+            {
+                const wire::update_reply* reply =
+                    answer ? std::get_if<wire::update_reply>(&answer.value()) : nullptr;
+                settle(sent, reply != nullptr ? reply->recorded : std::vector<task_id>());
+            }));
 }
 
 void update_sender::settle(const std::vector<std::pair<task_id, std::uint64_t>>& sent,
--- a/lib/instance/worker_session.cpp
+++ b/lib/instance/worker_session.cpp
@@ -82,9 +82,9 @@
     held = grant.granted;
     renewed = sent_at;
     task_lease = grant.task_lease + lease_drift_allowance;
-    deadline = sent_at + duration(static_cast<duration::rep>(
-                             static_cast<double>(grant.length.count()) *
-                             usable_lease_fraction));
+    deadline =
+        sent_at + duration(static_cast<duration::rep>(
+                      static_cast<double>(grant.length.count()) * usable_lease_fraction));
 }
 
 void worker_session::implementation::acquire()
@@ -94,7 +94,8 @@
     const boot_time sent_at = shared.now();
     const std::weak_ptr<implementation> weak = weak_from_this();
     gateway().acquire(host.address, shared.options.self,
-                      [weak, mine, sent_at](result<lease_grant> grant) {
+                      [weak, mine, sent_at](result<lease_grant> grant)
+                      {
                           const std::shared_ptr<implementation> state = weak.lock();
                           if (!state || state->round != mine)
                               return;
@@ -120,20 +121,23 @@
     current = phase::reading;
     const std::uint64_t mine = round;
     const std::weak_ptr<implementation> weak = weak_from_this();
-    gateway().list(host.address, [weak, mine](result<std::vector<task_report>> tasks) {
-        const std::shared_ptr<implementation> state = weak.lock();
-        if (!state || state->round != mine)
-            return;
-        // A list that arrives after the lease has ended may miss later starts of a
-        // successor.
-        if (!tasks || state->shared.now() >= state->deadline)
-            return state->retry_acquire();
-        state->current = phase::holding;
-        state->seen = 0;
-        state->watcher.on_reconciled(state->self, std::move(tasks).value());
-        if (state->current == phase::holding && state->round == mine)
-            state->wait_for_events();
-    });
+    gateway().list(host.address,
+                   [weak, mine](result<std::vector<task_report>> tasks)
+                   {
+                       const std::shared_ptr<implementation> state = weak.lock();
+                       if (!state || state->round != mine)
+                           return;
+                       // A list that arrives after the lease has ended may miss later
+                       // starts of a successor.
+                       if (!tasks || state->shared.now() >= state->deadline)
+                           return state->retry_acquire();
+                       state->current = phase::holding;
+                       state->seen = 0;
+                       state->watcher.on_reconciled(state->self,
+                                                    std::move(tasks).value());
+                       if (state->current == phase::holding && state->round == mine)
+                           state->wait_for_events();
+                   });
 }
 
 void worker_session::implementation::wait_for_events()
@@ -143,7 +147,8 @@
     renewal_sent = sent_at;
     const std::weak_ptr<implementation> weak = weak_from_this();
     gateway().events(host.address, held, seen, shared.options.events_wait,
-                     [weak, mine, sent_at](result<worker_events> events) {
+                     [weak, mine, sent_at](result<worker_events> events)
+                     {
                          const std::shared_ptr<implementation> state = weak.lock();
                          if (!state || state->round != mine)
                              return;
@@ -165,10 +170,12 @@
     if (why.code == error_code::conflict || shared.now() >= deadline)
         return lose(why);
     const std::uint64_t mine = round;
-    retry = shared.parts.loop.after(events_retry, [this, mine] {
-        if (round == mine && current == phase::holding)
-            wait_for_events();
-    });
+    retry = shared.parts.loop.after(events_retry,
+                                    [this, mine]
+                                    {
+                                        if (round == mine && current == phase::holding)
+                                            wait_for_events();
+                                    });
 }
 
 void worker_session::implementation::lose(const error& why)
@@ -247,11 +254,20 @@
     implementation_->release_when_idle();
 }
 
-const host_entry& worker_session::host() const { return implementation_->host; }
+const host_entry& worker_session::host() const
+{
+    return implementation_->host;
+}
 
-void worker_session::set_leaving(bool leaving) { implementation_->host.leaving = leaving; }
+void worker_session::set_leaving(bool leaving)
+{
+    implementation_->host.leaving = leaving;
+}
 
-bool worker_session::may_start() const { return implementation_->may_start(); }
+bool worker_session::may_start() const
+{
+    return implementation_->may_start();
+}
 
 bool worker_session::is_reconciled() const
 {
@@ -283,22 +299,22 @@
     const std::shared_ptr<implementation> keep = implementation_;
     state.gateway().start(
         state.host.address, state.held, std::move(tasks),
-        [keep, sent, done = std::move(done)](result<std::vector<start_outcome>> outcome) {
-            keep->finish_start(sent, std::move(outcome), done);
-        });
+        [keep, sent, done = std::move(done)](result<std::vector<start_outcome>> outcome)
+        { keep->finish_start(sent, std::move(outcome), done); });
 }
 
 void worker_session::control(const task_id& task, task_action action)
 {
     implementation& state = *implementation_;
     const logger& log = state.shared.parts.log;
-    state.gateway().control(state.host.address, state.held, task, action,
-                            [&log, task](result<bool> applied) {
-                                if (!applied)
-                                    log.debug("worker", "a control call failed",
-                                              {{"task", task.text()},
-                                               {"error", applied.error().message}});
-                            });
+    state.gateway().control(
+        state.host.address, state.held, task, action,
+        [&log, task](result<bool> applied)
+        {
+            if (!applied)
+                log.debug("worker", "a control call failed",
+                          {{"task", task.text()}, {"error", applied.error().message}});
+        });
 }
 
 void worker_session::acknowledge(std::vector<task_id> tasks)
--- a/lib/membership/gossip.hpp
+++ b/lib/membership/gossip.hpp
@@ -45,11 +45,11 @@
     instance_id from;
     incarnation life;
     table_version table;
-    instance_id target;         ///< Ping, ack, ping_request: who is probed.
-    gossip_address target_at;   ///< ping_request.
-    instance_id after;          ///< Sync: the page starts after this id.
-    std::uint64_t digest = 0;   ///< sync_request: digest of the sender's member list.
-    bool more = false;          ///< sync_reply: more pages follow.
+    instance_id target;       ///< Ping, ack, ping_request: who is probed.
+    gossip_address target_at; ///< ping_request.
+    instance_id after;        ///< Sync: the page starts after this id.
+    std::uint64_t digest = 0; ///< sync_request: digest of the sender's member list.
+    bool more = false;        ///< sync_reply: more pages follow.
     std::vector<member_update> updates;
 };
 
--- a/lib/membership/member_table.cpp
+++ b/lib/membership/member_table.cpp
@@ -84,9 +84,6 @@
 {
     if (update.subject.id == self_)
         return merge_self(update);
-    const standing claim = hearsay && update.claim == standing::dead
-                               ? standing::suspected
-                               : update.claim;
     const auto known = records_.find(update.subject.id);
     if (known == records_.end())
     {
@@ -98,10 +95,13 @@
         record.leaving = update.leaving;
         // A new record is not counted yet, and change() first takes it off the counts.
         record.claim = standing::dead;
-        change(record, claim, now);
+        change(record, update.claim, now);
         return merge_effect::changed;
     }
     member_record& record = known->second;
+    const bool doubtful =
+        hearsay && update.claim == standing::dead && record.claim != standing::dead;
+    const standing claim = doubtful ? standing::suspected : update.claim;
     const bool newer = update.subject.life > record.info.life;
     if (update.subject.life < record.info.life || (!newer && claim <= record.claim))
         return merge_effect::none;
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -10,165 +10,289 @@
 {
 
 // cereal finds these functions by argument-dependent lookup through the archive, which
-// does not see unnamed namespaces.
+// does not see unnamed namespaces. The structured bindings fail to compile when a message
+// gets a field that is not serialized.
+
+/// The highest value of an enumeration on the wire.
+template <class Enum>
+inline constexpr Enum last_value = Enum::missing;
+template <>
+inline constexpr task_state last_value<task_state> = task_state::stopped;
+template <>
+inline constexpr job_verdict last_value<job_verdict> = job_verdict::cancelled;
+template <>
+inline constexpr task_event last_value<task_event> = task_event::unknown;
+template <>
+inline constexpr error_code last_value<error_code> = error_code::internal;
+
+template <class Archive, class T>
+void field(Archive& archive, T& value)
+{
+    if constexpr (std::is_enum_v<T>)
+        enumeration(archive, value, last_value<T>);
+    else if constexpr (std::is_same_v<T, duration>)
+        nanoseconds(archive, value);
+    else
+        archive(value);
+}
+
+template <class Archive, class... T>
+void fields(Archive& archive, T&... values)
+{
+    (field(archive, values), ...);
+}
 
 template <class Archive>
-void serialize(Archive& archive, task_start& m)
+void serialize(Archive& archive, task_start& value)
 {
-    archive(m.id, m.row, m.size);
-    nanoseconds(archive, m.declared_run_time);
-    archive(m.idempotent, m.job_owner, m.payload);
+    auto& [id, row, size, declared_run_time, idempotent, job_owner, payload] = value;
+    fields(archive, id, row, size, declared_run_time, idempotent, job_owner, payload);
 }
+
 template <class Archive>
-void serialize(Archive& archive, job_spec& m)
+void serialize(Archive& archive, job_spec& value)
 {
-    archive(m.id, m.request, m.row, m.tasks, m.size, m.idempotent, m.synchronous,
-            m.run_time_ms, m.deadline_ms, m.spread_domains, m.payload);
+    auto& [id, request, row, tasks, size, idempotent, synchronous, run_time_ms,
+           deadline_ms, spread_domains, payload] = value;
+    fields(archive, id, request, row, tasks, size, idempotent, synchronous, run_time_ms,
+           deadline_ms, spread_domains, payload);
 }
+
 template <class Archive>
-void serialize(Archive& archive, task_result& m)
+void serialize(Archive& archive, task_result& value)
 {
-    archive(m.index);
-    enumeration(archive, m.state, task_state::stopped);
-    archive(m.known, m.output);
+    auto& [index, state, known, output] = value;
+    fields(archive, index, state, known, output);
 }
+
 template <class Archive>
-void serialize(Archive& archive, job_status& m)
+void serialize(Archive& archive, job_status& value)
 {
-    archive(m.id, m.request, m.row);
-    enumeration(archive, m.verdict, job_verdict::cancelled);
-    archive(m.waiting, m.running, m.ended, m.reason, m.retry_after_ms, m.results);
+    auto& [id, request, row, verdict, waiting, running, ended, reason, retry_after_ms,
+           results] = value;
+    fields(archive, id, request, row, verdict, waiting, running, ended, reason,
+           retry_after_ms, results);
 }
+
 template <class Archive>
-void serialize(Archive& archive, task_update& m)
+void serialize(Archive& archive, submit_request& value)
 {
-    archive(m.id, m.row);
-    enumeration(archive, m.event, task_event::unknown);
-    archive(m.worker);
-    enumeration(archive, m.state, task_state::stopped);
-    archive(m.output);
+    auto& [job] = value;
+    fields(archive, job);
 }
+
 template <class Archive>
-void serialize(Archive& archive, row_load& m)
+void serialize(Archive& archive, submit_reply& value)
 {
-    archive(m.row, m.running, m.tasks_running, m.tasks_waiting);
+    auto& [status] = value;
+    fields(archive, status);
 }
+
 template <class Archive>
-void serialize(Archive& archive, submit_request& m)
+void serialize(Archive& archive, job_query& value)
 {
-    archive(m.job);
+    auto& [id, explain] = value;
+    fields(archive, id, explain);
 }
+
 template <class Archive>
-void serialize(Archive& archive, submit_reply& m)
+void serialize(Archive& archive, job_reply& value)
 {
-    archive(m.status);
+    auto& [found, status] = value;
+    fields(archive, found, status);
 }
+
 template <class Archive>
-void serialize(Archive& archive, job_query& m)
+void serialize(Archive& archive, job_list_request& value)
 {
-    archive(m.id);
+    auto& [partner, row, most] = value;
+    fields(archive, partner, row, most);
 }
+
 template <class Archive>
-void serialize(Archive& archive, job_reply& m)
+void serialize(Archive& archive, job_list_reply& value)
 {
-    archive(m.found, m.status);
+    auto& [jobs] = value;
+    fields(archive, jobs);
 }
+
 template <class Archive>
-void serialize(Archive& archive, job_list_request& m)
+void serialize(Archive& archive, cancel_request& value)
 {
-    archive(m.partner, m.row, m.most);
+    auto& [id, row, partner] = value;
+    fields(archive, id, row, partner);
 }
+
 template <class Archive>
-void serialize(Archive& archive, job_list_reply& m)
+void serialize(Archive& archive, cancel_reply& value)
 {
-    archive(m.jobs);
+    auto& [found, jobs, tasks] = value;
+    fields(archive, found, jobs, tasks);
 }
+
 template <class Archive>
-void serialize(Archive& archive, cancel_request& m)
+void serialize(Archive& archive, start_request& value)
 {
-    archive(m.id, m.row, m.partner);
+    auto& [partition, owner_epoch, job_owner, row, all_at_once, spread_domains,
+           deadline_ms, tasks] = value;
+    fields(archive, partition, owner_epoch, job_owner, row, all_at_once, spread_domains,
+           deadline_ms, tasks);
 }
+
 template <class Archive>
-void serialize(Archive& archive, cancel_reply& m)
+void serialize(Archive& archive, start_reply& value)
 {
-    archive(m.found, m.jobs, m.tasks);
+    auto& [queued, reason, known_epoch] = value;
+    fields(archive, queued, reason, known_epoch);
 }
+
 template <class Archive>
-void serialize(Archive& archive, start_request& m)
+void serialize(Archive& archive, task_update& value)
 {
-    archive(m.partition, m.owner_epoch, m.job_owner, m.row, m.all_at_once,
-            m.spread_domains, m.deadline_ms, m.tasks);
+    auto& [id, row, event, worker, state, output, code, reason, retry_after_ms] = value;
+    fields(archive, id, row, event, worker, state, output, code, reason, retry_after_ms);
 }
+
 template <class Archive>
-void serialize(Archive& archive, start_reply& m)
+void serialize(Archive& archive, update_request& value)
 {
-    archive(m.queued, m.reason, m.known_epoch);
+    auto& [updates] = value;
+    fields(archive, updates);
 }
+
 template <class Archive>
-void serialize(Archive& archive, update_request& m)
+void serialize(Archive& archive, update_reply& value)
 {
-    archive(m.updates);
+    auto& [recorded] = value;
+    fields(archive, recorded);
 }
+
 template <class Archive>
-void serialize(Archive& archive, update_reply& m)
+void serialize(Archive& archive, stop_request& value)
 {
-    archive(m.recorded);
+    auto& [tasks, stop_running] = value;
+    fields(archive, tasks, stop_running);
 }
+
 template <class Archive>
-void serialize(Archive& archive, stop_request& m)
+void serialize(Archive& archive, stop_reply& value)
 {
-    archive(m.tasks);
+    auto& [not_started, not_known] = value;
+    fields(archive, not_started, not_known);
 }
+
 template <class Archive>
-void serialize(Archive& archive, stop_reply& m)
+void serialize(Archive& archive, inventory_request& value)
 {
-    archive(m.not_started);
+    auto& [partition, owner_epoch, job_owner] = value;
+    fields(archive, partition, owner_epoch, job_owner);
 }
+
 template <class Archive>
-void serialize(Archive& archive, inventory_request& m)
+void serialize(Archive& archive, queued_task& value)
 {
-    archive(m.partition, m.owner_epoch, m.job_owner);
+    auto& [id, row] = value;
+    fields(archive, id, row);
 }
+
 template <class Archive>
-void serialize(Archive& archive, inventory_reply& m)
+void serialize(Archive& archive, inventory_reply& value)
 {
-    archive(m.accepted, m.known_epoch, m.complete_slices, m.tasks, m.queued);
+    auto& [accepted, known_epoch, complete_slices, tasks, queued] = value;
+    fields(archive, accepted, known_epoch, complete_slices, tasks, queued);
 }
+
 template <class Archive>
-void serialize(Archive&, epochs_request&)
+void serialize(Archive& /*archive*/, epochs_request& /*message*/)
 {
 }
+
 template <class Archive>
-void serialize(Archive& archive, epochs_reply& m)
+void serialize(Archive& archive, epochs_reply& value)
 {
-    archive(m.epochs);
+    auto& [epochs] = value;
+    fields(archive, epochs);
 }
+
+template <class Archive>
+void serialize(Archive& archive, table_fetch& value)
+{
+    auto& [known] = value;
+    fields(archive, known);
+}
+
 template <class Archive>
-void serialize(Archive& archive, table_fetch& m)
+void serialize(Archive& archive, table_reply& value)
 {
-    archive(m.known);
+    auto& [version, json] = value;
+    fields(archive, version, json);
 }
+
 template <class Archive>
-void serialize(Archive& archive, table_reply& m)
+void serialize(Archive& archive, status_request& value)
 {
-    archive(m.version, m.json);
+    auto& [with_metrics, with_workers] = value;
+    fields(archive, with_metrics, with_workers);
 }
+
 template <class Archive>
-void serialize(Archive& archive, status_request& m)
+void serialize(Archive& archive, worker_status& value)
 {
-    archive(m.with_metrics);
+    auto& [id, failure_domain, rack, capacity, leaving, drained, lease_held,
+           unschedulable_reason] = value;
+    fields(archive, id, failure_domain, rack, capacity, leaving, drained, lease_held,
+           unschedulable_reason);
 }
+
 template <class Archive>
-void serialize(Archive& archive, status_reply& m)
+void serialize(Archive& archive, row_load& value)
 {
-    archive(m.id, m.failure_domain, m.table, m.leaving, m.kv_reachable, m.slices,
-            m.partitions, m.capacity, m.free, m.rows, m.metrics);
+    auto& [row, running, tasks_running, tasks_waiting] = value;
+    fields(archive, row, running, tasks_running, tasks_waiting);
 }
+
+template <class Archive>
+void serialize(Archive& archive, status_reply& value)
+{
+    auto& [id, failure_domain, table, leaving, kv_reachable, slices, partitions, capacity,
+           free, rows, metrics, workers] = value;
+    fields(archive, id, failure_domain, table, leaving, kv_reachable, slices, partitions,
+           capacity, free, rows, metrics, workers);
+}
+
+template <class Archive>
+void serialize(Archive& archive, drain_request& value)
+{
+    auto& [worker, drained] = value;
+    fields(archive, worker, drained);
+}
+
+template <class Archive>
+void serialize(Archive& archive, drain_reply& value)
+{
+    auto& [owned] = value;
+    fields(archive, owned);
+}
+
+template <class Archive>
+void serialize(Archive& archive, explain_request& value)
+{
+    auto& [task] = value;
+    fields(archive, task);
+}
+
+template <class Archive>
+void serialize(Archive& archive, explain_reply& value)
+{
+    auto& [reason] = value;
+    fields(archive, reason);
+}
+
 template <class Archive>
-void serialize(Archive& archive, failure_reply& m)
+void serialize(Archive& archive, failure_reply& value)
 {
-    enumeration(archive, m.code, error_code::internal);
-    archive(m.message);
+    auto& [code, message] = value;
+    fields(archive, code, message);
 }
 
 namespace
