--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -229,6 +229,8 @@
     bool leaving = false;
     bool drained = false;
     bool lease_held = false;
+    resources free;
+    std::uint32_t tasks = 0;
     std::string unschedulable_reason;
 };
 /// Load of one row at a slice owner.
--- /dev/null
+++ b/lib/api/exchange.cpp
@@ -0,0 +1,165 @@
+/// \file
+/// Implements requests and responses over libsoup.
+#include "lib/api/exchange.hpp"
+
+#include <array>
+#include <fmt/format.h>
+#include <libsoup/soup.h>
+#include <nlohmann/json.hpp>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::int64_t ms_per_second = 1000;
+
+/// Invalid UTF-8 in an output is replaced, so that a response can always be written.
+std::string dump(const json& document)
+{
+    return document.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+json problem_json(const problem& what)
+{
+    json faults = json::array();
+    for (const finding& fault : what.faults)
+        faults.push_back(json{{"place", fault.place},
+                              {"message", fault.message},
+                              {"expected", fault.expected}});
+    json document{{"type", "about:blank"},
+                  {"title", what.title},
+                  {"status", what.status},
+                  {"code", to_string(what.code)},
+                  {"not_run", what.not_run}};
+    if (!what.faults.empty())
+        document["findings"] = std::move(faults);
+    if (what.retry_after_ms > 0)
+        document["retry_after_ms"] = what.retry_after_ms;
+    return document;
+}
+
+} // namespace
+
+exchange::exchange(SoupServerMessage* message, std::map<std::string, std::string> query,
+                   std::function<void(unsigned)> finished)
+    : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))), query_(std::move(query)),
+      finished_(std::move(finished))
+{
+    soup_server_message_pause(message_);
+}
+
+exchange::~exchange()
+{
+    if (!answered_)
+        respond_problem(
+            problem{500, error_code::internal, "the request was dropped", false, 0, {}});
+    g_object_unref(message_);
+}
+
+std::string exchange::header(const char* name) const
+{
+    const char* value = soup_message_headers_get_one(
+        soup_server_message_get_request_headers(message_), name);
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+std::string exchange::body() const
+{
+    GBytes* bytes =
+        soup_message_body_flatten(soup_server_message_get_request_body(message_));
+    gsize size = 0;
+    const char* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    std::string copy(data == nullptr ? "" : data, size);
+    g_bytes_unref(bytes);
+    return copy;
+}
+
+std::string exchange::parameter(const std::string& name) const
+{
+    const auto found = query_.find(name);
+    return found == query_.end() ? std::string() : found->second;
+}
+
+void exchange::set_header(const char* name, const std::string& value)
+{
+    soup_message_headers_replace(soup_server_message_get_response_headers(message_), name,
+                                 value.c_str());
+}
+
+void exchange::respond_text(unsigned status, const char* content_type,
+                            const std::string& text)
+{
+    if (answered_)
+        return;
+    answered_ = true;
+    const std::string request = header("X-Request-Id");
+    if (!request.empty())
+        set_header("X-Request-Id", request);
+    soup_server_message_set_status(message_, status, nullptr);
+    soup_server_message_set_response(message_, content_type, SOUP_MEMORY_COPY,
+                                     text.data(), text.size());
+    soup_server_message_unpause(message_);
+    finished_(status);
+}
+
+void exchange::respond_json(unsigned status, const json& document)
+{
+    respond_text(status, "application/json", dump(document));
+}
+
+void exchange::respond_problem(const problem& what)
+{
+    respond_problem(what, nullptr, json());
+}
+
+void exchange::respond_problem(const problem& what, const char* member, const json& value)
+{
+    json document = problem_json(what);
+    if (member != nullptr)
+        document[member] = value;
+    if (what.retry_after_ms > 0)
+        set_header(
+            "Retry-After",
+            std::to_string((what.retry_after_ms + ms_per_second - 1) / ms_per_second));
+    respond_text(what.status, "application/problem+json", dump(document));
+}
+
+problem problem_of(const error& why)
+{
+    struct row
+    {
+        error_code code;
+        unsigned status;
+        bool not_run;
+        std::int64_t retry_after_ms;
+    };
+    static constexpr std::array<row, 9> rows{{
+        {error_code::invalid_input, 422, true, 0},
+        {error_code::not_found, 404, false, 0},
+        {error_code::conflict, 409, false, 0},
+        {error_code::unavailable, 503, true, 1000},
+        {error_code::outcome_unknown, 504, false, 0},
+        {error_code::deadline_exceeded, 503, true, 1000},
+        {error_code::limit_exceeded, 429, true, 1000},
+        {error_code::denied, 403, true, 0},
+        {error_code::internal, 500, false, 0},
+    }};
+    problem what;
+    what.code = why.code;
+    what.title = why.message;
+    for (const row& known : rows)
+    {
+        if (known.code != why.code)
+            continue;
+        what.status = known.status;
+        what.not_run = known.not_run;
+        what.retry_after_ms = known.retry_after_ms;
+    }
+    return what;
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/lib/api/handlers.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// What each path of the API does.
+#ifndef HAWTHORNBEAM_LIB_API_HANDLERS_HPP
+#define HAWTHORNBEAM_LIB_API_HANDLERS_HPP
+
+#include "hawthornbeam/api/http_api.hpp"
+#include "lib/api/exchange.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace hawthornbeam
+{
+
+using exchange_ref = std::shared_ptr<exchange>;
+
+/// Whom a path is for.
+enum class audience : std::uint8_t
+{
+    anyone,   ///< No token needed.
+    known,    ///< Any token.
+    operators ///< An operator's token.
+};
+
+/// Handlers of all paths. Each answers its exchange exactly once.
+class api_handlers
+{
+public:
+    using handler = void (api_handlers::*)(const exchange_ref&);
+
+    /// A method and path; '*' captures one segment.
+    struct route
+    {
+        const char* method;
+        const char* path;
+        audience allowed;
+        handler run;
+    };
+
+    explicit api_handlers(const http_api::parts& services) : services_(services) {}
+
+    /// The route of a path, with its captures; nullptr when there is none.
+    /// \p path_known tells a wrong method from a wrong path.
+    static const route* find(std::string_view method, std::string_view path,
+                             std::vector<std::string>& captures, bool& path_known);
+
+private:
+    void submit(const exchange_ref& request);
+    void show_job(const exchange_ref& request);
+    void explain_job(const exchange_ref& request);
+    void list_jobs(const exchange_ref& request);
+    void cancel_job(const exchange_ref& request);
+    void cancel_jobs(const exchange_ref& request);
+
+    void show_table(const exchange_ref& request);
+    void replace_table(const exchange_ref& request);
+    void patch_row(const exchange_ref& request);
+    void delete_row(const exchange_ref& request);
+    void table_history(const exchange_ref& request);
+    void table_status(const exchange_ref& request);
+
+    void list_instances(const exchange_ref& request);
+    void list_workers(const exchange_ref& request);
+    void drain_worker(const exchange_ref& request);
+    void undrain_worker(const exchange_ref& request);
+    void show_metrics(const exchange_ref& request);
+    void show_snapshot(const exchange_ref& request);
+    void show_health(const exchange_ref& request);
+    void show_readiness(const exchange_ref& request);
+
+    void answer_submission(const exchange_ref& request,
+                           const result<wire::job_status>& outcome);
+    /// Runs \p then with the job's status when the caller may see it.
+    void with_job(const exchange_ref& request, bool explain,
+                  std::function<void(const wire::job_status&)> then);
+    std::optional<table_version> if_match(const exchange_ref& request) const;
+    void store_rows(const exchange_ref& request, std::vector<table_row> rows,
+                    table_version expected);
+    void answer_edit(const exchange_ref& request, const edit_outcome& outcome);
+    void set_drained(const exchange_ref& request, bool drained);
+
+    http_api::parts services_;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- /dev/null
+++ b/lib/api/job_json.hpp
@@ -0,0 +1,38 @@
+/// \file
+/// JSON forms of jobs.
+#ifndef HAWTHORNBEAM_LIB_API_JOB_JSON_HPP
+#define HAWTHORNBEAM_LIB_API_JOB_JSON_HPP
+
+#include "hawthornbeam/wire/messages.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string_view>
+
+namespace hawthornbeam
+{
+
+/// A job of a request body, or everything that is wrong with it.
+struct parsed_job
+{
+    std::optional<wire::job_spec> job;
+    findings faults;
+};
+
+/// Parses the body of POST /v1/jobs.
+parsed_job parse_job(std::string_view body);
+
+/// A selector of POST /v1/jobs/cancel.
+struct parsed_selector
+{
+    std::optional<wire::cancel_request> selector;
+    findings faults;
+};
+parsed_selector parse_cancel_selector(std::string_view body);
+
+nlohmann::json job_status_json(const wire::job_status& status);
+nlohmann::json resources_json(const resources& amounts);
+
+} // namespace hawthornbeam
+
+#endif
--- a/lib/instance/instance.cpp
+++ b/lib/instance/instance.cpp
@@ -291,9 +291,7 @@
     reply.kv_reachable =
         answered != boot_time::min() && shared.now() - answered < std::chrono::minutes(2);
     reply.partitions = jobs.partitions();
-    slices.describe(reply);
-    if (!what.with_workers)
-        reply.workers.clear();
+    slices.describe(reply, what.with_workers);
     if (what.with_metrics)
         reply.metrics = shared.parts.metrics.snapshot();
     return reply;
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -377,31 +377,51 @@
     return reply;
 }
 
-void slice_owner::describe(wire::status_reply& status) const
+void slice_owner::describe(wire::status_reply& status, bool with_workers) const
 {
     std::set<slice_id> slices;
     for (const auto& [id, session] : sessions_)
-    {
         if (session->is_reconciled())
             slices.insert(slice_of(session->host()));
-        wire::worker_status worker;
+    status.slices.assign(slices.begin(), slices.end());
+    status.capacity = scheduler_.capacity();
+    status.free = scheduler_.free();
+    for (const policy::row_usage& usage : scheduler_.usage())
+        status.rows.push_back(wire::row_load{usage.row, usage.running,
+                                             usage.tasks_running, usage.tasks_waiting});
+    if (with_workers)
+        describe_workers(status);
+}
+
+void slice_owner::describe_workers(wire::status_reply& status) const
+{
+    std::map<worker_id, wire::worker_status> workers;
+    for (const auto& [id, session] : sessions_)
+    {
+        wire::worker_status& worker = workers[id];
         worker.id = id;
         worker.failure_domain = session->host().failure_domain;
         worker.rack = session->host().rack;
         worker.capacity = session->host().capacity;
+        worker.free = worker.capacity;
         worker.leaving = session->host().leaving;
         worker.lease_held = session->may_start();
         const auto drained = drained_.find(id);
         worker.drained = drained != drained_.end() && drained->second;
         worker.unschedulable_reason = scheduler_.unschedulable_reason(id, shared_.now());
-        status.workers.push_back(std::move(worker));
     }
-    status.slices.assign(slices.begin(), slices.end());
-    status.capacity = scheduler_.capacity();
-    status.free = scheduler_.free();
-    for (const policy::row_usage& usage : scheduler_.usage())
-        status.rows.push_back(wire::row_load{usage.row, usage.running,
-                                             usage.tasks_running, usage.tasks_waiting});
+    for (const auto& [id, task] : tasks_)
+    {
+        const bool occupies =
+            task.phase == task_phase::starting || task.phase == task_phase::running;
+        const auto worker = workers.find(task.worker);
+        if (!occupies || worker == workers.end())
+            continue;
+        worker->second.free -= task.start.size;
+        ++worker->second.tasks;
+    }
+    for (auto& [id, worker] : workers)
+        status.workers.push_back(std::move(worker));
 }
 
 std::string slice_owner::explain(const task_id& task) const
--- a/lib/instance/slice_owner.hpp
+++ b/lib/instance/slice_owner.hpp
@@ -40,7 +40,7 @@
     void learn_epoch(partition_id partition, epoch value);
 
     /// Fills the parts of a status that the slice owner knows.
-    void describe(wire::status_reply& status) const;
+    void describe(wire::status_reply& status, bool with_workers) const;
     /// True when this instance owns \p worker; then it is drained or resumed.
     bool drain(const worker_id& worker, bool drained);
     /// Why a task waits here; empty when it does not.
@@ -73,6 +73,7 @@
 
     void open_session(const host_entry& host);
     void drop_session(const worker_id& worker, bool worker_is_gone);
+    void describe_workers(wire::status_reply& status) const;
     void report_lost_later(const tracked_task& task, boot_time ended_by);
     void finish_leaving();
     void settle_missing(const task_id& id);
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -133,10 +133,10 @@
 template <class Archive>
 void serialize(Archive& archive, start_request& value)
 {
-    auto& [partition, owner_epoch, job_owner, row, all_at_once, spread_domains,
+    auto& [partition, owner_epoch, sequence, job_owner, row, all_at_once, spread_domains,
            deadline_ms, tasks] = value;
-    fields(archive, partition, owner_epoch, job_owner, row, all_at_once, spread_domains,
-           deadline_ms, tasks);
+    fields(archive, partition, owner_epoch, sequence, job_owner, row, all_at_once,
+           spread_domains, deadline_ms, tasks);
 }
 
 template <class Archive>
@@ -184,8 +184,8 @@
 template <class Archive>
 void serialize(Archive& archive, inventory_request& value)
 {
-    auto& [partition, owner_epoch, job_owner] = value;
-    fields(archive, partition, owner_epoch, job_owner);
+    auto& [partition, owner_epoch, fenced_sequence, job_owner] = value;
+    fields(archive, partition, owner_epoch, fenced_sequence, job_owner);
 }
 
 template <class Archive>
@@ -238,10 +238,10 @@
 template <class Archive>
 void serialize(Archive& archive, worker_status& value)
 {
-    auto& [id, failure_domain, rack, capacity, leaving, drained, lease_held,
+    auto& [id, failure_domain, rack, capacity, leaving, drained, lease_held, free, tasks,
            unschedulable_reason] = value;
     fields(archive, id, failure_domain, rack, capacity, leaving, drained, lease_held,
-           unschedulable_reason);
+           free, tasks, unschedulable_reason);
 }
 
 template <class Archive>
