--- /dev/null
+++ b/unittests/wire/tcp_peer_network_test.cpp
@@ -0,0 +1,390 @@
+/// \file
+/// Tests of the TCP network over loopback.
+#include "hawthornbeam/wire/peer_network.hpp"
+#include "lib/wire/frame.hpp"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace hawthornbeam::wire
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using network_ptr = std::unique_ptr<tcp_peer_network>;
+
+/// A plain socket that says whatever a test wants.
+class raw_peer
+{
+public:
+    raw_peer() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {}
+    explicit raw_peer(int fd) : fd_(fd) {}
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+    ~raw_peer() { ::close(fd_); }
+
+    void connect(std::uint16_t port)
+    {
+        const sockaddr_in address = loopback(port);
+        ASSERT_EQ(
+            ::connect(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address),
+            0);
+    }
+    std::uint16_t listen()
+    {
+        sockaddr_in address = loopback(0);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(::bind(fd_, reinterpret_cast<sockaddr*>(&address), size), 0);
+        EXPECT_EQ(::listen(fd_, 5), 0);
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+        return ntohs(address.sin_port);
+    }
+    int accept() { return ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK); }
+    void send(const std::string& bytes)
+    {
+        ASSERT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+    void send_hello(std::uint32_t version)
+    {
+        send(encode_frame(frame{frame_kind::hello, 0, 0,
+                                encode_hello(hello{version, instance_id("raw"), 1})}));
+    }
+    /// True once the other end has closed; reads away what it sent.
+    bool is_closed()
+    {
+        char buffer[4096];
+        ssize_t size = 1;
+        while (size > 0)
+            size = ::recv(fd_, buffer, sizeof buffer, MSG_DONTWAIT);
+        return size == 0 || errno != EAGAIN;
+    }
+
+private:
+    static sockaddr_in loopback(std::uint16_t port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+    int fd_;
+};
+
+class tcp_peer_network_test : public testing::Test
+{
+protected:
+    network_ptr open(const std::string& id, std::uint16_t port = 0)
+    {
+        tcp_peer_network::options settings;
+        settings.self = instance_id(id);
+        settings.listen_ip = "127.0.0.1";
+        settings.port = port;
+        settings.probe_period = milliseconds(20);
+        settings.silence_limit = milliseconds(200);
+        settings.most_connections = 4;
+        result<network_ptr> opened = tcp_peer_network::open(loop, log, settings);
+        EXPECT_TRUE(opened);
+        return std::move(opened).value();
+    }
+    static peer_address address(std::uint16_t port)
+    {
+        return peer_address(fmt::format("127.0.0.1:{}", port));
+    }
+    /// Runs the loop until \p reached; the limit only ends a test that has failed.
+    void run_until(const std::function<bool()>& reached)
+    {
+        const boot_time limit = loop.clock().now() + seconds(20);
+        timer_handle wake = loop.every(milliseconds(5), [] {});
+        while (!reached() && loop.clock().now() < limit)
+            g_main_context_iteration(nullptr, TRUE);
+        ASSERT_TRUE(reached());
+    }
+    std::function<void(result<reply>)> collect()
+    {
+        return [this](result<reply> outcome) { outcomes.push_back(std::move(outcome)); };
+    }
+    /// Calls and waits; the code of the error, or nothing after an answer.
+    std::optional<error_code> call_and_wait(tcp_peer_network& from, std::uint16_t port,
+                                            duration deadline = seconds(10))
+    {
+        const std::size_t before = outcomes.size();
+        from.call(address(port), table_fetch{}, deadline, collect());
+        run_until([&] { return outcomes.size() > before; });
+        if (outcomes.back())
+            return std::nullopt;
+        return outcomes.back().error().code;
+    }
+    static void echo(tcp_peer_network& server)
+    {
+        server.serve(
+            [](const instance_id& /*from*/, const request& message,
+               const std::function<void(reply)>& answer) {
+                answer(table_reply{std::get<table_fetch>(message).known, ""});
+            });
+    }
+    bool logged(const std::string& text) const
+    {
+        return lines.find(text) != std::string::npos;
+    }
+
+    glib_event_loop loop;
+    std::string lines;
+    logger log{loop.clock(), "test", log_level::info,
+               [this](const std::string& line) { lines += line; }};
+    std::vector<result<reply>> outcomes;
+};
+
+// Guards against answers that reach the wrong caller when they come out of order.
+TEST_F(tcp_peer_network_test, answers_in_any_order_reach_their_callers)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    std::vector<std::pair<table_version, std::function<void(reply)>>> held;
+    server->serve(
+        [&held](const instance_id& from, const request& message,
+                std::function<void(reply)> answer)
+        {
+            EXPECT_EQ(from, instance_id("client"));
+            held.emplace_back(std::get<table_fetch>(message).known, std::move(answer));
+        });
+    std::vector<std::uint64_t> answered(200, 0);
+    std::size_t count = 0;
+    for (std::uint64_t i = 0; i < answered.size(); ++i)
+        client->call(address(server->port()), table_fetch{table_version(i)}, seconds(10),
+                     [&, i](result<reply> outcome)
+                     {
+                         ASSERT_TRUE(outcome);
+                         answered[i] =
+                             std::get<table_reply>(outcome.value()).version.value();
+                         ++count;
+                     });
+    run_until([&] { return held.size() == answered.size(); });
+    for (auto item = held.rbegin(); item != held.rend(); ++item)
+        item->second(table_reply{item->first, ""});
+    run_until([&] { return count == answered.size(); });
+    for (std::uint64_t i = 0; i < answered.size(); ++i)
+        EXPECT_EQ(answered[i], i);
+}
+
+// Guards against a second callback when an answer comes after the deadline.
+TEST_F(tcp_peer_network_test, late_answer_is_dropped)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    std::function<void(reply)> late;
+    server->serve([&late](const instance_id& /*from*/, const request& /*message*/,
+                          std::function<void(reply)> answer)
+                  { late = std::move(answer); });
+    EXPECT_EQ(call_and_wait(*client, server->port(), milliseconds(50)),
+              error_code::outcome_unknown);
+    late(table_reply{});
+    echo(*server);
+    EXPECT_EQ(call_and_wait(*client, server->port()), std::nullopt);
+    EXPECT_EQ(outcomes.size(), 2U);
+}
+
+// Guards against a caller that waits for ever on a peer that accepts connections but
+// does not run; nothing was written, so the request is known not to have run.
+TEST_F(tcp_peer_network_test, peer_without_hello_is_unavailable)
+{
+    network_ptr client = open("client");
+    raw_peer listener;
+    EXPECT_EQ(call_and_wait(*client, listener.listen()), error_code::unavailable);
+}
+
+// Guards against a silent connection that is never replaced, and against a claim that a
+// request which was written did not run.
+TEST_F(tcp_peer_network_test, silent_connection_is_replaced)
+{
+    network_ptr client = open("client");
+    raw_peer listener;
+    const std::uint16_t port = listener.listen();
+    int accepted = -1;
+    client->call(address(port), table_fetch{}, seconds(10), collect());
+    run_until([&] { return accepted >= 0 || (accepted = listener.accept()) >= 0; });
+    raw_peer silent(accepted);
+    silent.send_hello(protocol_version);
+    run_until([&] { return !outcomes.empty(); });
+    EXPECT_EQ(outcomes[0].error().code, error_code::outcome_unknown);
+    EXPECT_TRUE(logged("connection lost"));
+    EXPECT_TRUE(silent.is_closed());
+    client->call(address(port), table_fetch{}, seconds(10), collect());
+    accepted = -1;
+    run_until([&] { return accepted >= 0 || (accepted = listener.accept()) >= 0; });
+    ::close(accepted);
+}
+
+// Guards against a slow answer taken for a silent connection: probes are answered.
+TEST_F(tcp_peer_network_test, slow_answer_is_not_silence)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    timer_handle timer;
+    server->serve(
+        [&](const instance_id& /*from*/, const request& /*message*/,
+            const std::function<void(reply)>& answer)
+        { timer = loop.after(milliseconds(600), [answer] { answer(table_reply{}); }); });
+    EXPECT_EQ(call_and_wait(*client, server->port()), std::nullopt);
+}
+
+// Guards against instances of different versions that misread each other.
+TEST_F(tcp_peer_network_test, other_version_is_refused_with_a_clear_error)
+{
+    network_ptr client = open("client");
+    raw_peer listener;
+    const std::uint16_t port = listener.listen();
+    int accepted = -1;
+    client->call(address(port), table_fetch{}, seconds(10), collect());
+    run_until([&] { return accepted >= 0 || (accepted = listener.accept()) >= 0; });
+    raw_peer other(accepted);
+    other.send_hello(protocol_version + 1);
+    run_until([&] { return !outcomes.empty(); });
+    EXPECT_EQ(outcomes[0].error().code, error_code::unavailable);
+    EXPECT_NE(outcomes[0].error().message.find("version 2"), std::string::npos);
+}
+
+struct bad_bytes
+{
+    const char* name;
+    bool after_hello;
+    std::string bytes;
+    const char* reason;
+};
+
+class bad_bytes_test : public tcp_peer_network_test,
+                       public testing::WithParamInterface<bad_bytes>
+{
+};
+
+// Guards against one faulty peer that harms the requests of others.
+TEST_P(bad_bytes_test, close_only_their_connection)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    echo(*server);
+    EXPECT_EQ(call_and_wait(*client, server->port()), std::nullopt);
+    raw_peer hostile;
+    hostile.connect(server->port());
+    if (GetParam().after_hello)
+        hostile.send_hello(protocol_version);
+    hostile.send(GetParam().bytes);
+    run_until([&] { return hostile.is_closed(); });
+    EXPECT_TRUE(logged(GetParam().reason)) << lines;
+    EXPECT_EQ(call_and_wait(*client, server->port()), std::nullopt);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    peers, bad_bytes_test,
+    testing::Values(
+        bad_bytes{"http", false, "GET / HTTP/1.1\r\n\r\n", "exceeds the limit"},
+        bad_bytes{"no_hello", false, encode_frame(frame{}), "not a hello"},
+        bad_bytes{"bad_magic", false,
+                  encode_frame(frame{frame_kind::hello, 0, 0, std::string(30, 'x')}),
+                  "does not speak"},
+        bad_bytes{"oversize", true, std::string("\x00\x10\x00\x01", 4),
+                  "exceeds the limit of 1048576"},
+        bad_bytes{"unknown_kind", true, std::string("\x00\x00\x00\x02\x01\x63", 6),
+                  "unknown value"},
+        bad_bytes{"empty", true, std::string(4, '\0'), "malformed frame"},
+        bad_bytes{"silence", false, "", "no hello"}),
+    [](const testing::TestParamInfo<bad_bytes>& info) { return info.param.name; });
+
+// Guards against memory that grows without bound towards a peer that does not read.
+TEST_F(tcp_peer_network_test, send_queue_is_bounded)
+{
+    network_ptr client = open("client");
+    raw_peer listener;
+    const std::uint16_t port = listener.listen();
+    submit_request large;
+    large.job.payload.assign(900'000, 'x');
+    for (int i = 0; i < 6; ++i)
+        client->call(address(port), large, seconds(10), collect());
+    run_until([&] { return outcomes.size() == 6; });
+    EXPECT_EQ(outcomes[0].error().code, error_code::limit_exceeded);
+    EXPECT_EQ(outcomes[1].error().code, error_code::limit_exceeded);
+    EXPECT_EQ(outcomes[5].error().code, error_code::unavailable);
+    large.job.payload.assign(2'000'000, 'x');
+    client->call(address(port), large, seconds(10), collect());
+    run_until([&] { return outcomes.size() == 7; });
+    EXPECT_EQ(outcomes[6].error().code, error_code::limit_exceeded);
+}
+
+// Guards against an instance that runs out of descriptors: idle connections make room,
+// and busy ones are kept.
+TEST_F(tcp_peer_network_test, number_of_connections_is_bounded)
+{
+    network_ptr client = open("client");
+    raw_peer silent[5];
+    for (raw_peer& peer : silent)
+        client->call(address(peer.listen()), table_fetch{}, seconds(10), collect());
+    run_until([&] { return outcomes.size() == 5; });
+    EXPECT_EQ(outcomes[0].error().code, error_code::limit_exceeded);
+    std::vector<network_ptr> servers;
+    for (int i = 0; i < 6; ++i)
+    {
+        servers.push_back(open("server"));
+        echo(*servers.back());
+        EXPECT_EQ(call_and_wait(*client, servers.back()->port()), std::nullopt);
+    }
+}
+
+// Guards against a caller that waits for ever for an answer too large to send.
+TEST_F(tcp_peer_network_test, oversize_answer_is_reported)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    server->serve(
+        [](const instance_id& /*from*/, const request& /*message*/,
+           const std::function<void(reply)>& answer) {
+            answer(table_reply{table_version(1), std::string(2'000'000, 'x')});
+        });
+    EXPECT_EQ(call_and_wait(*client, server->port()), error_code::outcome_unknown);
+}
+
+// Guards against callbacks that are lost when the network is destroyed, and against an
+// answer given afterwards.
+TEST_F(tcp_peer_network_test, destruction_ends_open_requests)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    std::function<void(reply)> held;
+    server->serve([&held](const instance_id& /*from*/, const request& /*message*/,
+                          std::function<void(reply)> answer)
+                  { held = std::move(answer); });
+    client->call(address(server->port()), table_fetch{}, seconds(10), collect());
+    run_until([&] { return held != nullptr; });
+    raw_peer listener;
+    client->call(address(listener.listen()), table_fetch{}, seconds(10), collect());
+    client.reset();
+    ASSERT_EQ(outcomes.size(), 2U);
+    EXPECT_NE(outcomes[0].error().code, outcomes[1].error().code);
+    server.reset();
+    held(table_reply{});
+}
+
+// Guards against a peer that stays unreachable after its restart.
+TEST_F(tcp_peer_network_test, restarted_peer_works_at_once)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    const std::uint16_t port = server->port();
+    echo(*server);
+    EXPECT_EQ(call_and_wait(*client, port), std::nullopt);
+    server.reset();
+    EXPECT_EQ(call_and_wait(*client, port), error_code::unavailable);
+    server = open("server", port);
+    echo(*server);
+    EXPECT_EQ(call_and_wait(*client, port), std::nullopt);
+}
+
+} // namespace
+} // namespace hawthornbeam::wire
