--- a/lib/journal/journal_append.cpp
+++ b/lib/journal/journal_append.cpp
@@ -14,6 +14,9 @@
 /// Leaves room for the names and claims of a head below the service's 1 MiB.
 constexpr std::size_t most_record_bytes = std::size_t{900} << 10U;
 
+/// Attempts at a segment with lost answers before its batch is refused.
+constexpr int most_roll_over_attempts = 3;
+
 std::size_t sum_of_sizes(const std::vector<std::string>& records)
 {
     std::size_t sum = 0;
@@ -136,6 +139,11 @@
                  const bool exists =
                      answer || answer.error().code == error_code::conflict;
                  calls.answered(exists);
+                 // A repeated write cannot do harm: its bytes and its name are the same.
+                 if (!exists && !is_known_not_applied(answer.error()) &&
+                     ++journal->roll_over_attempts < most_roll_over_attempts)
+                     return journal->roll_over();
+                 journal->roll_over_attempts = 0;
                  if (!exists)
                  {
                      journal->is_busy = false;
--- a/lib/journal/journal_core.hpp
+++ b/lib/journal/journal_core.hpp
@@ -96,6 +96,7 @@
     std::vector<waiting_record> batch;
     std::size_t batch_bytes = 0;
     std::string pending_segment; ///< Name of a segment of the current head's records.
+    int roll_over_attempts = 0;
     boot_time last_batch = boot_time::min();
     timer_handle batch_timer;
     bool is_batch_scheduled = false;
--- /dev/null
+++ b/unittests/journal/journal_test.cpp
@@ -0,0 +1,422 @@
+/// \file
+/// Tests of the partition journal against each failure of the key-value service.
+#include "journal_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam
+{
+namespace
+{
+
+partition_journal::options small_options()
+{
+    partition_journal::options settings;
+    settings.most_segment_bytes = 400;
+    settings.most_segments = 3;
+    settings.snapshot_part_bytes = 500;
+    return settings;
+}
+
+class journal_test : public testing::Test
+{
+protected:
+    /// Claims as a third instance and yields the requests it finds.
+    std::set<std::string> recover()
+    {
+        journal_owner reader(loop, store, "reader");
+        EXPECT_TRUE(reader.claim()) << reader.claimed->error().message;
+        return reader.found_requests();
+    }
+    void append_range(journal_owner& owner, int begin, int end)
+    {
+        for (int i = begin; i < end; ++i)
+        {
+            owner.append(i);
+            loop.advance(milliseconds(150));
+        }
+    }
+
+    manual_event_loop loop;
+    std::shared_ptr<fake_kv_store> store = std::make_shared<fake_kv_store>();
+    journal_owner first{loop, store, "first", small_options()};
+    journal_owner second{loop, store, "second", small_options()};
+};
+
+// Guards against records and fields that are lost on the way through the stored form.
+TEST_F(journal_test, a_claim_finds_what_was_appended)
+{
+    ASSERT_TRUE(first.claim());
+    EXPECT_EQ(first.claimed->value().owner_epoch, epoch(1));
+    job_accepted job = make_job(1);
+    job.job.size = resources{millicores(1500), byte_count(7), accelerator_count(2)};
+    job.at = wall_time(milliseconds(77));
+    first.append_record(1, job);
+    first.append_record(
+        2, job_progress{job.job.id, {{3, task_state::failed, false, "out"}}});
+    first.append_record(3, job_cancelling{job.job.id});
+    first.append_record(4, job_ended{job.job.id, wire::job_verdict::cancelled, "why"});
+    loop.advance(seconds(1));
+    ASSERT_EQ(first.durable.size(), 4U);
+    ASSERT_TRUE(second.claim(seconds(1)));
+    EXPECT_EQ(second.claimed->value().owner_epoch, epoch(2));
+    ASSERT_EQ(second.claimed->value().jobs.size(), 1U);
+    const journaled_job& found = second.claimed->value().jobs.front();
+    EXPECT_EQ(found.job.size, job.job.size);
+    EXPECT_EQ(found.accepted, job.at);
+    ASSERT_EQ(found.ended.size(), 1U);
+    EXPECT_EQ(found.ended.front().output, "out");
+    EXPECT_FALSE(found.ended.front().known);
+    EXPECT_TRUE(found.cancelling && found.has_verdict);
+    EXPECT_EQ(found.verdict, wire::job_verdict::cancelled);
+    EXPECT_EQ(found.reason, "why");
+}
+
+// Guards against more calls than stated: one per batch, two per claim, none at rest.
+TEST_F(journal_test, calls_are_bounded)
+{
+    journal_owner third(loop, store, "third");
+    ASSERT_TRUE(third.claim());
+    EXPECT_EQ(third.kv.total_calls(), 2U);
+    third.append(1);
+    third.append(2);
+    third.append(3);
+    loop.advance(milliseconds(10));
+    EXPECT_EQ(third.durable.size(), 3U);
+    EXPECT_EQ(third.kv.total_calls(), 3U);
+    for (int i = 4; i < 24; ++i)
+    {
+        third.append(i, 1);
+        loop.advance(milliseconds(20));
+    }
+    EXPECT_EQ(third.durable.size() + third.journal->waiting_records(), 23U);
+    EXPECT_LE(third.kv.total_calls(), 3U + 5U); // At most ten batches a second.
+    loop.advance(seconds(10));
+    const std::uint64_t calls = third.kv.total_calls();
+    loop.advance(std::chrono::hours(24));
+    EXPECT_EQ(third.kv.total_calls(), calls);
+}
+
+// Guards against two owners after two claims at the same time.
+TEST_F(journal_test, one_of_two_claimants_wins)
+{
+    first.start_claim();
+    second.start_claim();
+    loop.advance(seconds(1));
+    ASSERT_TRUE(first.claimed && second.claimed);
+    EXPECT_NE(first.claimed->has_value(), second.claimed->has_value());
+    const journal_owner& loser = first.claimed->has_value() ? second : first;
+    EXPECT_EQ(loser.claimed->error().code, error_code::conflict);
+}
+
+// Guards against a paused owner whose append, sent before the claim, arrives after it,
+// whether it fits the head, fills a segment or is a compaction.
+class paused_owner_test : public journal_test, public testing::WithParamInterface<int>
+{
+};
+
+TEST_P(paused_owner_test, is_fenced)
+{
+    ASSERT_TRUE(first.claim());
+    append_range(first, 0, GetParam());
+    const std::size_t acknowledged = first.durable.size();
+    first.kv.faults().holds_requests = true;
+    append_range(first, 100, 104);
+    ASSERT_TRUE(second.claim());
+    append_range(second, 200, 230); // Compacts and deletes in between.
+    first.kv.release_held();
+    loop.advance(seconds(30));
+    EXPECT_EQ(first.fenced, 1);
+    EXPECT_EQ(first.durable.size(), acknowledged);
+    EXPECT_EQ(first.failed.size(), 4U);
+    EXPECT_EQ(first.failed[100], error_code::conflict);
+    EXPECT_EQ(recover().size(), acknowledged + 30);
+}
+
+INSTANTIATE_TEST_SUITE_P(fills, paused_owner_test, testing::Range(0, 24));
+
+// Guards against a false 'not written' for a record that the next owner has found.
+TEST_F(journal_test, a_record_found_by_the_claim_is_acknowledged)
+{
+    ASSERT_TRUE(first.claim());
+    first.append(1);
+    first.kv.faults().lost_answers = 1;
+    first.kv.faults().holds_answers = true;
+    loop.advance(milliseconds(1));
+    ASSERT_TRUE(second.claim());
+    EXPECT_EQ(second.found_requests(), std::set<std::string>{"r-1"});
+    append_range(second, 200, 230);
+    first.kv.release_held();
+    loop.advance(seconds(30));
+    EXPECT_EQ(first.durable, std::set<int>{1});
+    EXPECT_EQ(first.fenced, 1);
+}
+
+struct write_fault
+{
+    int lost_answers;
+    int lost_writes;
+    int outage_ms; ///< The service is away this long right after the write.
+};
+
+class append_fault_test : public journal_test,
+                          public testing::WithParamInterface<write_fault>
+{
+};
+
+// Guards against records lost or written twice after an unknown outcome.
+TEST_P(append_fault_test, an_unknown_outcome_is_resolved)
+{
+    ASSERT_TRUE(first.claim());
+    append_range(first, 0, 5);
+    first.kv.faults().lost_answers = GetParam().lost_answers;
+    first.kv.faults().lost_writes = GetParam().lost_writes;
+    first.append(5);
+    loop.advance(milliseconds(1));
+    store->is_down = GetParam().outage_ms > 0;
+    loop.advance(milliseconds(GetParam().outage_ms));
+    store->is_down = false;
+    loop.advance(seconds(30));
+    append_range(first, 6, 12);
+    EXPECT_EQ(first.durable.size(), 12U);
+    EXPECT_TRUE(first.failed.empty());
+    EXPECT_FALSE(first.journal->is_degraded());
+    EXPECT_EQ(recover().size(), 12U);
+}
+
+INSTANTIATE_TEST_SUITE_P(faults, append_fault_test,
+                         testing::Values(write_fault{1, 0, 0}, write_fault{0, 1, 0},
+                                         write_fault{3, 0, 0}, write_fault{0, 4, 0},
+                                         write_fault{1, 0, 20000},
+                                         write_fault{0, 1, 20000}));
+
+// Guards against callers that wait, or are told yes, while the service is down.
+TEST_F(journal_test, appends_fail_at_once_while_the_service_is_down)
+{
+    ASSERT_TRUE(first.claim());
+    store->is_down = true;
+    first.append(1);
+    loop.advance(milliseconds(1));
+    EXPECT_EQ(first.failed[1], error_code::unavailable);
+    EXPECT_TRUE(first.journal->is_degraded());
+    store->is_down = false;
+    loop.advance(seconds(1));
+    first.append(2);
+    loop.advance(seconds(1));
+    EXPECT_FALSE(first.journal->is_degraded());
+    EXPECT_EQ(recover(), std::set<std::string>{"r-2"});
+}
+
+// Guards against appends that wait behind an unresolved write during an outage.
+TEST_F(journal_test, appends_behind_an_unresolved_write_fail_at_once)
+{
+    ASSERT_TRUE(first.claim());
+    first.kv.faults().lost_answers = 1;
+    first.append(1);
+    loop.advance(milliseconds(1));
+    store->is_down = true;
+    loop.advance(seconds(1));
+    first.append(2);
+    loop.advance(milliseconds(1));
+    EXPECT_EQ(first.failed[2], error_code::unavailable);
+    EXPECT_EQ(first.answers[1], 0);
+    store->is_down = false;
+    loop.advance(seconds(10));
+    EXPECT_TRUE(first.durable.contains(1));
+}
+
+// Guards against a claim whose lost answer makes the owner fence itself or give up.
+TEST_F(journal_test, a_lost_claim_answer_is_read_back)
+{
+    ASSERT_TRUE(first.claim());
+    append_range(first, 0, 3);
+    second.kv.faults().lost_answers = 1;
+    ASSERT_TRUE(second.claim());
+    EXPECT_EQ(second.claimed->value().owner_epoch, epoch(2));
+    append_range(second, 3, 6);
+    EXPECT_EQ(second.durable.size(), 3U);
+    EXPECT_EQ(recover().size(), 6U);
+}
+
+// Guards against a claim that fails because the former owner appends meanwhile.
+TEST_F(journal_test, a_claim_races_with_appends)
+{
+    ASSERT_TRUE(first.claim());
+    second.kv.faults().latency = milliseconds(50);
+    second.start_claim();
+    append_range(first, 0, 2);
+    loop.advance(seconds(1));
+    ASSERT_TRUE(second.claimed && second.claimed->has_value());
+    EXPECT_EQ(second.found_requests().size(), first.durable.size());
+}
+
+// Guards against values lost or left for ever when the owner dies between the snapshot
+// and the deletes, when a claim comes during a compaction, and when deletes fail.
+class compaction_test : public journal_test, public testing::WithParamInterface<int>
+{
+};
+
+TEST_P(compaction_test, survives_a_crash_after_each_call)
+{
+    ASSERT_TRUE(first.claim());
+    const std::uint64_t calls = first.kv.total_calls();
+    first.kv.faults().rejected_removes = GetParam() % 3;
+    int appended = 0;
+    while (first.kv.total_calls() < calls + static_cast<std::uint64_t>(GetParam()))
+    {
+        first.append(appended++);
+        for (int i = 0; i < 150 && first.kv.total_calls() <
+                                       calls + static_cast<std::uint64_t>(GetParam());
+             ++i)
+            loop.advance(milliseconds(1));
+    }
+    first.kv.faults().holds_requests = true; // The owner stops here.
+    ASSERT_TRUE(second.claim());
+    const std::size_t found = second.found_requests().size();
+    EXPECT_GE(found, first.durable.size());
+    first.kv.release_held();
+    loop.advance(seconds(30));
+    EXPECT_EQ(recover().size(), std::max(found, first.durable.size()));
+    EXPECT_LE(store->state.list("journal/0/").size(), 20U);
+}
+
+INSTANTIATE_TEST_SUITE_P(calls, compaction_test, testing::Range(1, 60, 2));
+
+// Guards against a snapshot larger than a value, and against jobs kept for ever.
+TEST_F(journal_test, a_large_snapshot_is_split_and_ended_jobs_are_dropped)
+{
+    ASSERT_TRUE(first.claim());
+    for (int i = 0; i < 40; ++i)
+    {
+        first.append(i, 300);
+        if (i % 2 == 0)
+            first.append_record(
+                1000 + i, job_ended{make_job(i).job.id, wire::job_verdict::done, ""});
+        loop.advance(milliseconds(150));
+    }
+    EXPECT_GT(store->state.list("journal/0/snapshot").size(), 5U);
+    loop.advance(std::chrono::minutes(11));
+    EXPECT_EQ(recover().size(), 20U);
+}
+
+// Guards against a compaction that drops segments it could not replace.
+TEST_F(journal_test, a_snapshot_that_is_too_large_is_refused_and_nothing_is_lost)
+{
+    partition_journal::options settings = small_options();
+    settings.most_snapshot_parts = 1;
+    journal_owner third(loop, store, "third", settings);
+    ASSERT_TRUE(third.claim());
+    append_range(third, 0, 40);
+    EXPECT_FALSE(third.log_lines.empty());
+    EXPECT_EQ(third.durable.size(), 40U);
+    EXPECT_EQ(recover().size(), 40U);
+}
+
+struct damage
+{
+    const char* prefix; ///< The first key with it is damaged.
+    std::size_t byte;   ///< Counted from the end when it is larger than the value.
+};
+
+class damage_test : public journal_test, public testing::WithParamInterface<damage>
+{
+};
+
+// Guards against damaged values that are taken for an empty journal or overwritten.
+TEST_P(damage_test, is_reported_with_its_key_and_nothing_is_written)
+{
+    ASSERT_TRUE(first.claim());
+    append_range(first, 0, 30);
+    const std::vector<kv_entry> entries = store->state.list(GetParam().prefix);
+    ASSERT_FALSE(entries.empty());
+    std::string value = entries.front().value;
+    value[std::min(GetParam().byte, value.size() - 1)] ^= 1;
+    ASSERT_TRUE(store->state.write(entries.front().key, value, entries.front().revision));
+    const kv_revision newest = store->state.newest();
+    EXPECT_FALSE(second.claim());
+    EXPECT_EQ(second.claimed->error().code, error_code::invalid_input);
+    EXPECT_NE(second.claimed->error().message.find(entries.front().key),
+              std::string::npos);
+    EXPECT_EQ(store->state.newest(), newest);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    values, damage_test,
+    testing::Values(damage{"journal/0/head", 0}, damage{"journal/0/head", 3},
+                    damage{"journal/0/head", 4}, damage{"journal/0/head", 9999},
+                    damage{"journal/0/segment", 20}, damage{"journal/0/snapshot", 20}));
+
+// Guards against a successor that waits although the owner has released, and against
+// records that are lost by the release.
+TEST_F(journal_test, release_writes_what_waits)
+{
+    ASSERT_TRUE(first.claim());
+    first.append(1);
+    first.append(2);
+    std::optional<result<bool>> released;
+    first.journal->release([&](result<bool> outcome) { released = outcome; });
+    first.append(3);
+    loop.advance(seconds(1));
+    ASSERT_TRUE(released && released->has_value());
+    EXPECT_FALSE(first.journal->is_owner());
+    EXPECT_EQ(first.durable.size(), 2U);
+    EXPECT_EQ(first.failed[3], error_code::unavailable);
+    std::optional<partition_owner> owner;
+    read_partition_owner(second.kv, partition_id(),
+                         [&](result<partition_owner> found) { owner = found.value(); });
+    loop.advance(seconds(1));
+    EXPECT_TRUE(owner && owner->owner.empty());
+    EXPECT_EQ(recover().size(), 2U);
+}
+
+// Guards against an owner that resumes after a pause and does not learn of its successor.
+TEST_F(journal_test, confirm_finds_a_successor)
+{
+    ASSERT_TRUE(first.claim());
+    std::vector<bool> confirmed;
+    const auto note = [&](const result<bool>& outcome)
+    { confirmed.push_back(outcome.has_value()); };
+    first.journal->confirm(note);
+    loop.advance(seconds(1));
+    ASSERT_TRUE(second.claim());
+    first.journal->confirm(note);
+    loop.advance(seconds(1));
+    EXPECT_EQ(confirmed, (std::vector<bool>{true, false}));
+    EXPECT_EQ(first.fenced, 1);
+}
+
+// Guards against an owner that does not notice a service that answers slowly or never,
+// and against a record answered twice when the answer comes after all.
+TEST_F(journal_test, a_slow_service_makes_the_journal_degraded)
+{
+    ASSERT_TRUE(first.claim());
+    first.kv.faults().holds_answers = true;
+    first.append(1);
+    loop.advance(seconds(3));
+    EXPECT_TRUE(first.journal->is_degraded());
+    EXPECT_EQ(first.answers[1], 0);
+    first.kv.release_held();
+    loop.advance(seconds(3));
+    EXPECT_FALSE(first.journal->is_degraded());
+    EXPECT_EQ(first.answers[1], 1);
+}
+
+// Guards against memory that grows without bound, and against records no value can hold.
+TEST_F(journal_test, waiting_records_and_their_size_are_bounded)
+{
+    partition_journal::options settings;
+    settings.most_waiting_records = 2;
+    journal_owner third(loop, store, "third", settings);
+    ASSERT_TRUE(third.claim());
+    third.append(1, std::size_t{1} << 20U);
+    for (int i = 2; i < 6; ++i)
+        third.append(i, std::size_t{300} << 10U);
+    loop.advance(seconds(10));
+    EXPECT_EQ(third.failed[1], error_code::limit_exceeded);
+    EXPECT_EQ(third.durable, (std::set<int>{2, 3}));
+    EXPECT_EQ(third.failed[5], error_code::limit_exceeded);
+    EXPECT_EQ(recover().size(), 2U);
+}
+
+} // namespace
+} // namespace hawthornbeam
