--- a/lib/api/exchange.hpp
+++ b/lib/api/exchange.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-typedef struct _SoupServerMessage SoupServerMessage;
+typedef struct _SoupServerMessage SoupServerMessage; // NOLINT(bugprone-reserved-identifier)
 
 namespace hawthornbeam
 {
