Test the platform bindings and give each write its own connection

Cause: a scratch run without fresh connections for PUT showed that libsoup sends it twice when a kept connection breaks (3 requests instead of 2, and a success for a lost answer). libsoup already opens a new connection for each POST, but keeps it idle afterwards. Change: every request other than GET asks for a new connection and for its end.

--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -45,11 +45,13 @@
     return url.substr(0, url.find('/', scheme_end + 3));
 }
 
-/// Tells whether libsoup would send a request again after its connection broke. Its
-/// retry of a compare-and-swap that took effect would report a conflict.
-bool may_be_resent(const std::string& method)
+/// Every request that may change something gets a connection of its own. On a kept
+/// connection that breaks, libsoup sends PUT and DELETE again, and the retry of a
+/// compare-and-swap that took effect would report a conflict. A kept connection may also
+/// have gone silent, which would cost a start its whole timeout.
+bool changes_something(const std::string& method)
 {
-    return method != "POST" && method != "GET";
+    return method != "GET";
 }
 
 void mark_sent(SoupMessage* /*message*/, gpointer data)
@@ -150,7 +152,7 @@
     if (needs_fresh_connection(request, call->host))
         flags |= SOUP_MESSAGE_NEW_CONNECTION;
     soup_message_set_flags(message, static_cast<SoupMessageFlags>(flags));
-    if (may_be_resent(request.method))
+    if (changes_something(request.method))
         soup_message_headers_replace(soup_message_get_request_headers(message),
                                      "Connection", "close");
     if (!request.body.empty())
@@ -168,8 +170,7 @@
 bool http_client::implementation::needs_fresh_connection(const http_request& request,
                                                          const std::string& host)
 {
-    // libsoup sends again only on connections that were used before.
-    if (may_be_resent(request.method))
+    if (changes_something(request.method))
         return true;
     const auto suspected = suspected_until_.find(host);
     if (suspected == suspected_until_.end())
--- a/lib/platform/http_client.hpp
+++ b/lib/platform/http_client.hpp
@@ -30,10 +30,10 @@
     std::string body;
 };
 
-/// Sends requests with a bounded number of connections per host. Sends no request twice
-/// except a GET whose kept connection turned out to be closed. A request fails with
-/// unavailable when it was not sent, and with outcome_unknown when it was sent but no
-/// whole answer came in time.
+/// Sends requests with a bounded number of connections per host. GETs share kept
+/// connections; every other request has its own and is sent at most once. A request
+/// fails with unavailable when it was not sent, and with outcome_unknown when it was sent
+/// but no whole answer came in time.
 class http_client
 {
 public:
--- /dev/null
+++ b/unittests/platform/error_mapping_test.cpp
@@ -0,0 +1,326 @@
+/// \file
+/// Tests of how broken answers and connections become error codes.
+#include "hawthornbeam/platform/http_kv_service.hpp"
+#include "hawthornbeam/platform/http_worker_gateway.hpp"
+#include "test/standins/http_endpoint.hpp"
+#include "unittests/platform/loopback.hpp"
+
+#include <cmath>
+#include <gtest/gtest.h>
+
+namespace hawthornbeam
+{
+namespace
+{
+
+using standins::http_endpoint;
+
+const std::string key = "some/key";
+
+struct mapped_answer
+{
+    const char* name;
+    unsigned status;
+    const char* body;
+    error_code of_read;
+    error_code of_write;
+};
+
+/// Long enough that only a call without an answer ends this way.
+constexpr std::chrono::seconds long_timeout(60);
+/// For calls that get no answer; long enough to connect on a busy machine.
+constexpr std::chrono::milliseconds short_timeout(500);
+
+http_kv_options kv_options(duration timeout)
+{
+    http_kv_options options;
+    options.timeout = timeout;
+    return options;
+}
+
+http_worker_options gateway_options(duration timeout)
+{
+    http_worker_options options;
+    options.timeout = timeout;
+    return options;
+}
+
+/// A key-value service and worker that gives one fixed answer.
+class fixed_answer : public loopback
+{
+public:
+    fixed_answer(unsigned status, const std::string& body,
+                 duration timeout = long_timeout)
+        : endpoint(loop, 0, 1,
+                   [this, status, body](const standins::exchange_pointer& exchange)
+                   {
+                       ++requests;
+                       exchange->reply(status, body);
+                   }),
+          kv(loop, log, "http://" + endpoint.address(), kv_options(timeout)),
+          gateway(loop, log, gateway_options(timeout))
+    {
+    }
+
+    result<std::optional<kv_entry>> read()
+    {
+        return wait<std::optional<kv_entry>>(
+            [this](kv_service::callback<std::optional<kv_entry>> done)
+            { kv.read(kv_cause::table, key, std::move(done)); });
+    }
+    result<kv_revision> write()
+    {
+        return wait<kv_revision>(
+            [this](kv_service::callback<kv_revision> done)
+            { kv.write(kv_cause::table, key, "v", kv_revision(), std::move(done)); });
+    }
+    result<std::vector<task_report>> list_tasks()
+    {
+        return wait<std::vector<task_report>>(
+            [this](worker_gateway::callback<std::vector<task_report>> done)
+            { gateway.list(worker_address(endpoint.address()), std::move(done)); });
+    }
+    result<std::vector<start_outcome>> start(std::vector<task_start> tasks)
+    {
+        return wait<std::vector<start_outcome>>(
+            [&](worker_gateway::callback<std::vector<start_outcome>> done)
+            {
+                gateway.start(worker_address(endpoint.address()), generation(1),
+                              std::move(tasks), std::move(done));
+            });
+    }
+
+    int requests = 0;
+    http_endpoint endpoint;
+    http_kv_service kv;
+    http_worker_gateway gateway;
+};
+
+class answer_mapping_test : public testing::TestWithParam<mapped_answer>
+{
+};
+
+// Guards against a write that may have been applied and is reported as not applied, and
+// against a refused write that is reported as possibly applied.
+TEST_P(answer_mapping_test, gives_the_code_of_the_answer)
+{
+    fixed_answer service(GetParam().status, GetParam().body);
+    EXPECT_EQ(code_of(service.read()), GetParam().of_read);
+    EXPECT_EQ(code_of(service.write()), GetParam().of_write);
+    EXPECT_EQ(service.requests, 2);
+}
+
+constexpr error_code unavailable = error_code::unavailable;
+constexpr error_code unknown = error_code::outcome_unknown;
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, answer_mapping_test,
+    testing::Values(
+        mapped_answer{"bad_request", 400, "{}", error_code::invalid_input,
+                      error_code::invalid_input},
+        mapped_answer{"forbidden", 403, "{}", error_code::denied, error_code::denied},
+        mapped_answer{"not_found", 404, "{}", error_code::not_found,
+                      error_code::not_found},
+        mapped_answer{"conflict", 409, R"({"error":"x"})", error_code::conflict,
+                      error_code::conflict},
+        mapped_answer{"too_large", 413, "[]", error_code::limit_exceeded,
+                      error_code::limit_exceeded},
+        mapped_answer{"out_of_service", 503, "", unavailable, unavailable},
+        mapped_answer{"server_fault", 500, "{}", unavailable, unknown},
+        mapped_answer{"redirect", 302, "{}", unavailable, unknown},
+        mapped_answer{"empty", 200, "", unavailable, unknown},
+        mapped_answer{"no_json", 200, "{\"entry\":", unavailable, unknown},
+        mapped_answer{"array", 200, "[]", unavailable, unknown},
+        mapped_answer{"no_members", 200, "{}", unavailable, unknown},
+        mapped_answer{"wrong_types", 200, R"({"entry":5,"revision":"1"})", unavailable,
+                      unknown},
+        mapped_answer{"negative", 200,
+                      R"({"entry":{"key":"k","value":"","revision":-1},"revision":-1})",
+                      unavailable, unknown},
+        mapped_answer{"fraction", 200,
+                      R"({"entry":{"key":"k","value":"","revision":1.5},"revision":1.5})",
+                      unavailable, unknown},
+        mapped_answer{
+            "no_base64", 200,
+            R"({"entry":{"key":"k","value":"!!!!","revision":1},"revision":null})",
+            unavailable, unknown}),
+    [](const testing::TestParamInfo<mapped_answer>& instance)
+    { return std::string(instance.param.name); });
+
+// Guards against a refused connection that is taken for an unclear outcome.
+TEST(connection_mapping_test, refused_connection_is_unavailable)
+{
+    fixed_answer service(200, "{}");
+    service.endpoint.stop_listening();
+    EXPECT_EQ(code_of(service.read()), unavailable);
+    EXPECT_EQ(code_of(service.write()), unavailable);
+}
+
+// Guards against an invalid address that ends the process or is never answered.
+TEST(connection_mapping_test, invalid_address_is_unavailable)
+{
+    loopback test;
+    http_kv_service kv(test.loop, test.log, "no address");
+    const result<bool> removed = test.wait<bool>(
+        [&](kv_service::callback<bool> done)
+        { kv.remove(kv_cause::claim, key, kv_revision(1), std::move(done)); });
+    EXPECT_EQ(code_of(removed), unavailable);
+}
+
+// Guards against a call that waits forever on a server that accepts and is silent.
+TEST(connection_mapping_test, silence_ends_with_the_timeout)
+{
+    fixed_answer service(200, R"({"revision":1})", short_timeout);
+    service.endpoint.faults().silent = true;
+    EXPECT_EQ(code_of(service.read()), unavailable);
+    EXPECT_EQ(code_of(service.write()), unknown);
+    EXPECT_EQ(service.requests, 0);
+}
+
+// Guards against the HTTP library sending a write again on a kept connection: the second
+// compare-and-swap would report a conflict for a write that took effect.
+TEST(connection_mapping_test, write_is_sent_once_when_its_answer_is_lost)
+{
+    fixed_answer service(200, R"({"revision":1,"entry":null})");
+    ASSERT_TRUE(service.read());
+    service.endpoint.faults().lose_answers = 1;
+    EXPECT_EQ(code_of(service.write()), unknown);
+    EXPECT_EQ(service.requests, 2);
+}
+
+// Guards against a start that is sent again on a kept connection.
+TEST(connection_mapping_test, start_is_sent_once_when_its_answer_is_lost)
+{
+    fixed_answer service(200, R"({"outcomes":[],"tasks":[]})");
+    ASSERT_TRUE(service.list_tasks());
+    service.endpoint.faults().lose_answers = 1;
+    EXPECT_EQ(code_of(service.start({})), unknown);
+    EXPECT_EQ(service.requests, 2);
+}
+
+// Guards against a write that times out while it waits for a free connection and is
+// then reported as possibly applied, or is sent later.
+TEST(connection_mapping_test, timeout_before_sending_is_unavailable)
+{
+    loopback test;
+    std::vector<std::string> methods;
+    std::function<void(const standins::exchange_pointer&)> on_request;
+    http_endpoint endpoint(test.loop, 0, 1,
+                           [&](const standins::exchange_pointer& exchange)
+                           {
+                               methods.push_back(exchange->method);
+                               on_request(exchange);
+                           });
+    http_kv_options options = kv_options(short_timeout);
+    options.most_connections = 1;
+    http_kv_service kv(test.loop, test.log, "http://" + endpoint.address(), options);
+    std::optional<result<kv_revision>> written;
+    on_request = [&](const standins::exchange_pointer& watch)
+    {
+        kv.write(kv_cause::table, key, "v", kv_revision(),
+                 [&written, watch](result<kv_revision> outcome)
+                 {
+                     written.emplace(std::move(outcome));
+                     watch->reply(200, R"({"changed":[],"seen":0,"skipped":false})");
+                 });
+    };
+    const result<kv_changes> watched = test.wait<kv_changes>(
+        [&](const kv_service::callback<kv_changes>& done)
+        { kv.watch(kv_cause::table, "", kv_revision(), long_timeout, done); });
+    EXPECT_TRUE(watched);
+    EXPECT_EQ(code_of(*written), unavailable);
+    EXPECT_EQ(methods, std::vector<std::string>{"GET"});
+}
+
+// Guards against callbacks into objects that are gone.
+TEST(connection_mapping_test, destruction_drops_open_calls)
+{
+    fixed_answer service(200, R"({"entry":null})");
+    bool called = false;
+    {
+        http_kv_service dropped(service.loop, service.log,
+                                "http://" + service.endpoint.address());
+        dropped.read(kv_cause::table, key,
+                     [&](const result<std::optional<kv_entry>>&) { called = true; });
+    }
+    EXPECT_TRUE(service.read());
+    EXPECT_TRUE(service.read());
+    EXPECT_FALSE(called);
+}
+
+struct reported_usage
+{
+    const char* json;
+    double expected;
+};
+
+class usage_report_test : public testing::TestWithParam<reported_usage>
+{
+};
+
+// Guards against a usage value that spoils the report of a task's outcome, or that is
+// silently read as zero.
+TEST_P(usage_report_test, is_read_or_becomes_nan)
+{
+    const std::string body =
+        R"({"tasks":[{"id":"0000000000000000000000000000002a-0-0","row":"p/k",
+            "size":{"millicores":1,"memory":2,"accelerators":3},"idempotent":true,
+            "job_owner":"e","state":"failed","output":"eA==","used_cores":)" +
+        std::string(GetParam().json) + "}]}";
+    fixed_answer service(200, body);
+    const result<std::vector<task_report>> reports = service.list_tasks();
+    ASSERT_TRUE(reports);
+    ASSERT_EQ(reports.value().size(), 1U);
+    const task_report& report = reports.value().front();
+    EXPECT_EQ(report.output, "x");
+    EXPECT_EQ(report.state, task_state::failed);
+    EXPECT_TRUE(std::isnan(report.used_memory));
+    if (std::isnan(GetParam().expected))
+        EXPECT_TRUE(std::isnan(report.used_cores));
+    else
+        EXPECT_EQ(report.used_cores, GetParam().expected);
+}
+
+constexpr double infinity = std::numeric_limits<double>::infinity();
+constexpr double nan_value = std::numeric_limits<double>::quiet_NaN();
+
+INSTANTIATE_TEST_SUITE_P(values, usage_report_test,
+                         testing::Values(reported_usage{"1.5", 1.5},
+                                         reported_usage{"-2", -2},
+                                         reported_usage{"\"Infinity\"", infinity},
+                                         reported_usage{"\"-Infinity\"", -infinity},
+                                         reported_usage{"\"NaN\"", nan_value},
+                                         reported_usage{"null", nan_value},
+                                         reported_usage{"{\"a\":[]}", nan_value},
+                                         reported_usage{"\"2\"", nan_value},
+                                         reported_usage{"true", nan_value}));
+
+class bad_outcomes_test : public testing::TestWithParam<const char*>
+{
+};
+
+// Guards against a task that is taken for not started because the worker's answer does
+// not mention it or mentions another one.
+TEST_P(bad_outcomes_test, leave_the_start_unknown)
+{
+    fixed_answer service(200, GetParam());
+    task_start task;
+    task.id = task_id{job_id(0, 42), 0, 0};
+    EXPECT_EQ(code_of(service.start({task})), unknown);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, bad_outcomes_test,
+    testing::Values(R"({"outcomes":[]})", R"({"outcomes":{}})", R"({"outcomes":[1]})",
+                    R"({"outcomes":[{"id":"x","accepted":true,"reason":""}]})",
+                    R"({"outcomes":[{"id":"0000000000000000000000000000002a-1-0",
+                         "accepted":true,"reason":""}]})",
+                    R"({"outcomes":[{"id":"0000000000000000000000000000002a-0-0",
+                         "accepted":"yes","reason":""}]})",
+                    R"({"outcomes":[{"id":"0000000000000000000000000000002a-0-0",
+                         "accepted":true,"reason":""},
+                        {"id":"0000000000000000000000000000002a-0-0",
+                         "accepted":false,"reason":""}]})"));
+
+} // namespace
+} // namespace hawthornbeam
--- /dev/null
+++ b/unittests/platform/loopback.hpp
@@ -0,0 +1,53 @@
+/// \file
+/// Runs calls of the bindings on the GLib loop until they are answered.
+#ifndef HAWTHORNBEAM_UNITTESTS_PLATFORM_LOOPBACK_HPP
+#define HAWTHORNBEAM_UNITTESTS_PLATFORM_LOOPBACK_HPP
+
+#include "hawthornbeam/support/event_loop.hpp"
+#include "hawthornbeam/support/log.hpp"
+#include "hawthornbeam/support/result.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace hawthornbeam
+{
+
+/// The loop of one test.
+class loopback
+{
+public:
+    template <class T>
+    using callback = std::function<void(result<T>)>;
+
+    /// Starts a call and runs the loop until its callback has run.
+    template <class T>
+    result<T> wait(const std::function<void(callback<T>)>& start)
+    {
+        std::optional<result<T>> answer;
+        start(
+            [&](result<T> arrived)
+            {
+                answer.emplace(std::move(arrived));
+                loop.quit();
+            });
+        loop.run();
+        return std::move(*answer);
+    }
+
+    glib_event_loop loop;
+    logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
+};
+
+/// The error code of \p outcome; nullopt when it is a success.
+template <class T>
+std::optional<error_code> code_of(const result<T>& outcome)
+{
+    if (outcome)
+        return std::nullopt;
+    return outcome.error().code;
+}
+
+} // namespace hawthornbeam
+
+#endif
