--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -117,6 +117,8 @@
 {
     partition_id partition;
     epoch owner_epoch;
+    /// Rises with each start request of a partition; see inventory_request.
+    std::uint64_t sequence = 0;
     instance_id job_owner;
     row_id row;
     bool all_at_once = false;
@@ -176,6 +178,9 @@
 {
     partition_id partition;
     epoch owner_epoch;
+    /// Start requests of this epoch up to this sequence number that arrive later are
+    /// refused, so that what the inventory does not show is not started afterwards.
+    std::uint64_t fenced_sequence = 0;
     instance_id job_owner;
 };
 /// A task that waits at a slice owner.
--- a/lib/instance/job_state.cpp
+++ b/lib/instance/job_state.cpp
@@ -7,6 +7,21 @@
 namespace hawthornbeam
 {
 
+namespace
+{
+
+/// Attempts of different owners must not collide, since workers remember the ids of
+/// tasks that they have run.
+std::uint16_t first_attempt(epoch owner_epoch)
+{
+    constexpr std::uint64_t attempts_per_owner = 256;
+    constexpr std::uint64_t owners = 256;
+    return static_cast<std::uint16_t>((owner_epoch.value() % owners) *
+                                      attempts_per_owner);
+}
+
+} // namespace
+
 wire::job_status status_of(const job_state& job)
 {
     wire::job_status status;
@@ -28,7 +43,8 @@
     return status;
 }
 
-job_state restore(const journaled_job& journaled, partition_id partition, boot_time now)
+job_state restore(const journaled_job& journaled, partition_id partition,
+                  epoch owner_epoch, boot_time now)
 {
     job_state job;
     job.spec = journaled.job;
@@ -43,6 +59,7 @@
     {
         slot.phase = slot_phase::orphaned;
         slot.since = now;
+        slot.attempt = first_attempt(owner_epoch);
     }
     for (const wire::task_result& ended : journaled.ended)
     {
--- a/lib/instance/partition_set.cpp
+++ b/lib/instance/partition_set.cpp
@@ -176,6 +176,7 @@
     ++state.round;
     state.inventory_running = true;
     state.covered.clear();
+    state.fenced = state.sequence;
     ask_for_inventory(partition);
 }
 
@@ -186,6 +187,7 @@
     wire::inventory_request message;
     message.partition = partition;
     message.owner_epoch = state.journal->owner_epoch();
+    message.fenced_sequence = state.fenced;
     message.job_owner = shared_.options.self;
     std::set<instance_id> owners;
     for (const slice_id& slice : fleet_.slices())
@@ -267,6 +269,11 @@
     return entries_.at(partition).journal->owner_epoch();
 }
 
+std::uint64_t partition_set::next_sequence(partition_id partition)
+{
+    return ++at(partition).sequence;
+}
+
 partition_journal& partition_set::journal(partition_id partition)
 {
     return *at(partition).journal;
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -150,9 +150,12 @@
 {
     // The worker may still run the task until its task lease has ended; only then is a
     // second start safe.
-    const wire::task_update update{
-        task.start.id, task.start.row,     wire::task_event::unknown,
-        task.worker,   task_state::failed, std::string()};
+    wire::task_update update;
+    update.id = task.start.id;
+    update.row = task.start.row;
+    update.event = wire::task_event::unknown;
+    update.worker = task.worker;
+    update.state = task_state::failed;
     const duration delay = std::max(ended_by - shared_.now(), duration::zero());
     const std::uint64_t number = next_lost_timer_++;
     lost_timers_[number] = shared_.parts.loop.after(delay,
@@ -214,29 +217,33 @@
 
 void slice_owner::learn_epoch(partition_id partition, epoch value)
 {
-    epoch& known = epochs_[partition];
-    known = std::max(known, value);
+    fence& current = fences_[partition];
+    if (value > current.known)
+        current = fence{value, 0};
 }
 
 wire::epochs_reply slice_owner::epochs() const
 {
     wire::epochs_reply reply;
-    reply.epochs.assign(epochs_.begin(), epochs_.end());
+    for (const auto& [partition, current] : fences_)
+        reply.epochs.emplace_back(partition, current.known);
     return reply;
 }
 
 wire::start_reply slice_owner::start(const wire::start_request& message)
 {
     wire::start_reply reply;
-    epoch& known = epochs_[message.partition];
-    reply.known_epoch = known;
-    if (message.owner_epoch < known)
+    learn_epoch(message.partition, message.owner_epoch);
+    const fence& current = fences_[message.partition];
+    reply.known_epoch = current.known;
+    if (message.owner_epoch < current.known)
         reply.reason = "the partition has a newer owner";
+    else if (message.sequence <= current.sequence)
+        reply.reason = "the request is older than an inventory";
     else if (leaving_ || !knows_epochs())
         reply.reason = leaving_ ? "the instance is leaving" : "takeover is in progress";
     if (!reply.reason.empty())
         return reply;
-    known = message.owner_epoch;
     reply.queued = true;
     bool gang_refused = false;
     for (const task_start& start : message.tasks)
@@ -319,15 +326,28 @@
     return reply;
 }
 
+wire::task_update slice_owner::inventory_entry(const task_id& id,
+                                               const tracked_task& task)
+{
+    wire::task_update update;
+    update.id = id;
+    update.row = task.start.row;
+    update.event = task.phase == task_phase::ended ? wire::task_event::ended
+                                                   : wire::task_event::placed;
+    update.worker = task.worker;
+    update.state = task.state;
+    return update;
+}
+
 wire::inventory_reply slice_owner::inventory(const wire::inventory_request& message)
 {
     wire::inventory_reply reply;
-    epoch& known = epochs_[message.partition];
-    reply.known_epoch = known;
-    if (message.owner_epoch < known)
+    learn_epoch(message.partition, message.owner_epoch);
+    fence& current = fences_[message.partition];
+    reply.known_epoch = current.known;
+    if (message.owner_epoch < current.known)
         return reply;
-    known = message.owner_epoch;
-    reply.known_epoch = known;
+    current.sequence = std::max(current.sequence, message.fenced_sequence);
     reply.accepted = true;
     std::map<slice_id, bool> complete;
     for (const auto& [id, host] : fleet_.workers())
@@ -352,11 +372,7 @@
         if (task.phase == task_phase::waiting)
             reply.queued.push_back(wire::queued_task{id, task.start.row});
         else
-            reply.tasks.push_back(wire::task_update{
-                id, task.start.row,
-                task.phase == task_phase::ended ? wire::task_event::ended
-                                                : wire::task_event::placed,
-                task.worker, task.state, task.output});
+            reply.tasks.push_back(inventory_entry(id, task));
     }
     return reply;
 }
@@ -402,16 +418,21 @@
 {
     leaving_ = true;
     left_ = std::move(done);
+    return_waiting("the instance is leaving");
+    follow_assignment();
+    finish_leaving();
+}
+
+void slice_owner::return_waiting(const char* reason)
+{
     std::vector<task_id> waiting;
     for (const auto& [id, task] : tasks_)
         if (task.phase == task_phase::waiting)
             waiting.push_back(id);
     for (const task_id& id : waiting)
         if (scheduler_.cancel(id) == policy::cancel_outcome::removed)
-            refuse(policy::refusal{id, error_code::unavailable, "the instance is leaving",
+            refuse(policy::refusal{id, error_code::unavailable, reason,
                                    std::chrono::milliseconds(100)});
-    follow_assignment();
-    finish_leaving();
 }
 
 void slice_owner::finish_leaving()
--- a/lib/instance/slice_reports.cpp
+++ b/lib/instance/slice_reports.cpp
@@ -146,6 +146,10 @@
 void slice_owner::on_lost(worker_session& session)
 {
     update_schedulable(session);
+    // While this instance did not hold the lease, job owners may have concluded from the
+    // inventory of a successor that the tasks waiting here do not run, and may have sent
+    // them elsewhere.
+    return_waiting("the owner lease of a worker was lost");
 }
 
 void slice_owner::task_ended(const worker_id& worker, const task_report& report)
