--- a/test/standins/http_endpoint.cpp
+++ b/test/standins/http_endpoint.cpp
@@ -199,9 +199,8 @@
     *timer = loop_.after(random_.jitter(faults.delay, delay_spread),
                          [this, timer, exchange]
                          {
-                             const exchange_pointer due = exchange;
+                             handle_(exchange);
                              timers_.erase(timer);
-                             handle_(due);
                          });
 }
 
