--- a/lib/membership/member_table.cpp
+++ b/lib/membership/member_table.cpp
@@ -13,9 +13,10 @@
 namespace
 {
 
-/// Sends of each item of news per doubling of the number of members. SWIM needs about
-/// three; one more covers the loss of a fifth of all datagrams.
-constexpr unsigned sends_per_doubling = 4;
+/// Each item of news is sent this often, and once more per doubling of the members. After
+/// k sends by each member, a share of e^-k of the members has not heard it; the constant
+/// covers the loss of a fifth of all datagrams.
+constexpr unsigned least_sends = 6;
 /// Bounds the memory that forged members can take.
 constexpr std::size_t most_members = 100'000;
 
@@ -222,8 +223,7 @@
                      [](const std::pair<unsigned, const instance_id*>& a,
                         const std::pair<unsigned, const instance_id*>& b)
                      { return a.first < b.first; });
-    const unsigned limit =
-        sends_per_doubling * static_cast<unsigned>(std::bit_width(live_ + 1));
+    const unsigned limit = least_sends + static_cast<unsigned>(std::bit_width(live_ + 1));
     std::vector<instance_id> finished;
     for (const auto& [sends, id] : order)
     {
--- /dev/null
+++ b/lib/wire/tcp_implementation.hpp
@@ -0,0 +1,100 @@
+/// \file
+/// State of the TCP network.
+#ifndef HAWTHORNBEAM_LIB_WIRE_TCP_IMPLEMENTATION_HPP
+#define HAWTHORNBEAM_LIB_WIRE_TCP_IMPLEMENTATION_HPP
+
+#include "connection.hpp"
+#include "hawthornbeam/wire/peer_network.hpp"
+
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace hawthornbeam::wire
+{
+
+using reply_callback = std::function<void(result<reply>)>;
+
+/// Room of a frame around its message.
+inline constexpr std::size_t frame_overhead = 32;
+
+struct open_request
+{
+    reply_callback done;
+    timer_handle deadline;
+    bool written = false;
+};
+
+/// A connection this instance dialled to send requests.
+struct outgoing_peer
+{
+    std::shared_ptr<connection> link;
+    std::unordered_map<std::uint64_t, open_request> open;
+    timer_handle probe;
+    boot_time silent_since{};
+    boot_time last_tick{};
+    boot_time last_used{};
+};
+
+/// A connection that a peer dialled.
+struct incoming_peer
+{
+    std::shared_ptr<connection> link;
+    std::unordered_set<std::uint64_t> serving; ///< Requests that wait for an answer.
+    timer_handle hello_deadline;
+};
+
+class tcp_peer_network::implementation
+{
+public:
+    implementation(event_loop& loop, const logger& log, options settings);
+    ~implementation() { shut_down(); }
+
+    result<bool> listen();
+    std::uint16_t port() const { return local_port(listener_.get()); }
+    void call(const peer_address& to, const request& message, duration deadline,
+              reply_callback done);
+    void serve(request_handler handler) { handler_ = std::move(handler); }
+    const traffic& counted() const { return traffic_; }
+
+private:
+    static gboolean on_acceptable(GSocket* socket, GIOCondition condition, gpointer data);
+    void accept_one();
+    bool make_room_incoming();
+    bool make_room_outgoing();
+    std::shared_ptr<outgoing_peer> dial(const peer_address& to);
+    void reject(reply_callback done, error_code code, std::string message);
+    void finish(outgoing_peer& peer, std::uint64_t id, result<reply> outcome);
+    void expire(const std::shared_ptr<outgoing_peer>& peer, std::uint64_t id,
+                duration deadline);
+    void tick(const peer_address& to);
+    void receive_reply(const peer_address& to, frame value);
+    void lose_outgoing(const peer_address& to, const error& reason);
+    void fail_open(outgoing_peer& peer, const std::string& reason);
+    void receive_request(const std::shared_ptr<incoming_peer>& peer, frame value);
+    void answer(const std::weak_ptr<incoming_peer>& target, std::uint64_t id,
+                const reply& message);
+    void lose_incoming(std::uint64_t key, const error& reason);
+    void shut_down();
+
+    event_loop& loop_;
+    const logger& log_;
+    options settings_;
+    hello own_;
+    connection::limits limits_;
+    traffic traffic_;
+    request_handler handler_;
+    object_ptr<GSocket> listener_;
+    GSource* acceptor_ = nullptr;
+    std::map<peer_address, std::shared_ptr<outgoing_peer>> outgoing_;
+    std::map<std::uint64_t, std::shared_ptr<incoming_peer>> incoming_;
+    std::uint64_t next_request_ = 1;
+    std::uint64_t next_incoming_ = 1;
+    bool closing_ = false;
+    /// Answers given after the network was destroyed must not reach it.
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace hawthornbeam::wire
+
+#endif
--- /dev/null
+++ b/lib/wire/tcp_incoming.cpp
@@ -0,0 +1,187 @@
+/// \file
+/// Connections that peers dial, and the answers to their requests.
+#include "tcp_implementation.hpp"
+
+#include <fmt/format.h>
+#include <optional>
+
+namespace hawthornbeam::wire
+{
+
+namespace
+{
+
+/// Requests of one peer that are being answered.
+constexpr std::size_t most_served_requests = 4096;
+
+} // namespace
+
+result<bool> tcp_peer_network::implementation::listen()
+{
+    const object_ptr<GSocketAddress> address =
+        make_socket_address(settings_.listen_ip, settings_.port);
+    if (!address)
+        return make_error(error_code::invalid_input,
+                          "not an IP address: " + settings_.listen_ip);
+    gio_error fault;
+    listener_.reset(g_socket_new(g_socket_address_get_family(address.get()),
+                                 G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
+                                 fault.out()));
+    if (!listener_ || !g_socket_bind(listener_.get(), address.get(), TRUE, fault.out()))
+        return make_error(error_code::unavailable,
+                          fmt::format("cannot bind {}:{}: {}", settings_.listen_ip,
+                                      settings_.port, fault.message()));
+    g_socket_set_blocking(listener_.get(), FALSE);
+    if (!g_socket_listen(listener_.get(), fault.out()))
+        return make_error(error_code::unavailable, "cannot listen: " + fault.message());
+    acceptor_ = g_socket_create_source(listener_.get(), G_IO_IN, nullptr);
+    g_source_set_callback(
+        acceptor_, reinterpret_cast<GSourceFunc>(reinterpret_cast<void*>(&on_acceptable)),
+        this, nullptr);
+    g_source_attach(acceptor_, nullptr);
+    return true;
+}
+
+gboolean tcp_peer_network::implementation::on_acceptable(GSocket* /*socket*/,
+                                                         GIOCondition /*condition*/,
+                                                         gpointer data)
+{
+    static_cast<implementation*>(data)->accept_one();
+    return G_SOURCE_CONTINUE;
+}
+
+void tcp_peer_network::implementation::accept_one()
+{
+    object_ptr<GSocket> socket(g_socket_accept(listener_.get(), nullptr, nullptr));
+    if (!socket)
+        return;
+    if (!make_room_incoming())
+    {
+        log_.warning("wire", "connection refused, all connections are in use",
+                     {{"limit", std::uint64_t{settings_.most_connections}}});
+        return;
+    }
+    const std::uint64_t key = next_incoming_++;
+    const std::shared_ptr<incoming_peer> peer = std::make_shared<incoming_peer>();
+    peer->link = std::make_shared<connection>(loop_.clock(), traffic_, limits_);
+    incoming_.emplace(key, peer);
+    const std::weak_ptr<incoming_peer> weak = peer;
+    connection::events handlers;
+    handlers.ready = [weak]
+    {
+        if (const std::shared_ptr<incoming_peer> self = weak.lock())
+            self->hello_deadline.reset();
+    };
+    handlers.received = [this, weak](frame value)
+    {
+        if (const std::shared_ptr<incoming_peer> self = weak.lock())
+            receive_request(self, std::move(value));
+    };
+    handlers.written = [](std::uint64_t /*request*/) {};
+    handlers.lost = [this, key](const error& reason) { lose_incoming(key, reason); };
+    peer->hello_deadline = loop_.after(
+        settings_.silence_limit, [this, key]
+        { lose_incoming(key, make_error(error_code::unavailable, "no hello")); });
+    peer->link->accept(std::move(socket), own_, std::move(handlers));
+}
+
+bool tcp_peer_network::implementation::make_room_incoming()
+{
+    if (incoming_.size() < settings_.most_connections)
+        return true;
+    std::optional<std::uint64_t> victim;
+    boot_time oldest = boot_time::max();
+    for (const auto& [key, peer] : incoming_)
+    {
+        if (!peer->serving.empty() || peer->link->last_received() >= oldest)
+            continue;
+        oldest = peer->link->last_received();
+        victim = key;
+    }
+    if (!victim)
+        return false;
+    lose_incoming(*victim, make_error(error_code::limit_exceeded,
+                                      "closed to make room for another connection"));
+    return true;
+}
+
+void tcp_peer_network::implementation::receive_request(
+    const std::shared_ptr<incoming_peer>& peer, frame value)
+{
+    const std::weak_ptr<incoming_peer> weak = peer;
+    if (value.kind == frame_kind::probe)
+    {
+        peer->link->send(encode_frame(frame{frame_kind::probe_answer, 0, 0, ""}), 0);
+        return;
+    }
+    if (value.kind != frame_kind::request)
+        return;
+    if (!peer->serving.insert(value.id).second)
+    {
+        log_.warning("wire", "request id used twice", {{"remote", peer->link->remote()}});
+        return;
+    }
+    result<request> message = decode_request(value.body);
+    // A message of this peer alone is faulty; its other requests are answered.
+    if (!message)
+        return answer(weak, value.id,
+                      failure_reply{message.error().code, message.error().message});
+    if (!handler_)
+        return answer(weak, value.id,
+                      failure_reply{error_code::unavailable, "not ready to serve"});
+    if (peer->serving.size() > most_served_requests)
+        return answer(weak, value.id,
+                      failure_reply{error_code::limit_exceeded,
+                                    "too many open requests on this connection"});
+    const std::weak_ptr<bool> alive = alive_;
+    handler_(peer->link->peer().id, std::move(message).value(),
+             [this, alive, weak, id = value.id](const reply& given)
+             {
+                 if (!alive.expired())
+                     answer(weak, id, given);
+             });
+}
+
+void tcp_peer_network::implementation::answer(const std::weak_ptr<incoming_peer>& target,
+                                              std::uint64_t id, const reply& message)
+{
+    const std::shared_ptr<incoming_peer> peer = target.lock();
+    if (!peer || peer->serving.erase(id) == 0)
+        return;
+    std::string body = encode(message);
+    if (body.size() + frame_overhead > settings_.most_frame_bytes)
+        body = encode(reply(failure_reply{
+            error_code::outcome_unknown,
+            fmt::format("the answer of {} bytes exceeds the limit of a frame",
+                        body.size())}));
+    if (peer->link->send(encode_frame(frame{frame_kind::reply, id, 0, std::move(body)}),
+                         0))
+        return;
+    for (const auto& [key, candidate] : incoming_)
+        if (candidate == peer)
+            return lose_incoming(key, make_error(error_code::limit_exceeded,
+                                                 "the peer does not read its answers"));
+}
+
+void tcp_peer_network::implementation::lose_incoming(std::uint64_t key,
+                                                     const error& reason)
+{
+    const auto found = incoming_.find(key);
+    if (found == incoming_.end())
+        return;
+    const std::shared_ptr<incoming_peer> peer = std::move(found->second);
+    incoming_.erase(found);
+    peer->hello_deadline.reset();
+    const log_field fields[] = {{"peer", peer->link->peer().id.value()},
+                                {"remote", peer->link->remote()},
+                                {"reason", reason.message}};
+    if (reason.code == error_code::unavailable && peer->link->peer().version != 0)
+        log_.debug("wire", "incoming connection closed",
+                   {fields[0], fields[1], fields[2]});
+    else
+        log_.warning("wire", "incoming connection closed",
+                     {fields[0], fields[1], fields[2]});
+    peer->link->close();
+}
+
+} // namespace hawthornbeam::wire
