--- a/lib/journal/journal_compact.cpp
+++ b/lib/journal/journal_compact.cpp
@@ -160,7 +160,9 @@
     if (is_removing || leftovers.empty())
         return;
     is_removing = true;
+    // A claim may replace the list while the calls for this value run.
     const leftover_value value = leftovers.front();
+    leftovers.pop_front();
     if (value.revision != kv_revision())
         return remove_entry(value);
     const head_write::environment calls = around();
@@ -178,8 +180,7 @@
                         leftover_value{value.key, answer.value()->revision});
                 journal->is_removing = false;
                 if (!answer)
-                    return;
-                journal->leftovers.pop_front();
+                    return journal->leftovers.push_back(value);
                 journal->remove_leftovers();
             });
 }
@@ -189,7 +190,7 @@
     const head_write::environment calls = around();
     calls.calling();
     kv.remove(kv_cause::journal, value.key, value.revision,
-              [self = weak_from_this(), calls](const result<bool>& answer)
+              [self = weak_from_this(), calls, value](const result<bool>& answer)
               {
                   const std::shared_ptr<implementation> journal = self.lock();
                   if (!journal)
@@ -199,8 +200,7 @@
                   calls.answered(is_gone);
                   journal->is_removing = false;
                   if (!is_gone)
-                      return;
-                  journal->leftovers.pop_front();
+                      return journal->leftovers.push_back(value);
                   journal->remove_leftovers();
               });
 }
