--- a/lib/table/table_edit_run.cpp
+++ b/lib/table/table_edit_run.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace hawthornbeam
 {
@@ -14,6 +15,9 @@
 /// Old history entries removed after one edit: its own successor's slot and leftovers of
 /// edits whose editor died or whose deletes failed.
 constexpr int most_removed_entries = 3;
+/// Conflicts after which an edit waits before it reads again: a table that does not show
+/// the newer revision must not cause a loop of calls.
+constexpr int most_conflicts = 3;
 constexpr double back_off_spread = 0.5;
 
 /// Each step is one call. Before a table is overwritten its history entry is written, so
@@ -107,25 +111,28 @@
 
     void write_table(kv_revision expected)
     {
-        context_->kv.write(kv_cause::table, table_key, json_, expected,
-                           [self = shared_from_this()](result<kv_revision> answer)
-                           {
-                               const bool is_known =
-                                   answer || answer.error().code == error_code::conflict;
-                               self->note(is_known);
-                               if (answer)
-                                   return self->accept(self->wanted_);
-                               if (answer.error().code == error_code::limit_exceeded)
-                                   return self->finish(
-                                       edit_outcome::kind::faulty, operators_table(), "",
-                                       {finding{"", 0, "/rows", "the table is too large",
-                                                "at most 1 MiB as JSON"}});
-                               if (answer.error().code == error_code::outcome_unknown)
-                                   self->maybe_written_ = true;
-                               if (is_known)
-                                   return self->read_table();
-                               self->try_again(answer.error());
-                           });
+        context_->kv.write(
+            kv_cause::table, table_key, json_, expected,
+            [self = shared_from_this()](result<kv_revision> answer)
+            {
+                const bool is_known =
+                    answer || answer.error().code == error_code::conflict;
+                self->note(is_known);
+                if (answer)
+                    return self->accept(self->wanted_);
+                if (answer.error().code == error_code::limit_exceeded)
+                    return self->finish(edit_outcome::kind::faulty, operators_table(), "",
+                                        {finding{"", 0, "/rows", "the table is too large",
+                                                 "at most 1 MiB as JSON"}});
+                const bool is_lost = answer.error().code == error_code::outcome_unknown;
+                // One read-back follows at once, also when the limit has passed.
+                const bool is_read_again =
+                    is_known && ++self->conflicts_ <= most_conflicts;
+                if (is_read_again ||
+                    (is_lost && !std::exchange(self->maybe_written_, true)))
+                    return self->read_table();
+                self->try_again(answer.error());
+            });
     }
 
     void accept(const operators_table& table)
@@ -227,6 +234,7 @@
     duration back_off_;
     std::string json_;
     bool maybe_written_ = false;
+    int conflicts_ = 0;
     timer_handle timer_;
     std::shared_ptr<edit_run> waiting_; ///< Keeps itself alive between two attempts.
 };
--- a/lib/table/table_json.cpp
+++ b/lib/table/table_json.cpp
@@ -167,6 +167,15 @@
 
 } // namespace
 
+/// \p name as a token of a JSON pointer (RFC 6901).
+static std::string pointer_token(const std::string& name)
+{
+    std::string token;
+    for (const char c : name)
+        token += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
+    return token;
+}
+
 finding fault_at(std::string place, std::string message, std::string expected)
 {
     return finding{"", 0, std::move(place), std::move(message), std::move(expected)};
@@ -177,8 +186,9 @@
 {
     for (auto member = object.begin(); member != object.end(); ++member)
         if (std::find(known.begin(), known.end(), member.key()) == known.end())
-            faults.push_back(fault_at(fmt::format("{}/{}", place, member.key()),
-                                      "is an unknown field", ""));
+            faults.push_back(
+                fault_at(fmt::format("{}/{}", place, pointer_token(member.key())),
+                         "is an unknown field", ""));
 }
 
 json parse_object(std::string_view text, findings& faults)
@@ -196,6 +206,10 @@
         faults.push_back(fault_at(
             "", fmt::format("malformed JSON at byte {}", malformed.byte), "an object"));
     }
+    catch (const json::out_of_range& number) // A number such as 1e999.
+    {
+        faults.push_back(fault_at("", number.what(), "numbers within range"));
+    }
     return json::object();
 }
 
--- a/lib/table/table_store.cpp
+++ b/lib/table/table_store.cpp
@@ -124,6 +124,8 @@
 
     void watch()
     {
+        if (!has_read)
+            return read_before_watch(kv_revision());
         const std::uint64_t round = watch_round;
         watch_started = loop.clock().now();
         kv.watch(kv_cause::table, table_key, watched, settings_.watch_wait,
@@ -141,25 +143,52 @@
         {
             if (is_answer(answer.error()))
                 note_answer();
-            watch_after(random.jitter(watch_back_off, poll_spread));
-            watch_back_off = std::min(watch_back_off * 2, settings_.most_back_off);
-            return;
+            return watch_failed();
         }
         note_answer();
-        watch_back_off = settings_.least_back_off;
         const kv_changes& changes = answer.value();
+        if (changes.skipped)
+            return read_before_watch(changes.seen);
+        watch_back_off = settings_.least_back_off;
         const bool is_idle = changes.changed.empty() &&
                              loop.clock().now() - watch_started < least_watch_time;
         watched = changes.seen;
         for (const kv_entry& entry : changes.changed)
             if (entry.key == table_key) // The prefix matches the history as well.
                 install_stored(entry);
-        if (changes.skipped)
-            poll();
         watch_after(is_idle ? random.jitter(least_watch_time, poll_spread)
                             : duration::zero());
     }
 
+    void watch_failed()
+    {
+        watch_after(random.jitter(watch_back_off, poll_spread));
+        watch_back_off = std::min(watch_back_off * 2, settings_.most_back_off);
+    }
+
+    /// Reads the table and watches from its revision or \p seen on. A watch from revision
+    /// zero would return the whole history.
+    void read_before_watch(kv_revision seen)
+    {
+        kv.read(kv_cause::table, table_key,
+                [self = weak_from_this(), round = watch_round,
+                 seen](const result<std::optional<kv_entry>>& answer)
+                {
+                    const std::shared_ptr<implementation> store = self.lock();
+                    if (!store || store->watch_round != round)
+                        return;
+                    if (!answer)
+                        return store->watch_failed();
+                    store->note_answer();
+                    store->install_stored(answer.value());
+                    store->watched = seen;
+                    if (answer.value() && answer.value()->revision > seen)
+                        store->watched = answer.value()->revision;
+                    store->has_read = true;
+                    store->watch();
+                });
+    }
+
     void watch_after(duration delay)
     {
         watch_timer =
@@ -178,7 +207,7 @@
         is_watching = wanted;
         ++watch_round; // The answer of an open watch is ignored.
         watch_timer.reset();
-        watched = kv_revision();
+        has_read = false;
         if (wanted)
             watch();
     }
@@ -238,6 +267,7 @@
     timer_handle watch_timer;
     bool is_watching = false;
     std::uint64_t watch_round = 0;
+    bool has_read = false; ///< The table was read since the watch was turned on.
     kv_revision watched;
     boot_time watch_started{};
     std::uint64_t edits = 0;
