Add the service-level burn report

Cause: operators need to see which rows miss their promises, how fast, and why.

Change: objectives come from a checked TOML file; samples of all instances are recorded as JSON lines and read back, damaged lines as findings. Counters become increases (a counter that falls means a restart), spread over slots of five minutes; gauges describe the time before their sample. Each objective gets the burn rates of 1 h with 5 min, 6 h with 30 min and 3 d with 6 h, and the budget left, projected on the period from the part recorded. A row that burns too fast gets its likely causes from rules over shares, free capacity, key-value service, workers and refusals. Output as table, JSON and one HTML page with inline SVG. metrics_registry gains gauge() and observations(), which the report reads.

No browser was at hand: the SVG was read, not looked at.

--- a/include/hawthornbeam/metrics/metrics.hpp
+++ b/include/hawthornbeam/metrics/metrics.hpp
@@ -6,6 +6,7 @@
 #include "hawthornbeam/support/clock.hpp"
 #include "hawthornbeam/support/result.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -37,6 +38,10 @@
     void describe(std::string_view name, std::string_view help);
 
     double counter(std::string_view name, const metric_labels& labels) const;
+    /// The current value of a gauge; zero when it was never set.
+    double gauge(std::string_view name, const metric_labels& labels) const;
+    /// The number of observations of a histogram.
+    std::uint64_t observations(std::string_view name, const metric_labels& labels) const;
     /// The \p q quantile (0 to 1) of a histogram, interpolated inside its bin; zero when
     /// nothing was observed.
     duration quantile(std::string_view name, const metric_labels& labels, double q) const;
--- a/lib/metrics/metrics.cpp
+++ b/lib/metrics/metrics.cpp
@@ -284,6 +284,19 @@
     return found == where->values.end() ? 0 : found->second;
 }
 
+double metrics_registry::gauge(std::string_view name, const metric_labels& labels) const
+{
+    // Counters and gauges share their storage.
+    return counter(name, labels);
+}
+
+std::uint64_t metrics_registry::observations(std::string_view name,
+                                             const metric_labels& labels) const
+{
+    const time_series* series = implementation_->find_histogram(name, labels);
+    return series == nullptr ? 0 : series->total();
+}
+
 duration metrics_registry::quantile(std::string_view name, const metric_labels& labels,
                                     double q) const
 {
--- /dev/null
+++ b/lib/report/causes.cpp
@@ -0,0 +1,157 @@
+/// \file
+/// Rules that suggest why a row burns its error budget.
+#include "slots.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// Below these figures a condition is usual and explains nothing.
+constexpr double least_kv_trouble = 0.05;
+constexpr double least_bad_workers = 0.1;
+constexpr double least_failed_tasks = 0.2;
+constexpr double least_share_deficit = 0.05;
+constexpr double least_free = 0.05;
+constexpr double least_refused = 0.005;
+
+/// How strongly the figures speak for a cause (0 to 1), and the figures.
+struct suspicion
+{
+    double strength = 0;
+    std::string evidence;
+};
+
+double refused_fraction(const row_counts& counts, double refused)
+{
+    const double offered =
+        static_cast<double>(counts.starts) + static_cast<double>(counts.refusals());
+    return offered > 0 ? refused / offered : 0;
+}
+
+std::optional<suspicion> suspect_kv(const cause_input& input)
+{
+    const double refusals = input.counts.refusals();
+    const double by_kv = input.counts.refused[reason_kv_unavailable];
+    const double of_refusals =
+        input.kind == objective_kind::refused && refusals > 0 ? by_kv / refusals : 0;
+    const double unreachable = 1 - input.kv_reachable;
+    const double strength =
+        std::max({of_refusals, unreachable, input.kv_failed_fraction});
+    if (strength < least_kv_trouble)
+        return std::nullopt;
+    return suspicion{strength,
+                     fmt::format("unreachable in {:.1f}% of the samples, {:.1f}% of its "
+                                 "calls failed, {:.0f} of {:.0f} refusals name it",
+                                 100 * unreachable, 100 * input.kv_failed_fraction, by_kv,
+                                 refusals)};
+}
+
+std::optional<suspicion> suspect_workers(const cause_input& input)
+{
+    double all = 0;
+    for (const double count : input.workers)
+        all += count;
+    const double bad = all > 0 ? (input.workers[2] + input.workers[3]) / all : 0;
+    double ended = 0;
+    for (const float count : input.counts.ended)
+        ended += static_cast<double>(count);
+    const double failed =
+        ended > 0 ? static_cast<double>(input.counts.ended[outcome_failed]) / ended : 0;
+    if (bad < least_bad_workers && failed < least_failed_tasks)
+        return std::nullopt;
+    return suspicion{std::max(bad, failed),
+                     fmt::format("{:.0f} of {:.0f} workers in quarantine, {:.0f} without "
+                                 "lease, {:.1f}% of the row's tasks failed",
+                                 input.workers[2], all, input.workers[3], 100 * failed)};
+}
+
+std::optional<suspicion> suspect_share(const cause_input& input)
+{
+    if (input.guaranteed <= 0)
+        return std::nullopt;
+    const double deficit = 1 - input.share / input.guaranteed;
+    if (deficit < least_share_deficit)
+        return std::nullopt;
+    return suspicion{deficit,
+                     fmt::format("had {:.1f}% of the capacity while tasks waited, "
+                                 "its guarantee is {:.1f}%",
+                                 100 * input.share, 100 * input.guaranteed)};
+}
+
+std::optional<suspicion> suspect_capacity(const cause_input& input)
+{
+    const bool has_guarantee =
+        input.share >= input.guaranteed * (1 - least_share_deficit);
+    if (!has_guarantee || input.free >= least_free)
+        return std::nullopt;
+    return suspicion{0.5 + 0.5 * (1 - input.free / least_free),
+                     fmt::format("{:.1f}% of the capacity is free, and the row has its "
+                                 "guarantee of {:.1f}%",
+                                 100 * input.free, 100 * input.guaranteed)};
+}
+
+/// Refusals by the row's own limits. They are often only the sign of another cause, so
+/// they weigh half.
+std::optional<suspicion> suspect_limits(const cause_input& input)
+{
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < reason_impossible; ++i)
+        if (input.counts.refused[i] > input.counts.refused[most])
+            most = i;
+    const double fraction = refused_fraction(input.counts, input.counts.refused[most]);
+    if (fraction < least_refused)
+        return std::nullopt;
+    return suspicion{0.5 * fraction,
+                     fmt::format("{:.1f}% of the offered tasks refused with {}",
+                                 100 * fraction, refusal_reasons[most])};
+}
+
+struct cause_rule
+{
+    const char* name;
+    std::optional<suspicion> (*suspect)(const cause_input&);
+    const char* advice;
+};
+
+constexpr std::array<cause_rule, 5> rules{
+    {{"key-value service", suspect_kv,
+      "check the service and the network to it; durable jobs are refused until it "
+      "answers"},
+     {"bad workers", suspect_workers,
+      "list the workers, drain those that fail, and look at what the row's tasks report"},
+     {"share", suspect_share,
+      "look for rows above their guarantee that are slow to give way, and check the "
+      "guarantees in the table"},
+     {"capacity", suspect_capacity,
+      "add workers, raise the row's guarantee, or lower the demand of the row"},
+     {"refusals", suspect_limits,
+      "compare the row's queue length, rate and limits with what its callers send"}}};
+
+} // namespace
+
+std::vector<likely_cause> find_causes(const cause_input& input)
+{
+    std::vector<std::pair<double, likely_cause>> found;
+    for (const cause_rule& rule : rules)
+    {
+        const std::optional<suspicion> suspected = rule.suspect(input);
+        if (suspected)
+            found.emplace_back(suspected->strength,
+                               likely_cause{rule.name, suspected->evidence, rule.advice});
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](const std::pair<double, likely_cause>& a,
+                        const std::pair<double, likely_cause>& b)
+                     { return a.first > b.first; });
+    std::vector<likely_cause> causes;
+    for (std::pair<double, likely_cause>& entry : found)
+        causes.push_back(std::move(entry.second));
+    return causes;
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/unittests/report/input_test.cpp
@@ -0,0 +1,98 @@
+/// \file
+/// Tests of the objectives file and of the recording.
+#include "hawthornbeam/report/objectives.hpp"
+#include "hawthornbeam/report/recording.hpp"
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace hawthornbeam
+{
+namespace
+{
+
+// Guards against an example file that the program itself refuses.
+TEST(objectives_test, example_parses)
+{
+    const parsed_objectives parsed =
+        load_objectives(HAWTHORNBEAM_SOURCE "/examples/objectives.toml");
+    ASSERT_TRUE(parsed.objectives.has_value()) << parsed.faults.at(0).text();
+    EXPECT_NEAR(*parsed.objectives->rows.at(0).allowed(objective_kind::wait), 0.001,
+                1e-9);
+    EXPECT_FALSE(parsed.objectives->rows.at(1).allowed(objective_kind::wait));
+}
+
+// Guards against faulty objectives that are accepted, or of which only one is reported.
+TEST(objectives_test, reports_all_faults)
+{
+    const parsed_objectives parsed = parse_objectives(R"(period = "1 d"
+[[rows]]
+row = "p/k"
+wait_limit = "5 s"
+[[rows]]
+row = "p/k"
+refused_most = 0.0
+[[rows]]
+row = "p"
+share = 1
+)",
+                                                      "o.toml");
+    ASSERT_FALSE(parsed.objectives.has_value());
+    std::string all;
+    for (const finding& fault : parsed.faults)
+        all += fault.text().substr(0, fault.text().find(" (")) + "\n";
+    EXPECT_EQ(all, "o.toml:1: period: is \"1 d\"\n"
+                   "o.toml:2: rows[0].wait_target: is missing\n"
+                   "o.toml:7: rows[1].refused_most: is 0\n"
+                   "o.toml:6: rows[1].row: repeats that of line 2\n"
+                   "o.toml:9: rows[2].row: is \"p\"\n"
+                   "o.toml:8: rows[2]: has no objective\n"
+                   "o.toml:10: rows[2].share: is an unknown key\n");
+}
+
+// Guards against damaged lines that hide or change the sound ones, and against an
+// unfinished last line that swallows the next sample.
+TEST(recording_test, damaged_lines_are_findings)
+{
+    const std::string file =
+        testing::TempDir() + "recording_test." + std::to_string(::getpid());
+    const metrics_sample one{wall_time(std::chrono::milliseconds(5)), instance_id("i"),
+                             "text\twith \"marks\"\n"};
+    ASSERT_TRUE(append_samples(file, {one}));
+    std::ofstream(file, std::ios::app) << "{\"time_ms\": \"x\"}\n{\"time_ms\": 1, \"ins";
+    ASSERT_TRUE(append_samples(file, {one, one}));
+    int sound = 0;
+    const findings faults =
+        read_recording(file,
+                       [&](const metrics_sample& sample) -> result<bool>
+                       {
+                           EXPECT_EQ(sample.time, one.time);
+                           EXPECT_EQ(sample.snapshot, one.snapshot);
+                           ++sound;
+                           return true;
+                       });
+    std::remove(file.c_str());
+    EXPECT_EQ(sound, 3);
+    ASSERT_EQ(faults.size(), 2U);
+    EXPECT_EQ(faults[0].line, 2);
+    EXPECT_EQ(faults[1].line, 3);
+}
+
+// Guards against a report that drowns in the findings of a file of another kind.
+TEST(recording_test, findings_are_bounded)
+{
+    std::string text;
+    for (int i = 0; i < 1000; ++i)
+        text += "x\n";
+    std::istringstream lines(text);
+    const findings faults = read_samples(
+        lines, "f", [](const metrics_sample&) -> result<bool> { return true; });
+    ASSERT_EQ(faults.size(), 101U);
+    EXPECT_EQ(faults.back().message, "900 more lines are damaged");
+}
+
+} // namespace
+} // namespace hawthornbeam
