Add the command line hawthornctl

Cause: operators and callers need a client of the HTTP API that scripts can rely on.

Several instances are tried in turn. A write that may have taken effect is not sent to another one, except for job submission, which the request id makes idempotent, and for the cancellation of one job. A refusal that follows an unknown outcome stays an unknown outcome.

--- a/include/hawthornbeam/support/toml_tree.hpp
+++ b/include/hawthornbeam/support/toml_tree.hpp
@@ -94,6 +94,8 @@
     /// An array whose items are all of kind \p items.
     const toml_node* array(std::string_view key, presence need, toml_node::kind items);
 
+    const toml_node* table(std::string_view key, presence need);
+
     /// Reports \p message about \p key at its line, or at the table's line.
     void report(std::string_view key, std::string message, std::string expected);
     /// Reports the keys and tables that were not read.
--- /dev/null
+++ b/lib/cli/context.hpp
@@ -0,0 +1,103 @@
+/// \file
+/// What all commands share: calls with failover, output, questions.
+#ifndef HAWTHORNBEAM_LIB_CLI_CONTEXT_HPP
+#define HAWTHORNBEAM_LIB_CLI_CONTEXT_HPP
+
+#include "hawthornbeam/cli/command.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace hawthornbeam
+{
+
+/// Whether a request that may have taken effect can be sent to another instance.
+enum class repeat_rule
+{
+    safe,  ///< Reads, and writes that a request id or their kind makes idempotent.
+    unsafe ///< All other writes.
+};
+
+/// A column of a table: its title and the JSON pointer of its value.
+struct column
+{
+    const char* title;
+    const char* pointer;
+};
+
+class command_context
+{
+public:
+    command_context(std::vector<std::string> operands, const cli_options& options,
+                    const cli_environment& environment);
+
+    const std::vector<std::string>& operands() const { return operands_; }
+    const cli_options& options() const { return options_; }
+    const cli_environment& environment() const { return environment_; }
+
+    /// Sends \p request to the first instance that answers. Failures are reported on the
+    /// error stream; \p response is set when the result is done.
+    exit_code call(api_request request, repeat_rule rule, api_response& response);
+    /// Like call(), and parses the body.
+    exit_code call_json(api_request request, repeat_rule rule, nlohmann::json& body);
+
+    /// Writes "hawthornctl: MESSAGE" to the error stream and returns \p code.
+    exit_code fail(exit_code code, const std::string& message) const;
+    exit_code fail(const findings& faults) const;
+    /// True with --yes or when a person at a terminal agrees; otherwise \p code is set.
+    bool confirm(const std::string& question, exit_code& code) const;
+    bool has(const char* flag) const { return options_.given.contains(flag); }
+
+    /// Writes \p body as JSON, or the objects of its array \p list as a table.
+    void print(const nlohmann::json& body, const char* list,
+               const std::vector<column>& columns) const;
+    /// Writes \p body as JSON, or as lines of names and values.
+    void print(const nlohmann::json& body) const;
+
+private:
+    exit_code report_problem(const api_request& request,
+                             const api_response& response) const;
+
+    std::vector<std::string> operands_;
+    const cli_options& options_;
+    const cli_environment& environment_;
+    std::size_t preferred_ = 0; ///< Index of the instance that answered last.
+};
+
+/// Escapes one segment of a path or a value of a query.
+std::string escape_segment(const std::string& text);
+/// "?a=x&b=y" of the pairs whose value is not empty.
+std::string query(const std::vector<std::pair<std::string, std::string>>& parts);
+/// "PARTNER/KIND" as the path of the row; empty when malformed.
+std::string row_path(const std::string& row);
+/// The member \p key of an object when it is a string, otherwise empty.
+std::string text_member(const nlohmann::json& object, const char* key);
+/// Text of a JSON value without quotes.
+std::string plain_text(const nlohmann::json& value);
+/// Reads a whole file.
+result<std::string> read_file(const std::string& path);
+
+using command_function = exit_code (*)(command_context&);
+
+exit_code table_show(command_context& context);
+exit_code table_set(command_context& context);
+exit_code table_apply(command_context& context);
+exit_code table_history(command_context& context);
+exit_code table_status(command_context& context);
+exit_code table_delete(command_context& context);
+exit_code jobs_submit(command_context& context);
+exit_code jobs_show(command_context& context);
+exit_code jobs_watch(command_context& context);
+exit_code jobs_result(command_context& context);
+exit_code jobs_list(command_context& context);
+exit_code jobs_cancel(command_context& context);
+exit_code workers_list(command_context& context);
+exit_code workers_drain(command_context& context);
+exit_code workers_undrain(command_context& context);
+exit_code list_instances(command_context& context);
+exit_code explain_job(command_context& context);
+exit_code report_record(command_context& context);
+exit_code report_burn(command_context& context);
+
+} // namespace hawthornbeam
+
+#endif
--- a/lib/support/toml_tree.cpp
+++ b/lib/support/toml_tree.cpp
@@ -255,6 +255,11 @@
     return sound ? node : nullptr;
 }
 
+const toml_node* toml_table_reader::table(std::string_view key, presence need)
+{
+    return find(key, need, toml_node::kind::table);
+}
+
 void toml_table_reader::finish()
 {
     std::string expected;
