--- a/lib/policy/scheduler.cpp
+++ b/lib/policy/scheduler.cpp
@@ -269,6 +269,7 @@
 std::optional<refusal> scheduler::enqueue(const waiting_task& task, boot_time now)
 {
     state& all = implementation_->all;
+    all.last_now = now;
     if (all.task_positions.contains(task.id))
         return refusal{task.id, error_code::conflict, "it waits or runs already", {}};
     const absl::flat_hash_map<row_id, index, std::hash<row_id>>::const_iterator found =
--- a/lib/policy/state.hpp
+++ b/lib/policy/state.hpp
@@ -101,7 +101,7 @@
     std::size_t running = 0;
     std::uint32_t next_hold_serial = 1;
     bool rows_removed = false;
-    boot_time last_now{}; ///< Of the last round; for calls that carry no time.
+    boot_time last_now{}; ///< Of the last round or enqueue; for calls without a time.
 
     // Rows and capacity.
     index row_position(const row_id& id);
--- a/unittests/policy/scheduler_test.cpp
+++ b/unittests/policy/scheduler_test.cpp
@@ -1,29 +1,355 @@
 /// \file
 /// Tests of the scheduler through its public interface.
-#include "hawthornbeam/policy/scheduler.hpp"
+#include "fixture.hpp"
 
-#include <gtest/gtest.h>
+#include <cmath>
+#include <limits>
 
 namespace hawthornbeam::policy
 {
 namespace
 {
 
-// Guards against a scheduler that never starts a task that fits.
-TEST(scheduler_test, starts_a_task_that_fits)
-{
-    scheduler subject({});
-    operators_table table;
-    table.rows.emplace_back().id = row_id("a/batch");
-    subject.set_table(table);
-    const resources capacity{millicores(4000), byte_count(1000), accelerator_count(0)};
-    subject.add_worker({worker_id("w"), failure_domain_id("d"), rack_id("r"), capacity});
-    waiting_task task;
-    task.id = task_id{job_id(1, 1), 0, 0};
-    task.row = row_id("a/batch");
-    task.size = capacity;
-    EXPECT_FALSE(subject.enqueue(task, boot_time()).has_value());
-    EXPECT_EQ(subject.decide(boot_time(), 10).placements.size(), 1U);
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const resources one_core = cores_and_gib(1, 1);
+
+// Guards against shares that ignore the weights of partners or of rows within a partner.
+// Seeded fault that it catches: row_order::before() compares rows of all partners by
+// their own key only.
+TEST(fairness_test, splits_by_partner_then_row)
+{
+    cluster_fixture cluster({make_row("a/one", workload::batch, 5, 0, 1),
+                             make_row("a/two", workload::batch, 5, 0, 2),
+                             make_row("b/one", workload::batch, 5, 0, 3)});
+    cluster.add_workers(6, cores_and_gib(20, 100));
+    for (const char* row : {"a/one", "a/two", "b/one"})
+        cluster.add_many(row, one_core, 200);
+    cluster.decide();
+    EXPECT_NEAR(static_cast<double>(cluster.running_in("a/one")), 20, 1);
+    EXPECT_NEAR(static_cast<double>(cluster.running_in("a/two")), 40, 1);
+    EXPECT_NEAR(static_cast<double>(cluster.running_in("b/one")), 60, 1);
+}
+
+// Guards against idle capacity that is not lent, and against a split that ignores what
+// the row uses at other instances. Seeded fault that it catches: set_remote_usage() drops
+// the usage.
+TEST(fairness_test, counts_remote_usage_and_lends_idle_share)
+{
+    cluster_fixture cluster(
+        {make_row("a/x", workload::batch, 5), make_row("b/x", workload::batch, 5)});
+    cluster.add_workers(2, cores_and_gib(10, 100));
+    cluster.subject.set_remote_usage({{row_id("a/x"), cores_and_gib(10, 1), 10, 0}},
+                                     cores_and_gib(40, 400), cores_and_gib(10, 100));
+    cluster.add_many("a/x", one_core, 50);
+    cluster.add_many("b/x", one_core, 12);
+    cluster.decide();
+    EXPECT_EQ(cluster.running_in("b/x"), 12U);
+    EXPECT_EQ(cluster.running_in("a/x"), 8U);
+}
+
+struct limit_case
+{
+    const char* name;
+    row_limits limits;
+    std::size_t expected;
+};
+
+class row_limit_test : public testing::TestWithParam<limit_case>
+{
+};
+
+// Guards against limits of a row that do not hold.
+// Seeded fault that it catches: state::limits_admit() returns true.
+TEST_P(row_limit_test, holds)
+{
+    table_row row = make_row("a/x", workload::batch, 5);
+    row.limits = GetParam().limits;
+    cluster_fixture cluster({row});
+    cluster.add_workers(4, cores_and_gib(10, 100));
+    cluster.add_many("a/x", one_core, 30);
+    std::size_t started = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        started += cluster.decide().placements.size();
+        cluster.now += milliseconds(99);
+    }
+    EXPECT_EQ(started, GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    limits, row_limit_test,
+    testing::Values(limit_case{"cores", {cores_and_gib(7.5, 0), 0, 1000, 0}, 7},
+                    limit_case{"memory", {cores_and_gib(0, 5), 0, 1000, 0}, 5},
+                    limit_case{"tasks", {resources(), 3, 1000, 0}, 3},
+                    limit_case{"rate", {resources(), 0, 1000, 4}, 4},
+                    limit_case{"queue", {resources(), 0, 9, 0}, 9}),
+    [](const testing::TestParamInfo<limit_case>& entry) { return entry.param.name; });
+
+struct impossible_case
+{
+    const char* name;
+    resources size;
+    std::uint32_t gang_size;
+    bool workers_known;
+    bool refused;
+};
+
+class impossible_test : public testing::TestWithParam<impossible_case>
+{
+};
+
+// Guards against tasks that wait for ever, and against a refusal before any worker is
+// known.
+// Seeded fault that it catches: impossible_reason() returns "".
+TEST_P(impossible_test, is_refused_at_once)
+{
+    cluster_fixture cluster({make_row("a/x", workload::gang, 5)});
+    if (GetParam().workers_known)
+    {
+        cluster.add_workers(2, cores_and_gib(4, 8));
+        cluster.subject.set_remote_usage({}, cores_and_gib(16, 32), cores_and_gib(8, 8));
+    }
+    const std::optional<refusal> refused =
+        cluster.add(cluster.make("a/x", GetParam().size, GetParam().gang_size));
+    ASSERT_EQ(refused.has_value(), GetParam().refused);
+    if (!refused)
+        return;
+    EXPECT_FALSE(refused->reason.empty());
+    EXPECT_EQ(refused->retry_after, duration(0));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    sizes, impossible_test,
+    testing::Values(
+        impossible_case{"fits", cores_and_gib(4, 8), 0, true, false},
+        impossible_case{"fits_elsewhere", cores_and_gib(8, 8), 0, true, false},
+        impossible_case{"too_large", cores_and_gib(8.1, 8), 0, true, true},
+        impossible_case{"accelerator", cores_and_gib(1, 1, 1), 0, true, true},
+        impossible_case{"gang_fits", cores_and_gib(4, 8), 4, true, false},
+        impossible_case{"gang_too_large", cores_and_gib(4, 8), 5, true, true},
+        impossible_case{"negative", cores_and_gib(-1, 1), 0, true, true},
+        impossible_case{"nothing_known", cores_and_gib(99, 1), 0, false, false}),
+    [](const testing::TestParamInfo<impossible_case>& entry)
+    { return entry.param.name; });
+
+// Guards against requests that wait for a deadline they cannot meet, and against refusals
+// without a hint when to retry.
+// Seeded fault that it catches: drain_estimator::wait() returns zero.
+TEST(request_test, is_refused_when_its_deadline_cannot_be_met)
+{
+    cluster_fixture cluster({make_row("a/request", workload::request, 0)});
+    cluster.add_workers(1, cores_and_gib(2, 8));
+    std::optional<refusal> refused;
+    // Two tasks end every 100 ms, so 20 a second drain and 10 start within 0.5 s.
+    for (int step = 0; step < 40; ++step)
+    {
+        for (int i = 0; i < 6; ++i)
+        {
+            waiting_task task = cluster.make("a/request", one_core);
+            task.start_by = cluster.now + milliseconds(500);
+            const std::optional<refusal> result = cluster.add(task);
+            if (result)
+                refused = result;
+        }
+        const decisions round = cluster.decide();
+        EXPECT_LE(cluster.waiting.size(), 30U);
+        if (step > 20)
+        {
+            EXPECT_LE(cluster.waiting.size(), 13U);
+            EXPECT_TRUE(round.refusals.empty()) << "it was accepted too optimistically";
+        }
+        cluster.now += milliseconds(100);
+        while (!cluster.running.empty())
+            cluster.end(cluster.running.begin()->first);
+    }
+    ASSERT_TRUE(refused.has_value());
+    EXPECT_EQ(refused->code, error_code::deadline_exceeded);
+    EXPECT_GT(refused->retry_after, duration(0));
+}
+
+// Guards against a queued request that is kept after its deadline.
+// Seeded fault that it catches: set_deadline_timer() inserts nothing.
+TEST(request_test, is_refused_when_its_deadline_passes)
+{
+    cluster_fixture cluster({make_row("a/request", workload::request, 0)});
+    cluster.add_workers(1, one_core);
+    cluster.add_many("a/request", one_core, 1);
+    cluster.decide();
+    waiting_task task = cluster.make("a/request", one_core);
+    task.start_by = cluster.now + milliseconds(300);
+    cluster.add(task);
+    cluster.now += milliseconds(300);
+    EXPECT_TRUE(cluster.decide().refusals.empty());
+    cluster.now += milliseconds(1);
+    EXPECT_EQ(cluster.decide().refusals.size(), 1U);
+}
+
+// Guards against tasks of a deleted row that wait for ever.
+// Seeded fault that it catches: rows_removed stays false in set_table().
+TEST(table_test, tasks_of_a_removed_row_are_refused)
+{
+    cluster_fixture cluster(
+        {make_row("a/x", workload::batch, 5), make_row("a/gang", workload::gang, 5)});
+    cluster.add_workers(1, one_core);
+    cluster.add_many("a/x", one_core, 3);
+    cluster.add(cluster.make("a/gang", cores_and_gib(0.1, 0.1), 2));
+    cluster.decide();
+    cluster.set_rows({make_row("a/y", workload::batch, 5)});
+    EXPECT_EQ(cluster.decide().refusals.size(), 3U);
+    EXPECT_EQ(cluster.running.size(), 1U);
+}
+
+// Guards against spread tasks that gather in one failure domain or rack.
+// Seeded fault that it catches: placer::pick() ignores task.spread.
+TEST(placement_test, spreads_over_domains_and_racks)
+{
+    cluster_fixture cluster({make_row("a/service", workload::service, 3)});
+    cluster.add_workers(18, cores_and_gib(16, 64), 3, 3);
+    waiting_task task = cluster.make("a/service", one_core);
+    task.spread_domains = true;
+    for (std::uint32_t i = 0; i < 9; ++i)
+    {
+        task.id.index = i;
+        cluster.add(task);
+    }
+    cluster.decide();
+    std::map<int, int> domains;
+    for (const auto& [id, entry] : cluster.running)
+        ++domains[cluster.domain_of[entry.worker]];
+    EXPECT_EQ(domains, (std::map<int, int>{{0, 3}, {1, 3}, {2, 3}}));
+}
+
+// Guards against small tasks that break up every large block, and that take the workers
+// with accelerators.
+// Seeded fault that it catches: placer::score() returns 0 and sample() goes from the
+// emptiest buckets down.
+TEST(placement_test, keeps_large_blocks_and_accelerators)
+{
+    cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
+    cluster.add_workers(8, cores_and_gib(16, 64));
+    cluster.add_workers(2, cores_and_gib(16, 64, 4));
+    cluster.add_many("a/x", cores_and_gib(1, 4), 64);
+    cluster.decide();
+    cluster.add_many("a/x", cores_and_gib(16, 64), 4);
+    cluster.add_many("a/x", cores_and_gib(16, 64, 4), 2);
+    cluster.decide();
+    EXPECT_EQ(cluster.running.size(), 70U);
+}
+
+struct report_case
+{
+    double cores;
+    double bytes;
+};
+
+class implausible_report_test : public testing::TestWithParam<report_case>
+{
+};
+
+// Guards against reports that make a row's tasks unplaceable or free.
+// Seeded fault that it catches: the range check in report_usage() is left out.
+TEST_P(implausible_report_test, is_rejected_with_a_finding)
+{
+    cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
+    cluster.add_workers(1, cores_and_gib(100, 200));
+    cluster.add_many("a/x", one_core, 30);
+    cluster.decide();
+    for (const auto& [id, entry] : cluster.running)
+        EXPECT_TRUE(cluster.subject.report_usage(id, GetParam().cores, GetParam().bytes)
+                        .has_value());
+    cluster.add_many("a/x", one_core, 1);
+    EXPECT_EQ(cluster.decide().placements.at(0).reserved, one_core);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    values, implausible_report_test,
+    testing::Values(report_case{std::nan(""), 1}, report_case{1, std::nan("")},
+                    report_case{std::numeric_limits<double>::infinity(), 1},
+                    report_case{1, -std::numeric_limits<double>::infinity()},
+                    report_case{-0.1, 1}, report_case{1, -1}, report_case{1000, 1},
+                    report_case{1, 1e18}));
+
+// Guards against tasks that are admitted by a declared size far below the real one, and
+// against learned sizes that exceed every worker.
+// Seeded faults that it catches: reserved_size() returns the declared size; it does not
+// call shapes.cap().
+TEST(learned_size_test, reserves_what_tasks_use_but_no_more_than_a_worker)
+{
+    cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
+    cluster.add_workers(40, cores_and_gib(10, 100));
+    cluster.add_many("a/x", one_core, 40);
+    cluster.decide();
+    for (const auto& [id, entry] : cluster.running)
+        EXPECT_FALSE(cluster.subject.report_usage(id, 4, 1 << 30).has_value());
+    while (!cluster.running.empty())
+        cluster.end(cluster.running.begin()->first);
+    cluster.add_many("a/x", one_core, 1);
+    cluster.add_many("a/x", cores_and_gib(5, 5), 1);
+    const decisions round = cluster.decide();
+    ASSERT_EQ(round.placements.size(), 2U);
+    EXPECT_EQ(round.placements[0].reserved.processors, millicores(4000));
+    EXPECT_EQ(round.placements[1].reserved.processors, millicores(10000));
+}
+
+// Guards against a failed start that loses the task or retries without limit.
+// Seeded fault that it catches: placement_failed() does not count the failures.
+TEST(retry_test, failed_starts_back_off_and_end)
+{
+    cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
+    cluster.add_workers(1, one_core);
+    cluster.add_many("a/x", one_core, 1);
+    int starts = 0;
+    std::size_t refusals = 0;
+    for (int i = 0; i < 200; ++i)
+    {
+        const decisions round = cluster.decide();
+        refusals += round.refusals.size();
+        for (const placement& entry : round.placements)
+        {
+            ++starts;
+            cluster.waiting[entry.task] = cluster.running[entry.task].task;
+            cluster.running.erase(entry.task);
+            cluster.used.clear();
+            cluster.subject.placement_failed(entry.task, cluster.now);
+        }
+        cluster.now += milliseconds(50);
+    }
+    EXPECT_EQ(starts, 8);
+    EXPECT_EQ(refusals, 1U);
+}
+
+// Guards against an explanation without the reason and figures.
+// Seeded fault that it catches: explain() returns the same sentence for every task.
+TEST(explain_test, names_the_reason)
+{
+    table_row limited = make_row("a/x", workload::batch, 5);
+    limited.limits.tasks_running = 1;
+    cluster_fixture cluster({limited, make_row("a/gang", workload::gang, 5),
+                             make_row("b/x", workload::batch, 5)});
+    const waiting_task first = cluster.make("a/x", one_core);
+    cluster.add(first);
+    EXPECT_NE(cluster.subject.explain(first.id, cluster.now).find("no worker is known"),
+              std::string::npos);
+    cluster.add_workers(1, cores_and_gib(2, 8));
+    cluster.decide();
+    EXPECT_EQ(cluster.subject.explain(first.id, cluster.now), "");
+    const waiting_task limited_task = cluster.make("a/x", one_core);
+    const waiting_task member = cluster.make("a/gang", one_core, 2);
+    ++cluster.next_job;
+    const waiting_task large = cluster.make("b/x", cores_and_gib(2, 8));
+    for (const waiting_task& task : {limited_task, member, large})
+        EXPECT_FALSE(cluster.add(task).has_value());
+    cluster.decide();
+    const auto explains = [&](const waiting_task& task, const char* text)
+    {
+        const std::string reason = cluster.subject.explain(task.id, cluster.now);
+        EXPECT_NE(reason.find(text), std::string::npos) << reason;
+    };
+    explains(limited_task, "is at its limit");
+    explains(member, "1 of the 2 tasks");
+    explains(large, "no worker has 2.000 cores");
 }
 
 } // namespace
