Bound the work of a round in which every row has a backlog

Change: sizes that found no worker are remembered for the round, the lookahead is bounded for all rows together, plans of preemption have a rate, look at fewer workers and only at the newest tasks of each, and pause per row after one without result.

--- a/benchmarks/policy/decide_benchmark.cpp
+++ b/benchmarks/policy/decide_benchmark.cpp
@@ -79,11 +79,23 @@
     std::size_t decide(std::size_t most)
     {
         const decisions round = subject_.decide(now_, most);
+        preempted_.insert(preempted_.end(), round.preemptions.begin(),
+                          round.preemptions.end());
         for (const placement& entry : round.placements)
             running_.push_back(entry.task);
         return round.placements.size();
     }
     void advance() { now_ += step; }
+    /// Ends the tasks that the last rounds checkpoint, as workers do.
+    void obey_preemptions()
+    {
+        for (const preemption& entry : preempted_)
+        {
+            if (entry.action != preemption_action::throttle)
+                subject_.task_ended(entry.task, ending::preempted, now_);
+        }
+        preempted_.clear();
+    }
 
     scheduler& subject() { return subject_; }
     boot_time now() const { return now_; }
@@ -126,7 +138,8 @@
     random_source random_;
     std::size_t tasks_;
     std::vector<row_id> rows_;
-    std::vector<task_id> running_;
+    std::vector<task_id> running_; ///< May hold preempted tasks; their end is ignored.
+    std::vector<preemption> preempted_;
     boot_time now_{std::chrono::seconds(1000)};
     std::uint64_t next_job_ = 0;
     std::size_t worker_bytes_ = 0;
@@ -190,6 +203,7 @@
     std::int64_t starts = 0;
     for (auto _ : state)
     {
+        cluster.obey_preemptions();
         for (int i = 0; i < 16; ++i)
         {
             cluster.end_one();
--- a/lib/policy/holds.cpp
+++ b/lib/policy/holds.cpp
@@ -14,8 +14,11 @@
 
 /// Reservations without preemption that exist at once; each keeps capacity idle.
 constexpr std::size_t most_reservations = 4;
-/// Units that one round plans preemption for; it bounds the time of the round.
-constexpr std::uint32_t most_preemption_plans = 16;
+/// Plans of preemption a second, at about 40 us each, and at once after a pause.
+constexpr double plans_per_second = 4000;
+constexpr double most_plans_at_once = 32;
+/// Pause of a row's planning after one without result.
+constexpr duration no_victims_pause = std::chrono::milliseconds(50);
 /// Enough for throttle, checkpoint and stop.
 constexpr duration least_preempting_hold = std::chrono::seconds(8);
 constexpr unsigned most_doublings = 9;
@@ -45,17 +48,13 @@
     resources member_size;
     for (const index member : unit)
         member_size = component_max(member_size, all_.reserved_size(all_.tasks[member]));
-    if (preemption_plans_ < most_preemption_plans)
+    const std::vector<slot_plan> victims =
+        plan_preemption(leader, member_size, unit.size(), now);
+    if (!victims.empty())
     {
-        ++preemption_plans_;
-        const std::vector<slot_plan> slots =
-            victims_.make_room(leader, member_size, unit.size(), now);
-        if (!slots.empty())
-        {
-            create(leader, member_size, slots, true, now);
-            victims_.assign(slots, task.hold);
-            return true;
-        }
+        create(leader, member_size, victims, true, now);
+        victims_.assign(victims, task.hold);
+        return true;
     }
     // A gang reserves at once; a single task only after it was passed over for a while.
     if (unit.size() == 1 && now - task.blocked_since < all_.settings.gang_hold_limit)
@@ -69,6 +68,30 @@
     return true;
 }
 
+std::vector<slot_plan> hold_keeper::plan_preemption(index leader,
+                                                    const resources& member_size,
+                                                    std::size_t members, boot_time now)
+{
+    row_record& row = all_.rows[all_.tasks[leader].row];
+    if (now < row.no_victims_until)
+        return {};
+    if (now > all_.plan_tokens_at)
+    {
+        const std::chrono::duration<double> elapsed = now - all_.plan_tokens_at;
+        all_.plan_tokens_at = now;
+        all_.plan_tokens = std::min(
+            most_plans_at_once, all_.plan_tokens + plans_per_second * elapsed.count());
+    }
+    if (all_.plan_tokens < 1)
+        return {};
+    all_.plan_tokens -= 1;
+    const std::vector<slot_plan> slots =
+        victims_.make_room(leader, member_size, members, now);
+    if (slots.empty())
+        row.no_victims_until = now + no_victims_pause;
+    return slots;
+}
+
 std::vector<slot_plan> hold_keeper::plan_reservation(const resources& member_size,
                                                      std::size_t members, boot_time now)
 {
--- a/lib/policy/holds.hpp
+++ b/lib/policy/holds.hpp
@@ -38,11 +38,12 @@
     void create(index leader, const resources& member_size,
                 const std::vector<slot_plan>& slots, bool preempts, boot_time now);
     bool try_start(index hold, boot_time now, std::vector<placement>& out);
+    std::vector<slot_plan> plan_preemption(index leader, const resources& member_size,
+                                           std::size_t members, boot_time now);
     duration time_limit(const task_record& leader) const;
 
     state& all_;
     preemptor& victims_;
-    std::uint32_t preemption_plans_ = 0;
 };
 
 } // namespace hawthornbeam::policy
--- a/lib/policy/placement.cpp
+++ b/lib/policy/placement.cpp
@@ -157,7 +157,10 @@
 bool placer::place(index leader, boot_time now, std::vector<assignment>& chosen)
 {
     chosen.clear();
-    const std::vector<index> unit = all_.members(leader);
+    const index gang = all_.tasks[leader].gang;
+    const std::span<const index> unit =
+        gang == none ? std::span<const index>(&leader, 1)
+                     : std::span<const index>(all_.gangs[gang].members);
     resources sum;
     for (const index member : unit)
     {
@@ -168,7 +171,9 @@
     if (!sum.fits_in(all_.own_capacity - all_.own_used))
         return false;
     spread_record spread;
-    spread.domains.resize(all_.domains.size());
+    const bool spreads = all_.tasks[leader].spread;
+    if (spreads)
+        spread.domains.resize(all_.domains.size());
     for (const index member : unit)
     {
         const assignment entry = pick(member, now, spread);
@@ -180,8 +185,11 @@
             return false;
         }
         all_.charge(entry.worker, all_.tasks[member].reserved);
-        ++spread.domains[all_.workers[entry.worker].domain];
-        ++spread.racks[all_.workers[entry.worker].rack];
+        if (spreads)
+        {
+            ++spread.domains[all_.workers[entry.worker].domain];
+            ++spread.racks[all_.workers[entry.worker].rack];
+        }
         chosen.push_back(entry);
     }
     return true;
--- a/lib/policy/preemption.cpp
+++ b/lib/policy/preemption.cpp
@@ -18,9 +18,10 @@
 constexpr duration checkpoint_time = std::chrono::seconds(1);
 constexpr duration stop_repeat_time = std::chrono::seconds(2);
 /// Workers looked at for one member, and tasks looked at per row to find them.
-constexpr std::size_t least_workers = 24;
+constexpr std::size_t least_workers = 12;
 constexpr std::size_t workers_per_member = 4;
 constexpr std::size_t most_workers = 512;
+constexpr std::size_t most_tasks = 128;
 
 } // namespace
 
@@ -51,9 +52,12 @@
 {
     std::vector<index> found;
     absl::flat_hash_set<index> seen;
+    const bool under = all_.under_guarantee(row);
     for (const index position : all_.rows_by_class)
     {
         const row_record& victim = all_.rows[position];
+        if (!under && victim.settings.priority <= row.settings.priority)
+            break;
         for (const bool idempotent : {true, false})
         {
             index task = victim.running_lists[idempotent ? 1 : 0].tail;
@@ -83,8 +87,10 @@
 {
     const worker_record& worker = all_.workers[position];
     std::vector<index> victims;
-    for (index task = worker.running.head; task != none;
-         task = all_.tasks[task].worker_next)
+    std::size_t looked_at = 0;
+    // The newest tasks are the cheapest, so they are enough on a crowded worker.
+    for (index task = worker.running.tail; task != none && ++looked_at <= most_tasks;
+         task = all_.tasks[task].worker_previous)
     {
         if (may_preempt(row, task))
             victims.push_back(task);
--- a/lib/policy/records.hpp
+++ b/lib/policy/records.hpp
@@ -230,6 +230,8 @@
     drain_estimator drain;
     start_rate rate;
     learned_size learned;
+    /// Preemption for this row found too few victims; it is not planned again earlier.
+    boot_time no_victims_until{};
     bool in_table = false;
 };
 
--- a/lib/policy/round.cpp
+++ b/lib/policy/round.cpp
@@ -14,6 +14,10 @@
 /// Units tried behind one that finds no room, so that a large task at the head of a row
 /// does not idle the workers that smaller ones fit on.
 constexpr std::uint32_t lookahead = 8;
+/// The same for all rows together; it bounds a round in which every row has a backlog.
+constexpr std::size_t round_lookahead = 256;
+/// Sizes remembered as not fitting.
+constexpr std::size_t most_no_fit = 16;
 /// Requests at the tail of one row that one round checks for lateness.
 constexpr std::size_t late_checks = 64;
 /// The estimate must exceed the remaining time by this factor before a queued request is
@@ -229,18 +233,32 @@
 {
     task_record& task = all_.tasks[leader];
     row_record& row = all_.rows[task.row];
-    const std::vector<index> unit = all_.members(leader);
-    if (unit.size() >= large_gang && now_ < task.due)
+    const std::uint32_t count =
+        task.gang == none
+            ? 1
+            : static_cast<std::uint32_t>(all_.gangs[task.gang].members.size());
+    if (count >= large_gang && now_ < task.due)
         return false;
-    resources largest;
-    for (const index member : unit)
-        largest = component_max(largest, all_.reserved_size(all_.tasks[member]));
-    const std::uint32_t count = static_cast<std::uint32_t>(unit.size());
+    resources largest = all_.reserved_size(task);
+    if (task.gang != none)
+    {
+        for (const index member : all_.gangs[task.gang].members)
+            largest = component_max(largest, all_.reserved_size(all_.tasks[member]));
+    }
     if (!all_.limits_admit(row, largest, count, now_))
         return false;
-    bool placed = placer_.place(leader, now_, chosen_);
+    bool placed = false;
+    if (!known_not_to_fit(task, largest))
+    {
+        placed = placer_.place(leader, now_, chosen_);
+        if (!placed && count == 1 && no_fit_.size() < most_no_fit)
+            no_fit_.push_back(largest);
+    }
     while (!placed && holds_.break_weaker(leader, now_))
+    {
+        no_fit_.clear();
         placed = placer_.place(leader, now_, chosen_);
+    }
     if (!placed)
     {
         block(leader);
@@ -254,6 +272,16 @@
     return true;
 }
 
+bool decision_round::known_not_to_fit(const task_record& leader,
+                                      const resources& size) const
+{
+    // Backfilled tasks may also use held capacity.
+    if (leader.run_time > duration(0) && !all_.backfill_holds.empty())
+        return false;
+    return std::any_of(no_fit_.begin(), no_fit_.end(),
+                       [&](const resources& failed) { return failed.fits_in(size); });
+}
+
 void decision_round::block(index leader)
 {
     task_record& task = all_.tasks[leader];
@@ -267,6 +295,7 @@
 void decision_round::start_units()
 {
     row_order order(all_);
+    lookahead_left_ = round_lookahead;
     while (out_.placements.size() < most_)
     {
         open_row* open = order.next();
@@ -287,8 +316,10 @@
             order.update(open);
         else if (refuse_hopeless(leader))
             continue;
-        else if (++open->failures >= lookahead)
+        else if (++open->failures >= lookahead || lookahead_left_ == 0)
             order.close(open);
+        else
+            --lookahead_left_;
     }
 }
 
--- a/lib/policy/round.hpp
+++ b/lib/policy/round.hpp
@@ -33,6 +33,8 @@
                      duration retry_after);
     void start_units();
     bool start_unit(index leader);
+    /// Whether a task or member of this size found no worker in this round already.
+    bool known_not_to_fit(const task_record& leader, const resources& size) const;
     void block(index leader);
     bool refuse_hopeless(index leader);
 
@@ -44,6 +46,9 @@
     preemptor victims_;
     hold_keeper holds_;
     std::vector<assignment> chosen_;
+    /// Sizes that found no worker in this round; free capacity only shrinks within it.
+    std::vector<resources> no_fit_;
+    std::size_t lookahead_left_ = 0;
 };
 
 /// Whether a task or gang of these sizes can never start; the reason or an empty string.
--- a/lib/policy/state.hpp
+++ b/lib/policy/state.hpp
@@ -101,6 +101,8 @@
     std::size_t running = 0;
     std::uint32_t next_hold_serial = 1;
     bool rows_removed = false;
+    double plan_tokens = 0; ///< Preemption plans that may be made now.
+    boot_time plan_tokens_at{};
     boot_time last_now{}; ///< Of the last round or enqueue; for calls without a time.
 
     // Rows and capacity.
