Order rows in a heap and bound plans of reservations

Cause: profiles of the saturated case showed 42% of the time in comparing all open rows for each unit; with thousands of tasks per worker, plans of reservations took tens of ms. The share of an idle row went to other partners, because partners were weighed by their rows with demand only. Change: a heap whose entries are brought up to date at its top; plans look at 64 tasks of 128 workers and pause; partners weigh the sum of all their rows of a class.

--- a/lib/policy/fairness.cpp
+++ b/lib/policy/fairness.cpp
@@ -2,6 +2,8 @@
 /// Implements the order of rows.
 #include "fairness.hpp"
 
+#include <algorithm>
+
 namespace hawthornbeam::policy
 {
 
@@ -15,19 +17,20 @@
 row_order::row_order(state& all)
     : all_(all), total_(all.total()), partner_keys_(all.partners.size() * classes)
 {
-    for (partner_record& partner : all.partners)
-        partner.weight.fill(0);
     for (index i = 0; i < all.rows.size(); ++i)
     {
         const row_record& row = all.rows[i];
         if (row.queue.head == none || !row.in_table)
             continue;
-        all.partners[row.partner].weight[row.settings.priority.value()] +=
-            row.settings.weight;
-        open_.push_back({i, row.queue.head, 0, false, row.settings.priority.value(), 0});
+        open_row& open = open_.emplace_back();
+        open.row = i;
+        open.cursor = row.queue.head;
+        open.urgency_class = row.settings.priority.value();
+        open.partner = row.partner;
     }
-    for (open_row& row : open_)
-        update(&row);
+    for (open_row& open : open_)
+        compute(open);
+    std::make_heap(open_.begin(), open_.end(), after);
 }
 
 double& row_order::partner_key(index partner, std::uint8_t urgency_class)
@@ -35,55 +38,63 @@
     return partner_keys_[partner * classes + urgency_class];
 }
 
-void row_order::update_partner(index position, std::uint8_t urgency_class)
-{
-    const partner_record& partner = all_.partners[position];
-    partner_key(position, urgency_class) =
-        dominant_share(partner.usage[urgency_class], total_) /
-        partner.weight[urgency_class];
-}
-
-void row_order::update(open_row* open)
+void row_order::compute(open_row& open)
 {
-    const row_record& row = all_.rows[open->row];
+    const row_record& row = all_.rows[open.row];
+    const partner_record& partner = all_.partners[open.partner];
     const double share = dominant_share(row.running + row.remote, total_);
-    open->under_guarantee = share < row.settings.guaranteed;
-    open->key =
-        share / (open->under_guarantee ? row.settings.guaranteed : row.settings.weight);
-    update_partner(row.partner, open->urgency_class);
+    open.under_guarantee = share < row.settings.guaranteed;
+    open.key =
+        share / (open.under_guarantee ? row.settings.guaranteed : row.settings.weight);
+    open.partner_key = dominant_share(partner.usage[open.urgency_class], total_) /
+                       partner.weight[open.urgency_class];
+    partner_key(open.partner, open.urgency_class) = open.partner_key;
 }
 
-bool row_order::before(const open_row& a, const open_row& b)
+bool row_order::after(const open_row& b, const open_row& a)
 {
     if (a.under_guarantee != b.under_guarantee)
         return a.under_guarantee;
-    if (a.under_guarantee)
-        return a.key != b.key ? a.key < b.key : a.urgency_class < b.urgency_class;
+    if (a.under_guarantee && a.key != b.key)
+        return a.key < b.key;
     if (a.urgency_class != b.urgency_class)
         return a.urgency_class < b.urgency_class;
-    const index partner_a = all_.rows[a.row].partner;
-    const index partner_b = all_.rows[b.row].partner;
-    if (partner_a == partner_b)
-        return a.key < b.key;
-    const double key_a = partner_key(partner_a, a.urgency_class);
-    const double key_b = partner_key(partner_b, b.urgency_class);
-    return key_a != key_b ? key_a < key_b : partner_a < partner_b;
+    if (a.partner_key != b.partner_key)
+        return a.partner_key < b.partner_key;
+    if (a.partner != b.partner)
+        return a.partner < b.partner;
+    return a.key != b.key ? a.key < b.key : a.row < b.row;
+}
+
+void row_order::sink_top()
+{
+    std::pop_heap(open_.begin(), open_.end(), after);
+    std::push_heap(open_.begin(), open_.end(), after);
+}
+
+void row_order::update()
+{
+    compute(open_.front());
+    sink_top();
 }
 
 open_row* row_order::next()
 {
-    open_row* best = nullptr;
-    for (open_row& row : open_)
+    while (!open_.empty())
     {
-        if (best == nullptr || before(row, *best))
-            best = &row;
+        open_row& top = open_.front();
+        const double current = partner_key(top.partner, top.urgency_class);
+        if (top.partner_key == current)
+            return &top;
+        top.partner_key = current;
+        sink_top();
     }
-    return best;
+    return nullptr;
 }
 
-void row_order::close(open_row* row)
+void row_order::close()
 {
-    *row = open_.back();
+    std::pop_heap(open_.begin(), open_.end(), after);
     open_.pop_back();
 }
 
--- a/lib/policy/fairness.hpp
+++ b/lib/policy/fairness.hpp
@@ -16,13 +16,16 @@
     std::uint32_t failures = 0;
     bool under_guarantee = false;
     std::uint8_t urgency_class = 0;
-    double key = 0; ///< Share by guarantee when under it, else by weight.
+    double key = 0;         ///< Share by guarantee when under it, else by weight.
+    double partner_key = 0; ///< Weighted share of the partner when last looked at.
+    index partner = none;
 };
 
 /// Rows under their guarantee come first, the one with the smallest part of it first.
 /// Then urgency classes are strict. Within a class the partner with the smallest weighted
 /// dominant share of that class comes first, and within the partner its row with the
-/// smallest weighted dominant share.
+/// smallest weighted dominant share. Usage only grows within a round, so a heap whose
+/// entries are brought up to date when they reach its top gives the right order.
 class row_order
 {
 public:
@@ -30,14 +33,18 @@
 
     /// The row to serve next, or nullptr when none is left.
     open_row* next();
-    void close(open_row* row);
-    /// To be called when the usage of \p row has changed.
-    void update(open_row* row);
+    /// Leaves out the row that next() returned.
+    void close();
+    /// To be called when the usage of the row that next() returned has grown.
+    void update();
 
 private:
     double& partner_key(index partner, std::uint8_t urgency_class);
-    void update_partner(index partner, std::uint8_t urgency_class);
-    bool before(const open_row& a, const open_row& b);
+    /// Computes the keys of \p open.
+    void compute(open_row& open);
+    static bool after(const open_row& a, const open_row& b);
+    /// Moves the top to its place after its keys have grown.
+    void sink_top();
 
     state& all_;
     resources total_;
--- a/lib/policy/holds.cpp
+++ b/lib/policy/holds.cpp
@@ -25,7 +25,11 @@
 /// A running task without a declared run time counts as this far from its end.
 constexpr duration unknown_run_time = std::chrono::hours(24);
 /// All workers are looked at up to this number, above it a sample.
-constexpr std::size_t small_cluster = 512;
+constexpr std::size_t small_cluster = 128;
+/// Tasks of one worker that a reservation looks at, the longest running first.
+constexpr std::size_t most_tasks = 64;
+/// Pause between plans of reservations.
+constexpr duration reservation_pause = std::chrono::milliseconds(50);
 constexpr std::size_t samples_per_member = 4;
 constexpr std::size_t most_samples = 4096;
 
@@ -59,8 +63,9 @@
     // A gang reserves at once; a single task only after it was passed over for a while.
     if (unit.size() == 1 && now - task.blocked_since < all_.settings.gang_hold_limit)
         return false;
-    if (all_.backfill_holds.size() >= most_reservations)
+    if (all_.backfill_holds.size() >= most_reservations || now < all_.reservation_due)
         return false;
+    all_.reservation_due = now + reservation_pause;
     const std::vector<slot_plan> slots = plan_reservation(member_size, unit.size(), now);
     if (slots.empty())
         return false;
@@ -125,7 +130,7 @@
         !member_size.fits_in(worker.info.capacity))
         return;
     std::vector<std::pair<boot_time, index>> ends;
-    for (index task = worker.running.head; task != none;
+    for (index task = worker.running.head; task != none && ends.size() < most_tasks;
          task = all_.tasks[task].worker_next)
     {
         const task_record& record = all_.tasks[task];
--- a/lib/policy/placement_index.cpp
+++ b/lib/policy/placement_index.cpp
@@ -74,6 +74,7 @@
                        static_cast<std::uint32_t>(entries.size())};
     entries.push_back({worker, free});
     masks_[at.accelerators][at.processors] |= 1ULL << at.memory;
+    processor_masks_[at.accelerators] |= 1U << at.processors;
     ++size_;
 }
 
@@ -92,8 +93,10 @@
         return;
     const std::size_t memory = old.bucket % memory_levels;
     const std::size_t processors = old.bucket / memory_levels % processor_levels;
-    masks_[old.bucket / memory_levels / processor_levels][processors] &=
-        ~(1ULL << memory);
+    const std::size_t accelerators = old.bucket / memory_levels / processor_levels;
+    masks_[accelerators][processors] &= ~(1ULL << memory);
+    if (masks_[accelerators][processors] == 0)
+        processor_masks_[accelerators] &= ~(1U << processors);
 }
 
 void placement_index::collect(const cell& at, const resources& size, bool exact,
@@ -122,8 +125,11 @@
     std::size_t tries = 0;
     for (unsigned a = need.accelerators; a < accelerator_levels; ++a)
     {
-        for (unsigned p = need.processors; p < processor_levels; ++p)
+        std::uint32_t processors = processor_masks_[a] & (~0U << need.processors);
+        while (processors != 0)
         {
+            const unsigned p = static_cast<unsigned>(std::countr_zero(processors));
+            processors &= processors - 1;
             std::uint64_t mask = masks_[a][p] & (~0ULL << need.memory);
             while (mask != 0)
             {
--- a/lib/policy/placement_index.hpp
+++ b/lib/policy/placement_index.hpp
@@ -60,6 +60,8 @@
     std::vector<std::uint16_t> positions_;
     std::vector<std::vector<entry>> buckets_;
     std::array<std::array<std::uint64_t, processor_levels>, accelerator_levels> masks_{};
+    /// Bit per processor level with a non-zero mask.
+    std::array<std::uint32_t, accelerator_levels> processor_masks_{};
     std::vector<place> places_; ///< By worker.
     std::size_t size_ = 0;
 };
--- a/lib/policy/records.hpp
+++ b/lib/policy/records.hpp
@@ -239,6 +239,8 @@
 {
     partner_id id;
     std::array<resources, least_urgent.value() + 1> usage; ///< By urgency class.
+    /// Of its rows, with and without demand: the share of an idle row goes to the other
+    /// rows of its partner first.
     std::array<double, least_urgent.value() + 1> weight{};
 };
 
--- a/lib/policy/round.cpp
+++ b/lib/policy/round.cpp
@@ -304,7 +304,7 @@
         const index leader = open->cursor;
         if (leader == none)
         {
-            order.close(open);
+            order.close();
             continue;
         }
         open->cursor = all_.tasks[leader].next;
@@ -313,11 +313,11 @@
         if (!out_.placements.empty() && out_.placements.size() + unit > most_)
             return;
         if (start_unit(leader))
-            order.update(open);
+            order.update();
         else if (refuse_hopeless(leader))
             continue;
         else if (++open->failures >= lookahead || lookahead_left_ == 0)
-            order.close(open);
+            order.close();
         else
             --lookahead_left_;
     }
--- a/lib/policy/state.cpp
+++ b/lib/policy/state.cpp
@@ -36,10 +36,17 @@
 void state::recount_partners()
 {
     for (partner_record& partner : partners)
+    {
         partner.usage.fill(resources());
+        partner.weight.fill(0);
+    }
     for (const row_record& row : rows)
-        partners[row.partner].usage[row.settings.priority.value()] +=
-            row.running + row.remote;
+    {
+        partner_record& partner = partners[row.partner];
+        const std::uint8_t urgency_class = row.settings.priority.value();
+        partner.usage[urgency_class] += row.running + row.remote;
+        partner.weight[urgency_class] += row.in_table ? row.settings.weight : 0.0;
+    }
     std::stable_sort(rows_by_class.begin(), rows_by_class.end(),
                      [&](index a, index b)
                      { return rows[a].settings.priority > rows[b].settings.priority; });
--- a/lib/policy/state.hpp
+++ b/lib/policy/state.hpp
@@ -103,6 +103,7 @@
     bool rows_removed = false;
     double plan_tokens = 0; ///< Preemption plans that may be made now.
     boot_time plan_tokens_at{};
+    boot_time reservation_due{}; ///< No reservation is planned earlier.
     boot_time last_now{}; ///< Of the last round or enqueue; for calls without a time.
 
     // Rows and capacity.
