--- a/lib/policy/records.hpp
+++ b/lib/policy/records.hpp
@@ -224,6 +224,9 @@
     resources releasing; ///< Of running tasks that are being preempted.
     resources claimed;   ///< Held by preempting holds of this row.
     std::uint32_t releasing_tasks = 0;
+    /// Preempted tasks that may come back with a new attempt beyond the queue's bound:
+    /// they were accepted once. At most as many as the bound itself.
+    std::uint32_t returning = 0;
     std::uint32_t down = 0; ///< Tasks preempted and not started again.
     boot_time down_until{}; ///< Then they are taken for given up by their caller.
     std::array<list_ends, 2> running_lists; ///< Non-idempotent, idempotent; by start.
--- a/lib/policy/scheduler.cpp
+++ b/lib/policy/scheduler.cpp
@@ -204,7 +204,8 @@
                        {}};
     const bool joins = task.gang_size > 1 && all.gang_positions.contains(task.id.job);
     // A gang takes the places of all its members with the first one.
-    if (!joins && row.waiting + row.gang_gaps + gang_size > limit)
+    const bool returns = task.id.attempt > 0 && task.gang_size <= 1 && row.returning > 0;
+    if (!joins && !returns && row.waiting + row.gang_gaps + gang_size > limit)
         return refusal{
             task.id, error_code::limit_exceeded,
             fmt::format("the queue of row {} is full with {} tasks",
@@ -296,9 +297,15 @@
     ++all.waiting;
     all.set_deadline_timer(position, true);
     if (task.gang_size > 1)
+    {
         implementation_->join_gang(position, now);
-    else
-        all.queue_unit(position, false);
+        return std::nullopt;
+    }
+    // A preempted task goes on before new ones start.
+    const bool returns = task.id.attempt > 0 && row.returning > 0;
+    if (returns)
+        --row.returning;
+    all.queue_unit(position, returns);
     return std::nullopt;
 }
 
@@ -379,7 +386,10 @@
 {
     if (row.down > 0 && now >= row.down_until)
         row.down = 0;
-    if (!preempted || row.settings.kind != workload::service)
+    if (!preempted)
+        return;
+    row.returning = std::min(row.returning + 1, row.settings.limits.queue_length);
+    if (row.settings.kind != workload::service)
         return;
     ++row.down;
     row.down_until = now + down_time;
--- a/unittests/policy/contention_test.cpp
+++ b/unittests/policy/contention_test.cpp
@@ -55,6 +55,26 @@
     EXPECT_EQ(cluster.running_in("b/batch"), 3U);
 }
 
+// Guards against a preempted task that is refused, and so lost, because a flood has
+// filled the queue of its row meanwhile. Seeded fault that it catches: task_ended() does
+// not count the returning task.
+TEST(preemption_test, a_preempted_task_returns_to_a_full_queue)
+{
+    table_row batch = make_row("b/batch", workload::batch, 9);
+    batch.limits.queue_length = 2;
+    cluster_fixture cluster({batch});
+    cluster.add_workers(1, one_core);
+    cluster.add_many("b/batch", one_core, 1);
+    cluster.decide();
+    waiting_task task = cluster.running.begin()->second.task;
+    cluster.end(task.id, ending::preempted);
+    cluster.add_many("b/batch", one_core, 2);
+    ++task.id.attempt;
+    EXPECT_FALSE(cluster.add(task).has_value());
+    EXPECT_TRUE(cluster.add(cluster.make("b/batch", one_core)).has_value());
+    EXPECT_EQ(cluster.decide().placements.at(0).task, task.id);
+}
+
 struct protected_case
 {
     const char* name;
