Test several instances in one process

Cause: the way from a caller to a worker and back had no deterministic test. Change: unittests/instance/cell runs instances over the in-memory network and the in-process stand-ins on a manual loop; tests cover synchronous requests, repeats, batches, gangs, cancellation, refusals, table changes and leaving workers.

--- a/lib/api/exchange.hpp
+++ b/lib/api/exchange.hpp
@@ -12,7 +12,8 @@
 #include <string>
 #include <vector>
 
-typedef struct _SoupServerMessage SoupServerMessage; // NOLINT(bugprone-reserved-identifier)
+typedef struct _SoupServerMessage
+    SoupServerMessage; // NOLINT(bugprone-reserved-identifier)
 
 namespace hawthornbeam
 {
--- /dev/null
+++ b/unittests/instance/cell.cpp
@@ -0,0 +1,386 @@
+/// \file
+/// Implements the in-process cell.
+#include "unittests/instance/cell.hpp"
+
+#include <fmt/format.h>
+#include <set>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration step_length = milliseconds(10);
+
+gossip_address gossip_of(std::size_t index)
+{
+    return gossip_address(fmt::format("10.0.0.{}:1", index + 1));
+}
+
+wire::peer_address peer_of(std::size_t index)
+{
+    return wire::peer_address(fmt::format("10.0.0.{}:2", index + 1));
+}
+
+table_row make_row(const char* name, workload kind, std::uint8_t priority)
+{
+    table_row row;
+    row.id = row_id(name);
+    row.kind = kind;
+    row.priority = urgency(priority);
+    row.limits.queue_length = 10000;
+    return row;
+}
+
+} // namespace
+
+cell::cell(cell_options settings)
+    : options_(settings), network_(loop_, settings.seed),
+      store_(std::make_shared<standins::fake_kv_store>()), workers_(loop_),
+      hosts_(loop_, milliseconds(500))
+{
+    nodes_.resize(options_.instances);
+    add_workers();
+}
+
+cell::~cell()
+{
+    for (std::size_t index = 0; index < nodes_.size(); ++index)
+        if (nodes_[index])
+            kill(index);
+}
+
+instance_id cell::name(std::size_t index)
+{
+    return instance_id(fmt::format("entry-{}", index + 1));
+}
+
+worker_address cell::address(std::size_t worker)
+{
+    return worker_address(fmt::format("10.1.0.{}:1", worker + 1));
+}
+
+void cell::add_workers()
+{
+    for (std::size_t index = 0; index < options_.workers; ++index)
+    {
+        host_entry host;
+        host.id = worker_id(fmt::format("worker-{}", index + 1));
+        host.address = address(index);
+        const std::size_t rack = index / options_.workers_per_rack;
+        host.rack = rack_id(fmt::format("rack-{}", rack + 1));
+        host.failure_domain = failure_domain_id(
+            fmt::format("domain-{}", rack % options_.failure_domains + 1));
+        host.capacity = options_.worker_capacity;
+        standins::worker_options worker;
+        worker.id = host.id;
+        worker.capacity = host.capacity;
+        workers_.add(host.address, worker);
+        hosts_.state().set(host);
+    }
+    hosts_.state().show_all();
+}
+
+void cell::start_instance(std::size_t index)
+{
+    nodes_[index] = std::make_unique<node>();
+    node& fresh = *nodes_[index];
+    const instance_id id = name(index);
+    standins::pausable_loop& loop = network_.loop_of(id);
+    ++lives_;
+    fresh.log = std::make_unique<logger>(loop.clock(), id.value(), log_level::warning,
+                                         [this](const std::string& line)
+                                         { warnings_.push_back(line); });
+    fresh.kv = std::make_unique<standins::fake_kv_service>(loop, store_);
+    fresh.workers = std::make_unique<standins::bound_worker_gateway>(workers_, loop);
+    fresh.hosts = std::make_unique<standins::bound_host_list>(hosts_, loop);
+    fresh.channel = network_.make_channel(id, gossip_of(index));
+    fresh.peers = network_.make_peers(id, peer_of(index));
+
+    membership::options member_options;
+    member_options.self.id = id;
+    member_options.self.gossip = gossip_of(index);
+    member_options.self.peer = peer_of(index);
+    member_options.self.failure_domain =
+        failure_domain_id(fmt::format("domain-{}", index % options_.failure_domains + 1));
+    member_options.self.life = incarnation(
+        static_cast<std::uint64_t>(loop.clock().wall_now().time_since_epoch().count()));
+    member_options.seeds = {gossip_of(0), gossip_of(1)};
+    member_options.seed = options_.seed * 1000 + lives_;
+    fresh.members =
+        std::make_unique<membership>(loop, *fresh.channel, *fresh.log, member_options);
+
+    table_store::options table_options;
+    table_options.self = id;
+    table_options.seed = member_options.seed;
+    fresh.table =
+        std::make_unique<table_store>(*fresh.kv, loop, *fresh.log, table_options);
+
+    instance_options options;
+    options.self = id;
+    options.failure_domain = member_options.self.failure_domain;
+    options.seed = member_options.seed;
+    result<std::unique_ptr<instance>> made = instance::create(
+        instance_parts{loop, *fresh.log, fresh.metrics, *fresh.kv, *fresh.workers,
+                       *fresh.hosts, *fresh.peers, *fresh.members, *fresh.table},
+        options);
+    assert(made && "the stand-ins grant owner leases");
+    fresh.scheduler = std::move(made).value();
+    fresh.scheduler->start();
+}
+
+void cell::start()
+{
+    for (std::size_t index = 0; index < nodes_.size(); ++index)
+        start_instance(index);
+    advance(seconds(3));
+    install_table();
+    const bool ready = advance_until(seconds(10),
+                                     [this]
+                                     {
+                                         for (const std::unique_ptr<node>& one : nodes_)
+                                             if (!one->scheduler->is_ready())
+                                                 return false;
+                                         return true;
+                                     });
+    assert(ready && "all instances become ready");
+    static_cast<void>(ready);
+    advance(seconds(3));
+}
+
+void cell::install_table()
+{
+    table_row request_row = make_row("p/request", workload::request, 0);
+    request_row.guaranteed = 0.2;
+    table(0).replace({request_row, make_row("p/batch", workload::batch, 5),
+                      make_row("h/gang", workload::gang, 4),
+                      make_row("h/service", workload::service, 3)},
+                     table_version(), "ops", [](const edit_outcome&) {});
+}
+
+void cell::advance(duration step)
+{
+    loop_.advance(step);
+}
+
+bool cell::advance_until(duration limit, const std::function<bool()>& done)
+{
+    const boot_time end = now() + limit;
+    while (now() < end)
+    {
+        if (done())
+            return true;
+        loop_.advance(step_length);
+    }
+    return done();
+}
+
+void cell::kill(std::size_t index)
+{
+    network_.kill(name(index));
+    const std::unique_ptr<node> dead = std::move(nodes_[index]);
+    dead->scheduler.reset();
+    dead->table.reset();
+    dead->members.reset();
+    dead->peers.reset();
+    dead->channel.reset();
+}
+
+void cell::pause(std::size_t index)
+{
+    network_.pause(name(index));
+}
+
+void cell::resume(std::size_t index)
+{
+    network_.resume(name(index));
+}
+
+void cell::leave(std::size_t index)
+{
+    node& leaving = *nodes_.at(index);
+    leaving.scheduler->leave([&leaving] { leaving.left = true; });
+}
+
+bool cell::has_left(std::size_t index) const
+{
+    return nodes_.at(index)->left;
+}
+
+void cell::kill_worker(std::size_t index, duration lag)
+{
+    workers_.worker(address(index)).state().kill();
+    workers_.faults(address(index)).unreachable = true;
+    const worker_id id(fmt::format("worker-{}", index + 1));
+    static_cast<void>(lag);
+    hosts_.state().remove(id);
+}
+
+void cell::isolate(std::size_t index, bool from_workers, bool from_kv)
+{
+    for (std::size_t other = 0; other < nodes_.size(); ++other)
+        if (other != index)
+            network_.cut_both(name(index), name(other));
+    if (from_workers)
+        for (std::size_t worker = 0; worker < options_.workers; ++worker)
+            nodes_.at(index)->workers->cut().insert(address(worker));
+    kv(index).faults().is_cut = from_kv;
+}
+
+void cell::heal()
+{
+    network_.heal_all();
+    for (const std::unique_ptr<node>& one : nodes_)
+    {
+        if (!one)
+            continue;
+        one->workers->cut().clear();
+        one->kv->faults().is_cut = false;
+    }
+}
+
+wire::job_spec cell::request(const std::string& id, int run_ms, int deadline_ms) const
+{
+    wire::job_spec spec = job("p/request", id, 1, run_ms, false);
+    spec.synchronous = true;
+    spec.deadline_ms = deadline_ms;
+    return spec;
+}
+
+wire::job_spec cell::job(const std::string& row, const std::string& id,
+                         std::uint32_t tasks, int run_ms, bool idempotent) const
+{
+    wire::job_spec spec;
+    spec.row = row_id(row);
+    spec.request = request_id(id);
+    spec.id = job_id::derive(partner_of(spec.row), spec.request);
+    spec.tasks = tasks;
+    spec.size = resources{millicores(1000), byte_count(std::int64_t{1} << 30),
+                          accelerator_count(0)};
+    spec.idempotent = idempotent;
+    spec.run_time_ms = run_ms;
+    spec.payload = fmt::format("sleep={};{}", run_ms, id);
+    return spec;
+}
+
+call_record& cell::submit(std::size_t index, wire::job_spec job)
+{
+    calls_.emplace_back();
+    call_record& record = calls_.back();
+    record.job = job;
+    at(index).submit(std::move(job),
+                     [this, &record](result<wire::job_status> outcome)
+                     {
+                         record.answered = true;
+                         record.answered_at = now();
+                         record.has_status = outcome.has_value();
+                         if (outcome)
+                             record.status = outcome.value();
+                         else
+                             record.failure = outcome.error();
+                     });
+    return record;
+}
+
+result<wire::job_status> cell::query(std::size_t index, const job_id& id)
+{
+    const std::shared_ptr<std::optional<result<wire::job_status>>> answer =
+        std::make_shared<std::optional<result<wire::job_status>>>();
+    at(index).query(wire::job_query{id, false}, [answer](result<wire::job_status> found)
+                    { answer->emplace(std::move(found)); });
+    advance_until(seconds(10), [&] { return answer->has_value(); });
+    if (!answer->has_value())
+        return make_error(error_code::deadline_exceeded, "no answer");
+    return **answer;
+}
+
+bool cell::is_done(std::size_t index, const job_id& id)
+{
+    const result<wire::job_status> found = query(index, id);
+    return found && found.value().verdict == wire::job_verdict::done;
+}
+
+std::size_t cell::starts_of(const job_id& id) const
+{
+    std::size_t starts = 0;
+    for (const standins::history_entry& entry : workers_.history())
+        if (entry.event == "start" && task_id::parse(entry.subject)->job == id)
+            ++starts;
+    return starts;
+}
+
+boot_time cell::first_start_after(boot_time since) const
+{
+    for (const standins::history_entry& entry : workers_.history())
+        if (entry.event == "start" && entry.at > since)
+            return entry.at;
+    return boot_time::max();
+}
+
+std::vector<std::string> cell::violations() const
+{
+    std::vector<std::string> found;
+    std::map<worker_id, resources> used;
+    std::map<std::pair<job_id, std::uint32_t>, worker_id> running;
+    std::map<std::pair<job_id, std::uint32_t>, std::size_t> starts;
+    for (const standins::history_entry& entry : workers_.history())
+    {
+        if (entry.event == "kill")
+        {
+            used.erase(entry.worker);
+            std::erase_if(running,
+                          [&](const auto& task) { return task.second == entry.worker; });
+        }
+        if (entry.event != "start" && entry.event != "end")
+            continue;
+        const task_id id = *task_id::parse(entry.subject);
+        const std::pair<job_id, std::uint32_t> key{id.job, id.index};
+        if (entry.event == "end")
+        {
+            used[entry.worker] -= entry.size;
+            running.erase(key);
+            continue;
+        }
+        used[entry.worker] += entry.size;
+        if (!used[entry.worker].fits_in(options_.worker_capacity))
+            found.push_back("1: over capacity on " + entry.worker.value());
+        if (!running.emplace(key, entry.worker).second)
+            found.push_back("2: runs twice: " + entry.subject);
+        ++starts[key];
+    }
+    for (const call_record& call : calls_)
+    {
+        std::size_t started = 0;
+        for (std::uint32_t index = 0; index < call.job.tasks; ++index)
+        {
+            const auto count = starts.find({call.job.id, index});
+            const std::size_t times = count == starts.end() ? 0 : count->second;
+            started += times;
+            if (!call.job.idempotent && times > 1)
+                found.push_back("5: non-idempotent task ran more than once: " +
+                                call.job.request.value());
+        }
+        const bool told_not_run =
+            call.answered &&
+            (call.has_status ? call.status.verdict == wire::job_verdict::not_run
+                             : call.failure.code != error_code::outcome_unknown);
+        if (told_not_run && started > 0)
+            found.push_back("4: told not run but was started: " +
+                            call.job.request.value());
+        if (!call.has_status || call.status.verdict != wire::job_verdict::done)
+            continue;
+        if (call.status.results.size() != call.job.tasks)
+            found.push_back("3: incomplete answer: " + call.job.request.value());
+        for (const wire::task_result& task : call.status.results)
+            if (task.known && task.state == task_state::finished &&
+                task.output != call.job.payload)
+                found.push_back("3: wrong answer: " + call.job.request.value());
+    }
+    return found;
+}
+
+} // namespace hawthornbeam
--- /dev/null
+++ b/unittests/instance/cell_test.cpp
@@ -0,0 +1,184 @@
+/// \file
+/// Tests of several instances without failures.
+#include "unittests/instance/cell.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against a request whose answer is lost or late between the instances.
+TEST(cell_test, synchronous_request_is_answered_through_any_instance)
+{
+    cell cluster;
+    cluster.start();
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        call_record& call =
+            cluster.submit(index, cluster.request("r" + std::to_string(index)));
+        const boot_time begin = cluster.now();
+        ASSERT_TRUE(cluster.advance_until(seconds(2), [&] { return call.answered; }));
+        ASSERT_TRUE(call.has_status) << call.failure.message;
+        EXPECT_EQ(call.status.verdict, wire::job_verdict::done);
+        EXPECT_LE(call.answered_at - begin, milliseconds(150));
+    }
+    EXPECT_EQ(cluster.violations(), std::vector<std::string>());
+}
+
+// Guards against a repeated submission that runs the work a second time.
+TEST(cell_test, repeated_submission_runs_once)
+{
+    cell cluster;
+    cluster.start();
+    call_record& first = cluster.submit(0, cluster.request("same"));
+    call_record& second = cluster.submit(1, cluster.request("same"));
+    cluster.advance(seconds(1));
+    call_record& third = cluster.submit(2, cluster.request("same"));
+    cluster.advance(seconds(1));
+    for (const call_record* call : {&first, &second, &third})
+    {
+        ASSERT_TRUE(call->answered && call->has_status);
+        EXPECT_EQ(call->status.verdict, wire::job_verdict::done);
+    }
+    EXPECT_EQ(cluster.starts_of(first.job.id), 1U);
+}
+
+// Guards against queued tasks that are lost on the way or never finish.
+TEST(cell_test, queued_batch_runs_to_the_end)
+{
+    cell cluster;
+    cluster.start();
+    call_record& call = cluster.submit(0, cluster.job("p/batch", "b", 500, 300, true));
+    ASSERT_TRUE(cluster.advance_until(seconds(2), [&] { return call.answered; }));
+    EXPECT_EQ(call.status.verdict, wire::job_verdict::accepted);
+    EXPECT_TRUE(cluster.advance_until(seconds(20),
+                                      [&] { return cluster.is_done(1, call.job.id); }));
+    EXPECT_EQ(cluster.starts_of(call.job.id), 500U);
+    EXPECT_EQ(cluster.violations(), std::vector<std::string>());
+}
+
+// Guards against a gang that starts in part.
+TEST(cell_test, gang_starts_all_at_once)
+{
+    cell cluster;
+    cluster.start();
+    call_record& call = cluster.submit(0, cluster.job("h/gang", "g", 12, 500, true));
+    ASSERT_TRUE(cluster.advance_until(seconds(10),
+                                      [&] { return cluster.is_done(1, call.job.id); }));
+    std::vector<boot_time> starts;
+    for (const standins::history_entry& entry : cluster.workers().history())
+        if (entry.event == "start")
+            starts.push_back(entry.at);
+    ASSERT_EQ(starts.size(), 12U);
+    EXPECT_LE(starts.back() - starts.front(), milliseconds(20));
+}
+
+// Guards against cancelled tasks that still start or run on.
+TEST(cell_test, cancellation_stops_waiting_and_running_tasks)
+{
+    cell cluster;
+    cluster.start();
+    call_record& call = cluster.submit(0, cluster.job("p/batch", "b", 200, 60000, true));
+    cluster.advance(seconds(2));
+    const std::size_t started = cluster.starts_of(call.job.id);
+    EXPECT_GT(started, 0U);
+    wire::cancel_request selector;
+    selector.id = call.job.id;
+    cluster.at(1).cancel(selector, [](result<wire::cancel_reply>) {});
+    cluster.advance(seconds(3));
+    const result<wire::job_status> status = cluster.query(2, call.job.id);
+    ASSERT_TRUE(status);
+    EXPECT_EQ(status.value().verdict, wire::job_verdict::cancelled);
+    EXPECT_EQ(cluster.starts_of(call.job.id), started);
+    EXPECT_EQ(status.value().running, 0U);
+}
+
+struct refused_job
+{
+    const char* name;
+    const char* row;
+    std::uint32_t tasks;
+    std::int64_t cores;
+    error_code expected;
+};
+
+class refusal_test : public testing::TestWithParam<refused_job>
+{
+};
+
+// Guards against work that waits for ever because it can never run.
+TEST_P(refusal_test, is_refused_at_once)
+{
+    const refused_job& given = GetParam();
+    cell cluster;
+    cluster.start();
+    wire::job_spec spec = cluster.job(given.row, "x", given.tasks, 10, true);
+    spec.size.processors = millicores(given.cores * 1000);
+    call_record& call = cluster.submit(0, spec);
+    ASSERT_TRUE(cluster.advance_until(seconds(1), [&] { return call.answered; }));
+    ASSERT_FALSE(call.has_status);
+    EXPECT_EQ(call.failure.code, given.expected) << call.failure.message;
+    EXPECT_EQ(cluster.violations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, refusal_test,
+    testing::Values(
+        refused_job{"unknown_row", "p/none", 1, 1, error_code::invalid_input},
+        refused_job{"impossible_size", "p/batch", 1, 9, error_code::invalid_input},
+        refused_job{"impossible_gang", "h/gang", 40, 8, error_code::invalid_input},
+        refused_job{"queue_full", "p/batch", 10001, 1, error_code::limit_exceeded}),
+    [](const testing::TestParamInfo<refused_job>& info)
+    { return std::string(info.param.name); });
+
+// Guards against an instance that keeps the old split after a change.
+TEST(cell_test, table_change_is_in_force_everywhere)
+{
+    cell cluster;
+    cluster.start();
+    std::vector<table_row> rows = cluster.table(1).current().rows;
+    rows.front().weight = 3;
+    const table_version before = cluster.table(1).current().version;
+    std::optional<edit_outcome> outcome;
+    cluster.table(1).replace(rows, before, "ops",
+                             [&](const edit_outcome& done) { outcome = done; });
+    ASSERT_TRUE(cluster.advance_until(seconds(1), [&] { return outcome.has_value(); }));
+    ASSERT_EQ(outcome->what, edit_outcome::kind::accepted);
+    EXPECT_TRUE(cluster.advance_until(
+        seconds(6),
+        [&]
+        {
+            for (std::size_t index = 0; index < 3; ++index)
+                if (cluster.table(index).current().version != before.next())
+                    return false;
+            return true;
+        }));
+}
+
+// Guards against new work on a worker that is leaving.
+TEST(cell_test, leaving_worker_gets_no_new_work)
+{
+    cell cluster;
+    cluster.start();
+    for (std::size_t index = 0; index < 3; ++index)
+        cluster.hosts().state().set_leaving(
+            worker_id("worker-" + std::to_string(index + 1)), true);
+    cluster.advance(milliseconds(500) + seconds(3));
+    const boot_time since = cluster.now();
+    cluster.submit(0, cluster.job("p/batch", "b", 100, 200, true));
+    cluster.advance(seconds(5));
+    for (const standins::history_entry& entry : cluster.workers().history())
+    {
+        const bool is_new = entry.event == "start" && entry.at >= since;
+        EXPECT_FALSE(is_new && entry.worker.value() <= "worker-3") << entry.subject;
+    }
+    EXPECT_GT(cluster.starts_of(cluster.calls().front().job.id), 0U);
+}
+
+} // namespace
+} // namespace hawthornbeam
