Add tests that cause failures while work runs

Cause: the invariants were tested without failures only. Change: unittests/instance/failure_test causes 14 single failures and 40 seeded pairs under a mixed load and checks the invariants over the workers' history.

--- /dev/null
+++ b/unittests/instance/failure_test.cpp
@@ -0,0 +1,223 @@
+/// \file
+/// Tests that cause failures while work runs and check the invariants over the history.
+#include "unittests/instance/cell.hpp"
+
+#include <fmt/format.h>
+#include <array>
+#include <gtest/gtest.h>
+
+namespace hawthornbeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A failure that begins, lasts and ends.
+struct failure
+{
+    const char* name;
+    void (*begin)(cell&);
+    void (*end)(cell&);
+    int lasts_ms;
+};
+
+void nothing(cell&) {}
+
+void restart_first(cell& cluster) { cluster.start_instance(0); }
+
+const std::array<failure, 14> failures{{
+    {"instance_dies", [](cell& c) { c.kill(0); }, restart_first, 8000},
+    {"instance_dies_and_returns_at_once", [](cell& c) { c.kill(0); }, restart_first, 100},
+    {"instance_pauses_briefly", [](cell& c) { c.pause(0); },
+     [](cell& c) { c.resume(0); }, 1000},
+    {"instance_pauses_beyond_suspicion", [](cell& c) { c.pause(0); },
+     [](cell& c) { c.resume(0); }, 3500},
+    {"instance_pauses_beyond_its_leases", [](cell& c) { c.pause(0); },
+     [](cell& c) { c.resume(0); }, 20000},
+    {"instance_cut_from_others", [](cell& c) { c.isolate(0, false, false); },
+     [](cell& c) { c.heal(); }, 15000},
+    {"instance_cut_from_everything", [](cell& c) { c.isolate(0, true, true); },
+     [](cell& c) { c.heal(); }, 15000},
+    {"kv_down", [](cell& c) { c.store().is_down = true; },
+     [](cell& c) { c.store().is_down = false; }, 20000},
+    {"kv_answers_lost",
+     [](cell& c)
+     {
+         for (std::size_t index = 0; index < 3; ++index)
+             c.kv(index).faults().lost_answers = 5;
+     },
+     nothing, 1000},
+    {"kv_slow",
+     [](cell& c)
+     {
+         for (std::size_t index = 0; index < 3; ++index)
+             c.kv(index).faults().latency = milliseconds(1500);
+     },
+     [](cell& c)
+     {
+         for (std::size_t index = 0; index < 3; ++index)
+             c.kv(index).faults().latency = duration();
+     },
+     10000},
+    {"worker_dies", [](cell& c) { c.kill_worker(0, seconds(1)); }, nothing, 1000},
+    {"worker_answers_lost",
+     [](cell& c) { c.workers().faults(cell::address(0)).lose_answers = 3; }, nothing, 1000},
+    {"lease_lapses",
+     [](cell& c)
+     {
+         for (std::size_t worker = 0; worker < 6; ++worker)
+             c.workers().worker(cell::address(worker)).state().lapse_lease();
+     },
+     nothing, 1000},
+    {"connection_goes_silent",
+     [](cell& c)
+     {
+         for (std::size_t other = 1; other < 3; ++other)
+         {
+             c.network().silence(cell::name(0), cell::name(other));
+             c.network().silence(cell::name(other), cell::name(0));
+         }
+     },
+     nothing, 1000},
+}};
+
+/// Submits work of all kinds through the instances that are up, a little at a time.
+class mixed_load
+{
+public:
+    explicit mixed_load(cell& cluster) : cluster_(cluster) {}
+
+    void submit_queued()
+    {
+        queued_.push_back(
+            &cluster_.submit(1, cluster_.job("p/batch", "batch", 150, 400, true)));
+        queued_.push_back(
+            &cluster_.submit(2, cluster_.job("p/batch", "once", 40, 700, false)));
+        queued_.push_back(
+            &cluster_.submit(1, cluster_.job("h/gang", "gang", 10, 900, true)));
+    }
+    void submit_request()
+    {
+        const std::size_t through = 1 + next_ % 2;
+        requests_.push_back(&cluster_.submit(
+            through, cluster_.request(fmt::format("request-{}", next_++), 50, 9000)));
+    }
+    const std::vector<call_record*>& queued() const { return queued_; }
+    const std::vector<call_record*>& requests() const { return requests_; }
+
+private:
+    cell& cluster_;
+    std::vector<call_record*> queued_;
+    std::vector<call_record*> requests_;
+    std::size_t next_ = 0;
+};
+
+void run_for(cell& cluster, mixed_load& load, duration time)
+{
+    const boot_time end = cluster.now() + time;
+    while (cluster.now() < end)
+    {
+        load.submit_request();
+        cluster.advance(milliseconds(100));
+    }
+}
+
+/// Every accepted job ends, and every caller has its final answer.
+void expect_all_settled(cell& cluster, const mixed_load& load)
+{
+    EXPECT_TRUE(cluster.advance_until(
+        seconds(120),
+        [&]
+        {
+            for (const call_record* call : load.requests())
+                if (!call->answered)
+                    return false;
+            return true;
+        }))
+        << "a caller has no answer";
+    for (const call_record* call : load.queued())
+    {
+        ASSERT_TRUE(call->answered) << call->job.request.value();
+        const bool accepted =
+            call->has_status && call->status.verdict == wire::job_verdict::accepted;
+        if (!accepted)
+            continue;
+        EXPECT_TRUE(cluster.advance_until(
+            seconds(180),
+            [&]
+            {
+                const result<wire::job_status> status = cluster.query(1, call->job.id);
+                return status && status.value().verdict != wire::job_verdict::accepted;
+            }))
+            << "an accepted job does not end: " << call->job.request.value();
+    }
+}
+
+class failure_test : public testing::TestWithParam<failure>
+{
+};
+
+// Guards against lost, doubled or falsely refused work when one failure strikes.
+TEST_P(failure_test, keeps_the_invariants)
+{
+    const failure& given = GetParam();
+    cell cluster;
+    cluster.start();
+    mixed_load load(cluster);
+    load.submit_queued();
+    run_for(cluster, load, milliseconds(600));
+    given.begin(cluster);
+    run_for(cluster, load, milliseconds(given.lasts_ms));
+    given.end(cluster);
+    run_for(cluster, load, seconds(2));
+    expect_all_settled(cluster, load);
+    EXPECT_EQ(cluster.violations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(single, failure_test, testing::ValuesIn(failures),
+                         [](const testing::TestParamInfo<failure>& info)
+                         { return std::string(info.param.name); });
+
+class failure_pair_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against two failures that together defeat a mechanism that survives each alone.
+TEST_P(failure_pair_test, keeps_the_invariants)
+{
+    random_source random(GetParam());
+    const failure& first = failures[random.below(failures.size())];
+    const failure& second = failures[random.below(failures.size())];
+    const milliseconds gap(static_cast<std::int64_t>(random.below(5000)));
+    SCOPED_TRACE(fmt::format("{} then {} after {} ms", first.name, second.name,
+                             gap.count()));
+    cell_options options;
+    options.seed = GetParam();
+    cell cluster(options);
+    cluster.start();
+    mixed_load load(cluster);
+    load.submit_queued();
+    run_for(cluster, load, milliseconds(600));
+    const bool same_instance =
+        std::string(first.name).starts_with("instance") &&
+        std::string(second.name).starts_with("instance");
+    first.begin(cluster);
+    run_for(cluster, load, gap);
+    if (same_instance)
+        first.end(cluster);
+    second.begin(cluster);
+    run_for(cluster, load, milliseconds(second.lasts_ms));
+    second.end(cluster);
+    if (!same_instance)
+        first.end(cluster);
+    run_for(cluster, load, seconds(2));
+    expect_all_settled(cluster, load);
+    EXPECT_EQ(cluster.violations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, failure_pair_test, testing::Range<std::uint64_t>(1, 41));
+
+} // namespace
+} // namespace hawthornbeam
