--- a/include/hawthornbeam/journal/journal.hpp
+++ b/include/hawthornbeam/journal/journal.hpp
@@ -81,6 +81,7 @@
     {
         partition_id partition;
         instance_id self;
+        /// Random for each start of a process, as change ids contain it.
         std::uint64_t seed = 1;
         std::size_t most_segment_bytes = std::size_t{16} << 10U;
         std::size_t most_segments = 32; ///< More start a compaction.
--- a/include/hawthornbeam/table/table_store.hpp
+++ b/include/hawthornbeam/table/table_store.hpp
@@ -39,6 +39,7 @@
 public:
     struct options
     {
+        /// Random for each start of a process, as change ids contain it.
         std::uint64_t seed = 1;
         instance_id self;
         duration poll_period = std::chrono::minutes(1);
--- a/lib/journal/journal.cpp
+++ b/lib/journal/journal.cpp
@@ -13,6 +13,14 @@
 /// The service answers in milliseconds; a call this old means trouble.
 constexpr duration slow_call = std::chrono::seconds(2);
 
+/// Numbers the changes of this process: two journals made in the same millisecond with
+/// the same seed must not take each other's writes for their own.
+std::uint64_t next_change_number()
+{
+    static std::uint64_t number = 0;
+    return ++number;
+}
+
 error not_owner(const char* reason)
 {
     return make_error(error_code::conflict, reason);
@@ -67,7 +75,7 @@
 {
     return fmt::format("{}:{}:{:x}:{}", settings.self.value(),
                        loop.clock().wall_now().time_since_epoch().count(), settings.seed,
-                       ++counter);
+                       next_change_number());
 }
 
 std::string partition_journal::implementation::key(const std::string& name) const
--- a/lib/table/table_store.cpp
+++ b/lib/table/table_store.cpp
@@ -19,6 +19,14 @@
 /// A watch that returns sooner than this without a change is not repeated at once.
 constexpr duration least_watch_time = std::chrono::seconds(1);
 
+/// Numbers the edits of this process: two stores made in the same millisecond with the
+/// same seed must not take each other's edits for their own.
+std::uint64_t next_edit_number()
+{
+    static std::uint64_t number = 0;
+    return ++number;
+}
+
 bool is_answer(const error& failure)
 {
     return failure.code != error_code::unavailable &&
@@ -216,7 +224,7 @@
     {
         return change_id(fmt::format("{}:{}:{:x}:{}", settings_.self.value(),
                                      loop.clock().wall_now().time_since_epoch().count(),
-                                     settings_.seed, ++edits));
+                                     settings_.seed, next_edit_number()));
     }
 
     /// Collects history entries from \p version downward.
@@ -270,7 +278,6 @@
     bool has_read = false; ///< The table was read since the watch was turned on.
     kv_revision watched;
     boot_time watch_started{};
-    std::uint64_t edits = 0;
 };
 
 table_store::table_store(kv_service& kv, event_loop& loop, const logger& log,
--- a/unittests/journal/journal_test.cpp
+++ b/unittests/journal/journal_test.cpp
@@ -97,6 +97,17 @@
     EXPECT_EQ(third.kv.total_calls(), calls);
 }
 
+// Guards against two journals with the same name, seed and time that take each other's
+// claim for their own; the measuring program met this.
+TEST_F(journal_test, equal_instances_have_different_changes)
+{
+    journal_owner twin(loop, store, "first", small_options());
+    first.start_claim();
+    twin.start_claim();
+    loop.advance(seconds(1));
+    EXPECT_NE(first.claimed->has_value(), twin.claimed->has_value());
+}
+
 // Guards against two owners after two claims at the same time.
 TEST_F(journal_test, one_of_two_claimants_wins)
 {
