State and test the calls of a table edit

An edit makes 3 calls, 6 once the history is full, and 1 more when another instance edited last; tests now hold these numbers. A release whose head was damaged or deleted meanwhile reported success; it now reports outcome_unknown.

--- a/lib/journal/journal.cpp
+++ b/lib/journal/journal.cpp
@@ -153,7 +153,10 @@
                    if (outcome.what == head_outcome::refused)
                        return done(make_error(error_code::unavailable, outcome.message));
                    journal->is_owner = false;
-                   done(true);
+                   if (outcome.what == head_outcome::lost)
+                       return done(
+                           make_error(error_code::outcome_unknown, outcome.message));
+                   done(true); // Also when a successor has claimed already.
                });
 }
 
--- a/unittests/table/table_store_test.cpp
+++ b/unittests/table/table_store_test.cpp
@@ -94,6 +94,7 @@
 TEST_F(table_store_test, a_lost_race_is_stale_with_the_current_table)
 {
     EXPECT_EQ(first.edit(2, 0), kind::accepted);
+    EXPECT_EQ(first.kv.total_calls(), 3U);
     EXPECT_EQ(second.edit(3, 0), kind::stale);
     EXPECT_EQ(second.outcome->current.version, table_version(1));
     first.start_edit(4, 1);
@@ -213,8 +214,14 @@
         ASSERT_EQ(first.edit(2, i), kind::accepted);
     }
     EXPECT_EQ(shared->state.list("table_history/").size(), 50U);
+    const std::uint64_t calls = first.kv.total_calls();
+    ASSERT_EQ(first.edit(2, 60), kind::accepted);
+    EXPECT_EQ(first.kv.total_calls() - calls, 6U);
+    ASSERT_EQ(second.edit(2, 61), kind::accepted);
+    EXPECT_EQ(second.kv.total_calls(), 7U); // Makes sure of the other's history entry.
+    ASSERT_EQ(first.edit(2, 62), kind::accepted);
     EXPECT_EQ(history(first, 100).size(), 50U);
-    EXPECT_EQ(history(first, 3).front().version, table_version(60));
+    EXPECT_EQ(history(first, 3).front().version, table_version(63));
 }
 
 // Guards against damaged or newer values that are overwritten or installed.
