--- a/unittests/instance/failure_test.cpp
+++ b/unittests/instance/failure_test.cpp
@@ -174,6 +174,19 @@
     run_for(cluster, load, seconds(2));
     expect_all_settled(cluster, load);
     EXPECT_EQ(cluster.violations(), std::vector<std::string>());
+    if (const char* trace = std::getenv("TRACE_JOB"))
+    {
+        const job_id id = job_id::derive(partner_id("p"), request_id(trace));
+        fmt::print("job {} partition {}\n", id.text(), id.partition(64).value());
+        for (const auto& e : cluster.workers().history())
+            if (e.subject.starts_with(id.text()))
+                fmt::print("{:.3f} {} {} {} {} gen {}\n", std::chrono::duration<double>(e.at.time_since_epoch()).count(), e.worker.value(), e.event, e.subject.substr(33), e.detail, e.lease.value());
+        for (const auto& c : cluster.calls())
+            if (c.job.id == id)
+                fmt::print("answered {} at {:.3f} status {} verdict {} failure {}\n", c.answered, std::chrono::duration<double>(c.answered_at.time_since_epoch()).count(), c.has_status, int(c.status.verdict), c.failure.message);
+        for (const auto& w : cluster.warnings())
+            fmt::print("{}", w);
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(single, failure_test, testing::ValuesIn(failures),
