Ask for outcomes instead of repeating, and confirm claims in doubt

Cause: a synchronous request that is not idempotent ran twice when its job owner was cut off: the receiver submitted it again after the first run was recorded and acknowledged at the cut-off owner. A job owner that had been paused or cut off went on with an epoch that slice owners refuse, so its jobs never ended. Change: the receiver asks for the outcome of such a request and never submits it again; outcomes of tasks that are not idempotent stay on workers for 60 s after they are recorded; a job owner reads its claims again after a pause or after it has refuted its death, and gives a partition up when a slice owner knows a higher epoch. Claims back off during an outage of the key-value service.

--- a/lib/instance/dispatcher.cpp
+++ b/lib/instance/dispatcher.cpp
@@ -231,7 +231,7 @@
 {
     const member* target = shared_.parts.members.find(owner);
     if (target == nullptr)
-        return jobs_.start_refused(ready.slots);
+        return jobs_.start_refused(ready.slots, epoch());
     ready.message.sequence = jobs_.next_sequence(ready.message.partition);
     shared_.parts.peers.call(
         target->peer, std::move(ready.message), start_deadline,
@@ -246,7 +246,8 @@
                     reply != nullptr ||
                     (!answer && answer.error().code != error_code::outcome_unknown);
                 if (certainly_not)
-                    jobs_.start_refused(slots);
+                    jobs_.start_refused(slots,
+                                        reply == nullptr ? epoch() : reply->known_epoch);
                 else
                     jobs_.start_uncertain(slots);
             }));
--- a/lib/instance/dispatcher.hpp
+++ b/lib/instance/dispatcher.hpp
@@ -36,8 +36,9 @@
         /// The epoch of a partition; nullopt while this instance may not start its tasks.
         virtual std::optional<epoch> epoch_of(partition_id partition) = 0;
         virtual std::uint64_t next_sequence(partition_id partition) = 0;
-        /// Slice owner \p owner does not take the tasks; they wait again.
-        virtual void start_refused(const std::vector<slot_ref>& slots) = 0;
+        /// The slice owner does not take the tasks; they wait again. \p known is the
+        /// epoch it knows for their partition, zero when it did not answer.
+        virtual void start_refused(const std::vector<slot_ref>& slots, epoch known) = 0;
         /// The start request's outcome is unknown; the tasks may be at \p owner.
         virtual void start_uncertain(const std::vector<slot_ref>& slots) = 0;
     };
--- a/lib/instance/instance.cpp
+++ b/lib/instance/instance.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr duration gauge_period = std::chrono::seconds(1);
+/// A longer gap between two ticks of the gauges means that the process was paused.
+constexpr duration pause_limit = std::chrono::milliseconds(2500);
 constexpr duration fetch_deadline = std::chrono::seconds(1);
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// A leaving instance stays this long after its last open request, so that its
@@ -68,7 +70,10 @@
     void members_changed();
     void table_installed(const operators_table& table);
     void fetch_table(const member& from);
+    void fetch_missed_table();
     void check_isolation();
+    void check_claims();
+    fetch_missed_table();
     void update_gauges();
     void begin_leaving();
     void check_left();
@@ -116,6 +121,8 @@
     bool slices_left = false;
     bool partitions_left = false;
     boot_time leave_limit{};
+    boot_time last_check{};
+    incarnation known_life;
     std::function<void()> left;
     timer_handle settle_timer;
     timer_handle gauges_timer;
@@ -152,6 +159,7 @@
                                            [this]
                                            {
                                                check_isolation();
+                                               check_claims();
                                                update_gauges();
                                            });
 }
@@ -218,6 +226,17 @@
             }));
 }
 
+void instance::implementation::fetch_missed_table()
+{
+    // A newer version is announced once; a fetch that failed is repeated here.
+    const std::vector<member> known = shared.parts.members.members();
+    const auto newest = std::max_element(known.begin(), known.end(),
+                                         [](const member& a, const member& b)
+                                         { return a.table < b.table; });
+    if (newest != known.end() && newest->table > shared.parts.table.current().version)
+        fetch_table(*newest);
+}
+
 void instance::implementation::check_isolation()
 {
     // An instance that knows no other one cannot tell isolation from being alone.
@@ -228,6 +247,20 @@
                       shared.now() - last > shared.options.isolation_limit);
 }
 
+void instance::implementation::check_claims()
+{
+    // Others may have claimed this instance's partitions while it was paused, or while
+    // they could not reach it. Both leave a mark: a gap between two ticks, or a higher
+    // incarnation with which this instance has refuted its death.
+    const incarnation life = shared.parts.members.self().life;
+    const bool was_paused =
+        last_check != boot_time() && shared.now() - last_check > pause_limit;
+    if (was_paused || (known_life != incarnation() && life != known_life))
+        jobs.confirm_claims();
+    known_life = life;
+    last_check = shared.now();
+}
+
 void instance::implementation::update_gauges()
 {
     metrics_registry& metrics = shared.parts.metrics;
--- a/lib/instance/job_owner.cpp
+++ b/lib/instance/job_owner.cpp
@@ -73,7 +73,7 @@
 
 std::optional<epoch> job_owner::epoch_of(partition_id partition)
 {
-    if (!partitions_.is_owned(partition))
+    if (!partitions_.may_start(partition))
         return std::nullopt;
     return partitions_.epoch_of(partition);
 }
--- a/lib/instance/job_owner.hpp
+++ b/lib/instance/job_owner.hpp
@@ -26,6 +26,8 @@
     /// Follows the member list: partitions move, and tasks at lost slice owners are
     /// looked for.
     void members_changed();
+    /// Reads all claims again before any further start.
+    void confirm_claims() { partitions_.confirm_all(); }
     void schedule_dispatch() { dispatcher_.schedule(); }
     void leave(std::function<void()> done);
 
@@ -61,12 +63,13 @@
                       const wire::inventory_reply& reply) override;
     void on_inventory_complete(partition_id partition) override;
     void on_lost(partition_id partition) override;
+    void on_confirmed(partition_id partition) override;
 
     // dispatcher::jobs
     job_state* find_job(const job_id& id) override;
     std::optional<epoch> epoch_of(partition_id partition) override;
     std::uint64_t next_sequence(partition_id partition) override;
-    void start_refused(const std::vector<slot_ref>& slots) override;
+    void start_refused(const std::vector<slot_ref>& slots, epoch known) override;
     void start_uncertain(const std::vector<slot_ref>& slots) override;
 
     std::optional<error> admission_fault(const wire::job_spec& spec) const;
--- a/lib/instance/job_progress.cpp
+++ b/lib/instance/job_progress.cpp
@@ -462,6 +462,13 @@
     }
 }
 
+void job_owner::on_confirmed(partition_id partition)
+{
+    // While the claim was in doubt, others may have taken this instance's slices.
+    partitions_.repeat_inventory(partition);
+    dispatcher_.schedule();
+}
+
 void job_owner::mark_orphans()
 {
     std::set<instance_id> present;
@@ -493,8 +500,11 @@
     partitions_.repeat_inventories();
 }
 
-void job_owner::start_refused(const std::vector<slot_ref>& slots)
+void job_owner::start_refused(const std::vector<slot_ref>& slots, epoch known)
 {
+    if (!slots.empty())
+        partitions_.fenced(slots.front().job.partition(shared_.options.partitions),
+                           known);
     for (const slot_ref& ref : slots)
     {
         const auto found = jobs_.find(ref.job);
--- a/lib/instance/partition_set.cpp
+++ b/lib/instance/partition_set.cpp
@@ -16,6 +16,7 @@
 /// Claims in flight at once; bounds the calls to the key-value service at a takeover.
 constexpr std::size_t most_claims_in_flight = 4;
 constexpr duration claim_retry = std::chrono::milliseconds(500);
+constexpr unsigned most_claim_doublings = 4;
 constexpr duration inventory_retry = std::chrono::milliseconds(250);
 constexpr duration inventory_deadline = std::chrono::seconds(2);
 constexpr double retry_spread = 0.5;
@@ -58,7 +59,9 @@
 
 void partition_set::claim(partition_id partition)
 {
-    if (claims_in_flight_ >= most_claims_in_flight)
+    // During an outage one claim at a time finds out when the service is back.
+    const std::size_t most = unanswered_claims_ == 0 ? most_claims_in_flight : 1;
+    if (claims_in_flight_ >= most)
         return claim_later(partition);
     entry& state = at(partition);
     state.current = phase::claiming;
@@ -85,8 +88,11 @@
                                           {{"partition", partition.value()},
                                            {"error", claimed.error().message}});
                 owned.current = phase::unowned;
+                if (claimed.error().code != error_code::conflict)
+                    ++unanswered_claims_;
                 return claim_later(partition);
             }
+            unanswered_claims_ = 0;
             owned.journal->on_fenced(shared_.guarded(
                 [this, partition]
                 {
@@ -103,8 +109,9 @@
 
 void partition_set::claim_later(partition_id partition)
 {
+    const unsigned doublings = std::min(unanswered_claims_, most_claim_doublings);
     at(partition).retry = shared_.parts.loop.after(
-        shared_.random.jitter(claim_retry, retry_spread),
+        shared_.random.jitter(claim_retry * (1U << doublings), retry_spread),
         [this, partition]
         {
             const bool wanted =
@@ -123,7 +130,9 @@
     const bool was_owner = state.current != phase::claiming;
     state.current = phase::unowned;
     state.inventory_running = false;
+    state.confirming = false;
     state.retry.reset();
+    state.confirm_retry.reset();
     ++state.round;
     if (was_owner)
         watcher_.on_lost(partition);
@@ -170,6 +179,58 @@
         begin_inventory(partition);
 }
 
+void partition_set::fenced(partition_id partition, epoch known)
+{
+    if (!is_owned(partition) || known <= epoch_of(partition))
+        return;
+    give_up(partition);
+    claim_later(partition);
+}
+
+void partition_set::confirm_all()
+{
+    for (auto& [partition, state] : entries_)
+    {
+        if (!is_owned(partition) || state.confirming)
+            continue;
+        state.confirming = true;
+        confirm(partition);
+    }
+}
+
+void partition_set::confirm(partition_id partition)
+{
+    entry& state = at(partition);
+    const epoch claimed = state.journal->owner_epoch();
+    state.journal->confirm(shared_.guarded(
+        [this, partition, claimed](const result<bool>& confirmed)
+        {
+            entry& owned = at(partition);
+            if (!is_owned(partition) || owned.journal->owner_epoch() != claimed)
+                return;
+            if (confirmed)
+            {
+                owned.confirming = false;
+                return watcher_.on_confirmed(partition);
+            }
+            // On conflict the journal reports that it is fenced.
+            if (confirmed.error().code == error_code::conflict)
+                return;
+            owned.confirm_retry = shared_.parts.loop.after(
+                shared_.random.jitter(claim_retry, retry_spread),
+                [this, partition]
+                {
+                    if (is_owned(partition) && at(partition).confirming)
+                        confirm(partition);
+                });
+        }));
+}
+
+bool partition_set::may_start(partition_id partition) const
+{
+    return is_owned(partition) && !entries_.at(partition).confirming;
+}
+
 void partition_set::begin_inventory(partition_id partition)
 {
     entry& state = at(partition);
--- a/lib/instance/partition_set.hpp
+++ b/lib/instance/partition_set.hpp
@@ -31,6 +31,8 @@
         virtual void on_inventory_complete(partition_id partition) = 0;
         /// Another instance owns the partition now, or it was given up.
         virtual void on_lost(partition_id partition) = 0;
+        /// The claim was confirmed; tasks may be started again.
+        virtual void on_confirmed(partition_id partition) = 0;
     };
 
     partition_set(context& shared, fleet& hosts, observer& watcher);
@@ -41,6 +43,11 @@
     /// Takes the inventory of all owned partitions again, after a slice owner was lost.
     void repeat_inventories();
     void repeat_inventory(partition_id partition);
+    /// A slice owner knows a higher epoch than this instance's.
+    void fenced(partition_id partition, epoch known);
+    /// Reads all claims again, after a pause or after others have taken this instance
+    /// for dead. Until a claim is confirmed, no task of its partition is started.
+    void confirm_all();
     /// Gives all partitions up.
     void leave(std::function<void()> done);
 
@@ -48,6 +55,8 @@
     bool is_active(partition_id partition) const;
     /// True when owned, active or not yet.
     bool is_owned(partition_id partition) const;
+    /// True when owned and not waiting for a confirmation of the claim.
+    bool may_start(partition_id partition) const;
     epoch epoch_of(partition_id partition) const;
     /// Number of the next start request of an owned partition.
     std::uint64_t next_sequence(partition_id partition);
@@ -67,18 +76,21 @@
         std::unique_ptr<partition_journal> journal;
         phase current = phase::unowned;
         bool inventory_running = false;
+        bool confirming = false;
         std::uint64_t sequence = 0; ///< Of the last start request.
         std::uint64_t fenced = 0;   ///< Sequence that the running inventory fences.
         /// Counts inventories; answers to an earlier one are ignored.
         std::uint64_t round = 0;
         std::set<slice_id> covered;
         timer_handle retry;
+        timer_handle confirm_retry;
     };
 
     entry& at(partition_id partition);
     void claim(partition_id partition);
     void claim_later(partition_id partition);
     void give_up(partition_id partition);
+    void confirm(partition_id partition);
     void begin_inventory(partition_id partition);
     void ask_for_inventory(partition_id partition);
     void inventory_answered(partition_id partition, std::uint64_t round,
@@ -93,6 +105,8 @@
     std::map<std::uint64_t, std::unique_ptr<partition_journal>> releasing_;
     std::uint64_t next_release_ = 0;
     std::size_t claims_in_flight_ = 0;
+    /// Claims in a row that the key-value service did not answer.
+    unsigned unanswered_claims_ = 0;
     bool leaving_ = false;
     std::function<void()> left_;
 };
--- a/lib/instance/router.cpp
+++ b/lib/instance/router.cpp
@@ -17,8 +17,7 @@
 /// How long a request is repeated while nobody owns its partition; a little more than
 /// the time of a takeover.
 constexpr duration routing_patience = std::chrono::seconds(8);
-/// An owner keeps outcomes findable for at least this long, so a repeat within it cannot
-/// start a task again.
+/// How long the outcome of a submission without an answer is looked for.
 constexpr duration uncertain_patience = std::chrono::seconds(8);
 constexpr duration call_deadline = std::chrono::seconds(3);
 /// Time for the journal to make a job durable before the call is given up.
@@ -113,17 +112,16 @@
                                reply->status.verdict == wire::job_verdict::accepted;
         if (!has_moved)
             return finish_submit(attempt, reply->status);
-        if (!attempt->uncertain)
-            attempt->give_up_at = shared_.now() + uncertain_patience;
-        attempt->uncertain = true;
+        // The former owner starts nothing more, and its successor's inventory shows what
+        // it has started.
         return retry_submit(attempt, no_owner());
     }
     const error& why = answer.error();
     if (why.code == error_code::outcome_unknown)
     {
-        if (!attempt->uncertain)
-            attempt->give_up_at = shared_.now() + uncertain_patience;
-        attempt->uncertain = true;
+        note_uncertain(*attempt);
+        if (attempt->job.synchronous && !attempt->job.idempotent)
+            return ask_outcome(attempt);
         return retry_submit(attempt, why);
     }
     if (why.code == error_code::unavailable)
@@ -134,6 +132,40 @@
     finish_submit(attempt, why);
 }
 
+void router::note_uncertain(submission& attempt)
+{
+    if (!attempt.uncertain)
+        attempt.give_up_at = shared_.now() + uncertain_patience;
+    attempt.uncertain = true;
+}
+
+void router::ask_outcome(const std::shared_ptr<submission>& attempt)
+{
+    try_query(wire::job_query{attempt->job.id, false}, attempt->give_up_at,
+              [this, attempt](const result<wire::job_status>& found)
+              { outcome_answered(attempt, found); });
+}
+
+void router::outcome_answered(const std::shared_ptr<submission>& attempt,
+                              const result<wire::job_status>& found)
+{
+    const bool is_final = found && found.value().verdict != wire::job_verdict::accepted;
+    if (is_final)
+        return finish_submit(attempt, found.value());
+    if (found)
+    {
+        // It runs; its answer is worth waiting for.
+        attempt->give_up_at =
+            std::max(attempt->give_up_at, shared_.now() + uncertain_patience);
+        return later(shared_.random.jitter(retry_delay, retry_spread),
+                     [this, attempt] { ask_outcome(attempt); });
+    }
+    // A former owner that is cut off may still start it, so not found is not "not run".
+    finish_submit(attempt,
+                  make_error(error_code::outcome_unknown,
+                             "the owner of the request was lost before it answered"));
+}
+
 void router::retry_submit(const std::shared_ptr<submission>& attempt, const error& why)
 {
     if (shared_.now() >= attempt->give_up_at)
--- a/lib/instance/router.hpp
+++ b/lib/instance/router.hpp
@@ -10,9 +10,11 @@
 namespace hawthornbeam
 {
 
-/// Finds the owner of a job and repeats a request while ownership moves. Repeating is
-/// safe, because an owner recognizes a job by its id and knows from the journal and from
-/// the inventory of the workers what has been started.
+/// Finds the owner of a job and repeats a request while ownership moves. Repeating an
+/// idempotent or queued job is safe, because an owner recognizes a job by its id and
+/// knows from the journal and the workers what has been started. A synchronous request
+/// that is not idempotent is never repeated once an owner may have taken it; its outcome
+/// is asked for.
 class router
 {
 public:
@@ -40,6 +42,11 @@
     void submit_answered(const std::shared_ptr<submission>& attempt,
                          result<wire::reply> answer);
     void retry_submit(const std::shared_ptr<submission>& attempt, const error& why);
+    void note_uncertain(submission& attempt);
+    /// Asks for the outcome of a submission that must not be repeated.
+    void ask_outcome(const std::shared_ptr<submission>& attempt);
+    void outcome_answered(const std::shared_ptr<submission>& attempt,
+                          const result<wire::job_status>& found);
     void finish_submit(const std::shared_ptr<submission>& attempt,
                        result<wire::job_status> outcome);
     void try_query(const wire::job_query& question, boot_time give_up_at,
--- a/lib/instance/slice_owner.hpp
+++ b/lib/instance/slice_owner.hpp
@@ -9,7 +9,6 @@
 #include "lib/instance/worker_session.hpp"
 
 #include <array>
-#include <deque>
 #include <unordered_map>
 
 namespace hawthornbeam
@@ -119,7 +118,7 @@
     std::function<void()> left_;
     bool acknowledge_scheduled_ = false;
     /// Recorded outcomes and when their workers may forget them.
-    std::deque<std::pair<boot_time, task_id>> recorded_;
+    std::multimap<boot_time, task_id> recorded_;
     std::map<std::uint64_t, timer_handle> lost_timers_;
     std::uint64_t next_lost_timer_ = 0;
     timer_handle decision_timer_;
--- a/lib/instance/slice_reports.cpp
+++ b/lib/instance/slice_reports.cpp
@@ -11,9 +11,11 @@
 {
 
 /// Outcomes stay on the worker this long after they were recorded, so that a job owner
-/// that takes over finds those whose answer its predecessor may not have delivered. It
-/// exceeds the time of a takeover.
-constexpr duration acknowledge_delay = std::chrono::seconds(10);
+/// that takes over finds those whose answer its predecessor may not have delivered, and
+/// a caller that repeats its request finds the first run. It exceeds the time of a
+/// takeover; a second run of an idempotent task does no harm.
+constexpr duration acknowledge_delay_idempotent = std::chrono::seconds(10);
+constexpr duration acknowledge_delay_once = std::chrono::seconds(60);
 constexpr duration acknowledge_period = std::chrono::seconds(1);
 
 policy::ending ending_of(task_state state, bool stop_requested)
@@ -187,7 +189,9 @@
     const auto found = tasks_.find(update.id);
     if (found == tasks_.end() || found->second.phase != task_phase::ended)
         return;
-    recorded_.emplace_back(shared_.now() + acknowledge_delay, update.id);
+    const duration delay = found->second.start.idempotent ? acknowledge_delay_idempotent
+                                                          : acknowledge_delay_once;
+    recorded_.emplace(shared_.now() + delay, update.id);
     if (!acknowledge_scheduled_)
         schedule_acknowledgements();
 }
@@ -206,10 +210,10 @@
 void slice_owner::acknowledge_recorded()
 {
     std::map<worker_id, std::vector<task_id>> batches;
-    while (!recorded_.empty() && recorded_.front().first <= shared_.now())
+    while (!recorded_.empty() && recorded_.begin()->first <= shared_.now())
     {
-        const auto found = tasks_.find(recorded_.front().second);
-        recorded_.pop_front();
+        const auto found = tasks_.find(recorded_.begin()->second);
+        recorded_.erase(recorded_.begin());
         if (found == tasks_.end())
             continue;
         batches[found->second.worker].push_back(found->first);
--- a/unittests/instance/failure_test.cpp
+++ b/unittests/instance/failure_test.cpp
@@ -2,8 +2,9 @@
 /// Tests that cause failures while work runs and check the invariants over the history.
 #include "unittests/instance/cell.hpp"
 
-#include <fmt/format.h>
 #include <array>
+#include <cstdlib>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace hawthornbeam
@@ -25,13 +26,16 @@
 
 void nothing(cell&) {}
 
-void restart_first(cell& cluster) { cluster.start_instance(0); }
+void restart_first(cell& cluster)
+{
+    cluster.start_instance(0);
+}
 
 const std::array<failure, 14> failures{{
     {"instance_dies", [](cell& c) { c.kill(0); }, restart_first, 8000},
     {"instance_dies_and_returns_at_once", [](cell& c) { c.kill(0); }, restart_first, 100},
-    {"instance_pauses_briefly", [](cell& c) { c.pause(0); },
-     [](cell& c) { c.resume(0); }, 1000},
+    {"instance_pauses_briefly", [](cell& c) { c.pause(0); }, [](cell& c) { c.resume(0); },
+     1000},
     {"instance_pauses_beyond_suspicion", [](cell& c) { c.pause(0); },
      [](cell& c) { c.resume(0); }, 3500},
     {"instance_pauses_beyond_its_leases", [](cell& c) { c.pause(0); },
@@ -63,7 +67,8 @@
      10000},
     {"worker_dies", [](cell& c) { c.kill_worker(0, seconds(1)); }, nothing, 1000},
     {"worker_answers_lost",
-     [](cell& c) { c.workers().faults(cell::address(0)).lose_answers = 3; }, nothing, 1000},
+     [](cell& c) { c.workers().faults(cell::address(0)).lose_answers = 3; }, nothing,
+     1000},
     {"lease_lapses",
      [](cell& c)
      {
@@ -127,15 +132,14 @@
 /// Every accepted job ends, and every caller has its final answer.
 void expect_all_settled(cell& cluster, const mixed_load& load)
 {
-    EXPECT_TRUE(cluster.advance_until(
-        seconds(120),
-        [&]
-        {
-            for (const call_record* call : load.requests())
-                if (!call->answered)
-                    return false;
-            return true;
-        }))
+    EXPECT_TRUE(cluster.advance_until(seconds(120),
+                                      [&]
+                                      {
+                                          for (const call_record* call : load.requests())
+                                              if (!call->answered)
+                                                  return false;
+                                          return true;
+                                      }))
         << "a caller has no answer";
     for (const call_record* call : load.queued())
     {
@@ -180,10 +184,17 @@
         fmt::print("job {} partition {}\n", id.text(), id.partition(64).value());
         for (const auto& e : cluster.workers().history())
             if (e.subject.starts_with(id.text()))
-                fmt::print("{:.3f} {} {} {} {} gen {}\n", std::chrono::duration<double>(e.at.time_since_epoch()).count(), e.worker.value(), e.event, e.subject.substr(33), e.detail, e.lease.value());
+                fmt::print("{:.3f} {} {} {} {} gen {}\n",
+                           std::chrono::duration<double>(e.at.time_since_epoch()).count(),
+                           e.worker.value(), e.event, e.subject.substr(33), e.detail,
+                           e.lease.value());
         for (const auto& c : cluster.calls())
             if (c.job.id == id)
-                fmt::print("answered {} at {:.3f} status {} verdict {} failure {}\n", c.answered, std::chrono::duration<double>(c.answered_at.time_since_epoch()).count(), c.has_status, int(c.status.verdict), c.failure.message);
+                fmt::print("answered {} at {:.3f} status {} verdict {} failure {}\n",
+                           c.answered,
+                           std::chrono::duration<double>(c.answered_at.time_since_epoch())
+                               .count(),
+                           c.has_status, int(c.status.verdict), c.failure.message);
         for (const auto& w : cluster.warnings())
             fmt::print("{}", w);
     }
@@ -204,8 +215,8 @@
     const failure& first = failures[random.below(failures.size())];
     const failure& second = failures[random.below(failures.size())];
     const milliseconds gap(static_cast<std::int64_t>(random.below(5000)));
-    SCOPED_TRACE(fmt::format("{} then {} after {} ms", first.name, second.name,
-                             gap.count()));
+    SCOPED_TRACE(
+        fmt::format("{} then {} after {} ms", first.name, second.name, gap.count()));
     cell_options options;
     options.seed = GetParam();
     cell cluster(options);
@@ -213,9 +224,8 @@
     mixed_load load(cluster);
     load.submit_queued();
     run_for(cluster, load, milliseconds(600));
-    const bool same_instance =
-        std::string(first.name).starts_with("instance") &&
-        std::string(second.name).starts_with("instance");
+    const bool same_instance = std::string(first.name).starts_with("instance") &&
+                               std::string(second.name).starts_with("instance");
     first.begin(cluster);
     run_for(cluster, load, gap);
     if (same_instance)
