--- a/lib/wire/tcp_incoming.cpp
+++ b/lib/wire/tcp_incoming.cpp
@@ -124,8 +124,13 @@
     result<request> message = decode_request(value.body);
     // A message of this peer alone is faulty; its other requests are answered.
     if (!message)
+    {
+        log_.warning("wire", "malformed request",
+                     {{"peer", peer->link->peer().id.value()},
+                      {"reason", message.error().message}});
         return answer(weak, value.id,
                       failure_reply{message.error().code, message.error().message});
+    }
     if (!handler_)
         return answer(weak, value.id,
                       failure_reply{error_code::unavailable, "not ready to serve"});
--- a/unittests/wire/tcp_peer_network_test.cpp
+++ b/unittests/wire/tcp_peer_network_test.cpp
@@ -337,6 +337,34 @@
     }
 }
 
+// Guards against peers that never close their connections and lock others out.
+TEST_F(tcp_peer_network_test, idle_incoming_connections_make_room)
+{
+    network_ptr server = open("server");
+    network_ptr client = open("client");
+    echo(*server);
+    raw_peer idle[6];
+    for (raw_peer& peer : idle)
+    {
+        peer.connect(server->port());
+        peer.send_hello(protocol_version);
+    }
+    run_until([&] { return idle[0].is_closed() && idle[1].is_closed(); });
+    EXPECT_EQ(call_and_wait(*client, server->port()), std::nullopt);
+}
+
+// Guards against a malformed request that ends other requests of its sender.
+TEST_F(tcp_peer_network_test, malformed_request_is_answered_with_an_error)
+{
+    network_ptr server = open("server");
+    raw_peer sender;
+    sender.connect(server->port());
+    sender.send_hello(protocol_version);
+    sender.send(encode_frame(frame{frame_kind::request, 1, 1000, "nonsense"}));
+    run_until([&] { return logged("malformed request"); });
+    EXPECT_FALSE(sender.is_closed());
+}
+
 // Guards against a caller that waits for ever for an answer too large to send.
 TEST_F(tcp_peer_network_test, oversize_answer_is_reported)
 {
