Keep attempts of different job owners apart

Cause: a job owner that took over counted outcomes that its predecessor had already recorded, waited for updates that never came, and could start an attempt again whose later attempt ran elsewhere. Change: attempts of an owner begin at a number of its epoch; restored jobs apply updates only after the inventory is complete; slice owners repeat outcomes at an inventory; a moved synchronous request is never reported as not run.

--- a/lib/instance/instance.cpp
+++ b/lib/instance/instance.cpp
@@ -73,7 +73,6 @@
     void fetch_missed_table();
     void check_isolation();
     void check_claims();
-    fetch_missed_table();
     void update_gauges();
     void begin_leaving();
     void check_left();
@@ -160,6 +159,7 @@
                                            {
                                                check_isolation();
                                                check_claims();
+                                               fetch_missed_table();
                                                update_gauges();
                                            });
 }
--- a/lib/instance/job_progress.cpp
+++ b/lib/instance/job_progress.cpp
@@ -53,6 +53,10 @@
         job_state& job = existing != jobs_.end()
                              ? existing->second
                              : recovered_job(updates.front()->id, updates.front()->row);
+        // Until the inventory is complete, a later attempt may run elsewhere; the slice
+        // owner repeats the update.
+        if (job.restored && !partitions_.is_active(job.partition))
+            continue;
         std::vector<task_id> ids;
         std::vector<std::uint32_t> to_write;
         for (const wire::task_update* update : updates)
@@ -120,6 +124,8 @@
     job.slots.resize(job.spec.tasks);
     job.slots[task.index].phase = slot_phase::orphaned;
     job.slots[task.index].attempt = task.attempt;
+    job.restored = true;
+    job.first_attempt = first_attempt_of(partitions_.epoch_of(job.partition));
     job.accepted = shared_.now();
     return job;
 }
@@ -130,12 +136,12 @@
     if (update.id.index >= job.slots.size())
         return;
     task_slot& slot = job.slots[update.id.index];
-    const bool is_stale =
-        slot.phase != slot_phase::orphaned && update.id.attempt < slot.attempt;
+    const bool is_stale = slot.attempt_known && update.id.attempt < slot.attempt;
     if (slot.phase == slot_phase::ended || is_stale)
         return;
-    // After a takeover the worker's attempt number is the one that counts.
+    // After a takeover the highest attempt number found on a worker counts.
     slot.attempt = update.id.attempt;
+    slot.attempt_known = true;
     switch (update.event)
     {
     case wire::task_event::placed:
@@ -181,7 +187,7 @@
     const bool preempted = update.state == task_state::stopped && !job.cancelling;
     if (preempted && job.spec.idempotent)
     {
-        ++slot.attempt;
+        begin_attempt(job, slot);
         requeue(job, update.id.index);
         return;
     }
@@ -189,7 +195,7 @@
         slot.failures + 1 < most_failures && retries_.take(job.spec.row))
     {
         ++slot.failures;
-        ++slot.attempt;
+        begin_attempt(job, slot);
         back_off(job, update.id.index, back_off_base * (1 << slot.failures));
         return;
     }
@@ -249,7 +255,7 @@
     leave_dispatched(job, slot);
     if (job.spec.idempotent && !job.cancelling)
     {
-        ++slot.attempt;
+        begin_attempt(job, slot);
         requeue(job, index);
         return;
     }
@@ -399,8 +405,11 @@
         task_slot& slot = job.slots.at(queued.id.index);
         if (slot.phase != slot_phase::orphaned)
             continue;
+        if (slot.attempt_known && queued.id.attempt < slot.attempt)
+            continue;
         slot.phase = slot_phase::dispatched;
         slot.attempt = queued.id.attempt;
+        slot.attempt_known = true;
         slot.owner = from;
         slot.since = shared_.now();
     }
--- a/lib/instance/job_state.cpp
+++ b/lib/instance/job_state.cpp
@@ -7,12 +7,7 @@
 namespace hawthornbeam
 {
 
-namespace
-{
-
-/// Attempts of different owners must not collide, since workers remember the ids of
-/// tasks that they have run.
-std::uint16_t first_attempt(epoch owner_epoch)
+std::uint16_t first_attempt_of(epoch owner_epoch)
 {
     constexpr std::uint64_t attempts_per_owner = 256;
     constexpr std::uint64_t owners = 256;
@@ -20,7 +15,12 @@
                                       attempts_per_owner);
 }
 
-} // namespace
+void begin_attempt(const job_state& job, task_slot& slot)
+{
+    const std::uint16_t following = static_cast<std::uint16_t>(slot.attempt + 1);
+    slot.attempt = std::max(following, job.first_attempt);
+    slot.attempt_known = true;
+}
 
 wire::job_status status_of(const job_state& job)
 {
@@ -51,6 +51,8 @@
     job.partition = partition;
     job.durable = true;
     job.journaled = true;
+    job.restored = true;
+    job.first_attempt = first_attempt_of(owner_epoch);
     job.accepted = now;
     job.cancelling = journaled.cancelling;
     job.results = journaled.ended;
@@ -59,7 +61,8 @@
     {
         slot.phase = slot_phase::orphaned;
         slot.since = now;
-        slot.attempt = first_attempt(owner_epoch);
+        slot.attempt = job.first_attempt;
+        slot.attempt_known = false;
     }
     for (const wire::task_result& ended : journaled.ended)
     {
--- a/lib/instance/job_state.hpp
+++ b/lib/instance/job_state.hpp
@@ -34,6 +34,8 @@
     std::uint8_t failures = 0;
     slot_phase phase = slot_phase::waiting;
     bool was_placed = false; ///< Some attempt has been started.
+    /// False while a former owner may have started attempts that are not known here.
+    bool attempt_known = true;
 };
 
 using status_callback = std::function<void(const wire::job_status&)>;
@@ -52,11 +54,15 @@
     boot_time accepted{};
     boot_time start_by = boot_time::max();
     boot_time ended_at{};
+    /// Least number of a new attempt; those of former owners are lower.
+    std::uint16_t first_attempt = 0;
     std::uint32_t ended = 0;
     std::uint32_t placed = 0;
     bool durable = false;
     /// A durable job is dispatched only once its acceptance is in the journal.
     bool journaled = false;
+    /// Taken over from a former owner, from the journal or from the workers.
+    bool restored = false;
     bool cancelling = false;
     wire::job_verdict verdict = wire::job_verdict::accepted;
     std::string reason;
@@ -65,6 +71,11 @@
     bool is_ended() const { return verdict != wire::job_verdict::accepted; }
 };
 
+/// Numbers the slot's next attempt.
+void begin_attempt(const job_state& job, task_slot& slot);
+/// Attempts of an owner with \p owner_epoch begin here. Attempts of different owners must
+/// not collide, since workers remember the ids of tasks that they have run.
+std::uint16_t first_attempt_of(epoch owner_epoch);
 /// The status callers see.
 wire::job_status status_of(const job_state& job);
 /// A job of the journal with its unfinished tasks orphaned.
--- a/lib/instance/router.cpp
+++ b/lib/instance/router.cpp
@@ -113,7 +113,9 @@
         if (!has_moved)
             return finish_submit(attempt, reply->status);
         // The former owner starts nothing more, and its successor's inventory shows what
-        // it has started.
+        // it has started; until the successor answers, nobody can say that it was not
+        // run.
+        note_uncertain(*attempt);
         return retry_submit(attempt, no_owner());
     }
     const error& why = answer.error();
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -372,7 +372,12 @@
         if (task.phase == task_phase::waiting)
             reply.queued.push_back(wire::queued_task{id, task.start.row});
         else
+        {
             reply.tasks.push_back(inventory_entry(id, task));
+            // The former job owner may have recorded the outcome and lost it.
+            if (task.phase == task_phase::ended)
+                send_update(task, wire::task_event::ended, task.state, task.output);
+        }
     }
     return reply;
 }
--- a/unittests/instance/cell.cpp
+++ b/unittests/instance/cell.cpp
@@ -243,6 +243,13 @@
     }
 }
 
+void cell::set_kv_faults(const std::function<void(standins::fake_kv_faults&)>& change)
+{
+    for (const std::unique_ptr<node>& one : nodes_)
+        if (one)
+            change(one->kv->faults());
+}
+
 wire::job_spec cell::request(const std::string& id, int run_ms, int deadline_ms) const
 {
     wire::job_spec spec = job("p/request", id, 1, run_ms, false);
--- a/unittests/instance/cell.hpp
+++ b/unittests/instance/cell.hpp
@@ -72,6 +72,8 @@
     /// Cuts an instance from all other instances, and from all workers when asked.
     void isolate(std::size_t index, bool from_workers, bool from_kv);
     void heal();
+    /// Changes the faults of the key-value clients of all live instances.
+    void set_kv_faults(const std::function<void(standins::fake_kv_faults&)>& change);
 
     /// A job of one task for row "p/request" that a caller waits for.
     wire::job_spec request(const std::string& id, int run_ms = 50,
--- a/unittests/instance/failure_test.cpp
+++ b/unittests/instance/failure_test.cpp
@@ -3,7 +3,6 @@
 #include "unittests/instance/cell.hpp"
 
 #include <array>
-#include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -47,22 +46,21 @@
     {"kv_down", [](cell& c) { c.store().is_down = true; },
      [](cell& c) { c.store().is_down = false; }, 20000},
     {"kv_answers_lost",
-     [](cell& c)
-     {
-         for (std::size_t index = 0; index < 3; ++index)
-             c.kv(index).faults().lost_answers = 5;
+     [](cell& c) {
+         c.set_kv_faults([](standins::fake_kv_faults& faults)
+                         { faults.lost_answers = 5; });
      },
      nothing, 1000},
     {"kv_slow",
      [](cell& c)
      {
-         for (std::size_t index = 0; index < 3; ++index)
-             c.kv(index).faults().latency = milliseconds(1500);
+         c.set_kv_faults([](standins::fake_kv_faults& faults)
+                         { faults.latency = milliseconds(1500); });
      },
      [](cell& c)
      {
-         for (std::size_t index = 0; index < 3; ++index)
-             c.kv(index).faults().latency = duration();
+         c.set_kv_faults([](standins::fake_kv_faults& faults)
+                         { faults.latency = duration(); });
      },
      10000},
     {"worker_dies", [](cell& c) { c.kill_worker(0, seconds(1)); }, nothing, 1000},
@@ -178,26 +176,6 @@
     run_for(cluster, load, seconds(2));
     expect_all_settled(cluster, load);
     EXPECT_EQ(cluster.violations(), std::vector<std::string>());
-    if (const char* trace = std::getenv("TRACE_JOB"))
-    {
-        const job_id id = job_id::derive(partner_id("p"), request_id(trace));
-        fmt::print("job {} partition {}\n", id.text(), id.partition(64).value());
-        for (const auto& e : cluster.workers().history())
-            if (e.subject.starts_with(id.text()))
-                fmt::print("{:.3f} {} {} {} {} gen {}\n",
-                           std::chrono::duration<double>(e.at.time_since_epoch()).count(),
-                           e.worker.value(), e.event, e.subject.substr(33), e.detail,
-                           e.lease.value());
-        for (const auto& c : cluster.calls())
-            if (c.job.id == id)
-                fmt::print("answered {} at {:.3f} status {} verdict {} failure {}\n",
-                           c.answered,
-                           std::chrono::duration<double>(c.answered_at.time_since_epoch())
-                               .count(),
-                           c.has_status, int(c.status.verdict), c.failure.message);
-        for (const auto& w : cluster.warnings())
-            fmt::print("{}", w);
-    }
 }
 
 INSTANTIATE_TEST_SUITE_P(single, failure_test, testing::ValuesIn(failures),
@@ -240,7 +218,7 @@
     EXPECT_EQ(cluster.violations(), std::vector<std::string>());
 }
 
-INSTANTIATE_TEST_SUITE_P(seeds, failure_pair_test, testing::Range<std::uint64_t>(1, 41));
+INSTANTIATE_TEST_SUITE_P(seeds, failure_pair_test, testing::Range<std::uint64_t>(1, 201));
 
 } // namespace
 } // namespace hawthornbeam
