Read the shares of the burn report as the daemon writes them

Cause: the report took hawthornbeam_row_share of an instance as the part in its own slices and added the instances. The daemon writes the share of the whole cluster at every instance, and the free fraction of its own workers only, so a row's share came out multiplied by the number of instances.

Change: shares are averaged over the instances, free fractions are weighted with the workers of each instance, counts are still added. The check that shares and free capacity add up to 1 is gone as well: dominant shares of different resources may exceed that.

--- a/lib/report/burn.cpp
+++ b/lib/report/burn.cpp
@@ -21,10 +21,6 @@
 constexpr double least_events = 10;
 /// Points of a plot; more cannot be told apart at its width.
 constexpr std::int64_t most_points = 144;
-/// Shares and free capacity add up to 1; more shows that instances report the shares of
-/// the whole cluster instead of those of their own slices.
-constexpr float most_share_sum = 1.1F;
-
 double ratio(double a, double b)
 {
     return b > 0 ? a / b : 0;
@@ -108,7 +104,7 @@
     if (of.samples == 0 || row.waiting == 0 || row.guaranteed <= 0)
         return {};
     const double least = objectives.share_floor * static_cast<double>(row.guaranteed);
-    return {of.mean_sum(row.share) < least ? 1.0 : 0.0, 1.0};
+    return {of.mean(row.share) < least ? 1.0 : 0.0, 1.0};
 }
 
 using event_reader = slot_events (*)(const row_objectives&, const slot&, const row_slot&);
@@ -190,28 +186,15 @@
     return burn;
 }
 
-/// True when an instance of the slot before is missing: its share is unknown, not zero.
-bool lacks_instances(const slot& before, const slot& now)
-{
-    return now.instances < before.instances;
-}
-
 event_series collect_events(const slot_map& slots, const row_objectives& objectives,
                             std::size_t row, objective_kind kind)
 {
     event_series events;
-    const slot* before = nullptr;
     for (const std::pair<const std::int64_t, slot>& entry : slots)
     {
-        const slot& now = entry.second;
-        slot_events read =
-            event_readers[static_cast<std::size_t>(kind)](objectives, now, now.rows[row]);
-        if (kind == objective_kind::share && before != nullptr &&
-            lacks_instances(*before, now))
-            read = {};
+        const slot_events read = event_readers[static_cast<std::size_t>(kind)](
+            objectives, entry.second, entry.second.rows[row]);
         events.add(entry.first, read.bad, read.all);
-        if (now.samples > 0)
-            before = &now;
     }
     return events;
 }
@@ -297,24 +280,6 @@
         return burn;
     }
 
-    findings check_shares() const
-    {
-        for (const std::pair<const std::int64_t, slot>& entry : builder.slots())
-        {
-            const slot& one = entry.second;
-            const float sum = one.mean_sum(one.share_of_all + one.free);
-            if (sum > most_share_sum)
-                return {finding{
-                    "", 0, "hawthornbeam_row_share",
-                    fmt::format("the shares and the free capacity of all "
-                                "instances add up to {:.2f} at {}",
-                                sum,
-                                format_wall_time(wall_time(entry.first * slot_length))),
-                    "at most 1: each instance reports its own slices"}};
-        }
-        return {};
-    }
-
     service_objectives objectives;
     slot_builder builder;
 };
@@ -349,7 +314,6 @@
     }
     report.begin = builder.begin();
     report.end = builder.end();
-    report.faults = implementation_->check_shares();
     for (std::size_t i = 0; i < implementation_->objectives.rows.size(); ++i)
         report.rows.push_back(implementation_->measure_row(i));
     return report;
--- a/lib/report/slots.cpp
+++ b/lib/report/slots.cpp
@@ -185,21 +185,25 @@
 void slot_builder::add_gauges(const metrics_registry& metrics, slot& target) const
 {
     target.samples += 1;
-    float shares = 0;
-    for (const metric_labels& labels : metrics.label_sets("hawthornbeam_row_share"))
-        shares += gauge(metrics, "hawthornbeam_row_share", labels);
-    target.share_of_all += shares;
+    float own_workers = 0;
+    for (std::size_t i = 0; i < worker_states.size(); ++i)
+    {
+        const float count =
+            gauge(metrics, "hawthornbeam_workers", {{"state", worker_states[i]}});
+        target.workers[i] += count;
+        own_workers += count;
+    }
     // A gauge that an instance does not write must not look like a full cluster or an
     // outage.
     constexpr const char* free = "hawthornbeam_capacity_free_fraction";
-    target.free += metrics.label_sets(free).empty() ? std::max(0.0F, 1 - shares)
-                                                    : gauge(metrics, free, {});
+    if (!metrics.label_sets(free).empty())
+    {
+        target.free += own_workers * gauge(metrics, free, {});
+        target.free_basis += own_workers;
+    }
     constexpr const char* reachable = "hawthornbeam_kv_reachable";
     target.kv_reachable +=
         metrics.label_sets(reachable).empty() ? 1 : gauge(metrics, reachable, {});
-    for (std::size_t i = 0; i < worker_states.size(); ++i)
-        target.workers[i] +=
-            gauge(metrics, "hawthornbeam_workers", {{"state", worker_states[i]}});
     for (std::size_t i = 0; i < objectives_.rows.size(); ++i)
     {
         const metric_labels labels{{"row", objectives_.rows[i].row.value()}};
@@ -251,14 +255,14 @@
         if (one.samples == 0)
             continue;
         sampled += 1;
-        input.free += one.mean_sum(one.free);
+        input.free += one.free_fraction();
         reachable += one.kv_reachable / one.samples;
         for (std::size_t k = 0; k < input.workers.size(); ++k)
             input.workers[k] += one.mean_sum(one.workers[k]);
         if (of_row.waiting == 0)
             continue;
         contended += 1;
-        input.share += one.mean_sum(of_row.share);
+        input.share += one.mean(of_row.share);
         input.guaranteed += of_row.guaranteed;
     }
     const double slot_count = std::max(1.0, sampled);
--- a/lib/report/slots.hpp
+++ b/lib/report/slots.hpp
@@ -43,25 +43,28 @@
 struct row_slot
 {
     row_counts counts;
-    float share = 0;      ///< Sum over samples.
+    float share = 0;      ///< Sum over samples; every instance knows the whole cluster.
     float guaranteed = 0; ///< Largest of the samples; every instance reports the same.
-    float waiting = 0;    ///< Sum over samples.
+    float waiting = 0;    ///< Sum over samples; every instance counts its own queues.
 };
 
-/// All sums of five minutes. Sums of gauges are divided by the samples and multiplied by
-/// the instances, which gives the sum over instances of their mean.
+/// All sums of five minutes. What every instance knows of the whole cluster is averaged
+/// over the samples; what each counts of its own workers is also multiplied by the
+/// instances, which gives the sum over instances of their means.
 struct slot
 {
     std::vector<row_slot> rows;
     float samples = 0;
     float instances = 0;
-    float free = 0;
-    float share_of_all = 0; ///< Of all rows, also those without objectives.
+    float free = 0;       ///< Free fraction times the workers of the instance.
+    float free_basis = 0; ///< Workers of the instances that wrote a free fraction.
     float kv_reachable = 0;
     float kv_answered = 0;
     float kv_failed = 0;
     std::array<float, worker_states.size()> workers{};
 
+    float mean(float sum) const { return samples > 0 ? sum / samples : 0; }
+    float free_fraction() const { return free_basis > 0 ? free / free_basis : 1; }
     float mean_sum(float sum) const
     {
         return samples > 0 ? sum * instances / samples : 0;
