Divide headroom between instances, and preempt for many units at a time

Cause: with four instances and summaries 2 s old, each instance filled the same gap. A row planned preemption for eight units at a time, and the search for victims met tasks that were being preempted already. A property test crashed on a timer of a lifted quarantine whose worker was removed; the fixture also used a task id after erasing it. Change: an instance takes its own part of a limit's headroom between summaries, and takes the others' usage to change like its own. Units with a hold do not count as failed. Preempted tasks leave the tail of their list. The timer checks its worker.

--- a/lib/policy/fairness.cpp
+++ b/lib/policy/fairness.cpp
@@ -42,7 +42,7 @@
 {
     const row_record& row = all_.rows[open.row];
     const partner_record& partner = all_.partners[open.partner];
-    const double share = dominant_share(row.running + row.remote, total_);
+    const double share = dominant_share(all_.usage(row), total_);
     open.under_guarantee = share < row.settings.guaranteed;
     open.key =
         share / (open.under_guarantee ? row.settings.guaranteed : row.settings.weight);
--- a/lib/policy/fairness.hpp
+++ b/lib/policy/fairness.hpp
@@ -14,6 +14,7 @@
     index row = none;
     index cursor = none; ///< Unit to try next.
     std::uint32_t failures = 0;
+    std::uint32_t held = 0; ///< Units with a hold that were passed over.
     bool under_guarantee = false;
     std::uint8_t urgency_class = 0;
     double key = 0;         ///< Share by guarantee when under it, else by weight.
--- a/lib/policy/preemption.cpp
+++ b/lib/policy/preemption.cpp
@@ -32,9 +32,10 @@
     if (&victim == &row || task.stage != preemption_stage::untouched)
         return false;
     const bool more_urgent = row.settings.priority < victim.settings.priority;
-    const bool under = row.settings.guaranteed > 0 &&
-                       dominant_share(row.running + row.remote + row.claimed,
-                                      all_.total()) < row.settings.guaranteed;
+    const bool under =
+        row.settings.guaranteed > 0 &&
+        dominant_share(all_.usage(row) + scaled(row.claimed, all_.amplification),
+                       all_.total()) < row.settings.guaranteed;
     if (!more_urgent && !under)
         return false;
     if (victim.settings.kind == workload::service &&
@@ -43,7 +44,7 @@
     if (victim.settings.guaranteed <= 0)
         return true;
     const resources left =
-        victim.running + victim.remote - victim.releasing - task.reserved;
+        all_.usage(victim) - scaled(victim.releasing + task.reserved, all_.amplification);
     return dominant_share(left, all_.total()) >= victim.settings.guaranteed;
 }
 
@@ -64,6 +65,7 @@
             std::size_t tried = 0;
             while (task != none && found.size() < most && ++tried <= 2 * most)
             {
+                const index previous = all_.tasks[task].previous;
                 // One check decides for the whole row, but for tasks being preempted.
                 const bool allowed = may_preempt(row, task);
                 if (!allowed && all_.tasks[task].stage == preemption_stage::untouched)
@@ -72,7 +74,7 @@
                 if (allowed && all_.usable(all_.workers[worker]) &&
                     seen.insert(worker).second)
                     found.push_back(worker);
-                task = all_.tasks[task].previous;
+                task = previous;
             }
         }
         if (found.size() >= most)
--- a/lib/policy/records.hpp
+++ b/lib/policy/records.hpp
@@ -219,8 +219,10 @@
     std::uint32_t gang_gaps = 0; ///< Members that incomplete gangs still lack.
     resources running;
     std::uint32_t tasks_running = 0;
-    resources remote;
+    resources remote; ///< At the last summary.
     std::uint32_t remote_tasks = 0;
+    resources running_at_summary;
+    std::uint32_t tasks_at_summary = 0;
     resources releasing; ///< Of running tasks that are being preempted.
     resources claimed;   ///< Held by preempting holds of this row.
     std::uint32_t releasing_tasks = 0;
@@ -264,6 +266,15 @@
             accelerator_count(size.accelerators.value() * count)};
 }
 
+inline resources scaled(const resources& size, double factor)
+{
+    const auto scale = [factor](std::int64_t amount)
+    { return static_cast<std::int64_t>(static_cast<double>(amount) * factor); };
+    return {millicores(scale(size.processors.value())),
+            byte_count(scale(size.memory.value())),
+            accelerator_count(scale(size.accelerators.value()))};
+}
+
 inline resources component_min(const resources& a, const resources& b)
 {
     return {std::min(a.processors, b.processors), std::min(a.memory, b.memory),
--- a/lib/policy/round.cpp
+++ b/lib/policy/round.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t lookahead = 8;
 /// The same for all rows together; it bounds a round in which every row has a backlog.
 constexpr std::size_t round_lookahead = 256;
+/// Units with a hold that are passed over in one row. Without them the row would make
+/// room for a few units only at a time.
+constexpr std::uint32_t most_held = 512;
 /// Sizes remembered as not fitting.
 constexpr std::size_t most_no_fit = 16;
 /// Requests at the tail of one row that one round checks for lateness.
@@ -137,7 +140,7 @@
         victims_.advance(due.subject, now_);
         return;
     case timer_kind::quarantine_end:
-        end_quarantine(due.subject);
+        end_quarantine(due);
         return;
     }
 }
@@ -155,10 +158,14 @@
     all_.queue_unit(position, true);
 }
 
-void decision_round::end_quarantine(index position)
+void decision_round::end_quarantine(const timer& due)
 {
-    all_.failures.release(all_.workers[position]);
-    all_.refresh(position);
+    // The quarantine may have been lifted and the worker removed since.
+    worker_record& worker = all_.workers[due.subject];
+    if (!worker.known || worker.quarantined_until != due.at)
+        return;
+    all_.failures.release(worker);
+    all_.refresh(due.subject);
 }
 
 void decision_round::refuse_unit(index task, error_code code, const std::string& reason,
@@ -316,6 +323,8 @@
             order.update();
         else if (refuse_hopeless(leader))
             continue;
+        else if (all_.tasks[leader].hold != none && ++open->held <= most_held)
+            continue;
         else if (++open->failures >= lookahead || lookahead_left_ == 0)
             order.close();
         else
--- a/lib/policy/round.hpp
+++ b/lib/policy/round.hpp
@@ -25,7 +25,7 @@
     void run_timers();
     void run_timer(const timer& due);
     void end_back_off(index task);
-    void end_quarantine(index worker);
+    void end_quarantine(const timer& due);
     void refuse_removed_rows();
     void refuse_late_requests(row_record& row);
     /// Refuses the whole unit of \p task.
--- a/lib/policy/scheduler.cpp
+++ b/lib/policy/scheduler.cpp
@@ -106,7 +106,7 @@
     }
     all.cluster = cluster_capacity;
     all.shapes.set_largest_remote(largest_worker);
-    all.recount_partners();
+    all.start_summary_period();
 }
 
 void scheduler::add_worker(const worker_info& worker)
--- a/lib/policy/state.cpp
+++ b/lib/policy/state.cpp
@@ -44,7 +44,7 @@
     {
         partner_record& partner = partners[row.partner];
         const std::uint8_t urgency_class = row.settings.priority.value();
-        partner.usage[urgency_class] += row.running + row.remote;
+        partner.usage[urgency_class] += usage(row);
         partner.weight[urgency_class] += row.in_table ? row.settings.weight : 0.0;
     }
     std::stable_sort(rows_by_class.begin(), rows_by_class.end(),
@@ -59,9 +59,29 @@
     return std::min(1.0, dominant_share(own_capacity, total()));
 }
 
+void state::start_summary_period()
+{
+    amplification = 1 / std::max(1e-6, own_fraction());
+    for (row_record& row : rows)
+    {
+        row.running_at_summary = row.running;
+        row.tasks_at_summary = row.tasks_running;
+    }
+    recount_partners();
+}
+
+resources state::usage(const row_record& row) const
+{
+    if (amplification <= 1)
+        return row.running + row.remote;
+    const resources elsewhere =
+        row.remote + scaled(row.running - row.running_at_summary, amplification - 1);
+    return row.running + component_max(elsewhere, resources());
+}
+
 double state::share(const row_record& row) const
 {
-    return dominant_share(row.running + row.remote, total());
+    return dominant_share(usage(row), total());
 }
 
 bool state::under_guarantee(const row_record& row) const
@@ -69,6 +89,32 @@
     return row.settings.guaranteed > 0 && share(row) < row.settings.guaranteed;
 }
 
+bool state::own_part_left(const row_record& row) const
+{
+    if (amplification <= 1)
+        return true;
+    const row_limits& limits = row.settings.limits;
+    const resources before = row.running_at_summary + row.remote;
+    const auto left = [&](std::int64_t limit, std::int64_t all, std::int64_t own_before,
+                          std::int64_t own)
+    {
+        const double part = static_cast<double>(limit - all) / amplification;
+        return limit <= 0 ||
+               static_cast<double>(own) < static_cast<double>(own_before) + part;
+    };
+    return left(limits.running.processors.value(), before.processors.value(),
+                row.running_at_summary.processors.value(),
+                row.running.processors.value()) &&
+           left(limits.running.memory.value(), before.memory.value(),
+                row.running_at_summary.memory.value(), row.running.memory.value()) &&
+           left(limits.running.accelerators.value(), before.accelerators.value(),
+                row.running_at_summary.accelerators.value(),
+                row.running.accelerators.value()) &&
+           left(limits.tasks_running,
+                std::int64_t(row.tasks_at_summary) + row.remote_tasks,
+                row.tasks_at_summary, row.tasks_running);
+}
+
 bool state::limits_admit(row_record& row, const resources& size, std::uint32_t count,
                          boot_time now) const
 {
@@ -81,7 +127,8 @@
         exceeds(sum.accelerators.value(), limits.running.accelerators.value()))
         return false;
     if (exceeds(std::int64_t(row.tasks_running) + row.remote_tasks + count,
-                limits.tasks_running))
+                limits.tasks_running) ||
+        !own_part_left(row))
         return false;
     return row.rate.admits(now, limits.tasks_per_second, own_fraction());
 }
@@ -211,7 +258,8 @@
     ++row.tasks_running;
     if (row.down > 0)
         --row.down;
-    partners[row.partner].usage[row.settings.priority.value()] += reserved;
+    partners[row.partner].usage[row.settings.priority.value()] +=
+        scaled(reserved, amplification);
     row_list::push_back(tasks, row.running_lists[task.idempotent ? 1 : 0], position);
     worker_list::push_back(tasks, workers[worker].running, position);
     count_spread(task, true);
@@ -228,6 +276,10 @@
         row.releasing += task.reserved;
         worker.releasing += task.reserved;
         ++row.releasing_tasks;
+        // Searches for victims start at the tail and must not meet it again.
+        list_ends& list = row.running_lists[task.idempotent ? 1 : 0];
+        row_list::erase(tasks, list, position);
+        row_list::push_front(tasks, list, position);
         return;
     }
     row.releasing -= task.reserved;
@@ -248,7 +300,8 @@
     }
     row.running -= task.reserved;
     --row.tasks_running;
-    partners[row.partner].usage[row.settings.priority.value()] -= task.reserved;
+    partners[row.partner].usage[row.settings.priority.value()] -=
+        scaled(task.reserved, amplification);
     row_list::erase(tasks, row.running_lists[task.idempotent ? 1 : 0], position);
     worker_list::erase(tasks, worker.running, position);
     count_spread(task, false);
--- a/lib/policy/state.hpp
+++ b/lib/policy/state.hpp
@@ -103,10 +103,13 @@
     bool rows_removed = false;
     double plan_tokens = 0; ///< Preemption plans that may be made now.
     boot_time plan_tokens_at{};
+    double amplification = 1; ///< Cluster capacity by own capacity at the last summary.
     boot_time reservation_due{}; ///< No reservation is planned earlier.
     boot_time last_now{}; ///< Of the last round or enqueue; for calls without a time.
 
     // Rows and capacity.
+    /// Takes the usage elsewhere, just set, as that of this moment.
+    void start_summary_period();
     index row_position(const row_id& id);
     /// Recounts the usage of the partners by class after a change of classes or of the
     /// usage elsewhere, and sorts the rows by class.
@@ -115,11 +118,20 @@
     resources total() const { return component_max(cluster, own_capacity); }
     /// The part of the cluster that this scheduler owns.
     double own_fraction() const;
+    /// Estimated usage of \p row in the whole cluster. The other instances see the same
+    /// summaries and decide by the same rules, so their usage is taken to have changed
+    /// since the last summary in proportion to the own one. Without this, all instances
+    /// would fill the same gap, and overshoot it by their number.
+    resources usage(const row_record& row) const;
     double share(const row_record& row) const;
     bool under_guarantee(const row_record& row) const;
     /// Whether the limits of \p row admit \p count more tasks of \p size now.
     bool limits_admit(row_record& row, const resources& size, std::uint32_t count,
                       boot_time now) const;
+    /// Whether this instance has used less than its part of the headroom that the limits
+    /// of \p row left at the last summary. The last task may exceed the part, so that a
+    /// limit of a few tasks is used at all.
+    bool own_part_left(const row_record& row) const;
     /// What a task will be counted with.
     resources reserved_size(const task_record& task) const;
 
--- a/unittests/policy/contention_test.cpp
+++ b/unittests/policy/contention_test.cpp
@@ -210,7 +210,7 @@
     cluster.decide();
     cluster.add_many("b/batch", cores_and_gib(2, 2), 1);
     EXPECT_TRUE(cluster.decide().placements.empty()) << "the reserved room was taken";
-    waiting_task brief = cluster.make("b/batch", one_core);
+    waiting_task brief = cluster.make("b/batch", cores_and_gib(2, 2));
     brief.run_time = milliseconds(500);
     cluster.add(brief);
     EXPECT_EQ(cluster.decide().placements.size(), 1U) << "no backfill";
@@ -272,29 +272,47 @@
     EXPECT_EQ(cluster.subject.unschedulable_reason(worker_id("w1"), cluster.now), "");
 }
 
-// Guards against workers that are blamed for a job that fails everywhere.
-// Seeded fault that it catches: quarantine::blame_job() returns false.
-TEST(quarantine_test, does_not_blame_workers_for_a_bad_job)
+/// Runs one task of \p job at a time until \p count have failed.
+void fail_job(cluster_fixture& cluster, waiting_task job, int count)
 {
-    cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
-    cluster.add_workers(6, cores_and_gib(4, 16));
-    waiting_task bad = cluster.make("a/x", cores_and_gib(4, 4));
-    for (int i = 0; i < 100; ++i)
+    for (int i = 0; i < count; ++i)
     {
-        for (int j = 0; j < 6; ++j)
-        {
-            ++bad.id.index;
-            cluster.add(bad);
-        }
+        ++job.id.index;
+        cluster.add(job);
         cluster.decide();
         while (!cluster.running.empty())
             cluster.end(cluster.running.begin()->first, ending::failure);
-        cluster.now += milliseconds(100);
+        cluster.now += milliseconds(10);
     }
-    for (int i = 0; i < 6; ++i)
-        EXPECT_EQ(cluster.subject.unschedulable_reason(worker_id("w" + std::to_string(i)),
-                                                       cluster.now),
-                  "");
+}
+
+// Guards against workers that are blamed for a job that fails everywhere.
+// Seeded fault that it catches: quarantine::blame_job() returns false.
+TEST(quarantine_test, does_not_blame_workers_for_a_bad_job)
+{
+    cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
+    cluster.add_workers(10, cores_and_gib(4, 16));
+    cluster.add_many("a/x", cores_and_gib(1, 4), 40);
+    cluster.decide();
+    run_tasks(cluster, {});
+    fail_job(cluster, cluster.make("a/x", cores_and_gib(4, 4)), 100);
+    for (const auto& [worker, capacity] : cluster.capacities)
+        EXPECT_EQ(cluster.subject.unschedulable_reason(worker, cluster.now), "");
+}
+
+// Guards against a timer of a lifted quarantine that meets a worker removed since.
+// Seeded fault that it catches: decision_round::end_quarantine() does not check the
+// worker.
+TEST(quarantine_test, a_lifted_quarantine_of_a_removed_worker_is_ignored)
+{
+    cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
+    cluster.add_workers(4, cores_and_gib(4, 16));
+    fail_job(cluster, cluster.make("a/x", cores_and_gib(4, 4)), 100);
+    for (const auto& [worker, capacity] : cluster.capacities)
+        cluster.subject.remove_worker(worker);
+    cluster.now += seconds(1000);
+    EXPECT_TRUE(cluster.decide().placements.empty());
+    EXPECT_EQ(cluster.subject.capacity(), resources());
 }
 
 } // namespace
--- a/unittests/policy/fixture.hpp
+++ b/unittests/policy/fixture.hpp
@@ -168,7 +168,8 @@
         EXPECT_EQ(subject.running(), running.size());
     }
 
-    void end(const task_id& task, ending how = ending::success)
+    /// By value: callers pass the key of the entry that is erased here.
+    void end(task_id task, ending how = ending::success)
     {
         const run entry = running.at(task);
         running.erase(task);
--- a/unittests/policy/scheduler_test.cpp
+++ b/unittests/policy/scheduler_test.cpp
@@ -81,6 +81,28 @@
     EXPECT_EQ(cluster.running_in("b/batch"), 5U);
 }
 
+// Guards against several instances that all use the same headroom of a limit or the same
+// missing part of a guarantee between two summaries.
+// Seeded faults that it catches: own_part_left() returns true; state::usage() adds the
+// remote usage unchanged.
+TEST(fairness_test, an_instance_takes_only_its_part_between_summaries)
+{
+    table_row limited = make_row("a/limited", workload::batch, 0);
+    limited.limits.running.processors = millicores(12000);
+    cluster_fixture cluster({limited, make_row("a/urgent", workload::batch, 1),
+                             make_row("b/batch", workload::batch, 9, 0.4)});
+    cluster.add_workers(1, cores_and_gib(10, 100));
+    cluster.subject.set_remote_usage({{row_id("a/limited"), cores_and_gib(4, 1), 4, 0},
+                                      {row_id("b/batch"), cores_and_gib(8, 1), 8, 0}},
+                                     cores_and_gib(40, 400), cores_and_gib(10, 100));
+    for (const char* row : {"a/limited", "a/urgent", "b/batch"})
+        cluster.add_many(row, one_core, 20);
+    cluster.decide();
+    EXPECT_EQ(cluster.running_in("a/limited"), 2U);
+    EXPECT_EQ(cluster.running_in("b/batch"), 2U);
+    EXPECT_EQ(cluster.running_in("a/urgent"), 6U);
+}
+
 struct limit_case
 {
     const char* name;
