--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOURCES = $(shell git ls-files 'include/*.hpp' 'lib/*.?pp' 'tools/*.?pp' 'test/*.?pp' \
   'unittests/*.?pp' 'benchmarks/*.?pp')
 
-.PHONY: packages build check test format format-check lint
+.PHONY: packages build check test format format-check lint bench-policy
 
 packages:
 	@missing=$$(for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || echo $$p; done); \
@@ -25,6 +25,13 @@
 
 check: packages test
 
+# Figures of docs/policy.md. Run it on an otherwise idle machine.
+bench-policy: build
+	@$(BUILD)/benchmarks/policy_decide_benchmark --benchmark_min_time=1
+	@$(BUILD)/benchmarks/policy_replay
+	@$(BUILD)/benchmarks/policy_split
+	@$(BUILD)/benchmarks/policy_gang_protocols
+
 format:
 	@clang-format -i $(SOURCES)
 
