Merge two branches of the round's loop

Change: one condition; the comment of the protection test names both places of the check. Conclusion: no change of behaviour.

--- a/lib/policy/round.cpp
+++ b/lib/policy/round.cpp
@@ -321,9 +321,8 @@
             return;
         if (start_unit(leader))
             order.update();
-        else if (refuse_hopeless(leader))
-            continue;
-        else if (all_.tasks[leader].hold != none && ++open->held <= most_held)
+        else if (refuse_hopeless(leader) ||
+                 (all_.tasks[leader].hold != none && ++open->held <= most_held))
             continue;
         else if (++open->failures >= lookahead || lookahead_left_ == 0)
             order.close();
--- a/unittests/policy/contention_test.cpp
+++ b/unittests/policy/contention_test.cpp
@@ -98,8 +98,9 @@
 
 // Guards against preemption of equals, of non-idempotent tasks by a stop, beyond a
 // service's disruption limit, and below the victim's own guarantee.
-// Seeded faults that it catches: each single condition of preemptor::may_preempt() left
-// out; preemptor::advance() ignores idempotent.
+// Seeded faults that it catches: a condition of preemptor::may_preempt() left out (that
+// of the urgency together with the one in candidate_workers()); preemptor::advance()
+// ignores idempotent.
 TEST_P(protection_test, limits_preemption)
 {
     cluster_fixture cluster({GetParam().urgent, GetParam().victim});
