Return unconfirmed starts, restart lost parts of gangs, notice restarts

Cause: after a lease was lost, a slice owner queued unconfirmed starts again although the job owner had sent them elsewhere; a gang that lost a worker could never start again; an instance that came back at once was not seen as a new process, so its tasks were not looked for. Change: unconfirmed starts go back to the job owner; the lost part of a gang starts together; a member's new incarnation marks its tasks as orphaned; a refusal counts only from the slice owner that has the task.

--- a/lib/instance/dispatcher.cpp
+++ b/lib/instance/dispatcher.cpp
@@ -117,9 +117,13 @@
         }
         if (row.kind == workload::gang)
         {
-            if (!dispatch_gang(*job, queue))
-                break;
-            sent += job->slots.size();
+            if (dispatch_gang(*job, queue))
+                sent += job->slots.size();
+            else
+            {
+                postponed.push_back(slot);
+                queue.slots.pop_front();
+            }
             continue;
         }
         const std::optional<instance_id> owner = choose(row.id, job->spec.size, 1);
@@ -147,21 +151,27 @@
     return sent >= most;
 }
 
-bool dispatcher::dispatch_gang(const job_state& job, row_queue& queue)
+bool dispatcher::dispatch_gang(job_state& job, row_queue& queue)
 {
-    job_state* const mutable_job = jobs_.find_job(job.spec.id);
-    const std::uint64_t tasks = job.slots.size();
-    const std::optional<instance_id> owner = choose(job.spec.row, job.spec.size, tasks);
+    // After the loss of a worker only the lost part of a gang starts again, together.
+    std::vector<std::uint32_t> waiting;
+    for (std::uint32_t index = 0; index < job.slots.size(); ++index)
+    {
+        const slot_phase phase = job.slots[index].phase;
+        if (phase == slot_phase::waiting)
+            waiting.push_back(index);
+        else if (phase != slot_phase::placed && phase != slot_phase::ended)
+            return false;
+    }
+    const std::optional<instance_id> owner =
+        choose(job.spec.row, job.spec.size, waiting.size());
     const std::optional<epoch> owner_epoch = jobs_.epoch_of(job.partition);
-    const bool whole = std::all_of(job.slots.begin(), job.slots.end(),
-                                   [](const task_slot& slot)
-                                   { return slot.phase == slot_phase::waiting; });
-    if (!owner || !owner_epoch || !whole)
+    if (!owner || !owner_epoch)
         return false;
     batch ready;
     ready.message.all_at_once = true;
-    for (std::uint32_t index = 0; index < tasks; ++index)
-        append(ready, *mutable_job, index, *owner_epoch, *owner);
+    for (const std::uint32_t index : waiting)
+        append(ready, job, index, *owner_epoch, *owner);
     std::erase_if(queue.slots,
                   [&](const slot_ref& slot) { return slot.job == job.spec.id; });
     send(*owner, std::move(ready));
--- a/lib/instance/dispatcher.hpp
+++ b/lib/instance/dispatcher.hpp
@@ -70,7 +70,7 @@
 
     void dispatch();
     bool dispatch_row(const table_row& row, row_queue& queue);
-    bool dispatch_gang(const job_state& job, row_queue& queue);
+    bool dispatch_gang(job_state& job, row_queue& queue);
     std::optional<instance_id> choose(const row_id& row, const resources& size,
                                       std::uint64_t tasks);
     std::size_t& outstanding(const instance_id& owner, const row_id& row);
--- a/lib/instance/job_owner.hpp
+++ b/lib/instance/job_owner.hpp
@@ -119,7 +119,8 @@
     std::deque<job_id> ended_jobs_;
     /// Synchronous jobs by the time after which a start is pointless.
     std::multimap<boot_time, job_id> start_deadlines_;
-    std::set<instance_id> known_members_;
+    /// Members and their incarnations at the last change.
+    std::map<instance_id, incarnation> known_members_;
     std::map<std::uint64_t, timer_handle> back_offs_;
     std::uint64_t next_back_off_ = 0;
     timer_handle housekeeping_;
--- a/lib/instance/job_progress.cpp
+++ b/lib/instance/job_progress.cpp
@@ -147,7 +147,7 @@
     case wire::task_event::placed:
         return apply_placed(job, update.id.index, from);
     case wire::task_event::not_run:
-        return apply_not_run(job, update);
+        return slot.owner == from ? apply_not_run(job, update) : void();
     case wire::task_event::ended:
         return apply_ended(job, update);
     case wire::task_event::unknown:
@@ -480,12 +480,17 @@
 
 void job_owner::mark_orphans()
 {
-    std::set<instance_id> present;
+    std::map<instance_id, incarnation> present;
     for (const member& one : shared_.parts.members.members())
-        present.insert(one.id);
-    std::vector<instance_id> gone;
-    std::set_difference(known_members_.begin(), known_members_.end(), present.begin(),
-                        present.end(), std::back_inserter(gone));
+        present.emplace(one.id, one.life);
+    // A higher incarnation is a new process, or one that others have taken for dead.
+    std::set<instance_id> gone;
+    for (const auto& [id, life] : known_members_)
+    {
+        const auto now = present.find(id);
+        if (now == present.end() || now->second != life)
+            gone.insert(id);
+    }
     known_members_ = std::move(present);
     if (gone.empty())
         return;
@@ -495,7 +500,7 @@
             continue;
         for (task_slot& slot : job.slots)
         {
-            if (std::find(gone.begin(), gone.end(), slot.owner) == gone.end())
+            if (!gone.contains(slot.owner))
                 continue;
             if (slot.phase == slot_phase::dispatched)
                 leave_dispatched(job, slot);
--- a/lib/instance/partition_set.cpp
+++ b/lib/instance/partition_set.cpp
@@ -311,6 +311,8 @@
     state.inventory_running = false;
     state.retry.reset();
     state.current = phase::active;
+    shared_.parts.log.debug("partitions", "the inventory is complete",
+                            {{"partition", partition.value()}});
     watcher_.on_inventory_complete(partition);
 }
 
--- a/lib/instance/slice_reports.cpp
+++ b/lib/instance/slice_reports.cpp
@@ -65,10 +65,12 @@
         task.worker = worker_id();
         return;
     case task_phase::starting:
-        // The new generation keeps the old call from starting it after this point.
-        task.phase = task_phase::waiting;
-        task.worker = worker_id();
+        // The new generation keeps the old call from starting it after this point. It goes
+        // back to its job owner, which may have sent it elsewhere while the lease was lost.
         scheduler_.placement_failed(id, shared_.now());
+        scheduler_.cancel(id);
+        refuse(policy::refusal{id, error_code::unavailable, "the start was not confirmed",
+                               std::chrono::milliseconds(100)});
         return;
     case task_phase::running:
         // The worker has lost its state and does not run the task any more.
