Settle tasks that an inventory does not show, and fence late requests

Cause: an old answer to a start request was applied to a later dispatch; a paused slice owner took a start request that had waited in its connection; an inventory that was already running settled tasks that came into doubt after it had asked; tasks on a worker that was lost together with its owner counted as not started; starts unconfirmed at a lost worker stayed open for ever; a result recorded twice was counted twice. Change: dispatches carry their time; slice owners learn the fences of all members after a lease is lost or a worker is taken over, and take no starts without a worker; doubt restarts the inventory; tasks that may have run on a lost worker are unknown, or repeated after the longest task lease; each owned partition is audited by an inventory in turn, one every 2 s.

--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -201,9 +201,16 @@
 struct epochs_request
 {
 };
+/// What a slice owner knows of the start requests of a partition.
+struct partition_fence
+{
+    partition_id partition;
+    epoch known;                ///< Requests of lower epochs are refused.
+    std::uint64_t sequence = 0; ///< Requests of `known` up to it are refused.
+};
 struct epochs_reply
 {
-    std::vector<std::pair<partition_id, epoch>> epochs;
+    std::vector<partition_fence> fences;
 };
 struct table_fetch
 {
--- a/lib/instance/dispatcher.cpp
+++ b/lib/instance/dispatcher.cpp
@@ -38,7 +38,7 @@
 
 void dispatcher::add(const job_state& job, std::uint32_t index)
 {
-    queues_[job.spec.row].slots.push_back(slot_ref{job.spec.id, index});
+    queues_[job.spec.row].slots.push_back(slot_ref{job.spec.id, index, {}});
     schedule();
 }
 
@@ -234,7 +234,7 @@
     start.job_owner = shared_.options.self;
     start.payload = job.spec.payload;
     message.tasks.push_back(std::move(start));
-    target.slots.push_back(slot_ref{job.spec.id, index});
+    target.slots.push_back(slot_ref{job.spec.id, index, slot.since});
 }
 
 void dispatcher::send(const instance_id& owner, batch ready)
--- a/lib/instance/fleet.cpp
+++ b/lib/instance/fleet.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr duration loss_memory = std::chrono::minutes(10);
+
 std::int64_t quotient(std::int64_t capacity, std::int64_t size)
 {
     return size <= 0 ? std::numeric_limits<std::int64_t>::max() : capacity / size;
@@ -85,6 +87,9 @@
                    { return a.first == b.first && same_host(a.second, b.second); });
     if (unchanged)
         return;
+    for (const auto& [id, host] : workers_)
+        if (!next.contains(id))
+            note_removed(host);
     known_ = true;
     workers_ = std::move(next);
     slices_.clear();
@@ -101,6 +106,30 @@
         changed_();
 }
 
+void fleet::note_removed(const host_entry& host)
+{
+    const member* owner = shared_.parts.members.find(owner_of(slice_of(host)));
+    removed_worker removed;
+    if (owner != nullptr)
+        removed = removed_worker{owner->id, owner->life, boot_time()};
+    removed.at = shared_.now();
+    removed_.push_back(removed);
+    while (shared_.now() - removed_.front().at > loss_memory)
+        removed_.pop_front();
+}
+
+bool fleet::has_unaccounted_loss() const
+{
+    return std::any_of(
+        removed_.begin(), removed_.end(),
+        [this](const removed_worker& removed)
+        {
+            const member* owner = shared_.parts.members.find(removed.owner);
+            const bool is_recent = shared_.now() - removed.at <= loss_memory;
+            return is_recent && (owner == nullptr || owner->life != removed.owner_life);
+        });
+}
+
 void fleet::members_changed()
 {
     assign_owners();
--- a/lib/instance/fleet.hpp
+++ b/lib/instance/fleet.hpp
@@ -5,6 +5,7 @@
 
 #include "lib/instance/context.hpp"
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -47,6 +48,11 @@
     /// The component-wise maximum over all workers.
     resources largest_worker() const { return largest_; }
 
+    bool contains(const worker_id& worker) const { return workers_.contains(worker); }
+    /// True when a worker left the list while the instance that owned it was lost too, so
+    /// that nobody has reported what ran there. Remembered for ten minutes.
+    bool has_unaccounted_loss() const;
+
     /// Recomputes owners after the member list has changed.
     void members_changed();
 
@@ -54,6 +60,14 @@
     void poll();
     void install(const std::vector<host_entry>& hosts);
     void assign_owners();
+    void note_removed(const host_entry& host);
+
+    struct removed_worker
+    {
+        instance_id owner;
+        incarnation owner_life;
+        boot_time at{};
+    };
 
     context& shared_;
     std::function<void()> changed_;
@@ -61,6 +75,7 @@
     std::set<slice_id> slices_;
     std::map<slice_id, instance_id> owners_;
     std::vector<owner_share> shares_;
+    std::deque<removed_worker> removed_;
     resources capacity_;
     resources largest_;
     bool known_ = false;
--- a/lib/instance/instance.cpp
+++ b/lib/instance/instance.cpp
@@ -192,6 +192,7 @@
     }
     shared.parts.table.set_watching(rendezvous_owner("table", local) ==
                                     shared.options.self);
+    check_claims();
     loads.forget_departed();
     workers.members_changed();
     slices.follow_assignment();
--- a/lib/instance/job_owner.cpp
+++ b/lib/instance/job_owner.cpp
@@ -13,6 +13,8 @@
 
 constexpr duration housekeeping_period = std::chrono::milliseconds(500);
 constexpr duration deadline_check_period = std::chrono::milliseconds(50);
+/// One partition is audited each period.
+constexpr duration audit_period = std::chrono::seconds(2);
 /// A task that has waited this long at a slice owner is taken back when another has room.
 constexpr duration stuck_after = std::chrono::seconds(1);
 /// Spread, so that callers do not come back all at once after an outage.
@@ -47,6 +49,7 @@
                                                  write_left_over_results();
                                                  forget_old_jobs();
                                              });
+    audit_ = shared_.parts.loop.every(audit_period, [this] { audit_one_partition(); });
     deadline_check_ =
         shared_.parts.loop.every(deadline_check_period, [this] { refuse_late_jobs(); });
 }
@@ -368,13 +371,9 @@
         if (job == nullptr || job->slots[id.index].owner != owner)
             continue;
         task_slot& slot = job->slots[id.index];
-        if (slot.phase == slot_phase::dispatched)
-            leave_dispatched(*job, slot);
-        else if (slot.phase == slot_phase::placed)
-            --job->placed;
-        else
+        if (slot.phase != slot_phase::dispatched && slot.phase != slot_phase::placed)
             continue;
-        slot.phase = slot_phase::orphaned;
+        orphan(*job, slot);
         doubtful.insert(job->partition);
     }
     for (const partition_id& partition : doubtful)
--- a/lib/instance/job_owner.hpp
+++ b/lib/instance/job_owner.hpp
@@ -59,6 +59,7 @@
     // partition_set::observer
     void on_claimed(partition_id partition,
                     const std::vector<journaled_job>& jobs) override;
+    void on_inventory_begun(partition_id partition) override;
     void on_inventory(partition_id partition, const instance_id& from,
                       const wire::inventory_reply& reply) override;
     void on_inventory_complete(partition_id partition) override;
@@ -83,7 +84,8 @@
 
     job_state& recovered_job(const task_id& task, const row_id& row);
     void apply(job_state& job, const wire::task_update& update, const instance_id& from);
-    void apply_placed(job_state& job, std::uint32_t index, const instance_id& from);
+    void apply_placed(job_state& job, std::uint32_t index, const instance_id& from,
+                      const worker_id& worker);
     void apply_ended(job_state& job, const wire::task_update& update);
     void apply_not_run(job_state& job, const wire::task_update& update);
     void end_task(job_state& job, std::uint32_t index, task_state state, bool known,
@@ -107,6 +109,10 @@
     void write_left_over_results();
     void refuse_late_jobs();
     void mark_orphans();
+    void orphan(job_state& job, task_slot& slot);
+    /// Settles a task that a complete inventory does not show.
+    void settle_not_found(job_state& job, std::uint32_t index);
+    void audit_one_partition();
     job_state* find_current(const task_id& task);
 
     context& shared_;
@@ -117,6 +123,14 @@
     std::unordered_map<job_id, job_state> jobs_;
     /// Ended jobs in the order they ended.
     std::deque<job_id> ended_jobs_;
+    /// A running inventory: when it began and which tasks it has shown.
+    struct inventory_round
+    {
+        boot_time begun{};
+        std::unordered_set<task_id> seen;
+    };
+    std::map<partition_id, inventory_round> rounds_;
+    partition_id last_audited_;
     /// Synchronous jobs by the time after which a start is pointless.
     std::multimap<boot_time, job_id> start_deadlines_;
     /// Members and their incarnations at the last change.
@@ -124,6 +138,7 @@
     std::map<std::uint64_t, timer_handle> back_offs_;
     std::uint64_t next_back_off_ = 0;
     timer_handle housekeeping_;
+    timer_handle audit_;
     timer_handle deadline_check_;
 };
 
--- a/lib/instance/job_progress.cpp
+++ b/lib/instance/job_progress.cpp
@@ -12,6 +12,9 @@
 
 /// Attempts after a failure of the task itself; lost workers and preemptions are free.
 constexpr std::uint8_t most_failures = 3;
+/// Longest time for which a worker that nobody reaches goes on with its tasks, with an
+/// allowance for clock drift.
+constexpr duration longest_task_lease = std::chrono::seconds(66);
 constexpr duration back_off_base = std::chrono::milliseconds(200);
 constexpr double back_off_spread = 0.5;
 
@@ -145,7 +148,7 @@
     switch (update.event)
     {
     case wire::task_event::placed:
-        return apply_placed(job, update.id.index, from);
+        return apply_placed(job, update.id.index, from, update.worker);
     case wire::task_event::not_run:
         return slot.owner == from ? apply_not_run(job, update) : void();
     case wire::task_event::ended:
@@ -161,7 +164,8 @@
         dispatcher_.left_queue(slot.owner, job.spec.row);
 }
 
-void job_owner::apply_placed(job_state& job, std::uint32_t index, const instance_id& from)
+void job_owner::apply_placed(job_state& job, std::uint32_t index, const instance_id& from,
+                             const worker_id& worker)
 {
     task_slot& slot = job.slots[index];
     leave_dispatched(job, slot);
@@ -171,10 +175,12 @@
                                       shared_.now() - job.accepted);
     if (slot.phase != slot_phase::placed)
         ++job.placed;
+    if (slot.phase != slot_phase::placed || slot.owner != from)
+        slot.since = shared_.now();
     slot.phase = slot_phase::placed;
     slot.was_placed = true;
     slot.owner = from;
-    slot.since = shared_.now();
+    slot.worker = worker;
     if (job.cancelling)
         send_stop(from, {task_id{job.spec.id, index, slot.attempt}}, true);
 }
@@ -288,6 +294,7 @@
         return;
     }
     slot.phase = slot_phase::waiting;
+    slot.worker = worker_id();
     slot.owner = instance_id();
     slot.since = shared_.now();
     dispatcher_.add(job, index);
@@ -383,6 +390,11 @@
     }
 }
 
+void job_owner::on_inventory_begun(partition_id partition)
+{
+    rounds_[partition] = inventory_round{shared_.now(), {}};
+}
+
 void job_owner::on_inventory(partition_id partition, const instance_id& from,
                              const wire::inventory_reply& reply)
 {
@@ -392,6 +404,7 @@
         // acknowledged; here it only matters that the task has been started.
         wire::task_update seen = update;
         seen.event = wire::task_event::placed;
+        rounds_[partition].seen.insert(update.id);
         const auto existing = jobs_.find(update.id.job);
         job_state& job = existing != jobs_.end() ? existing->second
                                                  : recovered_job(update.id, update.row);
@@ -399,6 +412,7 @@
     }
     for (const wire::queued_task& queued : reply.queued)
     {
+        rounds_[partition].seen.insert(queued.id);
         const auto existing = jobs_.find(queued.id.job);
         job_state& job = existing != jobs_.end() ? existing->second
                                                  : recovered_job(queued.id, queued.row);
@@ -413,11 +427,12 @@
         slot.owner = from;
         slot.since = shared_.now();
     }
-    static_cast<void>(partition);
 }
 
 void job_owner::on_inventory_complete(partition_id partition)
 {
+    const inventory_round round = std::move(rounds_[partition]);
+    rounds_.erase(partition);
     std::vector<job_id> affected;
     for (const auto& [id, job] : jobs_)
         if (job.partition == partition && !job.is_ended())
@@ -428,14 +443,13 @@
         for (std::uint32_t index = 0; index < job.slots.size(); ++index)
         {
             task_slot& slot = job.slots[index];
-            if (slot.phase != slot_phase::orphaned)
-                continue;
-            // A started task that no worker knows was lost with its worker. One that was
-            // never seen on a worker has certainly not been started.
-            if (!slot.was_placed)
-                requeue(job, index);
-            else
-                end_or_retry_lost(job, index);
+            const bool should_be_seen = (slot.phase == slot_phase::placed ||
+                                         slot.phase == slot_phase::dispatched) &&
+                                        slot.since < round.begun;
+            if (should_be_seen && !round.seen.contains(task_id{id, index, slot.attempt}))
+                orphan(job, slot);
+            if (slot.phase == slot_phase::orphaned)
+                settle_not_found(job, index);
         }
         append_progress(job, {job.unrecorded.begin(), job.unrecorded.end()}, [](bool) {});
     }
@@ -478,6 +492,55 @@
     dispatcher_.schedule();
 }
 
+void job_owner::orphan(job_state& job, task_slot& slot)
+{
+    if (slot.phase == slot_phase::dispatched)
+        leave_dispatched(job, slot);
+    else
+        --job.placed;
+    slot.phase = slot_phase::orphaned;
+    slot.since = shared_.now();
+}
+
+void job_owner::settle_not_found(job_state& job, std::uint32_t index)
+{
+    task_slot& slot = job.slots[index];
+    const bool worker_is_gone = !slot.worker.empty() && !fleet_.contains(slot.worker);
+    if (worker_is_gone || fleet_.has_unaccounted_loss())
+    {
+        // It may have been started on a worker that is lost, and may run there until the
+        // worker's task lease has ended. The audit comes back to it.
+        if (shared_.now() - slot.since < longest_task_lease)
+            return;
+        return end_or_retry_lost(job, index);
+    }
+    // A started task that its worker does not know was lost with the worker's state; one
+    // that was never seen on a worker has not been started.
+    if (slot.was_placed)
+        end_or_retry_lost(job, index);
+    else
+        requeue(job, index);
+}
+
+void job_owner::audit_one_partition()
+{
+    // Finds tasks whose updates were lost, and those that wait for a task lease to end.
+    const std::vector<partition_id> owned = partitions_.owned();
+    if (owned.empty())
+        return;
+    auto next = std::upper_bound(owned.begin(), owned.end(), last_audited_);
+    if (next == owned.end())
+        next = owned.begin();
+    last_audited_ = *next;
+    const bool has_live_jobs = std::any_of(jobs_.begin(), jobs_.end(),
+                                           [&](const auto& entry) {
+                                               return entry.second.partition == *next &&
+                                                      !entry.second.is_ended();
+                                           });
+    if (has_live_jobs && partitions_.is_active(*next))
+        partitions_.repeat_inventory(*next);
+}
+
 void job_owner::mark_orphans()
 {
     std::map<instance_id, incarnation> present;
@@ -502,13 +565,8 @@
         {
             if (!gone.contains(slot.owner))
                 continue;
-            if (slot.phase == slot_phase::dispatched)
-                leave_dispatched(job, slot);
-            else if (slot.phase == slot_phase::placed)
-                --job.placed;
-            else
-                continue;
-            slot.phase = slot_phase::orphaned;
+            if (slot.phase == slot_phase::dispatched || slot.phase == slot_phase::placed)
+                orphan(job, slot);
         }
     }
     partitions_.repeat_inventories();
@@ -525,7 +583,7 @@
         if (found == jobs_.end())
             continue;
         task_slot& slot = found->second.slots[ref.index];
-        if (slot.phase != slot_phase::dispatched)
+        if (slot.phase != slot_phase::dispatched || slot.since != ref.dispatched)
             continue;
         leave_dispatched(found->second, slot);
         back_off(found->second, ref.index, back_off_base);
@@ -541,10 +599,9 @@
         if (found == jobs_.end())
             continue;
         task_slot& slot = found->second.slots[ref.index];
-        if (slot.phase != slot_phase::dispatched)
+        if (slot.phase != slot_phase::dispatched || slot.since != ref.dispatched)
             continue;
-        leave_dispatched(found->second, slot);
-        slot.phase = slot_phase::orphaned;
+        orphan(found->second, slot);
         doubtful.insert(found->second.partition);
     }
     for (const partition_id& partition : doubtful)
--- a/lib/instance/job_state.cpp
+++ b/lib/instance/job_state.cpp
@@ -55,7 +55,6 @@
     job.first_attempt = first_attempt_of(owner_epoch);
     job.accepted = now;
     job.cancelling = journaled.cancelling;
-    job.results = journaled.ended;
     job.slots.resize(journaled.job.tasks);
     for (task_slot& slot : job.slots)
     {
@@ -66,8 +65,11 @@
     }
     for (const wire::task_result& ended : journaled.ended)
     {
-        if (ended.index >= job.slots.size())
+        // A result may be recorded twice when the answer to the first write was lost.
+        if (ended.index >= job.slots.size() ||
+            job.slots[ended.index].phase == slot_phase::ended)
             continue;
+        job.results.push_back(ended);
         job.slots[ended.index].phase = slot_phase::ended;
         job.slots[ended.index].was_placed = true;
         ++job.ended;
--- a/lib/instance/job_state.hpp
+++ b/lib/instance/job_state.hpp
@@ -29,6 +29,7 @@
 struct task_slot
 {
     instance_id owner; ///< The slice owner while dispatched, placed or orphaned.
+    worker_id worker;  ///< Where the attempt was last seen; empty when nowhere.
     boot_time since{}; ///< When the phase began.
     std::uint16_t attempt = 0;
     std::uint8_t failures = 0;
--- a/lib/instance/partition_set.cpp
+++ b/lib/instance/partition_set.cpp
@@ -174,8 +174,8 @@
 
 void partition_set::repeat_inventory(partition_id partition)
 {
-    const entry& state = at(partition);
-    if (state.current == phase::active && !state.inventory_running)
+    // A round that is already running may have asked before the task came into doubt.
+    if (is_owned(partition))
         begin_inventory(partition);
 }
 
@@ -238,6 +238,7 @@
     state.inventory_running = true;
     state.covered.clear();
     state.fenced = state.sequence;
+    watcher_.on_inventory_begun(partition);
     ask_for_inventory(partition);
 }
 
--- a/lib/instance/partition_set.hpp
+++ b/lib/instance/partition_set.hpp
@@ -24,6 +24,8 @@
         /// The claim succeeded; \p jobs comes from the journal.
         virtual void on_claimed(partition_id partition,
                                 const std::vector<journaled_job>& jobs) = 0;
+        /// A round of the inventory begins.
+        virtual void on_inventory_begun(partition_id partition) = 0;
         /// One slice owner's answer to the inventory.
         virtual void on_inventory(partition_id partition, const instance_id& from,
                                   const wire::inventory_reply& reply) = 0;
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -2,6 +2,7 @@
 /// Implements the slice owner: assignment of workers, decisions and starts.
 #include "lib/instance/slice_owner.hpp"
 
+#include <algorithm>
 #include <cassert>
 
 namespace hawthornbeam
@@ -14,6 +15,7 @@
 constexpr duration decision_delay = std::chrono::milliseconds(1);
 /// Rounds also run at this period, for deadlines, gang reservations and quarantine.
 constexpr duration decision_period = std::chrono::milliseconds(100);
+constexpr duration fence_delay = std::chrono::milliseconds(10);
 constexpr duration epochs_deadline = std::chrono::seconds(1);
 
 policy::waiting_task waiting_from(const wire::start_request& message,
@@ -107,7 +109,7 @@
         opened = true;
     }
     if (opened)
-        learn_epochs_of_members();
+        doubt_fences();
 }
 
 void slice_owner::open_session(const host_entry& host)
@@ -139,13 +141,33 @@
     }
     ++closing_;
     session->close(shared_.guarded(
-        [this, session]
+        [this, session, worker_is_gone, ended_by]
         {
             --closing_;
+            settle_unconfirmed(session->host().id, worker_is_gone, ended_by);
             finish_leaving();
         }));
 }
 
+void slice_owner::settle_unconfirmed(const worker_id& worker, bool worker_is_gone,
+                                     boot_time ended_by)
+{
+    if (sessions_.contains(worker))
+        return;
+    std::vector<task_id> unconfirmed;
+    for (const auto& [id, task] : tasks_)
+        if (task.phase == task_phase::starting && task.worker == worker)
+            unconfirmed.push_back(id);
+    for (const task_id& id : unconfirmed)
+    {
+        // The successor's list shows whether the worker runs it; a worker that is gone
+        // has no successor.
+        if (worker_is_gone)
+            report_lost_later(tasks_.at(id), ended_by);
+        tasks_.erase(id);
+    }
+}
+
 void slice_owner::report_lost_later(const tracked_task& task, boot_time ended_by)
 {
     // The worker may still run the task until its task lease has ended; only then is a
@@ -186,62 +208,87 @@
     return true;
 }
 
-void slice_owner::learn_epochs_of_members()
+void slice_owner::doubt_fences()
 {
-    // A former job owner may still try to start tasks of a partition that has moved on.
-    const std::uint64_t round = ++epoch_round_;
-    epoch_answers_missing_ = 0;
+    if (fences_in_doubt_)
+        return;
+    // One round serves all workers that are lost or taken over together.
+    fences_in_doubt_ = true;
+    fence_timer_ =
+        shared_.parts.loop.after(fence_delay, [this] { learn_fences_of_members(); });
+}
+
+void slice_owner::learn_fences_of_members()
+{
+    // While this instance did not own a worker, inventories may have counted tasks as not
+    // running whose start requests are still on their way here, and partitions may have
+    // new owners.
+    fences_in_doubt_ = false;
+    const std::uint64_t round = ++fence_round_;
+    fence_answers_missing_ = 0;
     for (const member& other : shared_.parts.members.members())
     {
         if (other.id == shared_.options.self)
             continue;
-        ++epoch_answers_missing_;
+        ++fence_answers_missing_;
         shared_.parts.peers.call(
             other.peer, wire::epochs_request{}, epochs_deadline,
             shared_.guarded(
                 [this, round](result<wire::reply> answer)
                 {
-                    if (round != epoch_round_)
+                    if (round != fence_round_)
                         return;
-                    --epoch_answers_missing_;
+                    --fence_answers_missing_;
                     const wire::epochs_reply* reply =
                         answer ? std::get_if<wire::epochs_reply>(&answer.value())
                                : nullptr;
                     if (reply == nullptr)
                         return;
-                    for (const auto& [partition, value] : reply->epochs)
-                        learn_epoch(partition, value);
+                    for (const wire::partition_fence& fence : reply->fences)
+                        learn_fence(fence);
                 }));
     }
 }
 
-void slice_owner::learn_epoch(partition_id partition, epoch value)
+void slice_owner::learn_fence(const wire::partition_fence& fence)
 {
-    fence& current = fences_[partition];
-    if (value > current.known)
-        current = fence{value, 0};
+    wire::partition_fence& known = fences_[fence.partition];
+    known.partition = fence.partition;
+    if (fence.known > known.known)
+        known = fence;
+    else if (fence.known == known.known)
+        known.sequence = std::max(known.sequence, fence.sequence);
 }
 
 wire::epochs_reply slice_owner::epochs() const
 {
     wire::epochs_reply reply;
-    for (const auto& [partition, current] : fences_)
-        reply.epochs.emplace_back(partition, current.known);
+    for (const auto& [partition, fence] : fences_)
+        reply.fences.push_back(fence);
     return reply;
 }
 
+bool slice_owner::owns_workers() const
+{
+    return std::any_of(sessions_.begin(), sessions_.end(),
+                       [](const auto& session)
+                       { return session.second->is_reconciled(); });
+}
+
 wire::start_reply slice_owner::start(const wire::start_request& message)
 {
     wire::start_reply reply;
-    learn_epoch(message.partition, message.owner_epoch);
-    const fence& current = fences_[message.partition];
+    learn_fence(wire::partition_fence{message.partition, message.owner_epoch, 0});
+    const wire::partition_fence& current = fences_[message.partition];
     reply.known_epoch = current.known;
     if (message.owner_epoch < current.known)
         reply.reason = "the partition has a newer owner";
     else if (message.sequence <= current.sequence)
         reply.reason = "the request is older than an inventory";
-    else if (leaving_ || !knows_epochs())
-        reply.reason = leaving_ ? "the instance is leaving" : "takeover is in progress";
+    else if (leaving_)
+        reply.reason = "the instance is leaving";
+    else if (!knows_fences() || !owns_workers())
+        reply.reason = "a takeover is in progress";
     if (!reply.reason.empty())
         return reply;
     reply.queued = true;
@@ -342,8 +389,8 @@
 wire::inventory_reply slice_owner::inventory(const wire::inventory_request& message)
 {
     wire::inventory_reply reply;
-    learn_epoch(message.partition, message.owner_epoch);
-    fence& current = fences_[message.partition];
+    learn_fence(wire::partition_fence{message.partition, message.owner_epoch, 0});
+    wire::partition_fence& current = fences_[message.partition];
     reply.known_epoch = current.known;
     if (message.owner_epoch < current.known)
         return reply;
--- a/lib/instance/slice_owner.hpp
+++ b/lib/instance/slice_owner.hpp
@@ -36,7 +36,7 @@
     wire::inventory_reply inventory(const wire::inventory_request& message);
     wire::epochs_reply epochs() const;
     /// Raises the known epoch of a partition.
-    void learn_epoch(partition_id partition, epoch value);
+    void learn_fence(const wire::partition_fence& fence);
 
     /// Fills the parts of a status that the slice owner knows.
     void describe(wire::status_reply& status, bool with_workers) const;
@@ -73,6 +73,8 @@
     void open_session(const host_entry& host);
     void drop_session(const worker_id& worker, bool worker_is_gone);
     void describe_workers(wire::status_reply& status) const;
+    void settle_unconfirmed(const worker_id& worker, bool worker_is_gone,
+                            boot_time ended_by);
     void report_lost_later(const tracked_task& task, boot_time ended_by);
     void finish_leaving();
     void settle_missing(const task_id& id);
@@ -93,8 +95,11 @@
                          const std::vector<start_outcome>& outcomes);
     void apply_preemption(const policy::preemption& what);
     void update_recorded(const wire::task_update& update);
-    void learn_epochs_of_members();
-    bool knows_epochs() const { return epoch_answers_missing_ == 0; }
+    /// Refuses start requests until the fences that other members know are learned.
+    void doubt_fences();
+    void learn_fences_of_members();
+    bool owns_workers() const;
+    bool knows_fences() const { return !fences_in_doubt_ && fence_answers_missing_ == 0; }
 
     context& shared_;
     fleet& fleet_;
@@ -103,14 +108,10 @@
     std::map<worker_id, std::unique_ptr<worker_session>> sessions_;
     std::map<worker_id, bool> drained_;
     std::unordered_map<task_id, tracked_task> tasks_;
-    struct fence
-    {
-        epoch known;
-        std::uint64_t sequence = 0; ///< Requests of `known` up to it are refused.
-    };
-    std::map<partition_id, fence> fences_;
-    std::size_t epoch_answers_missing_ = 0;
-    std::uint64_t epoch_round_ = 0;
+    std::map<partition_id, wire::partition_fence> fences_;
+    std::size_t fence_answers_missing_ = 0;
+    std::uint64_t fence_round_ = 0;
+    bool fences_in_doubt_ = false;
     bool paused_ = false;
     bool leaving_ = false;
     bool decision_scheduled_ = false;
@@ -121,6 +122,7 @@
     std::multimap<boot_time, task_id> recorded_;
     std::map<std::uint64_t, timer_handle> lost_timers_;
     std::uint64_t next_lost_timer_ = 0;
+    timer_handle fence_timer_;
     timer_handle decision_timer_;
     timer_handle period_timer_;
     timer_handle acknowledge_timer_;
--- a/lib/instance/slice_reports.cpp
+++ b/lib/instance/slice_reports.cpp
@@ -53,6 +53,7 @@
     shared_.parts.log.info("slice_owner", "a worker is owned",
                            {{"worker", worker.value()},
                             {"tasks", static_cast<std::uint64_t>(tasks.size())}});
+    doubt_fences();
     update_schedulable(session);
 }
 
@@ -65,8 +66,9 @@
         task.worker = worker_id();
         return;
     case task_phase::starting:
-        // The new generation keeps the old call from starting it after this point. It goes
-        // back to its job owner, which may have sent it elsewhere while the lease was lost.
+        // The new generation keeps the old call from starting it after this point. It
+        // goes back to its job owner, which may have sent it elsewhere while the lease
+        // was lost.
         scheduler_.placement_failed(id, shared_.now());
         scheduler_.cancel(id);
         refuse(policy::refusal{id, error_code::unavailable, "the start was not confirmed",
@@ -154,6 +156,7 @@
     // inventory of a successor that the tasks waiting here do not run, and may have sent
     // them elsewhere.
     return_waiting("the owner lease of a worker was lost");
+    doubt_fences();
 }
 
 void slice_owner::task_ended(const worker_id& worker, const task_report& report)
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -207,11 +207,18 @@
 {
 }
 
+template <class Archive>
+void serialize(Archive& archive, partition_fence& value)
+{
+    auto& [partition, known, sequence] = value;
+    fields(archive, partition, known, sequence);
+}
+
 template <class Archive>
 void serialize(Archive& archive, epochs_reply& value)
 {
-    auto& [epochs] = value;
-    fields(archive, epochs);
+    auto& [fences] = value;
+    fields(archive, fences);
 }
 
 template <class Archive>
