Make two tests catch their seeded faults

Cause: seeded faults showed that the placement test passed when the emptiest workers were taken first, and the quarantine timer test without any quarantine. Change: the placement test uses more workers than are sampled; the timer test brings about the quarantine first. Comments name the faults that were tried.

--- a/unittests/policy/contention_test.cpp
+++ b/unittests/policy/contention_test.cpp
@@ -307,8 +307,14 @@
 TEST(quarantine_test, a_lifted_quarantine_of_a_removed_worker_is_ignored)
 {
     cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
-    cluster.add_workers(4, cores_and_gib(4, 16));
-    fail_job(cluster, cluster.make("a/x", cores_and_gib(4, 4)), 100);
+    waiting_task job = cluster.make("a/x", cores_and_gib(4, 4));
+    cluster.add_workers(1, cores_and_gib(4, 16));
+    fail_job(cluster, job, 5);
+    EXPECT_NE(cluster.subject.unschedulable_reason(worker_id("w0"), cluster.now), "");
+    cluster.add_workers(3, cores_and_gib(4, 16));
+    job.id.index = 100;
+    fail_job(cluster, job, 50);
+    EXPECT_EQ(cluster.subject.unschedulable_reason(worker_id("w0"), cluster.now), "");
     for (const auto& [worker, capacity] : cluster.capacities)
         cluster.subject.remove_worker(worker);
     cluster.now += seconds(1000);
--- a/unittests/policy/property_test.cpp
+++ b/unittests/policy/property_test.cpp
@@ -137,6 +137,7 @@
     {
         random_event(cluster, random);
         for (const row_usage& row : cluster.subject.usage())
+            // Tasks whose start failed come back beyond the bound.
             RC_ASSERT(row.tasks_waiting <= queue_length + 20U);
         RC_ASSERT(!testing::Test::HasFailure());
     }
@@ -198,8 +199,7 @@
 
 // Guards against a row that gets less than its guarantee while more urgent rows flood the
 // cluster. The bound is the time of throttle, checkpoint and stop.
-// Seeded fault that it catches: row_order::update() never sets under_guarantee, and
-// preemptor::may_preempt() ignores the guarantee.
+// Seeded fault that it catches: preemptor::may_preempt() ignores the guarantee.
 RC_GTEST_PROP(scheduler_property_test, a_guarantee_holds_against_a_flood,
               (std::uint64_t seed))
 {
--- a/unittests/policy/scheduler_test.cpp
+++ b/unittests/policy/scheduler_test.cpp
@@ -277,19 +277,19 @@
 
 // Guards against small tasks that break up every large block, and that take the workers
 // with accelerators.
-// Seeded fault that it catches: placer::score() returns 0 and sample() goes from the
-// emptiest buckets down.
+// Seeded fault that it catches: placement_index::sample() goes from the emptiest buckets
+// down.
 TEST(placement_test, keeps_large_blocks_and_accelerators)
 {
     cluster_fixture cluster({make_row("a/x", workload::batch, 5)});
-    cluster.add_workers(8, cores_and_gib(16, 64));
-    cluster.add_workers(2, cores_and_gib(16, 64, 4));
-    cluster.add_many("a/x", cores_and_gib(1, 4), 64);
+    cluster.add_workers(36, cores_and_gib(16, 64));
+    cluster.add_workers(4, cores_and_gib(16, 64, 4));
+    cluster.add_many("a/x", cores_and_gib(1, 4), 160);
     cluster.decide();
-    cluster.add_many("a/x", cores_and_gib(16, 64), 4);
-    cluster.add_many("a/x", cores_and_gib(16, 64, 4), 2);
+    cluster.add_many("a/x", cores_and_gib(16, 64), 26);
+    cluster.add_many("a/x", cores_and_gib(16, 64, 4), 4);
     cluster.decide();
-    EXPECT_EQ(cluster.running.size(), 70U);
+    EXPECT_EQ(cluster.running.size(), 190U);
 }
 
 struct report_case
