--- /dev/null
+++ b/lib/wire/tcp_peer_network.cpp
@@ -0,0 +1,97 @@
+/// \file
+/// Requests between instances over TCP: construction and shutdown.
+#include "hawthornbeam/wire/peer_network.hpp"
+
+#include "tcp_implementation.hpp"
+
+namespace hawthornbeam::wire
+{
+
+namespace
+{
+
+/// Frames that wait for one peer; four of the largest ones.
+constexpr std::size_t most_queued_frames = 4;
+
+} // namespace
+
+tcp_peer_network::implementation::implementation(event_loop& loop, const logger& log,
+                                                 options settings)
+    : loop_(loop), log_(log), settings_(std::move(settings)),
+      alive_(std::make_shared<bool>(true))
+{
+    own_.version = protocol_version;
+    own_.id = settings_.self;
+    own_.session = static_cast<std::uint64_t>(g_random_int()) << 32U | g_random_int();
+    limits_ = {settings_.most_frame_bytes,
+               most_queued_frames * (settings_.most_frame_bytes + length_bytes)};
+}
+
+void tcp_peer_network::implementation::shut_down()
+{
+    closing_ = true;
+    alive_.reset();
+    if (acceptor_ != nullptr)
+    {
+        g_source_destroy(acceptor_);
+        g_source_unref(acceptor_);
+    }
+    if (listener_)
+        g_socket_close(listener_.get(), nullptr);
+    for (const auto& [key, peer] : incoming_)
+        peer->link->close();
+    incoming_.clear();
+    while (!outgoing_.empty())
+    {
+        const std::shared_ptr<outgoing_peer> peer = outgoing_.begin()->second;
+        outgoing_.erase(outgoing_.begin());
+        peer->link->close();
+        fail_open(*peer, "this instance shuts down");
+    }
+}
+
+tcp_peer_network::tcp_peer_network(std::unique_ptr<implementation> state)
+    : implementation_(std::move(state))
+{
+}
+
+tcp_peer_network::~tcp_peer_network() = default;
+
+result<std::unique_ptr<tcp_peer_network>>
+tcp_peer_network::open(event_loop& loop, const logger& log, options settings)
+{
+    std::unique_ptr<implementation> state =
+        std::make_unique<implementation>(loop, log, std::move(settings));
+    const result<bool> listening = state->listen();
+    if (!listening)
+        return listening.error();
+    return std::unique_ptr<tcp_peer_network>(new tcp_peer_network(std::move(state)));
+}
+
+std::uint16_t tcp_peer_network::port() const
+{
+    return implementation_->port();
+}
+
+void tcp_peer_network::call(const peer_address& to, request message, duration deadline,
+                            std::function<void(result<reply>)> done)
+{
+    implementation_->call(to, message, deadline, std::move(done));
+}
+
+void tcp_peer_network::serve(request_handler handler)
+{
+    implementation_->serve(std::move(handler));
+}
+
+std::uint64_t tcp_peer_network::bytes_sent() const
+{
+    return implementation_->counted().sent;
+}
+
+std::uint64_t tcp_peer_network::bytes_received() const
+{
+    return implementation_->counted().received;
+}
+
+} // namespace hawthornbeam::wire
