Add hawthornload, a tool for load and experiments

There was no way to put a planned, mixed load on instances and to account for every job. hawthornload reads a TOML plan of streams, sends the jobs with a bound on open requests, follows Retry-After, asks by id after an unknown outcome and checks that each answer is whole and the caller's own. It reports by row as text and JSON, and writes one record for each job that check_history reads. The stand-in counts calls and bytes (GET /calls) as the control cost.

The plan reader needed booleans, so toml_table_reader has boolean() now.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,12 @@
 PACKAGES = g++ cmake ninja-build make pkg-config ccache clang-format clang-tidy curl \
   libglib2.0-dev libsoup-3.0-dev libcereal-dev libboost-dev libtomlplusplus-dev \
   libabsl-dev libfmt-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev \
-  libbenchmark-dev libgtest-dev libgmock-dev
+  libbenchmark-dev libgtest-dev libgmock-dev python3
 
 SOURCES = $(shell git ls-files 'include/*.hpp' 'lib/*.?pp' 'tools/*.?pp' 'test/*.?pp' \
   'unittests/*.?pp' 'benchmarks/*.?pp')
 
-.PHONY: packages build check test format format-check lint
+.PHONY: packages build check test format format-check lint demo golden-update
 
 packages:
 	@missing=$$(for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || echo $$p; done); \
@@ -35,3 +35,10 @@
 lint: build
 	@git ls-files 'lib/*.cpp' 'tools/*.cpp' 'test/*.cpp' | \
 	  xargs -P $(JOBS) -n 1 sh -c 'clang-tidy -p $(BUILD) --quiet "$$0" 2>/dev/null'
+
+# About 20 s of mixed load on three instances; see test/sessions/demo.py.
+demo: build
+	@HAWTHORNBEAM_BUILD=$(abspath $(BUILD)) PYTHONDONTWRITEBYTECODE=1 python3 test/sessions/demo.py
+
+golden-update: build
+	@HAWTHORNBEAM_BUILD=$(abspath $(BUILD)) PYTHONDONTWRITEBYTECODE=1 python3 test/golden/golden.py --update
--- a/include/hawthornbeam/support/toml_tree.hpp
+++ b/include/hawthornbeam/support/toml_tree.hpp
@@ -86,6 +86,7 @@
     std::optional<std::string> text(std::string_view key, presence need);
     std::optional<std::int64_t> integer(std::string_view key, presence need,
                                         std::int64_t least, std::int64_t most);
+    std::optional<bool> boolean(std::string_view key, presence need);
     /// Also takes an integer.
     std::optional<double> number(std::string_view key, presence need, double least,
                                  double most);
--- /dev/null
+++ b/lib/load/run.cpp
@@ -0,0 +1,447 @@
+/// \file
+/// Implements a run of load.
+#include "hawthornbeam/load/run.hpp"
+
+#include "lib/load/answer.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <deque>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr duration resend_delay = std::chrono::milliseconds(200);
+constexpr duration shortest_poll = std::chrono::milliseconds(100);
+constexpr duration longest_poll = std::chrono::seconds(1);
+constexpr duration least_timeout = std::chrono::seconds(5);
+/// A failed owner is replaced and its partitions are read again within this time, so
+/// "not found" is believed only after it.
+constexpr duration ownership_change_limit = std::chrono::seconds(15);
+
+double cores_of(const resources& size)
+{
+    return static_cast<double>(size.processors.value()) / 1000;
+}
+
+std::int64_t milliseconds_of(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+std::string submission_body(const load_stream& stream, const load_job& job)
+{
+    return json{{"partner", stream.partner},
+                {"kind", stream.kind},
+                {"request_id", job.request},
+                {"tasks", stream.tasks},
+                {"processors", cores_of(stream.size)},
+                {"memory", stream.size.memory.value()},
+                {"accelerators", stream.size.accelerators.value()},
+                {"idempotent", stream.idempotent},
+                {"synchronous", stream.synchronous},
+                {"run_time_ms", milliseconds_of(stream.run_time)},
+                {"deadline_ms", milliseconds_of(stream.deadline)},
+                {"spread_failure_domains", stream.spread_failure_domains},
+                {"payload", job.payload}}
+        .dump();
+}
+
+} // namespace
+
+class load_run::implementation
+{
+public:
+    implementation(event_loop& loop, load_transport& transport, options what)
+        : loop_(loop), transport_(transport), options_(std::move(what))
+    {
+        assert(!options_.instances.empty() && "a run needs an instance");
+    }
+
+    void start(std::function<void()> done);
+
+    const options& what() const { return options_; }
+    const std::vector<load_job>& jobs() const { return jobs_; }
+
+private:
+    /// What the run keeps about a job beside its record.
+    struct progress
+    {
+        timer_handle timer;
+        duration poll = shortest_poll;
+        std::optional<boot_time> first_not_found;
+        std::uint32_t retries_left = 0;
+    };
+
+    void create_jobs();
+    void schedule_cancellations();
+    void send_due();
+    void give_up();
+    void later(std::size_t index, duration delay,
+               void (implementation::*step)(std::size_t));
+    void enqueue(std::function<void()> send);
+    void exchange(load_request request, load_transport::callback done);
+    std::string next_instance();
+    const load_stream& stream_of(std::size_t index) const
+    {
+        return options_.plan.streams[jobs_[index].stream];
+    }
+
+    void submit(std::size_t index);
+    void read_submission(std::size_t index, const result<load_reply>& reply);
+    void read_refusal(std::size_t index, const load_answer& answer);
+    void ask(std::size_t index);
+    void read_question(std::size_t index, const result<load_reply>& reply);
+    void read_status(std::size_t index, load_answer answer);
+    void read_not_found(std::size_t index);
+    void poll_again(std::size_t index);
+    void cancel(std::size_t index);
+    void end(std::size_t index, job_fate fate);
+
+    event_loop& loop_;
+    load_transport& transport_;
+    options options_;
+    std::vector<load_job> jobs_;
+    std::vector<progress> progress_;
+    std::vector<duration> due_;
+    std::size_t next_due_ = 0;
+    std::size_t unfinished_ = 0;
+    std::uint32_t open_ = 0;
+    std::size_t turn_ = 0;
+    bool over_ = false;
+    boot_time began_{};
+    std::deque<std::function<void()>> queue_;
+    std::vector<timer_handle> timers_;
+    timer_handle next_send_;
+    std::function<void()> done_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+void load_run::implementation::start(std::function<void()> done)
+{
+    done_ = std::move(done);
+    began_ = loop_.clock().now();
+    create_jobs();
+    schedule_cancellations();
+    duration last{};
+    for (const load_stream& stream : options_.plan.streams)
+        last = std::max(last, stream.end);
+    timers_.push_back(loop_.after(last + options_.plan.drain, [this] { give_up(); }));
+    send_due();
+}
+
+void load_run::implementation::create_jobs()
+{
+    std::vector<std::pair<duration, load_job>> planned;
+    for (std::size_t s = 0; s < options_.plan.streams.size(); ++s)
+    {
+        const load_stream& stream = options_.plan.streams[s];
+        for (std::uint64_t n = 0; n < stream.count; ++n)
+        {
+            load_job job;
+            job.stream = s;
+            job.number = n;
+            job.request = fmt::format("{}-{}-{}", options_.name, stream.name, n);
+            job.id = job_id::derive(partner_id(stream.partner), request_id(job.request));
+            job.payload = payload_of(stream, n);
+            planned.emplace_back(due_time(stream, n), std::move(job));
+        }
+    }
+    std::stable_sort(
+        planned.begin(), planned.end(),
+        [](const std::pair<duration, load_job>& a, const std::pair<duration, load_job>& b)
+        { return a.first < b.first; });
+    progress_.resize(planned.size());
+    for (std::pair<duration, load_job>& one : planned)
+    {
+        progress_[jobs_.size()].retries_left =
+            options_.plan.streams[one.second.stream].retries;
+        due_.push_back(one.first);
+        jobs_.push_back(std::move(one.second));
+    }
+    unfinished_ = jobs_.size();
+}
+
+void load_run::implementation::schedule_cancellations()
+{
+    for (std::size_t s = 0; s < options_.plan.streams.size(); ++s)
+    {
+        if (!options_.plan.streams[s].cancel_at_end)
+            continue;
+        timers_.push_back(loop_.after(options_.plan.streams[s].end,
+                                      [this, s]
+                                      {
+                                          for (std::size_t i = 0; i < jobs_.size(); ++i)
+                                              if (jobs_[i].stream == s &&
+                                                  jobs_[i].accepted &&
+                                                  jobs_[i].fate == job_fate::open)
+                                                  cancel(i);
+                                      }));
+    }
+}
+
+void load_run::implementation::send_due()
+{
+    const duration passed = loop_.clock().now() - began_;
+    while (next_due_ < jobs_.size() && due_[next_due_] <= passed)
+        submit(next_due_++);
+    if (next_due_ < jobs_.size())
+        next_send_ = loop_.after(due_[next_due_] - passed, [this] { send_due(); });
+    if (unfinished_ == 0)
+        give_up();
+}
+
+void load_run::implementation::give_up()
+{
+    if (over_)
+        return;
+    over_ = true;
+    queue_.clear();
+    for (std::size_t i = 0; i < jobs_.size(); ++i)
+    {
+        progress_[i].timer.reset();
+        if (jobs_[i].fate != job_fate::open)
+            continue;
+        if (jobs_[i].accepted && progress_[i].first_not_found)
+            jobs_[i].fate = job_fate::lost;
+        else if (!jobs_[i].accepted && jobs_[i].unknown_outcomes > 0)
+            jobs_[i].fate = job_fate::unknown;
+        else if (!jobs_[i].accepted && jobs_[i].refusals > 0)
+            jobs_[i].fate = job_fate::refused;
+    }
+    const std::function<void()> done = std::move(done_);
+    done();
+}
+
+void load_run::implementation::later(std::size_t index, duration delay,
+                                     void (implementation::*step)(std::size_t))
+{
+    progress_[index].timer =
+        loop_.after(delay, [this, index, step] { (this->*step)(index); });
+}
+
+void load_run::implementation::enqueue(std::function<void()> send)
+{
+    if (open_ >= options_.plan.most_open)
+        return queue_.push_back(std::move(send));
+    send();
+}
+
+void load_run::implementation::exchange(load_request request,
+                                        load_transport::callback done)
+{
+    ++open_;
+    const std::weak_ptr<int> alive = alive_;
+    transport_.send(std::move(request),
+                    [this, alive, done = std::move(done)](result<load_reply> reply)
+                    {
+                        if (alive.expired() || over_)
+                            return;
+                        --open_;
+                        done(std::move(reply));
+                        if (queue_.empty() || open_ >= options_.plan.most_open)
+                            return;
+                        const std::function<void()> next = std::move(queue_.front());
+                        queue_.pop_front();
+                        next();
+                    });
+}
+
+std::string load_run::implementation::next_instance()
+{
+    return options_.instances[turn_++ % options_.instances.size()];
+}
+
+void load_run::implementation::submit(std::size_t index)
+{
+    enqueue(
+        [this, index]
+        {
+            load_job& job = jobs_[index];
+            const load_stream& stream = stream_of(index);
+            if (job.submitted == boot_time())
+                job.submitted = loop_.clock().now();
+            load_request request;
+            request.address = next_instance();
+            request.method = "POST";
+            request.path = "/v1/jobs";
+            request.body = submission_body(stream, job);
+            request.timeout = least_timeout + stream.deadline;
+            if (stream.synchronous)
+                request.timeout += stream.run_time;
+            exchange(std::move(request), [this, index](const result<load_reply>& reply)
+                     { read_submission(index, reply); });
+        });
+}
+
+void load_run::implementation::read_submission(std::size_t index,
+                                               const result<load_reply>& reply)
+{
+    load_job& job = jobs_[index];
+    if (!reply && reply.error().code == error_code::unavailable)
+        return later(index, resend_delay, &implementation::submit);
+    if (!reply)
+    {
+        ++job.unknown_outcomes;
+        job.reason = reply.error().message;
+        return later(index, resend_delay, &implementation::ask);
+    }
+    load_answer answer = read_answer(reply.value().status, reply.value().body);
+    if (answer.not_run)
+        return read_refusal(index, answer);
+    if (answer.has_status)
+        return read_status(index, std::move(answer));
+    ++job.unknown_outcomes;
+    job.reason = answer.title;
+    later(index, resend_delay, &implementation::ask);
+}
+
+void load_run::implementation::read_refusal(std::size_t index, const load_answer& answer)
+{
+    load_job& job = jobs_[index];
+    job.answered = true;
+    job.verdict = wire::job_verdict::not_run;
+    job.results.clear();
+    job.reason = answer.title;
+    ++job.refusals;
+    if (answer.retry_after == duration::zero() || progress_[index].retries_left == 0)
+        return end(index, job_fate::refused);
+    --progress_[index].retries_left;
+    later(index, answer.retry_after, &implementation::submit);
+}
+
+void load_run::implementation::ask(std::size_t index)
+{
+    enqueue(
+        [this, index]
+        {
+            exchange(load_request{next_instance(), "GET",
+                                  "/v1/jobs/" + jobs_[index].id.text(), "",
+                                  least_timeout},
+                     [this, index](const result<load_reply>& reply)
+                     { read_question(index, reply); });
+        });
+}
+
+void load_run::implementation::read_question(std::size_t index,
+                                             const result<load_reply>& reply)
+{
+    if (jobs_[index].fate != job_fate::open)
+        return;
+    if (!reply)
+        return poll_again(index);
+    if (reply.value().status == 404)
+        return read_not_found(index);
+    load_answer answer = read_answer(reply.value().status, reply.value().body);
+    if (reply.value().status != 200 || !answer.has_status)
+        return poll_again(index);
+    progress_[index].first_not_found.reset();
+    read_status(index, std::move(answer));
+}
+
+void load_run::implementation::read_status(std::size_t index, load_answer answer)
+{
+    load_job& job = jobs_[index];
+    job.answered = true;
+    job.verdict = answer.verdict;
+    job.results = std::move(answer.results);
+    switch (answer.verdict)
+    {
+    case wire::job_verdict::accepted:
+        // A synchronous request is not kept durably; only a queued one may not get lost.
+        job.accepted = job.accepted || !stream_of(index).synchronous;
+        return poll_again(index);
+    case wire::job_verdict::done:
+        return end(index, job_fate::done);
+    case wire::job_verdict::cancelled:
+        return end(index, job_fate::cancelled);
+    case wire::job_verdict::not_run:
+        return end(index, job_fate::refused);
+    case wire::job_verdict::unknown:
+        return end(index, job_fate::unknown);
+    }
+}
+
+void load_run::implementation::read_not_found(std::size_t index)
+{
+    load_job& job = jobs_[index];
+    std::optional<boot_time>& first = progress_[index].first_not_found;
+    if (!first)
+        first = loop_.clock().now();
+    // A queued job that was accepted is found by its id, and an idempotent one may run
+    // twice, so both may be submitted again under the same id.
+    const load_stream& stream = stream_of(index);
+    if (!job.accepted && (!stream.synchronous || stream.idempotent))
+        return submit(index);
+    if (!job.accepted && loop_.clock().now() - *first > ownership_change_limit)
+        return end(index, job_fate::unknown);
+    poll_again(index);
+}
+
+void load_run::implementation::poll_again(std::size_t index)
+{
+    duration& poll = progress_[index].poll;
+    later(index, poll, &implementation::ask);
+    poll = std::min(poll + poll / 2, longest_poll);
+}
+
+void load_run::implementation::cancel(std::size_t index)
+{
+    enqueue(
+        [this, index]
+        {
+            exchange(load_request{next_instance(), "DELETE",
+                                  "/v1/jobs/" + jobs_[index].id.text(), "",
+                                  least_timeout},
+                     [this, index](const result<load_reply>& reply)
+                     {
+                         // Cancelling twice is harmless.
+                         if (!reply || reply.value().status == 503)
+                             timers_.push_back(loop_.after(resend_delay, [this, index]
+                                                           { cancel(index); }));
+                     });
+        });
+}
+
+void load_run::implementation::end(std::size_t index, job_fate fate)
+{
+    load_job& job = jobs_[index];
+    if (job.fate != job_fate::open)
+        return;
+    job.fate = fate;
+    job.ended = loop_.clock().now();
+    progress_[index].timer.reset();
+    if (--unfinished_ == 0)
+        give_up();
+}
+
+load_run::load_run(event_loop& loop, load_transport& transport, options what)
+    : implementation_(std::make_unique<implementation>(loop, transport, std::move(what)))
+{
+}
+
+load_run::~load_run() = default;
+
+void load_run::start(std::function<void()> done)
+{
+    implementation_->start(std::move(done));
+}
+
+const load_plan& load_run::plan() const
+{
+    return implementation_->what().plan;
+}
+
+const std::vector<load_job>& load_run::jobs() const
+{
+    return implementation_->jobs();
+}
+
+} // namespace hawthornbeam
--- a/lib/support/toml_tree.cpp
+++ b/lib/support/toml_tree.cpp
@@ -182,6 +182,12 @@
     return node->text;
 }
 
+std::optional<bool> toml_table_reader::boolean(std::string_view key, presence need)
+{
+    const toml_node* value = find(key, need, toml_node::kind::boolean);
+    return value != nullptr ? std::optional<bool>(value->boolean) : std::nullopt;
+}
+
 std::optional<std::int64_t> toml_table_reader::integer(std::string_view key,
                                                        presence need, std::int64_t least,
                                                        std::int64_t most)
--- a/test/standins/http_endpoint.cpp
+++ b/test/standins/http_endpoint.cpp
@@ -52,6 +52,7 @@
 
     std::uint16_t port = 0;
     fault_settings faults;
+    traffic received;
 
 private:
     static void accept_request(SoupServer* server, SoupServerMessage* message,
@@ -115,6 +116,7 @@
         return;
     if (endpoint->take_lost_answer(*this) && socket != nullptr)
         g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    endpoint->received.bytes += json.size();
     soup_server_message_set_status(message_, status, nullptr);
     soup_server_message_set_response(message_, "application/json", SOUP_MEMORY_COPY,
                                      json.data(), json.size());
@@ -176,6 +178,8 @@
     SoupMessageBody* body = soup_server_message_get_request_body(message);
     if (body->length > 0)
         exchange->body.assign(body->data, static_cast<std::size_t>(body->length));
+    ++endpoint.received.calls;
+    endpoint.received.bytes += exchange->body.size();
     // Dropping a paused exchange without a reply leaves its connection silent.
     if (endpoint.is_silent(soup_server_message_get_socket(message)))
         return;
@@ -226,6 +230,11 @@
     return fmt::format("127.0.0.1:{}", implementation_->port);
 }
 
+const http_endpoint::traffic& http_endpoint::received() const
+{
+    return implementation_->received;
+}
+
 fault_settings& http_endpoint::faults()
 {
     return implementation_->faults;
--- a/test/standins/http_endpoint.hpp
+++ b/test/standins/http_endpoint.hpp
@@ -46,6 +46,14 @@
     /// "127.0.0.1:PORT".
     std::string address() const;
 
+    /// Requests received and the bytes of all bodies, both ways.
+    struct traffic
+    {
+        std::uint64_t calls = 0;
+        std::uint64_t bytes = 0;
+    };
+    const traffic& received() const;
+
     /// Unreachable answers 503. Silent accepts connections and never answers. A lost
     /// answer closes the connection instead.
     fault_settings& faults();
--- a/test/standins/platform_server.cpp
+++ b/test/standins/platform_server.cpp
@@ -136,6 +136,22 @@
     return lines;
 }
 
+std::string platform_server::traffic_json() const
+{
+    http_endpoint::traffic workers;
+    for (const std::unique_ptr<served_worker>& worker : workers_)
+    {
+        workers.calls += worker->endpoint.received().calls;
+        workers.bytes += worker->endpoint.received().bytes;
+    }
+    const auto encode = [](const http_endpoint::traffic& received) {
+        return json{{"calls", received.calls}, {"bytes", received.bytes}};
+    };
+    return print_json({{"kv", encode(kv_endpoint_.received())},
+                       {"hosts", encode(hosts_endpoint_.received())},
+                       {"workers", encode(workers)}});
+}
+
 void platform_server::handle_control(const exchange_pointer& exchange)
 {
     if (exchange->method == "GET" && exchange->path == "/history")
@@ -143,6 +159,11 @@
         exchange->reply(200, history_lines());
         return;
     }
+    if (exchange->method == "GET" && exchange->path == "/calls")
+    {
+        exchange->reply(200, traffic_json());
+        return;
+    }
     if (exchange->method != "POST" || exchange->path != "/faults")
     {
         exchange->reply(404, R"({"error":"no such resource"})");
--- a/test/standins/platform_server.hpp
+++ b/test/standins/platform_server.hpp
@@ -46,6 +46,7 @@
     host_list_state& hosts() { return hosts_; }
     /// The events of all workers in order of time, as JSON lines.
     std::string history_lines() const;
+    std::string traffic_json() const;
 
 private:
     struct served_worker
--- /dev/null
+++ b/unittests/load/run_test.cpp
@@ -0,0 +1,165 @@
+/// \file
+/// Tests of a run of load against a scripted instance.
+#include "hawthornbeam/load/account.hpp"
+
+#include <deque>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+/// Answers each request with the next scripted reply and records it. Without a reply the
+/// request stays open.
+class scripted_transport final : public load_transport
+{
+public:
+    explicit scripted_transport(event_loop& loop) : loop_(loop) {}
+
+    void send(load_request request, callback done) override
+    {
+        sent.push_back(request.method + " " + request.path);
+        bodies.push_back(request.body);
+        if (replies.empty())
+        {
+            open.push_back(std::move(done));
+            return;
+        }
+        const result<load_reply> reply = replies.front();
+        replies.pop_front();
+        loop_.post([reply, done = std::move(done)] { done(reply); });
+    }
+
+    std::vector<std::string> sent;
+    std::vector<std::string> bodies;
+    std::vector<callback> open;
+    std::deque<result<load_reply>> replies;
+
+private:
+    event_loop& loop_;
+};
+
+load_reply status_reply(unsigned status, const char* verdict, const char* output)
+{
+    return load_reply{status,
+                      fmt::format(R"({{"verdict":"{}","results":[{{"index":0,)"
+                                  R"("state":"finished","known":true,"output":"{}"}}]}})",
+                                  verdict, output)};
+}
+
+const load_reply refusal{503, R"({"not_run":true,"title":"busy","retry_after_ms":700})"};
+const load_reply missing{404, R"({"not_run":false,"title":"no such job"})"};
+const error silent{error_code::outcome_unknown, "the connection was closed"};
+
+load_stream synchronous_stream()
+{
+    load_stream stream;
+    stream.name = "s";
+    stream.partner = "p";
+    stream.kind = "k";
+    stream.count = 1;
+    stream.synchronous = true;
+    stream.deadline = std::chrono::seconds(2);
+    stream.payload = "mine";
+    return stream;
+}
+
+class LoadRunTest : public testing::Test
+{
+protected:
+    void run(const load_stream& stream, std::uint32_t most_open = 8)
+    {
+        load_run::options options;
+        options.plan.streams = {stream};
+        options.plan.most_open = most_open;
+        options.instances = {"a", "b"};
+        options.name = "t";
+        load_.emplace(loop_, transport_, std::move(options));
+        load_->start([this] { done_ = true; });
+        loop_.advance(std::chrono::seconds(1));
+    }
+    const load_job& job() const { return load_->jobs().at(0); }
+
+    manual_event_loop loop_;
+    scripted_transport transport_{loop_};
+    std::optional<load_run> load_;
+    bool done_ = false;
+};
+
+/// Guards against a second submission of work that may have run.
+TEST_F(LoadRunTest, AsksForARequestWithUnknownOutcome)
+{
+    transport_.replies = {silent, missing, status_reply(200, "done", "mine")};
+    run(synchronous_stream());
+    const std::string question = "GET /v1/jobs/" + job().id.text();
+    EXPECT_EQ(transport_.sent,
+              (std::vector<std::string>{"POST /v1/jobs", question, question}));
+    EXPECT_EQ(job().fate, job_fate::done);
+    EXPECT_TRUE(done_);
+}
+
+/// Guards against a job that stays unresolved or is sent again when nobody knows it.
+TEST_F(LoadRunTest, EndsAsUnknownWhenNobodyKnowsTheRequest)
+{
+    transport_.replies.assign(100, missing);
+    transport_.replies.push_front(silent);
+    run(synchronous_stream());
+    loop_.advance(std::chrono::seconds(20));
+    EXPECT_EQ(job().fate, job_fate::unknown);
+    EXPECT_EQ(std::count(transport_.sent.begin(), transport_.sent.end(), "POST /v1/jobs"),
+              1);
+}
+
+/// Guards against retries that come early or under a new id.
+TEST_F(LoadRunTest, ComesBackWhenTheRefusalSays)
+{
+    load_stream stream = synchronous_stream();
+    stream.retries = 1;
+    transport_.replies = {refusal};
+    run(stream);
+    ASSERT_EQ(transport_.sent.size(), 2U);
+    EXPECT_EQ(transport_.bodies[0], transport_.bodies[1]);
+    EXPECT_EQ(job().refusals, 1U);
+    transport_.open[0](refusal);
+    EXPECT_EQ(job().fate, job_fate::refused);
+}
+
+/// Guards against answers of another request that pass unnoticed.
+TEST_F(LoadRunTest, FindsAnAnswerThatIsNotItsOwn)
+{
+    transport_.replies = {status_reply(200, "done", "yours")};
+    run(synchronous_stream());
+    EXPECT_EQ(judge(*load_).wrong_answers, 1U);
+}
+
+/// Guards against an accepted job whose loss is reported as merely unfinished.
+TEST_F(LoadRunTest, FindsALostJob)
+{
+    load_stream stream = synchronous_stream();
+    stream.synchronous = false;
+    transport_.replies.assign(100, missing);
+    transport_.replies.push_front(
+        load_reply{202, R"({"verdict":"accepted","results":[]})"});
+    run(stream);
+    loop_.advance(std::chrono::seconds(40));
+    EXPECT_TRUE(done_);
+    EXPECT_EQ(judge(*load_).lost, 1U);
+}
+
+/// Guards against more open requests than the plan allows.
+TEST_F(LoadRunTest, BoundsOpenRequests)
+{
+    load_stream stream = synchronous_stream();
+    stream.count = 5;
+    run(stream, 2);
+    EXPECT_EQ(transport_.sent.size(), 2U);
+    transport_.open[0](status_reply(200, "done", "mine"));
+    EXPECT_EQ(transport_.sent.size(), 3U);
+}
+
+} // namespace
+
+} // namespace hawthornbeam
