--- a/test/sessions/cluster.py
+++ b/test/sessions/cluster.py
@@ -206,12 +206,12 @@
         return ",".join(one.address for one in self.instances)
 
     def wait_ready(self):
-        """Waits until all instances serve and every slice and partition has an owner."""
-        for one in self.instances:
-            wait_for(one.name + " is ready", one.is_ready)
+        """Waits until every slice and partition has an owner. An instance is ready for
+        jobs only when it has a table, which the caller has yet to put."""
         wait_for("all is owned", self.is_all_owned)
 
     def is_all_owned(self):
+        """True when all instances see each other and nothing is without an owner."""
         status, _, body = request(self.instances[0].address, "GET", "/v1/instances")
         if status != 200:
             return False
@@ -236,6 +236,8 @@
     def wait_table(self, version):
         wait_for(f"table {version} is in force",
                  lambda: all(one.table_version() == version for one in self.instances))
+        for one in self.instances:
+            wait_for(one.name + " is ready", one.is_ready)
 
     def watch_tables(self):
         """Records the version in force at every instance twice a second."""
