Wait once for the acknowledgements of the golden sessions

Workers receive the acknowledgement 10 s after the end of a task (acknowledge_delay), and each session waited for it.

--- a/test/golden/golden.py
+++ b/test/golden/golden.py
@@ -50,6 +50,7 @@
     def __init__(self, cluster):
         self.cluster = cluster
         self.lines = []
+        self.places = []
 
     def note(self, text):
         self.lines.append("# " + text)
@@ -100,20 +101,29 @@
                  tasks)
 
     def show_workers(self, job_id):
-        """What the workers saw of a job, in the order of each task's events. The
-        acknowledgement comes some time after the answer, so it is waited for."""
+        """Leaves a place for what the workers saw of a job. Workers receive the
+        acknowledgement about 10 s after the end of a task, so the places of all sessions
+        are filled in after the last one."""
+        self.note("workers:")
+        self.places.append((len(self.lines), job_id))
+        self.lines += ["", ""]
+
+    def fill_in_workers(self):
+        for place, job_id in self.places:
+            self.lines[place] = "\n".join(self.worker_lines(job_id))
+
+    def worker_lines(self, job_id):
+        """The events of a job in the order of each task's events."""
         def all_acknowledged():
             events = [one["event"] for one in self.events_of(job_id)]
             return events.count("acknowledge") == events.count("start")
 
         wait_for(f"the outcomes of job {job_id} are acknowledged", all_acknowledged)
-        self.note("workers:")
         events = self.events_of(job_id)
         for subject in sorted({one["subject"] for one in events}):
             steps = [" ".join(filter(None, [one["event"], one["detail"]]))
                      for one in events if one["subject"] == subject]
-            self.lines.append(f"  task {subject}: {', '.join(steps)}")
-        self.lines.append("")
+            yield f"  task {subject}: {', '.join(steps)}"
 
     def show_keys(self, prefix):
         kv = self.cluster.addresses["kv"].removeprefix("http://")
@@ -253,13 +263,15 @@
 
 def run_sessions():
     """The text of each golden file by its name."""
-    texts = {}
+    sessions = {}
     with Cluster(workers=6) as cluster:
         for name, run in SESSIONS:
-            session = Session(cluster)
-            run(session)
-            texts[name] = "\n".join(session.lines).rstrip() + "\n"
-    return texts
+            sessions[name] = Session(cluster)
+            run(sessions[name])
+        for session in sessions.values():
+            session.fill_in_workers()
+    return {name: "\n".join(session.lines).rstrip() + "\n"
+            for name, session in sessions.items()}
 
 
 def compare(texts):
