Tie refusals to the request they answer, and keep lost tasks listed

Cause: a repeated refusal was applied to a later request for the same task; a job known only from its task was sent out again without its payload; a task on a lost worker was missing from inventories until its task lease had ended. Change: updates and queued tasks name the start request that brought them; a recovered job waits for its caller to repeat it; lost tasks stay listed. A job larger than its row's queue is refused as impossible, since no retry can help; drained workers say so.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	@cmake --build $(BUILD) -j $(JOBS)
 
 test: build
+	@cat KNOWN-RED.txt
 	@ctest --test-dir $(BUILD) -j $(JOBS) --output-on-failure
 
 check: packages test
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -133,6 +133,15 @@
     std::string reason;
     epoch known_epoch; ///< The highest epoch the slice owner knows for the partition.
 };
+/// The start request that brought a task to a slice owner. A refusal counts only for the
+/// request that it answers.
+struct dispatch_id
+{
+    epoch owner_epoch;
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const dispatch_id&, const dispatch_id&) = default;
+};
 /// What became of a task; sent by the slice owner to the job owner.
 enum class task_event : std::uint8_t
 {
@@ -149,7 +158,8 @@
     worker_id worker;
     task_state state = task_state::running;
     std::string output;
-    /// With not_run: why, and when another try may succeed.
+    /// With not_run: of which request, why, and when another try may succeed.
+    dispatch_id dispatch;
     error_code code = error_code::unavailable;
     std::string reason;
     std::int64_t retry_after_ms = 0;
@@ -188,6 +198,7 @@
 {
     task_id id;
     row_id row;
+    dispatch_id dispatch;
 };
 struct inventory_reply
 {
--- a/lib/instance/dispatcher.cpp
+++ b/lib/instance/dispatcher.cpp
@@ -214,6 +214,7 @@
     {
         message.partition = job.partition;
         message.owner_epoch = owner_epoch;
+        message.sequence = jobs_.next_sequence(job.partition);
         message.job_owner = shared_.options.self;
         message.row = job.spec.row;
         message.spread_domains = job.spec.spread_domains;
@@ -223,6 +224,7 @@
     assert(slot.phase == slot_phase::waiting && "a task is dispatched once");
     slot.phase = slot_phase::dispatched;
     slot.owner = owner;
+    slot.dispatch = wire::dispatch_id{owner_epoch, message.sequence};
     slot.since = shared_.now();
     ++outstanding(owner, job.spec.row);
     task_start start;
@@ -234,7 +236,7 @@
     start.job_owner = shared_.options.self;
     start.payload = job.spec.payload;
     message.tasks.push_back(std::move(start));
-    target.slots.push_back(slot_ref{job.spec.id, index, slot.since});
+    target.slots.push_back(slot_ref{job.spec.id, index, slot.dispatch});
 }
 
 void dispatcher::send(const instance_id& owner, batch ready)
@@ -242,7 +244,6 @@
     const member* target = shared_.parts.members.find(owner);
     if (target == nullptr)
         return jobs_.start_refused(ready.slots, epoch());
-    ready.message.sequence = jobs_.next_sequence(ready.message.partition);
     shared_.parts.peers.call(
         target->peer, std::move(ready.message), start_deadline,
         shared_.guarded(
--- a/lib/instance/dispatcher.hpp
+++ b/lib/instance/dispatcher.hpp
@@ -18,9 +18,9 @@
 {
     job_id job;
     std::uint32_t index = 0;
-    /// Of a dispatched slot: when that happened, which tells an answer to an earlier
-    /// dispatch from one to the present one.
-    boot_time dispatched{};
+    /// Of a dispatched slot: the request that carries it, which tells an answer to an
+    /// earlier request from one to the present one.
+    wire::dispatch_id dispatch;
 
     friend bool operator==(const slot_ref&, const slot_ref&) = default;
 };
--- a/lib/instance/job_owner.cpp
+++ b/lib/instance/job_owner.cpp
@@ -101,6 +101,10 @@
             return make_error(error_code::invalid_input,
                               "no slice owner has enough workers for the whole gang");
     }
+    if (spec.tasks > row->limits.queue_length)
+        return make_error(error_code::invalid_input,
+                          fmt::format("the job has {} tasks and the row's queue holds {}",
+                                      spec.tasks, row->limits.queue_length));
     const std::size_t waiting = dispatcher_.waiting(spec.row);
     if (waiting + spec.tasks > row->limits.queue_length)
         return make_error(
@@ -121,12 +125,11 @@
     if (existing != jobs_.end())
     {
         job_state& job = existing->second;
-        const bool recovered = job.spec.request.empty();
-        if (!recovered && !same_contents(job.spec, spec))
+        if (job.has_spec && !same_contents(job.spec, spec))
             return done(make_error(error_code::conflict,
                                    "the request id names a job with other contents"));
-        if (recovered)
-            job.spec.request = spec.request;
+        if (!job.has_spec)
+            complete_recovered(job, spec);
         if (job.is_ended() || (job.durable && job.journaled))
             return done(status_of(job));
         if (job.durable)
@@ -151,6 +154,15 @@
     accept(spec, std::move(done));
 }
 
+void job_owner::complete_recovered(job_state& job, const wire::job_spec& spec)
+{
+    job.spec = spec;
+    job.has_spec = true;
+    for (std::uint32_t index = 0; index < job.slots.size(); ++index)
+        if (job.slots[index].phase == slot_phase::waiting)
+            dispatcher_.add(job, index);
+}
+
 void job_owner::accept(const wire::job_spec& spec, submit_callback done)
 {
     job_state& job = jobs_[spec.id];
--- a/lib/instance/job_owner.hpp
+++ b/lib/instance/job_owner.hpp
@@ -74,6 +74,7 @@
     void start_uncertain(const std::vector<slot_ref>& slots) override;
 
     std::optional<error> admission_fault(const wire::job_spec& spec) const;
+    void complete_recovered(job_state& job, const wire::job_spec& spec);
     void accept(const wire::job_spec& spec, submit_callback done);
     void journal_acceptance(const job_id& id, submit_callback done);
     wire::job_status refused_unwritten(const job_id& id, const error& why);
--- a/lib/instance/job_progress.cpp
+++ b/lib/instance/job_progress.cpp
@@ -15,6 +15,9 @@
 /// Longest time for which a worker that nobody reaches goes on with its tasks, with an
 /// allowance for clock drift.
 constexpr duration longest_task_lease = std::chrono::seconds(66);
+/// A task found at a slice owner without its job is given up when no caller repeats the
+/// request for this long.
+constexpr duration recovered_job_patience = std::chrono::seconds(60);
 constexpr duration back_off_base = std::chrono::milliseconds(200);
 constexpr double back_off_spread = 0.5;
 
@@ -128,7 +131,9 @@
     job.slots[task.index].phase = slot_phase::orphaned;
     job.slots[task.index].attempt = task.attempt;
     job.restored = true;
+    job.has_spec = false;
     job.first_attempt = first_attempt_of(partitions_.epoch_of(job.partition));
+    start_deadlines_.emplace(shared_.now() + recovered_job_patience, task.job);
     job.accepted = shared_.now();
     return job;
 }
@@ -150,7 +155,9 @@
     case wire::task_event::placed:
         return apply_placed(job, update.id.index, from, update.worker);
     case wire::task_event::not_run:
-        return slot.owner == from ? apply_not_run(job, update) : void();
+        if (slot.phase == slot_phase::dispatched && slot.dispatch == update.dispatch)
+            apply_not_run(job, update);
+        return;
     case wire::task_event::ended:
         return apply_ended(job, update);
     case wire::task_event::unknown:
@@ -211,9 +218,6 @@
 void job_owner::apply_not_run(job_state& job, const wire::task_update& update)
 {
     task_slot& slot = job.slots[update.id.index];
-    if (slot.phase == slot_phase::placed || slot.phase == slot_phase::waiting ||
-        slot.phase == slot_phase::backing_off)
-        return;
     leave_dispatched(job, slot);
     const bool is_final = update.code != error_code::unavailable;
     if (job.cancelling || !is_final)
@@ -297,7 +301,9 @@
     slot.worker = worker_id();
     slot.owner = instance_id();
     slot.since = shared_.now();
-    dispatcher_.add(job, index);
+    // A job that was found at a slice owner is complete only once its caller repeats it.
+    if (job.has_spec)
+        dispatcher_.add(job, index);
 }
 
 void job_owner::back_off(job_state& job, std::uint32_t index, duration delay)
@@ -423,6 +429,7 @@
             continue;
         slot.phase = slot_phase::dispatched;
         slot.attempt = queued.id.attempt;
+        slot.dispatch = queued.dispatch;
         slot.attempt_known = true;
         slot.owner = from;
         slot.since = shared_.now();
@@ -583,7 +590,7 @@
         if (found == jobs_.end())
             continue;
         task_slot& slot = found->second.slots[ref.index];
-        if (slot.phase != slot_phase::dispatched || slot.since != ref.dispatched)
+        if (slot.phase != slot_phase::dispatched || slot.dispatch != ref.dispatch)
             continue;
         leave_dispatched(found->second, slot);
         back_off(found->second, ref.index, back_off_base);
@@ -599,7 +606,7 @@
         if (found == jobs_.end())
             continue;
         task_slot& slot = found->second.slots[ref.index];
-        if (slot.phase != slot_phase::dispatched || slot.since != ref.dispatched)
+        if (slot.phase != slot_phase::dispatched || slot.dispatch != ref.dispatch)
             continue;
         orphan(found->second, slot);
         doubtful.insert(found->second.partition);
--- a/lib/instance/job_state.hpp
+++ b/lib/instance/job_state.hpp
@@ -28,9 +28,10 @@
 /// One task of a job.
 struct task_slot
 {
-    instance_id owner; ///< The slice owner while dispatched, placed or orphaned.
-    worker_id worker;  ///< Where the attempt was last seen; empty when nowhere.
-    boot_time since{}; ///< When the phase began.
+    instance_id owner;          ///< The slice owner while dispatched, placed or orphaned.
+    worker_id worker;           ///< Where the attempt was last seen; empty when nowhere.
+    boot_time since{};          ///< When the phase began.
+    wire::dispatch_id dispatch; ///< While dispatched: the request that carries it.
     std::uint16_t attempt = 0;
     std::uint8_t failures = 0;
     slot_phase phase = slot_phase::waiting;
@@ -64,6 +65,8 @@
     bool journaled = false;
     /// Taken over from a former owner, from the journal or from the workers.
     bool restored = false;
+    /// False while only the task of a lost job owner is known, not the request.
+    bool has_spec = true;
     bool cancelling = false;
     wire::job_verdict verdict = wire::job_verdict::accepted;
     std::string reason;
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -129,6 +129,7 @@
     assert(found != sessions_.end() && "only an open session can be dropped");
     const std::shared_ptr<worker_session> session = std::move(found->second);
     sessions_.erase(found);
+    drained_.erase(worker);
     const boot_time ended_by = session->tasks_end_by();
     for (const task_id& id : scheduler_.remove_worker(worker))
     {
@@ -137,7 +138,8 @@
             continue;
         if (worker_is_gone && entry->second.phase == task_phase::running)
             report_lost_later(entry->second, ended_by);
-        tasks_.erase(entry);
+        else
+            tasks_.erase(entry);
     }
     ++closing_;
     session->close(shared_.guarded(
@@ -164,28 +166,31 @@
         // has no successor.
         if (worker_is_gone)
             report_lost_later(tasks_.at(id), ended_by);
-        tasks_.erase(id);
+        else
+            tasks_.erase(id);
     }
 }
 
-void slice_owner::report_lost_later(const tracked_task& task, boot_time ended_by)
+void slice_owner::report_lost_later(tracked_task& task, boot_time ended_by)
 {
     // The worker may still run the task until its task lease has ended; only then is a
     // second start safe.
-    wire::task_update update;
-    update.id = task.start.id;
-    update.row = task.start.row;
-    update.event = wire::task_event::unknown;
-    update.worker = task.worker;
-    update.state = task_state::failed;
+    task.phase = task_phase::lost;
     const duration delay = std::max(ended_by - shared_.now(), duration::zero());
     const std::uint64_t number = next_lost_timer_++;
-    lost_timers_[number] = shared_.parts.loop.after(delay,
-                                                    [this, update, number]
-                                                    {
-                                                        updates_.send(update);
-                                                        lost_timers_.erase(number);
-                                                    });
+    lost_timers_[number] = shared_.parts.loop.after(
+        delay,
+        [this, id = task.start.id, number]
+        {
+            const timer_handle keep = std::move(lost_timers_[number]);
+            lost_timers_.erase(number);
+            const auto found = tasks_.find(id);
+            if (found == tasks_.end() || found->second.phase != task_phase::lost)
+                return;
+            send_update(found->second, wire::task_event::unknown, task_state::failed,
+                        std::string());
+            tasks_.erase(found);
+        });
 }
 
 void slice_owner::update_schedulable(const worker_session& session)
@@ -299,6 +304,8 @@
         if (existing != tasks_.end())
         {
             existing->second.start.job_owner = message.job_owner;
+            existing->second.dispatch =
+                wire::dispatch_id{message.owner_epoch, message.sequence};
             if (existing->second.phase == task_phase::running)
                 send_update(existing->second, wire::task_event::placed,
                             task_state::running, std::string());
@@ -307,7 +314,7 @@
         tracked_task& task = tasks_[start.id];
         task.start = start;
         task.start.job_owner = message.job_owner;
-        task.owner_epoch = message.owner_epoch;
+        task.dispatch = wire::dispatch_id{message.owner_epoch, message.sequence};
         task.enqueued = shared_.now();
         const std::optional<policy::refusal> refused = scheduler_.enqueue(
             waiting_from(message, start, shared_.now()), shared_.now());
@@ -337,6 +344,7 @@
     update.id = refused.id;
     update.row = found->second.start.row;
     update.event = wire::task_event::not_run;
+    update.dispatch = found->second.dispatch;
     update.code = refused.code;
     update.reason = refused.reason;
     update.retry_after_ms =
@@ -417,7 +425,7 @@
             continue;
         task.start.job_owner = message.job_owner;
         if (task.phase == task_phase::waiting)
-            reply.queued.push_back(wire::queued_task{id, task.start.row});
+            reply.queued.push_back(wire::queued_task{id, task.start.row, task.dispatch});
         else
         {
             reply.tasks.push_back(inventory_entry(id, task));
@@ -460,7 +468,9 @@
         worker.lease_held = session->may_start();
         const auto drained = drained_.find(id);
         worker.drained = drained != drained_.end() && drained->second;
-        worker.unschedulable_reason = scheduler_.unschedulable_reason(id, shared_.now());
+        worker.unschedulable_reason =
+            worker.drained ? "drained by an operator"
+                           : scheduler_.unschedulable_reason(id, shared_.now());
     }
     for (const auto& [id, task] : tasks_)
     {
--- a/lib/instance/slice_owner.hpp
+++ b/lib/instance/slice_owner.hpp
@@ -52,12 +52,14 @@
         waiting,
         starting,
         running,
-        ended
+        ended,
+        /// Its worker is gone; it may run there until the worker's task lease has ended.
+        lost
     };
     struct tracked_task
     {
         task_start start; ///< Its payload is dropped once the task runs.
-        epoch owner_epoch;
+        wire::dispatch_id dispatch;
         worker_id worker;
         boot_time enqueued{};
         task_phase phase = task_phase::waiting;
@@ -75,7 +77,7 @@
     void describe_workers(wire::status_reply& status) const;
     void settle_unconfirmed(const worker_id& worker, bool worker_is_gone,
                             boot_time ended_by);
-    void report_lost_later(const tracked_task& task, boot_time ended_by);
+    void report_lost_later(tracked_task& task, boot_time ended_by);
     void finish_leaving();
     void settle_missing(const task_id& id);
     void schedule_acknowledgements();
--- a/lib/instance/slice_reports.cpp
+++ b/lib/instance/slice_reports.cpp
@@ -81,6 +81,7 @@
         tasks_.erase(id);
         return;
     case task_phase::ended:
+    case task_phase::lost:
         return;
     }
 }
@@ -88,7 +89,10 @@
 void slice_owner::adopt(const worker_session& session, const task_report& report)
 {
     const auto existing = tasks_.find(report.id);
-    if (existing == tasks_.end() || existing->second.phase == task_phase::waiting)
+    const bool is_counted = existing != tasks_.end() &&
+                            existing->second.phase != task_phase::waiting &&
+                            existing->second.phase != task_phase::lost;
+    if (!is_counted)
     {
         if (existing != tasks_.end())
             scheduler_.cancel(report.id);
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -146,11 +146,20 @@
     fields(archive, queued, reason, known_epoch);
 }
 
+template <class Archive>
+void serialize(Archive& archive, dispatch_id& value)
+{
+    auto& [owner_epoch, sequence] = value;
+    fields(archive, owner_epoch, sequence);
+}
+
 template <class Archive>
 void serialize(Archive& archive, task_update& value)
 {
-    auto& [id, row, event, worker, state, output, code, reason, retry_after_ms] = value;
-    fields(archive, id, row, event, worker, state, output, code, reason, retry_after_ms);
+    auto& [id, row, event, worker, state, output, dispatch, code, reason,
+           retry_after_ms] = value;
+    fields(archive, id, row, event, worker, state, output, dispatch, code, reason,
+           retry_after_ms);
 }
 
 template <class Archive>
@@ -191,8 +200,8 @@
 template <class Archive>
 void serialize(Archive& archive, queued_task& value)
 {
-    auto& [id, row] = value;
-    fields(archive, id, row);
+    auto& [id, row, dispatch] = value;
+    fields(archive, id, row, dispatch);
 }
 
 template <class Archive>
