Export the cost of control as metrics

The key-value traffic that the binding counts by cause, the bytes of the inner protocol and of gossip, and the processor time and memory of the process were not visible, so the burn report could not see failing calls and the cost of control could not be read.

total_counters copies totals of other parts into counters, and cost_metrics of hawthornd writes them once a second. kv_traffic gains the number of ended calls: calls minus failures would fall when an open call fails.

--- a/include/hawthornbeam/platform/http_kv_service.hpp
+++ b/include/hawthornbeam/platform/http_kv_service.hpp
@@ -26,6 +26,7 @@
 struct kv_traffic
 {
     std::uint64_t calls = 0;    ///< Every call, answered or not.
+    std::uint64_t ended = 0;    ///< Calls that have called back.
     std::uint64_t failures = 0; ///< Calls that ended with an error other than conflict.
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
--- a/lib/platform/http_kv_service.cpp
+++ b/lib/platform/http_kv_service.cpp
@@ -86,6 +86,7 @@
             client_, std::move(sent), effect, std::move(decode),
             [&traffic, done = std::move(done)](result<T> answer)
             {
+                ++traffic.ended;
                 if (!answer && answer.error().code != error_code::conflict)
                     ++traffic.failures;
                 done(std::move(answer));
--- a/tools/hawthornd/main.cpp
+++ b/tools/hawthornd/main.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// The scheduler daemon: reads settings, connects the parts and runs the loop.
+#include "cost_metrics.hpp"
 #include "hawthornbeam/api/http_api.hpp"
 #include "hawthornbeam/platform/http_host_list.hpp"
 #include "hawthornbeam/platform/http_kv_service.hpp"
@@ -169,6 +170,7 @@
     if (!api)
         return fail(log, api.error());
 
+    const cost_metrics costs(loop, metrics, kv, *peers.value(), *gossip.value());
     const stop_control control(loop, log, *scheduler.value(), *api.value());
     scheduler.value()->start();
     fmt::print("{{\"http_port\":{},\"peer_port\":{},\"gossip_port\":{}}}\n",
--- a/unittests/platform/bindings_test.cpp
+++ b/unittests/platform/bindings_test.cpp
@@ -223,8 +223,10 @@
     EXPECT_EQ(kv.traffic(kv_cause::journal).calls, 2U);
     EXPECT_EQ(kv.traffic(kv_cause::journal).bytes_sent, 8U);
     EXPECT_EQ(kv.traffic(kv_cause::journal).failures, 0U);
+    EXPECT_EQ(kv.traffic(kv_cause::journal).ended, 2U);
     EXPECT_EQ(kv.traffic(kv_cause::table).calls, 2U);
     EXPECT_EQ(kv.traffic(kv_cause::table).failures, 1U);
+    EXPECT_EQ(kv.traffic(kv_cause::table).ended, 2U);
     EXPECT_GT(kv.traffic(kv_cause::table).bytes_received, 5U);
     EXPECT_EQ(kv.traffic(kv_cause::claim).calls, 0U);
 }
