Queue no tasks at a slice owner that holds no worker

The others count on an instance as soon as it is alive again, but it acquires its workers only after its settle time (1.5 s). Tasks queued there saw a backlog without any start, from which the drain estimate concludes the longest wait.

Such a start request is now answered as not queued, unless one of its tasks is known here, and the job owner tries another slice owner.

--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -230,6 +230,19 @@
     return reply;
 }
 
+bool slice_owner::holds_a_worker() const
+{
+    return std::any_of(sessions_.begin(), sessions_.end(),
+                       [](const auto& session) { return session.second->may_start(); });
+}
+
+bool slice_owner::knows_any(const std::vector<task_start>& starts) const
+{
+    return std::any_of(starts.begin(), starts.end(),
+                       [this](const task_start& start)
+                       { return tasks_.contains(start.id); });
+}
+
 wire::start_reply slice_owner::start(const wire::start_request& message)
 {
     wire::start_reply reply;
@@ -242,6 +255,8 @@
         reply.reason = "the request is older than an inventory";
     else if (leaving_ || !knows_epochs())
         reply.reason = leaving_ ? "the instance is leaving" : "takeover is in progress";
+    else if (!holds_a_worker() && !knows_any(message.tasks))
+        reply.reason = "no worker is held";
     if (!reply.reason.empty())
         return reply;
     reply.queued = true;
--- a/lib/instance/slice_owner.hpp
+++ b/lib/instance/slice_owner.hpp
@@ -95,6 +95,11 @@
     void apply_preemption(const policy::preemption& what);
     void update_recorded(const wire::task_update& update);
     void learn_epochs_of_members();
+    /// False between the moment that the other instances count on this one for its slices
+    /// and the first granted lease. Tasks queued here would wait without any start, from
+    /// which admission control concludes that their deadlines cannot be met.
+    bool holds_a_worker() const;
+    bool knows_any(const std::vector<task_start>& starts) const;
     bool knows_epochs() const { return epoch_answers_missing_ == 0; }
 
     context& shared_;
