Claim job partitions anew after a pause

The resumed instance read submissions from its sockets that receivers had meanwhile given to the new owner, and ran them. For partitions without appends it did not learn that it had lost them for up to 9 s, and answered 404 for jobs of the new owner.

An instance now notes every 250 ms and before each inner request that it runs. After a gap of 1.5 s it gives up all partitions and claims again those that are still assigned to it, as design section 3 asks for.

The test measured the start of requests sent to the paused instance from their submission; they wait in its socket, where nobody else can see them, so the bound of 5.1 s now counts from its resumption for these. All others are measured as before; a request to a running receiver whose job owner is paused is still under the bound.

--- a/include/hawthornbeam/load/run.hpp
+++ b/include/hawthornbeam/load/run.hpp
@@ -67,6 +67,7 @@
     job_id id;
     std::string request;
     std::string payload;
+    std::string first_instance; ///< Where it was submitted first.
     job_fate fate = job_fate::open;
     bool accepted = false; ///< An instance has confirmed that it keeps the job.
     bool answered = false; ///< A whole answer has arrived.
--- a/lib/instance/instance.cpp
+++ b/lib/instance/instance.cpp
@@ -18,6 +18,10 @@
 {
 
 constexpr duration gauge_period = std::chrono::seconds(1);
+/// How often the instance notes that it runs, and the gap that counts as a pause. The gap
+/// is the suspicion time of design section 4: a shorter pause costs no ownership.
+constexpr duration awake_period = std::chrono::milliseconds(250);
+constexpr duration least_pause = std::chrono::milliseconds(1500);
 constexpr duration fetch_deadline = std::chrono::seconds(1);
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// A leaving instance stays this long after its last open request, so that its
@@ -76,6 +80,9 @@
     bool is_alone() const;
     wire::status_reply status(const wire::status_request& what) const;
 
+    /// Claims the job partitions anew when the process has been paused. Other instances
+    /// may own them now, and requests from before the pause may still be in the sockets.
+    void note_awake();
     void handle(const instance_id& from, wire::request message, answer_callback answer);
     void on(const instance_id&, wire::submit_request message, answer_callback answer);
     void on(const instance_id&, const wire::job_query& message, answer_callback answer);
@@ -116,15 +123,19 @@
     bool slices_left = false;
     bool partitions_left = false;
     boot_time leave_limit{};
+    boot_time last_awake{};
     std::function<void()> left;
     timer_handle settle_timer;
     timer_handle gauges_timer;
+    timer_handle awake_timer;
     timer_handle leave_timer;
 };
 
 void instance::implementation::start()
 {
     started = true;
+    last_awake = shared.now();
+    awake_timer = shared.parts.loop.every(awake_period, [this] { note_awake(); });
     network.serve(shared.guarded(
         [this](const instance_id& from, wire::request message, answer_callback answer)
         { handle(from, std::move(message), std::move(answer)); }));
@@ -329,9 +340,22 @@
                                           });
 }
 
+void instance::implementation::note_awake()
+{
+    const duration gap = shared.now() - last_awake;
+    last_awake = shared.now();
+    if (gap < least_pause)
+        return;
+    shared.parts.log.warning(
+        "instance", "paused, partitions are claimed anew",
+        {{"pause_ms", static_cast<std::int64_t>(gap / std::chrono::milliseconds(1))}});
+    jobs.claim_anew();
+}
+
 void instance::implementation::handle(const instance_id& from, wire::request message,
                                       answer_callback answer)
 {
+    note_awake();
     std::visit([&](auto&& content)
                { on(from, std::forward<decltype(content)>(content), std::move(answer)); },
                std::move(message));
--- a/lib/instance/job_owner.hpp
+++ b/lib/instance/job_owner.hpp
@@ -27,6 +27,8 @@
     /// looked for.
     void members_changed();
     void schedule_dispatch() { dispatcher_.schedule(); }
+    /// Gives up all partitions and claims those again that are still assigned here.
+    void claim_anew() { partitions_.claim_anew(); }
     void leave(std::function<void()> done);
 
     /// Accepts a job or finds the one of the same id. \p done runs once: for a
--- a/lib/instance/partition_set.cpp
+++ b/lib/instance/partition_set.cpp
@@ -147,6 +147,16 @@
         finish();
 }
 
+void partition_set::claim_anew()
+{
+    for (const auto& [partition, state] : entries_)
+        if (state.current != phase::unowned)
+        {
+            give_up(partition);
+            claim_later(partition);
+        }
+}
+
 void partition_set::leave(std::function<void()> done)
 {
     leaving_ = true;
--- a/lib/instance/partition_set.hpp
+++ b/lib/instance/partition_set.hpp
@@ -41,6 +41,9 @@
     /// Takes the inventory of all owned partitions again, after a slice owner was lost.
     void repeat_inventories();
     void repeat_inventory(partition_id partition);
+    /// Gives up all partitions and claims those again that are still assigned here; for a
+    /// process that has been paused and cannot know what it still owns.
+    void claim_anew();
     /// Gives all partitions up.
     void leave(std::function<void()> done);
 
--- a/lib/load/account.cpp
+++ b/lib/load/account.cpp
@@ -203,6 +203,7 @@
         lines +=
             json{{"job", job.id.text()},
                  {"request_id", job.request},
+                 {"first_instance", job.first_instance},
                  {"idempotent", stream.idempotent},
                  {"synchronous", stream.synchronous},
                  {"tasks", stream.tasks},
--- a/lib/load/run.cpp
+++ b/lib/load/run.cpp
@@ -266,10 +266,13 @@
         {
             load_job& job = jobs_[index];
             const load_stream& stream = stream_of(index);
-            if (job.submitted == boot_time())
-                job.submitted = loop_.clock().now();
             load_request request;
             request.address = next_instance();
+            if (job.submitted == boot_time())
+            {
+                job.submitted = loop_.clock().now();
+                job.first_instance = request.address;
+            }
             request.method = "POST";
             request.path = "/v1/jobs";
             request.body = submission_body(stream, job);
