--- a/lib/load/account.cpp
+++ b/lib/load/account.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -45,7 +46,7 @@
         if (response_seconds.empty())
             return -1;
         const double last = static_cast<double>(response_seconds.size() - 1);
-        return response_seconds[static_cast<std::size_t>(q * last + 0.5)];
+        return response_seconds[static_cast<std::size_t>(std::lround(q * last))];
     }
 };
 
