Drop answers whose connection is gone, and answer reads before a stop

Requests that the scheduler still held were answered after their connection or the HTTP server had gone, and their end was counted in the destroyed server.

An exchange now follows the message's signal "finished" and drops its answer afterwards, and the count is guarded by a weak pointer. hawthornd waits up to 5 s after its handover until reads of jobs, tables and metrics are answered; the loop used to end with them open.

--- a/lib/api/exchange.cpp
+++ b/lib/api/exchange.cpp
@@ -16,6 +16,8 @@
 using nlohmann::json;
 
 constexpr std::int64_t ms_per_second = 1000;
+/// Counted in the metrics for a client that did not wait for the response.
+constexpr unsigned client_closed = 499;
 
 /// Invalid UTF-8 in an output is replaced, so that a response can always be written.
 std::string dump(const json& document)
@@ -49,6 +51,8 @@
     : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))), query_(std::move(query)),
       finished_(std::move(finished))
 {
+    // libsoup must not be told to go on with a message whose connection is closed.
+    gone_signal_ = g_signal_connect(message_, "finished", G_CALLBACK(on_gone), this);
     soup_server_message_pause(message_);
 }
 
@@ -57,9 +61,19 @@
     if (!answered_)
         respond_problem(
             problem{500, error_code::internal, "the request was dropped", false, 0, {}});
+    g_signal_handler_disconnect(message_, gone_signal_);
     g_object_unref(message_);
 }
 
+void exchange::on_gone(SoupServerMessage*, void* self)
+{
+    exchange& gone = *static_cast<exchange*>(self);
+    if (gone.answered_)
+        return;
+    gone.answered_ = true;
+    gone.finished_(client_closed);
+}
+
 std::string exchange::header(const char* name) const
 {
     const char* value = soup_message_headers_get_one(
--- a/lib/api/exchange.hpp
+++ b/lib/api/exchange.hpp
@@ -12,7 +12,8 @@
 #include <string>
 #include <vector>
 
-typedef struct _SoupServerMessage SoupServerMessage; // NOLINT(bugprone-reserved-identifier)
+typedef struct _SoupServerMessage
+    SoupServerMessage; // NOLINT(bugprone-reserved-identifier)
 
 namespace hawthornbeam
 {
@@ -30,7 +31,8 @@
 };
 
 /// Reads a request and answers it exactly once, now or later. An exchange that is
-/// destroyed without an answer responds with 500.
+/// destroyed without an answer responds with 500. When the client has closed the
+/// connection, answers are dropped.
 class exchange
 {
 public:
@@ -58,7 +60,10 @@
     std::vector<std::string> captures; ///< Parts of the path that the route names.
 
 private:
+    static void on_gone(SoupServerMessage* message, void* self);
+
     SoupServerMessage* message_;
+    unsigned long gone_signal_ = 0;
     std::map<std::string, std::string> query_;
     std::function<void(unsigned)> finished_;
     bool answered_ = false;
--- a/lib/api/http_api.cpp
+++ b/lib/api/http_api.cpp
@@ -68,6 +68,7 @@
     access_control access;
     SoupServer* server;
     std::size_t open = 0;
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
     /// Requests that are being received, and since when.
     std::map<SoupServerMessage*, boot_time> receiving;
     timer_handle receive_check;
@@ -141,8 +142,11 @@
     ++open;
     const exchange_ref request = std::make_shared<exchange>(
         message, copy_query(query),
-        [this, name](unsigned status)
+        [this, name, still = std::weak_ptr<int>(alive)](unsigned status)
         {
+            // The scheduler may hold requests for longer than the server exists.
+            if (still.expired())
+                return;
             --open;
             services.metrics.add("hawthornbeam_http_requests_total",
                                  {{"status", std::to_string(status)}});
--- a/tools/hawthornd/main.cpp
+++ b/tools/hawthornd/main.cpp
@@ -26,6 +26,9 @@
 constexpr int exit_done = 0;
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
+/// How often and how long a leaving process waits for answers to open requests.
+constexpr duration answer_period = std::chrono::milliseconds(20);
+constexpr duration most_answer_time = std::chrono::seconds(5);
 
 constexpr const char* usage = R"(Scheduler daemon of hawthornbeam.
 
@@ -85,15 +88,25 @@
             [this]
             {
                 log_.info("hawthornd", "left");
-                loop_.quit();
+                answer_limit_ = loop_.clock().now() + most_answer_time;
+                answer_poll_ =
+                    loop_.every(answer_period, [this] { quit_when_answered(); });
             });
     }
+    /// Reads of jobs, tables and metrics may still be open when all work is handed over.
+    void quit_when_answered()
+    {
+        if (api_.open_requests() == 0 || loop_.clock().now() >= answer_limit_)
+            loop_.quit();
+    }
 
     glib_event_loop& loop_;
     const logger& log_;
     instance& scheduler_;
     const http_api& api_;
     bool stopping_ = false;
+    boot_time answer_limit_{};
+    timer_handle answer_poll_;
 };
 
 int fail(const logger& log, const error& why)
@@ -169,7 +182,7 @@
     if (!api)
         return fail(log, api.error());
 
-    const stop_control control(loop, log, *scheduler.value(), *api.value());
+    stop_control control(loop, log, *scheduler.value(), *api.value());
     scheduler.value()->start();
     fmt::print("{{\"http_port\":{},\"peer_port\":{},\"gossip_port\":{}}}\n",
                api.value()->port(), peers.value()->port(), gossip.value()->port());
