--- a/lib/instance/job_owner.cpp
+++ b/lib/instance/job_owner.cpp
@@ -118,7 +118,7 @@
 void job_owner::submit(const wire::job_spec& spec, submit_callback done)
 {
     const partition_id partition = spec.id.partition(shared_.options.partitions);
-    if (!partitions_.is_owned(partition))
+    if (!partitions_.may_start(partition))
         return done(
             make_error(error_code::unavailable, "the partition is not owned here"));
     const auto existing = jobs_.find(spec.id);
