Take no submissions from members that are taken for dead

Cause: an instance that came back from a partition accepted a request under a claim that had been lost, before it had heard of the other instances; with no backlog drained yet, the wait estimate could refuse requests with a hint of 24 h. Change: submissions of a sender that this instance takes for dead are refused as unavailable; a slice owner asks members that come or come back for their fences; the estimate counts no start as less than one, and is at most 600 s.

--- a/lib/instance/instance.cpp
+++ b/lib/instance/instance.cpp
@@ -80,13 +80,18 @@
     void check_left();
     instance_id update_owner(const task_id& task) const;
     bool is_alone() const;
+    /// False for a sender that this instance takes for dead, as it does until it has
+    /// heard of the others again after it was cut off. Its view of what it owns is then
+    /// out of date.
+    bool is_present(const instance_id& id) const;
     wire::status_reply status(const wire::status_request& what) const;
 
     /// Claims the job partitions anew when the process has been paused. Other instances
     /// may own them now, and requests from before the pause may still be in the sockets.
     void note_awake();
     void handle(const instance_id& from, wire::request message, answer_callback answer);
-    void on(const instance_id&, wire::submit_request message, answer_callback answer);
+    void on(const instance_id& from, wire::submit_request message,
+            answer_callback answer);
     void on(const instance_id&, const wire::job_query& message, answer_callback answer);
     void on(const instance_id&, const wire::job_list_request& message,
             const answer_callback& answer);
@@ -186,6 +191,12 @@
                        [&](const instance_id& id) { return id == shared.options.self; });
 }
 
+bool instance::implementation::is_present(const instance_id& id) const
+{
+    const member* known = shared.parts.members.find(id);
+    return known != nullptr && known->state != member_state::dead;
+}
+
 void instance::implementation::members_changed()
 {
     if (!settled)
@@ -203,6 +214,7 @@
     check_claims();
     loads.forget_departed();
     workers.members_changed();
+    slices.members_changed();
     slices.follow_assignment();
     jobs.members_changed();
 }
@@ -258,8 +270,8 @@
 
 void instance::implementation::check_claims()
 {
-    // Others may have claimed this instance's partitions while they could not reach it. It
-    // learns that from the higher incarnation with which it has refuted its death.
+    // Others may have claimed this instance's partitions while they could not reach it.
+    // It learns that from the higher incarnation with which it has refuted its death.
     const incarnation life = shared.parts.members.self().life;
     if (known_life != incarnation() && life != known_life)
         jobs.confirm_claims();
@@ -388,9 +400,12 @@
                std::move(message));
 }
 
-void instance::implementation::on(const instance_id&, wire::submit_request message,
+void instance::implementation::on(const instance_id& from, wire::submit_request message,
                                   answer_callback answer)
 {
+    if (!is_present(from))
+        return answer(wire::failure_reply{error_code::unavailable,
+                                          "the sender is not a member here yet"});
     jobs.submit(message.job,
                 [answer = std::move(answer)](result<wire::job_status> status)
                 {
--- a/lib/instance/partition_set.hpp
+++ b/lib/instance/partition_set.hpp
@@ -47,7 +47,8 @@
     void repeat_inventory(partition_id partition);
     /// A slice owner knows a higher epoch than this instance's.
     void fenced(partition_id partition, epoch known);
-    /// Reads all claims again, after others have taken this instance for dead. Until a claim is confirmed, no task of its partition is started.
+    /// Reads all claims again, after others have taken this instance for dead. Until a
+    /// claim is confirmed, no task of its partition is started.
     void confirm_all();
     /// Gives up all partitions and claims those again that are still assigned here; for a
     /// process that has been paused and cannot know what it still owns.
--- a/lib/instance/slice_owner.cpp
+++ b/lib/instance/slice_owner.cpp
@@ -229,30 +229,48 @@
     // running whose start requests are still on their way here, and partitions may have
     // new owners.
     fences_in_doubt_ = false;
-    const std::uint64_t round = ++fence_round_;
+    ++fence_round_;
     fence_answers_missing_ = 0;
+    for (const member& other : shared_.parts.members.members())
+        if (other.id != shared_.options.self)
+            ask_for_fences(other);
+}
+
+void slice_owner::members_changed()
+{
+    // An instance that was cut off asks those that it sees again; they may have claimed
+    // partitions meanwhile.
+    std::map<instance_id, incarnation> present;
     for (const member& other : shared_.parts.members.members())
     {
         if (other.id == shared_.options.self)
             continue;
-        ++fence_answers_missing_;
-        shared_.parts.peers.call(
-            other.peer, wire::epochs_request{}, epochs_deadline,
-            shared_.guarded(
-                [this, round](result<wire::reply> answer)
-                {
-                    if (round != fence_round_)
-                        return;
-                    --fence_answers_missing_;
-                    const wire::epochs_reply* reply =
-                        answer ? std::get_if<wire::epochs_reply>(&answer.value())
-                               : nullptr;
-                    if (reply == nullptr)
-                        return;
-                    for (const wire::partition_fence& fence : reply->fences)
-                        learn_fence(fence);
-                }));
+        present.emplace(other.id, other.life);
+        const auto known = fence_sources_.find(other.id);
+        if (known == fence_sources_.end() || known->second != other.life)
+            ask_for_fences(other);
     }
+    fence_sources_ = std::move(present);
+}
+
+void slice_owner::ask_for_fences(const member& other)
+{
+    ++fence_answers_missing_;
+    shared_.parts.peers.call(
+        other.peer, wire::epochs_request{}, epochs_deadline,
+        shared_.guarded(
+            [this, round = fence_round_](result<wire::reply> answer)
+            {
+                if (round != fence_round_)
+                    return;
+                --fence_answers_missing_;
+                const wire::epochs_reply* reply =
+                    answer ? std::get_if<wire::epochs_reply>(&answer.value()) : nullptr;
+                if (reply == nullptr)
+                    return;
+                for (const wire::partition_fence& fence : reply->fences)
+                    learn_fence(fence);
+            }));
 }
 
 void slice_owner::learn_fence(const wire::partition_fence& fence)
--- a/lib/instance/slice_owner.hpp
+++ b/lib/instance/slice_owner.hpp
@@ -23,6 +23,8 @@
 
     /// Acquires and releases workers so that they match the fleet's assignment.
     void follow_assignment();
+    /// Learns what members that have come or come back know of the partitions.
+    void members_changed();
     void set_table(const operators_table& table);
     void set_remote_usage(const std::vector<policy::row_usage>& usage);
     /// Stops or resumes new starts, while the instance is isolated.
@@ -100,6 +102,7 @@
     /// Refuses start requests until the fences that other members know are learned.
     void doubt_fences();
     void learn_fences_of_members();
+    void ask_for_fences(const member& other);
     bool owns_workers() const;
     bool knows_fences() const { return !fences_in_doubt_ && fence_answers_missing_ == 0; }
 
@@ -111,6 +114,8 @@
     std::map<worker_id, bool> drained_;
     std::unordered_map<task_id, tracked_task> tasks_;
     std::map<partition_id, wire::partition_fence> fences_;
+    /// Members whose fences are known, by incarnation.
+    std::map<instance_id, incarnation> fence_sources_;
     std::size_t fence_answers_missing_ = 0;
     std::uint64_t fence_round_ = 0;
     bool fences_in_doubt_ = false;
--- a/lib/policy/admission.cpp
+++ b/lib/policy/admission.cpp
@@ -17,7 +17,8 @@
 constexpr double memory_seconds = 2.0;
 /// Shorter observations give no estimate.
 constexpr double least_busy_seconds = 0.1;
-constexpr double longest_wait_seconds = 86400;
+/// Also bounds the hint when to come back.
+constexpr double longest_wait_seconds = 600;
 
 double seconds(duration time)
 {
@@ -68,9 +69,10 @@
 {
     if (ahead == 0 || busy_seconds_ < least_busy_seconds)
         return duration(0);
-    const double rate = starts_ / busy_seconds_;
-    const double wait =
-        std::min(longest_wait_seconds, static_cast<double>(ahead) / (rate + 1e-9));
+    // No start yet shows only that starts are rarer than one in the time observed; a
+    // backlog that is younger than one task must not look endless.
+    const double rate = std::max(starts_, 1.0) / busy_seconds_;
+    const double wait = std::min(longest_wait_seconds, static_cast<double>(ahead) / rate);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
