Measure the cost of each role by size

The page of the design names docs/CAPACITY.md, but there was no program that measures slopes of a whole cell. benchmarks/capacity runs cells of 3, 9 and 27 instances over the stand-ins and the HTTP bindings over loopback, and prints a line with its residual for each cost. The in-memory network counts messages and encoded bytes by kind for it. No figures yet.

--- /dev/null
+++ b/benchmarks/capacity.cpp
@@ -0,0 +1,523 @@
+/// \file
+/// Costs of each role by instances, workers, tasks, rows and jobs, as slopes over several
+/// sizes, for docs/CAPACITY.md. In-process cells over the stand-ins; processor times
+/// include those of the stand-ins and of the in-memory network.
+///
+/// usage: capacity [cell|http]
+#include "benchmarks/capacity_http.hpp"
+#include "benchmarks/linear_fit.hpp"
+#include "unittests/instance/cell.hpp"
+#include "unittests/membership/cluster.hpp"
+
+#include <ctime>
+#include <malloc.h>
+
+namespace hawthornbeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int measured_seconds = 20;
+constexpr std::size_t status_request_index = 10;
+constexpr std::size_t status_reply_index = 11;
+
+/// Totals of a cell since its start.
+struct cell_totals
+{
+    double processor = 0; ///< Seconds of this process.
+    double messages = 0;  ///< Requests and replies between instances.
+    double bytes = 0;     ///< Of these messages.
+    double status_bytes = 0;
+    double gossip_bytes = 0;
+    std::map<kv_cause, double> kv;
+};
+
+cell_totals totals_of(cell& measured, const std::vector<std::size_t>& instances)
+{
+    cell_totals sum;
+    sum.processor = static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+    const auto add = [&](const std::map<std::size_t, standins::message_traffic>& kinds,
+                         std::size_t status)
+    {
+        for (const auto& [kind, traffic] : kinds)
+        {
+            sum.messages += static_cast<double>(traffic.messages);
+            sum.bytes += static_cast<double>(traffic.bytes);
+            if (kind == status)
+                sum.status_bytes += static_cast<double>(traffic.bytes);
+        }
+    };
+    add(measured.network().requests(), status_request_index);
+    add(measured.network().replies(), status_reply_index);
+    for (const std::size_t index : instances)
+    {
+        sum.gossip_bytes +=
+            static_cast<double>(measured.network().datagram_bytes(cell::name(index)));
+        for (const kv_cause cause :
+             {kv_cause::table, kv_cause::journal, kv_cause::claim, kv_cause::recovery})
+            sum.kv[cause] += static_cast<double>(measured.kv(index).calls(cause));
+    }
+    return sum;
+}
+
+cell_totals difference(const cell_totals& end, const cell_totals& begin)
+{
+    cell_totals change = end;
+    change.processor -= begin.processor;
+    change.messages -= begin.messages;
+    change.bytes -= begin.bytes;
+    change.status_bytes -= begin.status_bytes;
+    change.gossip_bytes -= begin.gossip_bytes;
+    for (auto& [cause, calls] : change.kv)
+        calls -= begin.kv.at(cause);
+    return change;
+}
+
+double kv_calls(const cell_totals& totals)
+{
+    double sum = 0;
+    for (const auto& [cause, calls] : totals.kv)
+        sum += calls;
+    return sum;
+}
+
+std::vector<std::size_t> first_instances(std::size_t count)
+{
+    std::vector<std::size_t> all(count);
+    for (std::size_t index = 0; index < count; ++index)
+        all[index] = index;
+    return all;
+}
+
+cell_options sizes(std::size_t instances, std::size_t workers)
+{
+    cell_options options;
+    options.instances = instances;
+    options.workers = workers;
+    options.workers_per_rack = 8;
+    options.worker_capacity = resources{
+        millicores(64000), byte_count(std::int64_t{256} << 30), accelerator_count(2)};
+    return options;
+}
+
+cell_totals run(cell& measured, std::size_t instances, int duration_seconds)
+{
+    const std::vector<std::size_t> all = first_instances(instances);
+    const cell_totals begin = totals_of(measured, all);
+    measured.advance(seconds(duration_seconds));
+    return difference(totals_of(measured, all), begin);
+}
+
+void install_rows(cell& measured, std::size_t count, bool wait)
+{
+    std::vector<table_row> rows = measured.table(0).current().rows;
+    for (std::size_t index = rows.size(); index < count; ++index)
+    {
+        table_row row = rows[1];
+        row.id = row_id(fmt::format("team-{}/kind-{}", index / 4, index % 4));
+        rows.push_back(row);
+    }
+    rows[1].weight += 1;
+    measured.table(0).replace(rows, measured.table(0).current().version, "operator",
+                              [](const edit_outcome&) {});
+    if (wait)
+        measured.advance(seconds(10));
+}
+
+void print_header(const std::string& title)
+{
+    fmt::print("\n{}\n\n| cost | size:cost | slope | intercept | largest residual |\n"
+               "|---|---|---|---|---|\n",
+               title);
+}
+
+/// Cells at rest: instances and workers vary independently.
+void measure_rest()
+{
+    print_header("At rest; processor ms/s of the whole cell by workers (54, 162, 486)");
+    std::vector<measured_point> by_instances;
+    std::vector<measured_point> intercepts;
+    std::vector<measured_point> kv;
+    std::vector<measured_point> messages;
+    std::vector<measured_point> summaries;
+    std::vector<measured_point> gossip;
+    for (const std::size_t instances : {3, 9, 27})
+    {
+        std::vector<measured_point> points;
+        for (const std::size_t workers : {54, 162, 486})
+        {
+            cell measured(sizes(instances, workers));
+            measured.start();
+            const cell_totals cost = run(measured, instances, measured_seconds);
+            points.push_back({static_cast<double>(workers),
+                              cost.processor * 1e3 / measured_seconds});
+            if (workers != 162)
+                continue;
+            const double size = static_cast<double>(instances);
+            const double each = size * measured_seconds;
+            messages.push_back({size, cost.messages / each});
+            summaries.push_back({size, cost.status_bytes / each});
+            gossip.push_back({size, cost.gossip_bytes / each});
+            const cell_totals minutes = run(measured, instances, 300);
+            kv.push_back({size, kv_calls(minutes) / 300});
+        }
+        const linear_fit line =
+            print_fit(fmt::format("ms/s, {} instances", instances), points);
+        by_instances.push_back({static_cast<double>(instances), line.slope * 1e3});
+        intercepts.push_back({static_cast<double>(instances), line.intercept * 1e3});
+    }
+    print_header("At rest, by instances (3, 9, 27)");
+    print_fit("processor us/s per worker, all instances", by_instances);
+    print_fit("processor us/s without workers, all instances", intercepts);
+    print_fit("KV calls/s, whole cell", kv);
+    print_fit("messages/s sent per instance (requests and replies)", messages);
+    print_fit("summary bytes/s sent per instance, 4 rows", summaries);
+    print_fit("gossip bytes/s sent per instance", gossip);
+}
+
+void measure_rows()
+{
+    constexpr std::size_t instances = 9;
+    print_header("At rest, by rows of the table; 9 instances, 54 workers");
+    std::vector<measured_point> bytes;
+    std::vector<measured_point> processor;
+    std::vector<measured_point> size;
+    for (const std::size_t rows : {4, 83, 332})
+    {
+        cell measured(sizes(instances, 54));
+        measured.start();
+        install_rows(measured, rows, true);
+        const cell_totals cost = run(measured, instances, measured_seconds);
+        const double count = static_cast<double>(rows);
+        bytes.push_back({count, cost.bytes / instances / measured_seconds});
+        processor.push_back({count, cost.processor * 1e6 / instances / measured_seconds});
+        size.push_back({count, cost.status_bytes / (cost.messages / 2)});
+    }
+    print_fit("bytes/s sent per instance (8 summaries asked, 8 answered)", bytes);
+    print_fit("bytes of one summary, request and reply", size);
+    print_fit("processor us/s per instance", processor);
+}
+
+/// Submits \p tasks idempotent tasks in jobs of 100 and lets them start or queue.
+void fill(cell& measured, std::size_t instances, std::size_t tasks, int run_ms)
+{
+    for (std::size_t first = 0; first < tasks; first += 100)
+    {
+        wire::job_spec job = measured.job("p/batch", fmt::format("fill-{}", first),
+                                          100, run_ms, true);
+        job.size.processors = millicores(500);
+        measured.submit(first / 100 % instances, std::move(job));
+        measured.advance(milliseconds(100));
+    }
+    measured.advance(seconds(20));
+}
+
+void measure_tasks(const char* title, std::size_t workers,
+                   const std::vector<std::size_t>& counts)
+{
+    constexpr std::size_t instances = 9;
+    print_header(title);
+    std::vector<measured_point> processor;
+    std::vector<measured_point> memory;
+    std::vector<measured_point> bytes;
+    for (const std::size_t tasks : counts)
+    {
+        cell measured(sizes(instances, workers));
+        measured.start();
+        const std::size_t before = mallinfo2().uordblks;
+        fill(measured, instances, tasks, 3600000);
+        const std::size_t after = mallinfo2().uordblks;
+        const cell_totals cost = run(measured, instances, measured_seconds);
+        const double size = static_cast<double>(tasks);
+        processor.push_back({size, cost.processor * 1e6 / measured_seconds});
+        memory.push_back({size, static_cast<double>(after) - static_cast<double>(before)});
+        bytes.push_back({size, cost.bytes / measured_seconds});
+    }
+    print_fit("processor us/s, whole cell", processor);
+    print_fit("bytes of memory, whole cell with stand-ins", memory);
+    print_fit("bytes/s between instances, whole cell", bytes);
+}
+
+/// Synchronous requests of 50 ms at \p rate a second, spread over the instances.
+void send_requests(cell& measured, std::size_t instances, int rate, int duration_seconds)
+{
+    for (int number = 0; number < rate * duration_seconds; ++number)
+    {
+        measured.submit(static_cast<std::size_t>(number) % instances,
+                        measured.request(fmt::format("request-{}", number)));
+        measured.advance(std::chrono::microseconds(1000000 / rate));
+    }
+}
+
+void send_jobs(cell& measured, std::size_t instances, int rate, int duration_seconds)
+{
+    for (int number = 0; number < rate * duration_seconds; ++number)
+    {
+        measured.submit(static_cast<std::size_t>(number) % instances,
+                        measured.job("p/batch", fmt::format("job-{}", number), 10, 1000,
+                                     true));
+        measured.advance(milliseconds(1000 / rate));
+    }
+}
+
+void measure_load(const char* title, const std::vector<int>& rates,
+                  void (*send)(cell&, std::size_t, int, int))
+{
+    constexpr std::size_t instances = 9;
+    constexpr int load_seconds = 10;
+    print_header(title);
+    std::vector<measured_point> processor;
+    std::vector<measured_point> messages;
+    std::vector<measured_point> bytes;
+    std::vector<measured_point> journal;
+    for (const int rate : rates)
+    {
+        cell measured(sizes(instances, 54));
+        measured.start();
+        const std::vector<std::size_t> all = first_instances(instances);
+        const cell_totals begin = totals_of(measured, all);
+        send(measured, instances, rate, load_seconds);
+        const cell_totals cost = difference(totals_of(measured, all), begin);
+        const double size = rate;
+        processor.push_back({size, cost.processor * 1e6 / load_seconds});
+        messages.push_back({size, cost.messages / load_seconds});
+        bytes.push_back({size, cost.bytes / load_seconds});
+        journal.push_back({size, cost.kv.at(kv_cause::journal) / load_seconds});
+        std::size_t answered = 0;
+        for (const call_record& call : measured.calls())
+            answered += call.has_status ? 1 : 0;
+        fmt::print("<!-- rate {}: {} of {} answered -->\n", rate, answered,
+                   measured.calls().size());
+    }
+    print_fit("processor us/s, whole cell", processor);
+    print_fit("messages/s, whole cell", messages);
+    print_fit("bytes/s between instances, whole cell", bytes);
+    print_fit("journal calls/s, whole cell", journal);
+}
+
+void measure_table_edits()
+{
+    print_header("One edit of a table of 83 rows, by instances (3, 9, 27)");
+    std::vector<measured_point> times;
+    std::vector<measured_point> calls;
+    std::vector<measured_point> bytes;
+    for (const std::size_t instances : {3, 9, 27})
+    {
+        cell measured(sizes(instances, 54));
+        measured.start();
+        install_rows(measured, 83, true);
+        const double count = static_cast<double>(instances);
+        double worst = 0;
+        constexpr int edits = 10;
+        const std::vector<std::size_t> all = first_instances(instances);
+        const cell_totals rest = run(measured, instances, edits * 5);
+        const cell_totals begin = totals_of(measured, all);
+        for (int edit = 0; edit < edits; ++edit)
+        {
+            const boot_time start = measured.now();
+            const table_version next(measured.table(0).current().version.value() + 1);
+            install_rows(measured, 83, false);
+            measured.advance_until(seconds(10),
+                                   [&]
+                                   {
+                                       for (const std::size_t index : all)
+                                           if (measured.table(index).current().version <
+                                               next)
+                                               return false;
+                                       return true;
+                                   });
+            worst = std::max(
+                worst, std::chrono::duration<double>(measured.now() - start).count());
+            measured.advance(start + seconds(5) - measured.now());
+        }
+        const cell_totals cost = difference(totals_of(measured, all), begin);
+        times.push_back({count, worst});
+        calls.push_back({count, (kv_calls(cost) - kv_calls(rest)) / edits});
+        bytes.push_back({count, (cost.bytes - rest.bytes) / edits});
+    }
+    print_fit("s until in force everywhere, worst of 10 edits", times);
+    print_fit("KV calls per edit, whole cell", calls);
+    print_fit("bytes between instances per edit, whole cell", bytes);
+}
+
+/// Spread of a new table version by gossip alone, fetches taken as instantaneous.
+void measure_spread()
+{
+    print_header("Spread of a table version by gossip from 3 instances, by log2(instances)");
+    std::vector<measured_point> times;
+    for (const std::size_t count : {9, 27, 100, 300})
+    {
+        cluster instances(count);
+        instances.time_until([&] { return instances.all_alive(); }, seconds(60));
+        std::size_t reached = 0;
+        for (std::size_t index = 0; index < count; ++index)
+            instances.at(index).on_newer_table(
+                [&, index](const member& from)
+                {
+                    if (instances.at(index).self().table >= from.table)
+                        return;
+                    ++reached;
+                    instances.at(index).set_table_version(from.table);
+                });
+        double worst = 0;
+        for (std::uint64_t version = 1; version <= 5; ++version)
+        {
+            reached = 3;
+            for (std::size_t index = 0; index < 3; ++index)
+                instances.at(index).set_table_version(table_version(version));
+            const duration taken = instances.time_until([&] { return reached >= count; },
+                                                        seconds(30));
+            worst = std::max(worst, std::chrono::duration<double>(taken).count());
+        }
+        times.push_back({std::log2(static_cast<double>(count)), worst});
+    }
+    print_fit("s until all have it, worst of 5", times);
+}
+
+std::set<worker_id> workers_owned_by(cell& measured, const instance_id& owner)
+{
+    std::map<worker_id, std::string> owners;
+    for (const standins::history_entry& entry : measured.workers().history())
+        if (entry.event == "acquire")
+            owners[entry.worker] = entry.subject;
+    std::set<worker_id> owned;
+    for (const auto& [worker, name] : owners)
+        if (name == owner.value())
+            owned.insert(worker);
+    return owned;
+}
+
+/// Kills an instance that owns workers while short tasks arrive everywhere.
+void measure_takeover()
+{
+    constexpr std::size_t instances = 9;
+    constexpr int after_seconds = 10;
+    print_header("Death of one of 9 instances (72 workers, 9 slices), by tasks running on "
+                 "its workers");
+    std::vector<measured_point> first;
+    std::vector<measured_point> all_back;
+    std::vector<measured_point> messages;
+    std::vector<measured_point> bytes;
+    std::vector<measured_point> claims;
+    for (const std::size_t tasks : {0, 1000, 3000, 6000})
+    {
+        cell measured(sizes(instances, 72));
+        measured.start();
+        fill(measured, instances, tasks, 3600000);
+        std::size_t victim = 0;
+        std::set<worker_id> lost;
+        for (std::size_t index = instances; index-- > 0 && lost.empty();)
+        {
+            victim = index;
+            lost = workers_owned_by(measured, cell::name(index));
+        }
+        std::size_t running = 0;
+        for (const standins::history_entry& entry : measured.workers().history())
+            if (entry.event == "start" && lost.contains(entry.worker))
+                ++running;
+        std::vector<std::size_t> survivors = first_instances(instances);
+        std::erase(survivors, victim);
+        const cell_totals start = totals_of(measured, survivors);
+        measured.advance(seconds(after_seconds));
+        const cell_totals rest = difference(totals_of(measured, survivors), start);
+        measured.kill(victim);
+        const boot_time killed = measured.now();
+        const cell_totals begin = totals_of(measured, survivors);
+        measured.advance(seconds(after_seconds));
+        const cell_totals cost = difference(totals_of(measured, survivors), begin);
+        // A second death, of the next owner of these workers, under a stream of
+        // requests: the time until each of them starts tasks again.
+        std::map<worker_id, boot_time> acquired;
+        for (const standins::history_entry& entry : measured.workers().history())
+            if (entry.event == "acquire" && entry.at > killed &&
+                lost.contains(entry.worker))
+                acquired.emplace(entry.worker, entry.at);
+        double last_acquired = 0;
+        for (const auto& [worker, at] : acquired)
+            last_acquired = std::max(
+                last_acquired, std::chrono::duration<double>(at - killed).count());
+        const double size = static_cast<double>(running);
+        all_back.push_back({size, last_acquired});
+        messages.push_back({size, cost.messages - rest.messages});
+        bytes.push_back({size, cost.bytes - rest.bytes});
+        claims.push_back({size, kv_calls(cost) - kv_calls(rest)});
+        fmt::print("<!-- {} tasks on {} lost workers; {} acquired again; claim calls {}, "
+                   "recovery calls {} -->\n",
+                   running, lost.size(), acquired.size(),
+                   cost.kv.at(kv_cause::claim), cost.kv.at(kv_cause::recovery));
+    }
+    print_fit("s until all its workers have a new owner", all_back);
+    print_fit("messages beyond rest in 10 s", messages);
+    print_fit("bytes between instances beyond rest in 10 s", bytes);
+    print_fit("KV calls beyond rest in 10 s", claims);
+}
+
+/// Time from a death to the first start on the dead instance's workers.
+void measure_first_start()
+{
+    constexpr std::size_t instances = 9;
+    print_header("First start by the new owner after a death, under 100 requests/s, by "
+                 "tasks running in the cell");
+    std::vector<measured_point> first;
+    for (const std::size_t tasks : {0, 1000, 3000, 6000})
+    {
+        cell measured(sizes(instances, 72));
+        measured.start();
+        fill(measured, instances, tasks, 3600000);
+        std::size_t victim = 0;
+        std::set<worker_id> lost;
+        for (std::size_t index = instances; index-- > 1 && lost.empty();)
+        {
+            victim = index;
+            lost = workers_owned_by(measured, cell::name(index));
+        }
+        measured.kill(victim);
+        const boot_time killed = measured.now();
+        for (int number = 0; number < 900; ++number)
+        {
+            measured.submit(0, measured.request(fmt::format("after-{}", number)));
+            measured.advance(milliseconds(10));
+        }
+        double waited = -1;
+        for (const standins::history_entry& entry : measured.workers().history())
+            if (waited < 0 && entry.event == "start" && entry.at > killed &&
+                lost.contains(entry.worker))
+                waited = std::chrono::duration<double>(entry.at - killed).count();
+        first.push_back({static_cast<double>(tasks), waited});
+    }
+    print_fit("s until the first start there", first);
+}
+
+void measure_cells()
+{
+    measure_rest();
+    measure_rows();
+    measure_tasks("Running tasks; 9 instances, 54 workers", 54, {0, 1000, 3000, 6000});
+    measure_tasks("Queued tasks (8 workers are full with 1,000 of them); 9 instances", 8,
+                  {1000, 3000, 6000, 9000});
+    measure_load("Synchronous requests a second; 9 instances, 54 workers",
+                 {50, 200, 800}, send_requests);
+    measure_load("Durable jobs of 10 tasks a second; 9 instances, 54 workers",
+                 {5, 20, 50}, send_jobs);
+    measure_table_edits();
+    measure_spread();
+    measure_takeover();
+    measure_first_start();
+}
+
+} // namespace
+} // namespace hawthornbeam
+
+int main(int argc, char** argv)
+{
+    const std::string part = argc > 1 ? argv[1] : "";
+    // The stand-ins' processes are forked before anything uses GLib.
+    if (part != "cell")
+        hawthornbeam::measure_http();
+    if (part != "http")
+        hawthornbeam::measure_cells();
+    return 0;
+}
--- /dev/null
+++ b/benchmarks/capacity_http.cpp
@@ -0,0 +1,330 @@
+/// \file
+/// Runs the stand-ins in processes of their own, so that the processor time of this
+/// process is that of the bindings.
+#include "benchmarks/capacity_http.hpp"
+
+#include "benchmarks/linear_fit.hpp"
+#include "hawthornbeam/platform/http_host_list.hpp"
+#include "hawthornbeam/platform/http_worker_gateway.hpp"
+#include "test/standins/platform_server.hpp"
+
+#include <csignal>
+#include <deque>
+#include <sstream>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace hawthornbeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t most_workers = 200;
+constexpr int measured_seconds = 6;
+
+host_entry made_host(std::size_t index)
+{
+    host_entry host;
+    host.id = worker_id(fmt::format("worker-{:06}", index));
+    host.address = worker_address(
+        fmt::format("10.{}.{}.{}:7100", index / 62500, index / 250 % 250, index % 250));
+    host.failure_domain = failure_domain_id(fmt::format("domain-{}", index % 18 + 1));
+    host.rack = rack_id(fmt::format("rack-{}", index / 8));
+    host.capacity = resources{millicores(64000), byte_count(std::int64_t{256} << 30),
+                              accelerator_count(2)};
+    return host;
+}
+
+/// Serves the platform in a process of its own until destroyed.
+class served_platform
+{
+public:
+    served_platform(std::size_t workers, std::size_t listed)
+    {
+        int ends[2] = {0, 0};
+        if (pipe(ends) != 0)
+            std::abort();
+        process_ = fork();
+        if (process_ == 0)
+            serve(ends[1], workers, listed);
+        close(ends[1]);
+        std::string text;
+        char buffer[4096];
+        for (ssize_t got = read(ends[0], buffer, sizeof buffer); got > 0;
+             got = read(ends[0], buffer, sizeof buffer))
+            text.append(buffer, static_cast<std::size_t>(got));
+        close(ends[0]);
+        std::istringstream lines(text);
+        lines >> hosts_url;
+        for (std::string address; lines >> address;)
+            addresses.emplace_back(address);
+    }
+    ~served_platform()
+    {
+        kill(process_, SIGTERM);
+        waitpid(process_, nullptr, 0);
+    }
+    served_platform(const served_platform&) = delete;
+    served_platform& operator=(const served_platform&) = delete;
+
+    std::string hosts_url;
+    std::vector<worker_address> addresses;
+
+private:
+    [[noreturn]] static void serve(int out, std::size_t workers, std::size_t listed)
+    {
+        glib_event_loop loop;
+        standins::platform_options options;
+        options.workers = workers;
+        standins::platform_server server(loop, options);
+        for (std::size_t index = 0; index < listed; ++index)
+            server.hosts().set(made_host(index));
+        server.hosts().show_all();
+        std::string text = server.hosts_url() + "\n";
+        for (std::size_t index = 0; index < workers; ++index)
+            text += server.address_of(index).value() + "\n";
+        if (write(out, text.data(), text.size()) != static_cast<ssize_t>(text.size()))
+            std::abort();
+        close(out);
+        loop.run();
+        std::_Exit(0);
+    }
+
+    pid_t process_ = 0;
+};
+
+double processor_seconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto value = [](const timeval& time)
+    { return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6; };
+    return value(usage.ru_utime) + value(usage.ru_stime);
+}
+
+/// An owner of some workers that does what a slice owner does over HTTP.
+class owner
+{
+public:
+    owner(const std::vector<worker_address>& addresses, std::size_t count)
+        : gateway_(loop, log)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            owned_.push_back({addresses[index], generation(), 0});
+            owned_worker& worker = owned_.back();
+            gateway_.acquire(worker.address, instance_id("capacity"),
+                             [this, &worker](const result<lease_grant>& grant)
+                             {
+                                 if (!grant)
+                                     return fail();
+                                 worker.held = grant.value().granted;
+                                 wait_for_events(worker);
+                             });
+        }
+        run_for(seconds(2));
+    }
+    ~owner()
+    {
+        closing_ = true;
+        for (const owned_worker& worker : owned_)
+            gateway_.release(worker.address, worker.held, [](const result<bool>&) {});
+        run_for(seconds(2));
+    }
+    owner(const owner&) = delete;
+    owner& operator=(const owner&) = delete;
+
+    void run_for(duration time)
+    {
+        const timer_handle end = loop.after(time, [this] { loop.quit(); });
+        loop.run();
+    }
+    /// Starts one task on a worker in turn.
+    void start(duration run_time)
+    {
+        owned_worker& worker = owned_[started_ % owned_.size()];
+        task_start task;
+        task.id = task_id{job_id(static_cast<std::uint64_t>(getpid()) + life_, started_++),
+                          0, 0};
+        task.row = row_id("partner/batch");
+        task.size = resources{millicores(100), byte_count(1 << 20), accelerator_count(0)};
+        task.declared_run_time = run_time;
+        task.job_owner = instance_id("capacity");
+        task.payload = std::string(200, 'x');
+        gateway_.start(worker.address, worker.held, {task},
+                       [this](const result<std::vector<start_outcome>>& outcomes)
+                       {
+                           if (!outcomes || !outcomes.value().front().accepted)
+                               fail();
+                       });
+    }
+    std::size_t failures() const { return failures_; }
+    std::size_t ended() const { return ended_; }
+
+    glib_event_loop loop;
+    logger log{loop.clock(), "capacity", log_level::error};
+
+private:
+    struct owned_worker
+    {
+        worker_address address;
+        generation held;
+        std::uint64_t seen = 0;
+    };
+
+    void fail() { ++failures_; }
+    void wait_for_events(owned_worker& worker)
+    {
+        if (closing_)
+            return;
+        gateway_.events(worker.address, worker.held, worker.seen, milliseconds(1300),
+                        [this, &worker](const result<worker_events>& events)
+                        {
+                            if (!events)
+                                return closing_ ? void() : fail();
+                            worker.seen = events.value().seen;
+                            acknowledge(worker, events.value().tasks);
+                            wait_for_events(worker);
+                        });
+    }
+    void acknowledge(const owned_worker& worker, const std::vector<task_report>& tasks)
+    {
+        std::vector<task_id> ids;
+        for (const task_report& task : tasks)
+            if (task.state != task_state::running)
+                ids.push_back(task.id);
+        ended_ += ids.size();
+        if (!ids.empty())
+            gateway_.acknowledge(worker.address, worker.held, ids,
+                                 [](const result<bool>&) {});
+    }
+
+    http_worker_gateway gateway_;
+    std::deque<owned_worker> owned_;
+    std::uint64_t started_ = 0;
+    std::uint64_t life_ = static_cast<std::uint64_t>(
+        std::chrono::steady_clock::now().time_since_epoch().count());
+    std::size_t failures_ = 0;
+    std::size_t ended_ = 0;
+    bool closing_ = false;
+};
+
+double measured_ms_per_second(owner& owning)
+{
+    const double begin = processor_seconds();
+    owning.run_for(seconds(measured_seconds));
+    return (processor_seconds() - begin) * 1e3 / measured_seconds;
+}
+
+void measure_leases(const served_platform& platform)
+{
+    std::vector<measured_point> points;
+    std::size_t failures = 0;
+    for (const std::size_t count : {50, 100, 200})
+    {
+        owner owning(platform.addresses, count);
+        points.push_back({static_cast<double>(count), measured_ms_per_second(owning)});
+        failures += owning.failures();
+    }
+    print_fit(fmt::format("ms/s by workers: event calls of 1.3 s, failed calls {}",
+                          failures),
+              points);
+}
+
+void measure_starts(const served_platform& platform)
+{
+    std::vector<measured_point> points;
+    std::size_t failures = 0;
+    for (const int rate : {50, 150, 300})
+    {
+        owner owning(platform.addresses, 100);
+        const timer_handle tick = owning.loop.every(
+            milliseconds(20),
+            [&]
+            {
+                for (int number = 0; number < rate / 50; ++number)
+                    owning.start(milliseconds(300));
+            });
+        points.push_back({static_cast<double>(rate), measured_ms_per_second(owning)});
+        failures += owning.failures();
+    }
+    print_fit(fmt::format("ms/s by starts/s: start, end event, acknowledgement, 100 "
+                          "workers, failed calls {}",
+                          failures),
+              points);
+}
+
+/// Tasks stay until the platform's process ends, so that each count adds to the last.
+void measure_running(const served_platform& platform)
+{
+    std::vector<measured_point> points;
+    owner owning(platform.addresses, 100);
+    std::size_t running = 0;
+    for (const std::size_t count : {0, 500, 1000, 2000})
+    {
+        for (; running < count; ++running)
+        {
+            owning.start(std::chrono::hours(1));
+            if (running % 20 == 0)
+                owning.run_for(milliseconds(20));
+        }
+        owning.run_for(seconds(2));
+        points.push_back({static_cast<double>(count), measured_ms_per_second(owning)});
+    }
+    print_fit(fmt::format("ms/s by running tasks: usage reports every 2 s, 100 workers, "
+                          "failed calls {}",
+                          owning.failures()),
+              points);
+}
+
+void measure_host_list(const std::vector<std::unique_ptr<served_platform>>& platforms)
+{
+    std::vector<measured_point> processor;
+    for (const std::unique_ptr<served_platform>& platform : platforms)
+    {
+        glib_event_loop loop;
+        const logger log(loop.clock(), "capacity", log_level::error);
+        http_host_list hosts(loop, log, platform->hosts_url, seconds(20));
+        std::size_t size = 0;
+        constexpr int polls = 5;
+        const double begin = processor_seconds();
+        for (int poll = 0; poll < polls; ++poll)
+        {
+            hosts.list(
+                [&](const result<std::vector<host_entry>>& list)
+                {
+                    size = list ? list.value().size() : 0;
+                    loop.quit();
+                });
+            loop.run();
+        }
+        processor.push_back({static_cast<double>(size),
+                             (processor_seconds() - begin) * 1e3 / polls});
+    }
+    print_fit("ms of one poll of the host list by hosts", processor);
+}
+
+} // namespace
+
+void measure_http()
+{
+    std::fflush(nullptr);
+    const served_platform platform(most_workers, 0);
+    std::vector<std::unique_ptr<served_platform>> lists;
+    for (const std::size_t listed : {1000, 5000, 29000})
+        lists.push_back(std::make_unique<served_platform>(0, listed));
+    fmt::print("\nHTTP bindings over loopback, processor time of the caller alone\n\n"
+               "| cost | size:cost | slope | intercept | largest residual |\n"
+               "|---|---|---|---|---|\n");
+    measure_leases(platform);
+    measure_starts(platform);
+    measure_running(platform);
+    measure_host_list(lists);
+    std::fflush(nullptr);
+}
+
+} // namespace hawthornbeam
--- a/test/standins/memory_network.cpp
+++ b/test/standins/memory_network.cpp
@@ -117,6 +117,12 @@
     return found == datagram_bytes_.end() ? 0 : found->second;
 }
 
+void memory_network::count(message_traffic& traffic, const std::string& bytes)
+{
+    ++traffic.messages;
+    traffic.bytes += bytes.size();
+}
+
 bool memory_network::is_cut(const instance_id& from, const instance_id& to) const
 {
     return cuts_.contains({from, to});
--- a/test/standins/memory_network.hpp
+++ b/test/standins/memory_network.hpp
@@ -17,6 +17,13 @@
 class memory_channel;
 class memory_peer_network;
 
+/// Messages of one kind and their encoded size, without frames and TCP headers.
+struct message_traffic
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
 /// Carries datagrams and requests between instances on one event loop. It outlives the
 /// channels and peer networks made from it.
 class memory_network
@@ -63,6 +70,10 @@
 
     /// Bytes of datagrams that \p id has sent.
     std::uint64_t datagram_bytes(const instance_id& id) const;
+    /// Requests of all instances so far, by index in wire::request.
+    const std::map<std::size_t, message_traffic>& requests() const { return requests_; }
+    /// Replies of all instances so far, by index in wire::reply.
+    const std::map<std::size_t, message_traffic>& replies() const { return replies_; }
 
 private:
     friend class memory_channel;
@@ -73,6 +84,7 @@
     bool is_paused(const instance_id& id) const;
     bool take_lost_answer(const instance_id& caller, const instance_id& server);
     duration next_delay();
+    static void count(message_traffic& traffic, const std::string& bytes);
     /// Runs \p action on the base loop after \p delay.
     void later(duration delay, std::function<void()> action);
     void send_datagram(const memory_channel& sender, const gossip_address& to,
@@ -92,6 +104,8 @@
     std::set<std::pair<instance_id, instance_id>> cuts_;
     std::map<std::pair<instance_id, instance_id>, unsigned> lost_answers_;
     std::map<instance_id, std::uint64_t> datagram_bytes_;
+    std::map<std::size_t, message_traffic> requests_;
+    std::map<std::size_t, message_traffic> replies_;
     std::map<std::uint64_t, timer_handle> deliveries_;
     std::uint64_t next_delivery_ = 0;
 };
--- a/test/standins/memory_peer_network.cpp
+++ b/test/standins/memory_peer_network.cpp
@@ -68,6 +68,7 @@
     const std::uint64_t call_id = next_call_++;
     open_call& entry = connection.open[call_id];
     entry.bytes = wire::encode(message);
+    memory_network::count(network_.requests_[message.index()], entry.bytes);
     entry.done = std::move(done);
     entry.deadline = loop_.after(
         deadline,
@@ -156,10 +157,13 @@
                     message ? error_code::unavailable : error_code::invalid_input,
                     message ? "not ready to serve" : message.error().message})));
             handler_(from, std::move(message).value(),
-                     [alive, answer](const wire::reply& given)
+                     [this, alive, answer](const wire::reply& given)
                      {
-                         if (!alive.expired())
-                             answer(wire::encode(given));
+                         if (alive.expired())
+                             return;
+                         const std::string encoded = wire::encode(given);
+                         memory_network::count(network_.replies_[given.index()], encoded);
+                         answer(encoded);
                      });
         });
 }
