--- a/benchmarks/linear_fit.hpp
+++ b/benchmarks/linear_fit.hpp
@@ -24,7 +24,8 @@
 {
     double slope = 0;
     double intercept = 0;
-    double residual = 0; ///< Largest distance of a point from the line, same unit as cost.
+    double residual =
+        0; ///< Largest distance of a point from the line, same unit as cost.
 };
 
 inline linear_fit fit_line(const std::vector<measured_point>& points)
@@ -49,8 +50,8 @@
     line.intercept = (cost_sum - line.slope * size_sum) / count;
     for (const measured_point& point : points)
         line.residual =
-            std::max(line.residual, std::abs(line.intercept + line.slope * point.size -
-                                             point.cost));
+            std::max(line.residual,
+                     std::abs(line.intercept + line.slope * point.size - point.cost));
     return line;
 }
 
@@ -60,8 +61,8 @@
 {
     std::string list;
     for (const measured_point& point : points)
-        list += fmt::format("{}{:g}:{:.4g}", list.empty() ? "" : " ", point.size,
-                            point.cost);
+        list +=
+            fmt::format("{}{:g}:{:.4g}", list.empty() ? "" : " ", point.size, point.cost);
     const linear_fit line = fit_line(points);
     fmt::print("| {} | {} | {:.4g} | {:.4g} | {:.2g} |\n", name, list, line.slope,
                line.intercept, line.residual);
