Measure bytes of event calls first, split capacity.cpp

After starts were moved to the front, the byte measurement used a worker whose generation had moved on; the stand-in answered 409 and the line was flat. It runs first again and a refused start now ends the program. The stand-ins' processes end with the program.

--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -4,10 +4,9 @@
 /// include those of the stand-ins and of the in-memory network.
 ///
 /// usage: capacity [cell|http]
+#include "benchmarks/capacity_cell.hpp"
 #include "benchmarks/capacity_http.hpp"
-#include "benchmarks/linear_fit.hpp"
 #include "hawthornbeam/membership/rendezvous.hpp"
-#include "unittests/instance/cell.hpp"
 #include "unittests/membership/cluster.hpp"
 
 #include <ctime>
@@ -21,129 +20,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int measured_seconds = 20;
-constexpr std::size_t status_request_index = 10;
-constexpr std::size_t status_reply_index = 11;
-
-/// Totals of a cell since its start.
-struct cell_totals
-{
-    double processor = 0; ///< Seconds of this process.
-    double messages = 0;  ///< Requests and replies between instances.
-    double bytes = 0;     ///< Of these messages.
-    double status_bytes = 0;
-    double gossip_bytes = 0;
-    std::map<kv_cause, double> kv;
-};
-
-cell_totals totals_of(cell& measured, const std::vector<std::size_t>& instances)
-{
-    cell_totals sum;
-    sum.processor = static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
-    const auto add = [&](const std::map<std::size_t, standins::message_traffic>& kinds,
-                         std::size_t status)
-    {
-        for (const auto& [kind, traffic] : kinds)
-        {
-            sum.messages += static_cast<double>(traffic.messages);
-            sum.bytes += static_cast<double>(traffic.bytes);
-            if (kind == status)
-                sum.status_bytes += static_cast<double>(traffic.bytes);
-        }
-    };
-    add(measured.network().requests(), status_request_index);
-    add(measured.network().replies(), status_reply_index);
-    for (const std::size_t index : instances)
-    {
-        sum.gossip_bytes +=
-            static_cast<double>(measured.network().datagram_bytes(cell::name(index)));
-        for (const kv_cause cause :
-             {kv_cause::table, kv_cause::journal, kv_cause::claim, kv_cause::recovery})
-            sum.kv[cause] += static_cast<double>(measured.kv(index).calls(cause));
-    }
-    return sum;
-}
-
-cell_totals difference(const cell_totals& end, const cell_totals& begin)
-{
-    cell_totals change = end;
-    change.processor -= begin.processor;
-    change.messages -= begin.messages;
-    change.bytes -= begin.bytes;
-    change.status_bytes -= begin.status_bytes;
-    change.gossip_bytes -= begin.gossip_bytes;
-    for (auto& [cause, calls] : change.kv)
-        calls -= begin.kv.at(cause);
-    return change;
-}
-
-double kv_calls(const cell_totals& totals)
-{
-    double sum = 0;
-    for (const auto& [cause, calls] : totals.kv)
-        sum += calls;
-    return sum;
-}
-
-std::vector<std::size_t> first_instances(std::size_t count)
-{
-    std::vector<std::size_t> all(count);
-    for (std::size_t index = 0; index < count; ++index)
-        all[index] = index;
-    return all;
-}
-
-cell_options sizes(std::size_t instances, std::size_t workers)
-{
-    cell_options options;
-    options.instances = instances;
-    options.workers = workers;
-    options.workers_per_rack = 8;
-    options.worker_capacity = resources{
-        millicores(64000), byte_count(std::int64_t{256} << 30), accelerator_count(2)};
-    return options;
-}
-
-cell_totals run(cell& measured, std::size_t instances, int duration_seconds)
-{
-    const std::vector<std::size_t> all = first_instances(instances);
-    const cell_totals begin = totals_of(measured, all);
-    measured.advance(seconds(duration_seconds));
-    return difference(totals_of(measured, all), begin);
-}
-
-/// Processor seconds a second: the least of three runs, as other programs disturb them.
-double least_processor(cell& measured, std::size_t instances)
-{
-    double least = run(measured, instances, measured_seconds).processor;
-    for (int repeat = 0; repeat < 2; ++repeat)
-        least = std::min(least, run(measured, instances, measured_seconds).processor);
-    return least / measured_seconds;
-}
-
-void install_rows(cell& measured, std::size_t count, bool wait)
-{
-    std::vector<table_row> rows = measured.table(0).current().rows;
-    for (std::size_t index = rows.size(); index < count; ++index)
-    {
-        table_row row = rows[1];
-        row.id = row_id(fmt::format("team-{}/kind-{}", index / 4, index % 4));
-        rows.push_back(row);
-    }
-    rows[1].weight += 1;
-    measured.table(0).replace(rows, measured.table(0).current().version, "operator",
-                              [](const edit_outcome&) {});
-    if (wait)
-        measured.advance(seconds(10));
-}
-
-void print_header(const std::string& title)
-{
-    fmt::print("\n{}\n\n| cost | size:cost | slope | intercept | largest residual |\n"
-               "|---|---|---|---|---|\n",
-               title);
-}
-
 /// Cells at rest: instances and workers vary independently.
 void measure_rest()
 {
--- a/benchmarks/capacity_http.cpp
+++ b/benchmarks/capacity_http.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <deque>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -80,6 +81,7 @@
 private:
     [[noreturn]] static void serve(int out, std::size_t workers, std::size_t listed)
     {
+        prctl(PR_SET_PDEATHSIG, SIGTERM); // Also when this program is aborted.
         glib_event_loop loop;
         standins::platform_options options;
         options.workers = workers;
@@ -410,7 +412,10 @@
                           idle.sent, start.sent, start.received),
               answers);
     if (start.answer.find("\"accepted\":true") == std::string::npos)
+    {
         fmt::print("the stand-in refused a start: {}\n", start.answer);
+        std::exit(1);
+    }
     exchange_bytes(address, "POST /lease/release", R"({"generation":1})");
 }
 
@@ -426,10 +431,10 @@
     fmt::print("\nHTTP bindings over loopback, processor time of the caller alone\n\n"
                "| cost | size:cost | slope | intercept | largest residual |\n"
                "|---|---|---|---|---|\n");
-    measure_starts(platform);
-    measure_leases(platform);
-    measure_worker_bytes(platform);
+    measure_worker_bytes(platform); // First: it counts on generation 1.
     measure_host_list_bytes(lists);
+    measure_leases(platform);
+    measure_starts(platform);
     measure_running(platform);
     measure_host_list(lists);
     std::fflush(nullptr);
