--- /dev/null
+++ b/lib/instance/implementation.hpp
@@ -0,0 +1,96 @@
+/// \file
+/// The roles of an instance and what connects them.
+#ifndef HAWTHORNBEAM_LIB_INSTANCE_IMPLEMENTATION_HPP
+#define HAWTHORNBEAM_LIB_INSTANCE_IMPLEMENTATION_HPP
+
+#include "lib/instance/job_owner.hpp"
+#include "lib/instance/loopback_network.hpp"
+#include "lib/instance/router.hpp"
+#include "lib/instance/slice_owner.hpp"
+
+namespace hawthornbeam
+{
+
+/// State of an instance; every role refers to the shared context.
+class instance::implementation
+{
+public:
+    using answer_callback = std::function<void(wire::reply)>;
+
+    implementation(const instance_parts& parts, const instance_options& options);
+
+    void start();
+    void settle();
+    void members_changed();
+    void table_installed(const operators_table& table);
+    void fetch_table(const member& from);
+    void fetch_missed_table();
+    void check_isolation();
+    void check_claims();
+    void update_gauges();
+    void begin_leaving();
+    void check_left();
+    instance_id update_owner(const task_id& task) const;
+    bool is_alone() const;
+    /// False for a sender that this instance takes for dead, as it does until it has
+    /// heard of the others again after it was cut off. Its view of what it owns is then
+    /// out of date.
+    bool is_present(const instance_id& id) const;
+    wire::status_reply status(const wire::status_request& what) const;
+
+    /// Claims the job partitions anew when the process has been paused. Other instances
+    /// may own them now, and requests from before the pause may still be in the sockets.
+    void note_awake();
+    void handle(const instance_id& from, wire::request message, answer_callback answer);
+    void on(const instance_id& from, wire::submit_request message,
+            answer_callback answer);
+    void on(const instance_id&, const wire::job_query& message, answer_callback answer);
+    void on(const instance_id&, const wire::job_list_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::cancel_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::start_request& message,
+            const answer_callback& answer);
+    void on(const instance_id& from, const wire::update_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::stop_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::inventory_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::epochs_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::table_fetch& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::status_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::drain_request& message,
+            const answer_callback& answer);
+    void on(const instance_id&, const wire::explain_request& message,
+            const answer_callback& answer);
+
+    loopback_network network;
+    context shared;
+    fleet workers;
+    load_view loads;
+    slice_owner slices;
+    job_owner jobs;
+    router routes;
+    bool started = false;
+    bool settled = false;
+    bool leaving = false;
+    bool announced = false;
+    bool slices_left = false;
+    bool partitions_left = false;
+    boot_time leave_limit{};
+    incarnation known_life;
+    boot_time last_awake{};
+    std::function<void()> left;
+    timer_handle settle_timer;
+    timer_handle gauges_timer;
+    timer_handle awake_timer;
+    timer_handle leave_timer;
+};
+
+} // namespace hawthornbeam
+
+#endif
--- a/lib/instance/instance.cpp
+++ b/lib/instance/instance.cpp
@@ -3,10 +3,7 @@
 #include "hawthornbeam/instance/instance.hpp"
 
 #include "hawthornbeam/membership/rendezvous.hpp"
-#include "lib/instance/job_owner.hpp"
-#include "lib/instance/loopback_network.hpp"
-#include "lib/instance/router.hpp"
-#include "lib/instance/slice_owner.hpp"
+#include "lib/instance/implementation.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -28,13 +25,6 @@
 /// successors have learned that it leaves.
 constexpr duration farewell_time = std::chrono::milliseconds(500);
 
-using answer_callback = std::function<void(wire::reply)>;
-
-wire::failure_reply failure(const error& why)
-{
-    return wire::failure_reply{why.code, why.message};
-}
-
 context make_context(const instance_parts& parts, wire::peer_network& peers,
                      const instance_options& options)
 {
@@ -55,89 +45,14 @@
 
 } // namespace
 
-class instance::implementation
+instance::implementation::implementation(const instance_parts& parts,
+                                         const instance_options& options)
+    : network(parts.loop, parts.peers, options.self, parts.members.self().peer),
+      shared(make_context(parts, network, options)), workers(shared), loads(shared),
+      slices(shared, workers, [this](const task_id& task) { return update_owner(task); }),
+      jobs(shared, workers, loads), routes(shared)
 {
-public:
-    implementation(const instance_parts& parts, const instance_options& options)
-        : network(parts.loop, parts.peers, options.self, parts.members.self().peer),
-          shared(make_context(parts, network, options)), workers(shared), loads(shared),
-          slices(shared, workers,
-                 [this](const task_id& task) { return update_owner(task); }),
-          jobs(shared, workers, loads), routes(shared)
-    {
-    }
-
-    void start();
-    void settle();
-    void members_changed();
-    void table_installed(const operators_table& table);
-    void fetch_table(const member& from);
-    void fetch_missed_table();
-    void check_isolation();
-    void check_claims();
-    void update_gauges();
-    void begin_leaving();
-    void check_left();
-    instance_id update_owner(const task_id& task) const;
-    bool is_alone() const;
-    /// False for a sender that this instance takes for dead, as it does until it has
-    /// heard of the others again after it was cut off. Its view of what it owns is then
-    /// out of date.
-    bool is_present(const instance_id& id) const;
-    wire::status_reply status(const wire::status_request& what) const;
-
-    /// Claims the job partitions anew when the process has been paused. Other instances
-    /// may own them now, and requests from before the pause may still be in the sockets.
-    void note_awake();
-    void handle(const instance_id& from, wire::request message, answer_callback answer);
-    void on(const instance_id& from, wire::submit_request message,
-            answer_callback answer);
-    void on(const instance_id&, const wire::job_query& message, answer_callback answer);
-    void on(const instance_id&, const wire::job_list_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::cancel_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::start_request& message,
-            const answer_callback& answer);
-    void on(const instance_id& from, const wire::update_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::stop_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::inventory_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::epochs_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::table_fetch& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::status_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::drain_request& message,
-            const answer_callback& answer);
-    void on(const instance_id&, const wire::explain_request& message,
-            const answer_callback& answer);
-
-    loopback_network network;
-    context shared;
-    fleet workers;
-    load_view loads;
-    slice_owner slices;
-    job_owner jobs;
-    router routes;
-    bool started = false;
-    bool settled = false;
-    bool leaving = false;
-    bool announced = false;
-    bool slices_left = false;
-    bool partitions_left = false;
-    boot_time leave_limit{};
-    incarnation known_life;
-    boot_time last_awake{};
-    std::function<void()> left;
-    timer_handle settle_timer;
-    timer_handle gauges_timer;
-    timer_handle awake_timer;
-    timer_handle leave_timer;
-};
+}
 
 void instance::implementation::start()
 {
@@ -391,131 +306,6 @@
     jobs.claim_anew();
 }
 
-void instance::implementation::handle(const instance_id& from, wire::request message,
-                                      answer_callback answer)
-{
-    note_awake();
-    std::visit([&](auto&& content)
-               { on(from, std::forward<decltype(content)>(content), std::move(answer)); },
-               std::move(message));
-}
-
-void instance::implementation::on(const instance_id& from, wire::submit_request message,
-                                  answer_callback answer)
-{
-    if (!is_present(from))
-        return answer(wire::failure_reply{error_code::unavailable,
-                                          "the sender is not a member here yet"});
-    jobs.submit(message.job,
-                [answer = std::move(answer)](result<wire::job_status> status)
-                {
-                    if (status)
-                        answer(wire::submit_reply{std::move(status).value()});
-                    else
-                        answer(failure(status.error()));
-                });
-}
-
-void instance::implementation::on(const instance_id&, const wire::job_query& message,
-                                  answer_callback answer)
-{
-    result<wire::job_status> found = jobs.query(message.id);
-    if (!found)
-        return answer(failure(found.error()));
-    const std::optional<std::pair<instance_id, task_id>> waiting =
-        message.explain ? jobs.waiting_elsewhere(message.id) : std::nullopt;
-    if (message.explain && !waiting)
-        found.value().reason = jobs.explain(message.id);
-    const member* target = waiting ? shared.parts.members.find(waiting->first) : nullptr;
-    if (target == nullptr)
-        return answer(wire::job_reply{true, std::move(found).value()});
-    shared.parts.peers.call(
-        target->peer, wire::explain_request{waiting->second}, fetch_deadline,
-        [answer, status = std::move(found).value()](result<wire::reply> reply) mutable
-        {
-            const wire::explain_reply* reason =
-                reply ? std::get_if<wire::explain_reply>(&reply.value()) : nullptr;
-            if (reason != nullptr)
-                status.reason = reason->reason;
-            answer(wire::job_reply{true, status});
-        });
-}
-
-void instance::implementation::on(const instance_id&,
-                                  const wire::job_list_request& message,
-                                  const answer_callback& answer)
-{
-    answer(wire::job_list_reply{jobs.list(message)});
-}
-
-void instance::implementation::on(const instance_id&, const wire::cancel_request& message,
-                                  const answer_callback& answer)
-{
-    answer(jobs.cancel(message));
-}
-
-void instance::implementation::on(const instance_id&, const wire::start_request& message,
-                                  const answer_callback& answer)
-{
-    answer(slices.start(message));
-}
-
-void instance::implementation::on(const instance_id& from,
-                                  const wire::update_request& message,
-                                  const answer_callback& answer)
-{
-    jobs.update(from, message, [answer](wire::update_reply reply) { answer(reply); });
-}
-
-void instance::implementation::on(const instance_id&, const wire::stop_request& message,
-                                  const answer_callback& answer)
-{
-    answer(slices.stop(message));
-}
-
-void instance::implementation::on(const instance_id&,
-                                  const wire::inventory_request& message,
-                                  const answer_callback& answer)
-{
-    answer(slices.inventory(message));
-}
-
-void instance::implementation::on(const instance_id&, const wire::epochs_request&,
-                                  const answer_callback& answer)
-{
-    answer(slices.epochs());
-}
-
-void instance::implementation::on(const instance_id&, const wire::table_fetch& message,
-                                  const answer_callback& answer)
-{
-    const operators_table& table = shared.parts.table.current();
-    wire::table_reply reply;
-    reply.version = table.version;
-    if (table.version > message.known)
-        reply.json = to_json(table);
-    answer(std::move(reply));
-}
-
-void instance::implementation::on(const instance_id&, const wire::status_request& message,
-                                  const answer_callback& answer)
-{
-    answer(status(message));
-}
-
-void instance::implementation::on(const instance_id&, const wire::drain_request& message,
-                                  const answer_callback& answer)
-{
-    answer(wire::drain_reply{slices.drain(message.worker, message.drained)});
-}
-
-void instance::implementation::on(const instance_id&,
-                                  const wire::explain_request& message,
-                                  const answer_callback& answer)
-{
-    answer(wire::explain_reply{slices.explain(message.task)});
-}
-
 result<std::unique_ptr<instance>> instance::create(const instance_parts& parts,
                                                    const instance_options& options)
 {
--- a/lib/instance/job_owner.cpp
+++ b/lib/instance/job_owner.cpp
@@ -342,11 +342,10 @@
         message.stop_running = stop_running;
         message.tasks.assign(ids.begin() + static_cast<std::ptrdiff_t>(begin),
                              ids.begin() + static_cast<std::ptrdiff_t>(end));
-        const std::vector<task_id> sent = message.tasks;
         shared_.parts.peers.call(
             target->peer, std::move(message), stop_deadline,
-            shared_.guarded([this, owner, sent](const result<wire::reply>& answer)
-                            { stop_answered(owner, sent, answer); }));
+            shared_.guarded([this, owner](const result<wire::reply>& answer)
+                            { stop_answered(owner, answer); }));
     }
 }
 
@@ -360,8 +359,7 @@
     return &found->second;
 }
 
-void job_owner::stop_answered(const instance_id& owner, const std::vector<task_id>& ids,
-                              const result<wire::reply>& answer)
+void job_owner::stop_answered(const instance_id& owner, const result<wire::reply>& answer)
 {
     const wire::stop_reply* reply =
         answer ? std::get_if<wire::stop_reply>(&answer.value()) : nullptr;
@@ -390,7 +388,6 @@
     }
     for (const partition_id& partition : doubtful)
         partitions_.repeat_inventory(partition);
-    static_cast<void>(ids);
 }
 
 void job_owner::take_back_stuck()
--- a/lib/instance/job_owner.hpp
+++ b/lib/instance/job_owner.hpp
@@ -106,8 +106,7 @@
     std::uint32_t cancel_job(job_state& job);
     void take_back_stuck();
     void send_stop(const instance_id& owner, std::vector<task_id> ids, bool stop_running);
-    void stop_answered(const instance_id& owner, const std::vector<task_id>& ids,
-                       const result<wire::reply>& answer);
+    void stop_answered(const instance_id& owner, const result<wire::reply>& answer);
     void forget_old_jobs();
     void write_left_over_results();
     void refuse_late_jobs();
--- /dev/null
+++ b/lib/instance/slice_fences.cpp
@@ -0,0 +1,159 @@
+/// \file
+/// Implements the fences of partitions and the inventory of a slice owner.
+#include "lib/instance/slice_owner.hpp"
+
+#include <algorithm>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+constexpr duration fence_delay = std::chrono::milliseconds(10);
+constexpr duration epochs_deadline = std::chrono::seconds(1);
+
+} // namespace
+
+void slice_owner::doubt_fences()
+{
+    if (fences_in_doubt_)
+        return;
+    // One round serves all workers that are lost or taken over together.
+    fences_in_doubt_ = true;
+    fence_timer_ =
+        shared_.parts.loop.after(fence_delay, [this] { learn_fences_of_members(); });
+}
+
+void slice_owner::learn_fences_of_members()
+{
+    // While this instance did not own a worker, inventories may have counted tasks as not
+    // running whose start requests are still on their way here, and partitions may have
+    // new owners.
+    fences_in_doubt_ = false;
+    ++fence_round_;
+    fence_answers_missing_ = 0;
+    for (const member& other : shared_.parts.members.members())
+        if (other.id != shared_.options.self)
+            ask_for_fences(other);
+}
+
+void slice_owner::members_changed()
+{
+    // An instance that was cut off asks those that it sees again; they may have claimed
+    // partitions meanwhile.
+    std::map<instance_id, incarnation> present;
+    for (const member& other : shared_.parts.members.members())
+    {
+        if (other.id == shared_.options.self)
+            continue;
+        present.emplace(other.id, other.life);
+        const auto known = fence_sources_.find(other.id);
+        if (known == fence_sources_.end() || known->second != other.life)
+            ask_for_fences(other);
+    }
+    fence_sources_ = std::move(present);
+}
+
+void slice_owner::ask_for_fences(const member& other)
+{
+    ++fence_answers_missing_;
+    shared_.parts.peers.call(
+        other.peer, wire::epochs_request{}, epochs_deadline,
+        shared_.guarded(
+            [this, round = fence_round_](result<wire::reply> answer)
+            {
+                if (round != fence_round_)
+                    return;
+                --fence_answers_missing_;
+                const wire::epochs_reply* reply =
+                    answer ? std::get_if<wire::epochs_reply>(&answer.value()) : nullptr;
+                if (reply == nullptr)
+                    return;
+                for (const wire::partition_fence& fence : reply->fences)
+                    learn_fence(fence);
+            }));
+}
+
+void slice_owner::learn_fence(const wire::partition_fence& fence)
+{
+    wire::partition_fence& known = fences_[fence.partition];
+    known.partition = fence.partition;
+    if (fence.known > known.known)
+        known = fence;
+    else if (fence.known == known.known)
+        known.sequence = std::max(known.sequence, fence.sequence);
+}
+
+wire::epochs_reply slice_owner::epochs() const
+{
+    wire::epochs_reply reply;
+    for (const auto& [partition, fence] : fences_)
+        reply.fences.push_back(fence);
+    return reply;
+}
+
+bool slice_owner::owns_workers() const
+{
+    return std::any_of(sessions_.begin(), sessions_.end(),
+                       [](const auto& session)
+                       { return session.second->is_reconciled(); });
+}
+
+wire::task_update slice_owner::inventory_entry(const task_id& id,
+                                               const tracked_task& task)
+{
+    wire::task_update update;
+    update.id = id;
+    update.row = task.start.row;
+    update.event = task.phase == task_phase::ended ? wire::task_event::ended
+                                                   : wire::task_event::placed;
+    update.worker = task.worker;
+    update.state = task.state;
+    return update;
+}
+
+wire::inventory_reply slice_owner::inventory(const wire::inventory_request& message)
+{
+    wire::inventory_reply reply;
+    learn_fence(wire::partition_fence{message.partition, message.owner_epoch, 0});
+    wire::partition_fence& current = fences_[message.partition];
+    reply.known_epoch = current.known;
+    if (message.owner_epoch < current.known)
+        return reply;
+    current.sequence = std::max(current.sequence, message.fenced_sequence);
+    reply.accepted = true;
+    std::map<slice_id, bool> complete;
+    for (const auto& [id, host] : fleet_.workers())
+    {
+        const slice_id slice = slice_of(host);
+        if (fleet_.owner_of(slice) != shared_.options.self)
+            continue;
+        const auto session = sessions_.find(id);
+        const bool known_worker =
+            session != sessions_.end() && session->second->is_reconciled();
+        const auto entry = complete.emplace(slice, true).first;
+        entry->second = entry->second && known_worker;
+    }
+    for (const auto& [slice, is_complete] : complete)
+        if (is_complete)
+            reply.complete_slices.push_back(slice);
+    for (auto& [id, task] : tasks_)
+    {
+        if (id.job.partition(shared_.options.partitions) != message.partition)
+            continue;
+        task.start.job_owner = message.job_owner;
+        if (task.phase == task_phase::waiting)
+            reply.queued.push_back(wire::queued_task{id, task.start.row, task.dispatch});
+        else
+        {
+            reply.tasks.push_back(inventory_entry(id, task));
+            // The former job owner may have recorded the outcome and lost it.
+            if (task.phase == task_phase::ended)
+                send_update(task, wire::task_event::ended, task.state, task.output);
+        }
+    }
+    return reply;
+}
+
+} // namespace hawthornbeam
--- a/unittests/instance/cell.cpp
+++ b/unittests/instance/cell.cpp
@@ -211,12 +211,11 @@
     return nodes_.at(index)->left;
 }
 
-void cell::kill_worker(std::size_t index, duration lag)
+void cell::kill_worker(std::size_t index)
 {
     workers_.worker(address(index)).state().kill();
     workers_.faults(address(index)).unreachable = true;
     const worker_id id(fmt::format("worker-{}", index + 1));
-    static_cast<void>(lag);
     hosts_.state().remove(id);
 }
 
--- a/unittests/instance/cell.hpp
+++ b/unittests/instance/cell.hpp
@@ -67,8 +67,8 @@
     /// Asks an instance to leave; it is destroyed when it has left.
     void leave(std::size_t index);
     bool has_left(std::size_t index) const;
-    /// Stops a worker for good; the host list drops it after \p lag.
-    void kill_worker(std::size_t index, duration lag);
+    /// Stops a worker for good; the host list drops it after its own lag.
+    void kill_worker(std::size_t index);
     /// Cuts an instance from all other instances, and from all workers when asked.
     void isolate(std::size_t index, bool from_workers, bool from_kv);
     void heal();
--- a/unittests/instance/failure_test.cpp
+++ b/unittests/instance/failure_test.cpp
@@ -63,7 +63,7 @@
                          { faults.latency = duration(); });
      },
      10000},
-    {"worker_dies", [](cell& c) { c.kill_worker(0, seconds(1)); }, nothing, 1000},
+    {"worker_dies", [](cell& c) { c.kill_worker(0); }, nothing, 1000},
     {"worker_answers_lost",
      [](cell& c) { c.workers().faults(cell::address(0)).lose_answers = 3; }, nothing,
      1000},
