Check the cell's history with the shared checker

Cause: the in-process cell had a second, weaker checker of invariants 1 to 5 beside test/standins/invariant_checker. Change: the cell records its history in the checker's form and calls it. Tasks of a killed worker end with it, as before. Conclusion: one checker serves the in-process and the process tests.

--- a/unittests/instance/cell.cpp
+++ b/unittests/instance/cell.cpp
@@ -3,7 +3,7 @@
 #include "unittests/instance/cell.hpp"
 
 #include <fmt/format.h>
-#include <set>
+#include <utility>
 
 namespace hawthornbeam
 {
@@ -327,65 +327,50 @@
     return boot_time::max();
 }
 
-std::vector<std::string> cell::violations() const
+standins::recorded_history cell::recorded() const
 {
-    std::vector<std::string> found;
-    std::map<worker_id, resources> used;
-    std::map<std::pair<job_id, std::uint32_t>, worker_id> running;
-    std::map<std::pair<job_id, std::uint32_t>, std::size_t> starts;
+    standins::recorded_history history;
+    std::map<worker_id, std::map<task_id, resources>> running;
     for (const standins::history_entry& entry : workers_.history())
     {
+        const double at =
+            std::chrono::duration<double>(entry.at.time_since_epoch()).count();
+        const std::string& worker = entry.worker.value();
+        history.capacities[worker] = options_.worker_capacity;
         if (entry.event == "kill")
         {
-            used.erase(entry.worker);
-            std::erase_if(running,
-                          [&](const auto& task) { return task.second == entry.worker; });
+            // The tasks of a dead machine end with it, without events of their own.
+            for (const auto& [id, size] : std::exchange(running[entry.worker], {}))
+                history.events.push_back({at, worker, "end", id, size});
         }
         if (entry.event != "start" && entry.event != "end")
             continue;
         const task_id id = *task_id::parse(entry.subject);
-        const std::pair<job_id, std::uint32_t> key{id.job, id.index};
-        if (entry.event == "end")
-        {
-            used[entry.worker] -= entry.size;
-            running.erase(key);
-            continue;
-        }
-        used[entry.worker] += entry.size;
-        if (!used[entry.worker].fits_in(options_.worker_capacity))
-            found.push_back("1: over capacity on " + entry.worker.value());
-        if (!running.emplace(key, entry.worker).second)
-            found.push_back("2: runs twice: " + entry.subject);
-        ++starts[key];
+        if (entry.event == "start")
+            running[entry.worker][id] = entry.size;
+        else
+            running[entry.worker].erase(id);
+        history.events.push_back({at, worker, entry.event, id, entry.size});
     }
     for (const call_record& call : calls_)
     {
-        std::size_t started = 0;
-        for (std::uint32_t index = 0; index < call.job.tasks; ++index)
-        {
-            const auto count = starts.find({call.job.id, index});
-            const std::size_t times = count == starts.end() ? 0 : count->second;
-            started += times;
-            if (!call.job.idempotent && times > 1)
-                found.push_back("5: non-idempotent task ran more than once: " +
-                                call.job.request.value());
-        }
-        const bool told_not_run =
-            call.answered &&
-            (call.has_status ? call.status.verdict == wire::job_verdict::not_run
-                             : call.failure.code != error_code::outcome_unknown);
-        if (told_not_run && started > 0)
-            found.push_back("4: told not run but was started: " +
-                            call.job.request.value());
-        if (!call.has_status || call.status.verdict != wire::job_verdict::done)
-            continue;
-        if (call.status.results.size() != call.job.tasks)
-            found.push_back("3: incomplete answer: " + call.job.request.value());
-        for (const wire::task_result& task : call.status.results)
-            if (task.known && task.state == task_state::finished &&
-                task.output != call.job.payload)
-                found.push_back("3: wrong answer: " + call.job.request.value());
+        standins::caller_record caller{
+            call.job.id,  call.job.idempotent, call.job.tasks,     call.job.payload,
+            std::nullopt, call.answered,       call.status.results};
+        if (call.has_status)
+            caller.verdict = call.status.verdict;
+        else if (call.answered && call.failure.code != error_code::outcome_unknown)
+            caller.verdict = wire::job_verdict::not_run;
+        history.callers.push_back(std::move(caller));
     }
+    return history;
+}
+
+std::vector<std::string> cell::violations() const
+{
+    std::vector<std::string> found;
+    for (const standins::violation& one : standins::check_invariants(recorded()))
+        found.push_back(fmt::format("{}: {}", one.invariant, one.text));
     return found;
 }
 
--- a/unittests/instance/cell.hpp
+++ b/unittests/instance/cell.hpp
@@ -7,6 +7,7 @@
 #include "test/standins/bound_platform.hpp"
 #include "test/standins/fake_kv.hpp"
 #include "test/standins/fake_platform.hpp"
+#include "test/standins/invariant_checker.hpp"
 #include "test/standins/memory_peer_network.hpp"
 
 #include <deque>
@@ -126,6 +127,7 @@
         bool left = false;
     };
 
+    standins::recorded_history recorded() const;
     void add_workers();
     void install_table();
 
