Read text files in one place

Cause: settings, objectives and the command line each read a whole file with the same lines. Change: support/text_file has read_text_file; the three call it. Messages and error codes stay as they were. Conclusion: one reader, no change of behaviour.

--- /dev/null
+++ b/include/hawthornbeam/support/text_file.hpp
@@ -0,0 +1,17 @@
+/// \file
+/// Reading of whole text files.
+#ifndef HAWTHORNBEAM_SUPPORT_TEXT_FILE_HPP
+#define HAWTHORNBEAM_SUPPORT_TEXT_FILE_HPP
+
+#include <optional>
+#include <string>
+
+namespace hawthornbeam
+{
+
+/// The bytes of \p file; nullopt when it cannot be read.
+std::optional<std::string> read_text_file(const std::string& file);
+
+} // namespace hawthornbeam
+
+#endif
--- a/lib/cli/context.cpp
+++ b/lib/cli/context.cpp
@@ -2,12 +2,12 @@
 /// Calls with failover, output and questions.
 #include "context.hpp"
 
+#include "hawthornbeam/support/text_file.hpp"
+
 #include <fmt/format.h>
-#include <fstream>
 #include <glib.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace hawthornbeam
 {
@@ -286,13 +286,10 @@
 
 result<std::string> read_file(const std::string& path)
 {
-    std::ifstream stream(path, std::ios::binary);
-    std::ostringstream text;
-    if (stream)
-        text << stream.rdbuf();
-    if (!stream || stream.bad())
+    const std::optional<std::string> text = read_text_file(path);
+    if (!text)
         return make_error(error_code::not_found, path + ": cannot be read");
-    return text.str();
+    return *text;
 }
 
 } // namespace hawthornbeam
--- a/lib/report/objectives.cpp
+++ b/lib/report/objectives.cpp
@@ -2,13 +2,12 @@
 /// Reads the objectives file.
 #include "hawthornbeam/report/objectives.hpp"
 
+#include "hawthornbeam/support/text_file.hpp"
 #include "hawthornbeam/support/toml_tree.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <fstream>
 #include <map>
-#include <sstream>
 
 namespace hawthornbeam
 {
@@ -120,13 +119,10 @@
 
 parsed_objectives load_objectives(const std::string& file)
 {
-    std::ifstream stream(file, std::ios::binary);
-    std::ostringstream text;
-    if (stream)
-        text << stream.rdbuf();
-    if (!stream || stream.bad())
+    const std::optional<std::string> text = read_text_file(file);
+    if (!text)
         return {std::nullopt, {finding{file, 0, "", "cannot be read", "a TOML file"}}};
-    return parse_objectives(text.str(), file);
+    return parse_objectives(*text, file);
 }
 
 } // namespace hawthornbeam
--- a/lib/settings/settings.cpp
+++ b/lib/settings/settings.cpp
@@ -2,16 +2,15 @@
 /// Reads the settings file and checks it as a whole.
 #include "hawthornbeam/settings/settings.hpp"
 
+#include "hawthornbeam/support/text_file.hpp"
 #include "hawthornbeam/support/toml_tree.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
-#include <fstream>
 #include <gio/gio.h>
 #include <limits>
 #include <map>
-#include <sstream>
 
 namespace hawthornbeam
 {
@@ -247,13 +246,10 @@
 
 parsed_settings load_settings(const std::string& file)
 {
-    std::ifstream stream(file, std::ios::binary);
-    std::ostringstream text;
-    if (stream)
-        text << stream.rdbuf();
-    if (!stream || stream.bad())
+    const std::optional<std::string> text = read_text_file(file);
+    if (!text)
         return {std::nullopt, {finding{file, 0, "", "cannot be read", "a TOML file"}}};
-    return parse_settings(text.str(), file);
+    return parse_settings(*text, file);
 }
 
 } // namespace hawthornbeam
