--- /dev/null
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -0,0 +1,65 @@
+/// \file
+/// Claims the ownership of a cell in the store and follows who has it.
+#ifndef HAWTHORNBEAM_CELL_CLAIM_HPP
+#define HAWTHORNBEAM_CELL_CLAIM_HPP
+
+#include "hawthornbeam/cell/store.hpp"
+#include "hawthornbeam/cell/types.hpp"
+#include "hawthornbeam/support/event_loop.hpp"
+#include "hawthornbeam/support/log.hpp"
+#include "hawthornbeam/support/random_source.hpp"
+
+#include <memory>
+
+namespace hawthornbeam::cell
+{
+
+/// Who owns the cell, and with which token.
+struct owner_identity
+{
+    instance_id instance;
+    endpoint address;
+    fence_token token;
+};
+
+/// The claim is a key with a lease. Its revision is the fencing token, so each claim has a
+/// higher token than all earlier ones. While the store is away the owner keeps its role:
+/// nobody can claim, and workers refuse lower tokens.
+class claim
+{
+public:
+    struct events
+    {
+        /// This instance owns the cell. \p continued: no other instance has owned it
+        /// since the last time, so that what it knows is still complete.
+        std::function<void(fence_token token, bool continued)> gained;
+        /// Another instance owns the cell, or the claim was released.
+        std::function<void()> lost;
+        /// Another owner, or none, was seen.
+        std::function<void(const std::optional<owner_identity>&)> changed;
+    };
+
+    claim(event_loop& loop, cell_store& store, random_source& random, const logger& log,
+          owner_identity self, events handlers);
+    ~claim();
+
+    void start();
+    /// Hands the cell over and does not claim it again.
+    void release();
+    /// A worker or an instance has shown a higher token: the role ends at once.
+    void superseded(fence_token higher);
+    /// A message of the owner arrived, so nobody needs to claim for a moment.
+    void heard_owner();
+
+    bool is_owner() const;
+    fence_token token() const;
+    const std::optional<owner_identity>& owner() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace hawthornbeam::cell
+
+#endif
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNBEAM_WIRE_MESSAGES_HPP
 #define HAWTHORNBEAM_WIRE_MESSAGES_HPP
 
+#include "hawthornbeam/cell/types.hpp"
 #include "hawthornbeam/platform/worker_gateway.hpp"
 #include "hawthornbeam/support/ids.hpp"
 #include "hawthornbeam/support/units.hpp"
@@ -293,6 +294,58 @@
 {
     std::string reason; ///< Empty when the task does not wait there.
 };
+/// A job that a receiver stored, for the owner of its cell.
+struct accepted_job
+{
+    cell::job_spec job;
+    /// It was stored under the owner's claim and offered to no earlier owner, so that no
+    /// other owner can have started it.
+    bool is_new = false;
+};
+/// Tells the owner of a cell what an agent and a receiver learned; also a heartbeat.
+struct cell_report
+{
+    cell::fence_token token; ///< Of the owner as the sender knows it.
+    cell::endpoint address;  ///< Where the sender takes orders.
+    std::uint32_t share = 0; ///< Processor share of the sender's host, in thousandths.
+    bool leaving = false;
+    cell::agent_report report;
+    std::vector<accepted_job> accepted;
+    std::vector<cell::job_key> cancelled;
+};
+struct cell_report_reply
+{
+    bool is_owner = false; ///< False: nothing was taken.
+};
+/// A job and its state.
+struct cell_job_state
+{
+    cell::job_key job;
+    cell::job_state state = cell::job_state::queued;
+};
+/// Tells an agent what to do, and a receiver what it may answer.
+struct cell_orders
+{
+    cell::fence_token token;
+    cell::endpoint owner;
+    cell::agent_orders orders;
+    std::vector<cell_job_state> ended; ///< Final states that were stored.
+    std::vector<cell::queue_depth> depths;
+};
+struct cell_orders_reply
+{
+    cell::fence_token known; ///< The highest token that the agent has seen.
+};
+/// Asks the owner of a cell for states of jobs.
+struct cell_query
+{
+    std::vector<cell::job_key> jobs;
+};
+struct cell_query_reply
+{
+    bool is_owner = false; ///< False: the states are not known here.
+    std::vector<cell_job_state> found;
+};
 /// Fallback answer when a request cannot be served.
 struct failure_reply
 {
@@ -305,12 +358,14 @@
 using request = std::variant<submit_request, job_query, job_list_request, cancel_request,
                              start_request, update_request, stop_request,
                              inventory_request, epochs_request, table_fetch,
-                             status_request, drain_request, explain_request>;
+                             status_request, drain_request, explain_request, cell_report,
+                             cell_orders, cell_query>;
 /// All replies; same rule.
 using reply =
     std::variant<failure_reply, submit_reply, job_reply, job_list_reply, cancel_reply,
                  start_reply, update_reply, stop_reply, inventory_reply, epochs_reply,
-                 table_reply, status_reply, drain_reply, explain_reply>;
+                 table_reply, status_reply, drain_reply, explain_reply,
+                 cell_report_reply, cell_orders_reply, cell_query_reply>;
 
 /// Serializes to portable binary.
 std::string encode(const request& message);
--- /dev/null
+++ b/lib/cell/cell_state.hpp
@@ -0,0 +1,168 @@
+/// \file
+/// State of the scheduler: jobs, workers and runs.
+#ifndef HAWTHORNBEAM_LIB_CELL_CELL_STATE_HPP
+#define HAWTHORNBEAM_LIB_CELL_CELL_STATE_HPP
+
+#include "hawthornbeam/cell/scheduler.hpp"
+
+#include <deque>
+#include <map>
+#include <tuple>
+#include <unordered_map>
+
+namespace hawthornbeam::cell
+{
+
+/// What is known of a run that was sent to a worker.
+enum class run_phase : std::uint8_t
+{
+    starting, ///< Sent; the answer or a look decides.
+    running,  ///< Accepted or seen in a look.
+    stopping  ///< A stop was ordered; its room is free once the end is listed.
+};
+
+struct run_record
+{
+    run_number run;
+    run_phase phase = run_phase::starting;
+    resources size;
+    boot_time ordered_at{};   ///< When the latest order was given.
+    bool stop_answered = false;
+    bool answered = false;
+    observation seen;         ///< Looks that began after it show the run if it exists.
+    std::uint32_t percent = 0;
+    boot_time progressed_at{}; ///< When it was seen first or its percent changed.
+};
+
+struct task_status
+{
+    bool done = false;
+    std::uint32_t failures = 0;
+    run_number last_run;
+    run_number ended_run; ///< Ends up to this run were counted.
+    checkpoint saved;
+    worker_id on; ///< The worker that has a record of a run; empty when none has.
+    worker_id failed_on;
+};
+
+/// Permission to run a step on a worker.
+struct permission
+{
+    ticket proof;
+    boot_time until{};
+};
+
+struct step_status
+{
+    std::vector<task_status> tasks;
+    std::uint32_t remaining = 0; ///< Tasks that have not ended as done.
+    std::uint32_t occupied = 0;  ///< Tasks with a record of a run.
+    std::map<worker_id, permission> good;
+    std::set<worker_id> asked; ///< Workers about which advice is known or under way.
+    std::optional<boot_time> asking_since;
+    boot_time not_before{};    ///< A gang that lost a member waits a moment.
+};
+
+struct job_status
+{
+    job_spec spec;
+    bool inherited = false;
+    bool started = false;
+    job_state state = job_state::queued;
+    bool final_stored = false;
+    std::vector<step_status> steps;
+};
+
+struct worker_status
+{
+    worker_info info;
+    bool described = false; ///< Has an entry in the list of workers.
+    bool allowed = false;   ///< The store names it as used.
+    bool looked = false;    ///< Was looked at by this owner in its current life.
+    worker_life life;
+    worker_time clock;      ///< At clock_at or later.
+    boot_time clock_at{};
+    boot_time contact_at{}; ///< Last look, or when it became known.
+    end_number processed;
+    end_number covered;     ///< Handed out for storing.
+    std::map<task_ref, run_record> runs;
+    resources used;
+    std::deque<std::pair<job_key, bool>> recent_ends; ///< Job, failed.
+    std::uint32_t quarantines = 0;
+    boot_time quarantined_until{};
+};
+
+/// Order in which steps are placed: priority, then age.
+using step_key = std::tuple<int, std::int64_t, job_key, std::uint32_t>;
+
+class scheduler::implementation
+{
+public:
+    implementation(const scheduler_limits& given, const logger& sink)
+        : limits(given), log(sink)
+    {
+    }
+
+    // Jobs (jobs.cpp).
+    job_status* find_job(const job_key& job);
+    const queue_policy& policy_of(const job_status& job) const;
+    step_key key_of(const job_status& job, std::uint32_t step) const;
+    bool is_ready(const job_status& job, std::uint32_t step) const;
+    void open_ready_steps(const job_status& job);
+    void finish_job(job_status& job, job_state state);
+    void stop_runs(const job_status& job);
+    void task_done(job_status& job, const task_ref& task);
+    void step_done(job_status& job, std::uint32_t step);
+    void task_failed(job_status& job, const task_ref& task, const worker_id& worker);
+    std::uint32_t waiting_tasks(const step_status& step) const;
+
+    // Runs and workers (observe.cpp).
+    worker_status& worker(const worker_id& id, boot_time now);
+    void release(worker_status& holder, const task_ref& task);
+    void lose_run(worker_status& holder, const task_ref& task, const char* why);
+    void lose_runs(worker_status& holder, const char* why);
+    void order_stop(const worker_id& holder, const task_ref& task);
+    void break_gang(job_status& job, std::uint32_t step, boot_time now);
+    void take_end(worker_status& holder, const ended_task& end, boot_time now);
+    void take_running(worker_status& holder, const running_task& shown, boot_time now,
+                      observation began);
+    void settle_missing(worker_status& holder, const worker_look& look, boot_time now,
+                        const std::set<task_ref>& shown);
+    void start_failed(worker_status& holder, const order_result& result, boot_time now);
+    void note_health(worker_status& holder, const job_key& job, bool failed,
+                     boot_time now);
+    bool lease_has_ended(const worker_status& holder, boot_time now) const;
+    void expire_workers(boot_time now);
+    void repeat_stops(boot_time now);
+    void move_stalled(boot_time now);
+
+    // Placement (place.cpp).
+    bool can_run(const worker_status& candidate, const job_status& job,
+                 std::uint32_t step, boot_time now) const;
+    void place_step(const step_key& key, boot_time now, decisions& out);
+    bool place_task(job_status& job, const task_ref& task, boot_time now,
+                    decisions& out);
+    void place_gang(job_status& job, std::uint32_t step, boot_time now, decisions& out);
+    worker_status* choose(const job_status& job, std::uint32_t step, boot_time now,
+                          const std::map<worker_id, resources>& taken,
+                          const std::map<worker_id, std::uint32_t>& placed,
+                          const worker_id& avoid);
+    void start(job_status& job, const task_ref& task, run_number run,
+               worker_status& target, boot_time now, decisions& out);
+    void ask_advice(job_status& job, std::uint32_t step, boot_time now, decisions& out);
+
+    scheduler_limits limits;
+    const logger& log;
+    std::map<queue_name, queue_policy> queues;
+    std::unordered_map<job_key, job_status> jobs;
+    std::map<worker_id, worker_status> workers;
+    std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
+    std::map<worker_id, boot_time> unsettled; ///< Expected workers, and since when.
+    pending_changes changes;
+    std::vector<stop_order> stops; ///< Ordered since the last decision.
+    std::size_t open_job_count = 0;
+};
+
+} // namespace hawthornbeam::cell
+
+#endif
--- /dev/null
+++ b/lib/cell/claim.cpp
@@ -0,0 +1,333 @@
+/// \file
+/// Implements the claim of a cell.
+#include "hawthornbeam/cell/claim.hpp"
+
+#include "stored_form.hpp"
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Life of the claim without renewal. A takeover begins after it, and the store allows
+/// 1 s at least.
+constexpr duration claim_life = std::chrono::milliseconds(2000);
+constexpr duration renewal_period = std::chrono::milliseconds(500);
+/// How long a watch of the claim waits, and the pause after a failed one.
+constexpr duration watch_wait = std::chrono::milliseconds(1000);
+constexpr duration retry_pause = std::chrono::milliseconds(150);
+/// Without a claim, instances claim at different times within this span.
+constexpr duration claim_spread = std::chrono::milliseconds(80);
+/// While messages of an owner arrive, others let it claim again by itself for this long.
+constexpr duration owner_grace = std::chrono::milliseconds(1200);
+
+} // namespace
+
+class claim::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(event_loop& given_loop, cell_store& given_store,
+                   random_source& given_random, const logger& given_log,
+                   owner_identity identity, events given_handlers)
+        : loop(given_loop), store(given_store), random(given_random), log(given_log),
+          self(std::move(identity)), handlers(std::move(given_handlers))
+    {
+    }
+
+    template <class T>
+    std::function<void(result<T>)>
+    guarded(void (implementation::*step)(result<T>))
+    {
+        return [weak = weak_from_this(), step](result<T> answer)
+        {
+            const std::shared_ptr<implementation> target = weak.lock();
+            if (target)
+                (target.get()->*step)(std::move(answer));
+        };
+    }
+
+    void read_claim();
+    void take_claim(result<store_listing> answer);
+    void watch_claim();
+    void take_changes(result<store_changes> answer);
+    void retry_read();
+    void see(const std::optional<store_item>& item);
+    void claim_soon();
+    void begin_claim();
+    void take_lease(result<lease_id> answer);
+    void take_last_claim(result<std::optional<store_item>> answer);
+    void take_commit(result<store_commit> answer);
+    void gain(kv_revision revision);
+    void step_down(const char* reason);
+    void renew();
+    void take_renewal(result<bool> answer);
+
+    event_loop& loop;
+    cell_store& store;
+    random_source& random;
+    const logger& log;
+    owner_identity self;
+    events handlers;
+
+    std::optional<owner_identity> current;
+    bool owning = false;
+    bool released = false;
+    bool claiming = false;
+    lease_id lease;
+    kv_revision last_claim;     ///< Revision of the latest claim, when it was this one's.
+    kv_revision expected_last;  ///< What the claim under way expects.
+    kv_revision seen;           ///< Where the watch continues.
+    std::optional<boot_time> heard_at;
+    boot_time absent_since{};
+    timer_handle retry_timer;
+    timer_handle claim_timer;
+    timer_handle renewal_timer;
+};
+
+void claim::implementation::read_claim()
+{
+    // A listing names the store's revision also when the key is absent.
+    store.list(std::string(owner_key), guarded(&implementation::take_claim));
+}
+
+void claim::implementation::retry_read()
+{
+    retry_timer = loop.after(retry_pause, [this] { read_claim(); });
+}
+
+void claim::implementation::take_claim(result<store_listing> answer)
+{
+    if (!answer)
+        return retry_read();
+    seen = answer.value().at;
+    const std::vector<store_item>& items = answer.value().items;
+    see(items.empty() ? std::nullopt : std::optional<store_item>(items.front()));
+    watch_claim();
+}
+
+void claim::implementation::watch_claim()
+{
+    store.watch(std::string(owner_key), seen, watch_wait,
+                guarded(&implementation::take_changes));
+}
+
+void claim::implementation::take_changes(result<store_changes> answer)
+{
+    if (!answer || answer.value().history_lost)
+        return retry_read();
+    for (const store_event& event : answer.value().events)
+    {
+        if (event.item.key != owner_key)
+            continue;
+        see(event.removed ? std::nullopt : std::optional<store_item>(event.item));
+    }
+    seen = std::max(seen, answer.value().at);
+    // A quiet watch proves nothing after the store lost its watches, so that the claim is
+    // read again each time.
+    if (answer.value().events.empty())
+        return read_claim();
+    watch_claim();
+}
+
+void claim::implementation::see(const std::optional<store_item>& item)
+{
+    if (item)
+    {
+        seen = std::max(seen, item->revision);
+        const result<owner_record> record = decode_owner(item->value);
+        if (!record)
+            return log.error("claim", "claim cannot be read",
+                             {{"reason", record.error().message}});
+        const fence_token token(item->revision.value());
+        if (current && current->token >= token)
+            return;
+        const bool own = record.value().instance == self.instance;
+        if (own && !owning)
+            return gain(item->revision);
+        if (own)
+            return;
+        current = owner_identity{record.value().instance, record.value().address, token};
+        claim_timer.reset();
+        if (owning)
+            step_down("another instance has claimed the cell");
+        log.info("claim", "owner seen",
+                 {{"owner", current->instance.value()}, {"token", token.value()}});
+        return handlers.changed(current);
+    }
+    if (current && !owning)
+    {
+        current.reset();
+        handlers.changed(current);
+    }
+    if (!claiming)
+        claim_soon();
+}
+
+void claim::implementation::claim_soon()
+{
+    if (released || claiming)
+        return;
+    const boot_time now = loop.clock().now();
+    if (absent_since == boot_time())
+        absent_since = now;
+    duration delay = duration::zero();
+    if (!owning)
+        delay = duration(static_cast<std::int64_t>(
+            random.unit() * static_cast<double>(claim_spread.count())));
+    if (!owning && heard_at && now - *heard_at < owner_grace)
+        delay += owner_grace - (now - *heard_at);
+    claim_timer = loop.after(delay, [this] { begin_claim(); });
+}
+
+void claim::implementation::begin_claim()
+{
+    if (released || claiming || (current && !owning))
+        return;
+    claiming = true;
+    store.grant(claim_life, guarded(&implementation::take_lease));
+}
+
+void claim::implementation::take_lease(result<lease_id> answer)
+{
+    if (!answer)
+    {
+        claiming = false;
+        return;
+    }
+    lease = answer.value();
+    store.read(std::string(last_claim_key), guarded(&implementation::take_last_claim));
+}
+
+void claim::implementation::take_last_claim(result<std::optional<store_item>> answer)
+{
+    if (!answer)
+    {
+        claiming = false;
+        return;
+    }
+    expected_last = answer.value() ? answer.value()->revision : kv_revision();
+    const std::string value = encode(owner_record{self.instance, self.address});
+    store_transaction change;
+    change.expect = {{std::string(owner_key), kv_revision()},
+                     {std::string(last_claim_key), expected_last}};
+    change.puts = {{std::string(owner_key), value, lease},
+                   {std::string(last_claim_key), value, lease_id()}};
+    store.commit(std::move(change), guarded(&implementation::take_commit));
+}
+
+void claim::implementation::take_commit(result<store_commit> answer)
+{
+    claiming = false;
+    // An answer that is missing is settled by the watch, which shows whose claim it is.
+    if (!answer || !answer.value().committed)
+        return;
+    gain(answer.value().revision);
+}
+
+void claim::implementation::gain(kv_revision revision)
+{
+    if (released)
+        return;
+    if (current && current->token >= fence_token(revision.value()))
+        return;
+    const bool continued = owning && last_claim != kv_revision() &&
+                           expected_last == last_claim;
+    if (owning && !continued)
+        step_down("another instance owned the cell meanwhile");
+    owning = true;
+    last_claim = revision;
+    absent_since = boot_time();
+    seen = std::max(seen, revision);
+    current = owner_identity{self.instance, self.address, fence_token(revision.value())};
+    log.info("claim", "cell claimed",
+             {{"token", revision.value()}, {"continued", continued ? 1 : 0}});
+    renewal_timer = loop.every(renewal_period, [this] { renew(); });
+    handlers.gained(current->token, continued);
+    handlers.changed(current);
+}
+
+void claim::implementation::step_down(const char* reason)
+{
+    if (!owning)
+        return;
+    log.warning("claim", "stepped down", {{"reason", reason}});
+    owning = false;
+    last_claim = kv_revision();
+    renewal_timer.reset();
+    handlers.lost();
+}
+
+void claim::implementation::renew()
+{
+    store.renew(lease, guarded(&implementation::take_renewal));
+}
+
+void claim::implementation::take_renewal(result<bool> answer)
+{
+    if (!owning || !answer || answer.value())
+        return;
+    // The lease ended while the store or this instance was away.
+    log.warning("claim", "claim lapsed", {});
+    if (!claiming)
+        begin_claim();
+}
+
+claim::claim(event_loop& loop, cell_store& store, random_source& random,
+             const logger& log, owner_identity self, events handlers)
+    : implementation_(std::make_shared<implementation>(
+          loop, store, random, log, std::move(self), std::move(handlers)))
+{
+}
+
+claim::~claim() = default;
+
+void claim::start()
+{
+    implementation_->read_claim();
+}
+
+void claim::release()
+{
+    implementation& self = *implementation_;
+    self.released = true;
+    if (!self.owning)
+        return;
+    store_transaction change;
+    change.expect = {{std::string(owner_key),
+                      kv_revision(self.current->token.value())}};
+    change.removals = {std::string(owner_key)};
+    self.store.commit(std::move(change), [](const result<store_commit>&) {});
+    self.step_down("planned stop");
+}
+
+void claim::superseded(fence_token higher)
+{
+    if (implementation_->owning && higher > implementation_->current->token)
+    {
+        implementation_->step_down("a higher token was seen");
+        implementation_->current.reset();
+    }
+}
+
+void claim::heard_owner()
+{
+    implementation_->heard_at = implementation_->loop.clock().now();
+}
+
+bool claim::is_owner() const
+{
+    return implementation_->owning;
+}
+
+fence_token claim::token() const
+{
+    return implementation_->current ? implementation_->current->token : fence_token();
+}
+
+const std::optional<owner_identity>& claim::owner() const
+{
+    return implementation_->current;
+}
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/lib/cell/jobs.cpp
@@ -0,0 +1,298 @@
+/// \file
+/// Implements the part of the scheduler that keeps jobs.
+#include "cell_state.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace hawthornbeam::cell
+{
+
+const char* to_string(job_state state)
+{
+    static constexpr std::array<const char*, 5> names{"queued", "running", "done",
+                                                      "failed", "cancelled"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+const char* to_string(run_end how)
+{
+    static constexpr std::array<const char*, 6> names{"done",   "failed", "stopped",
+                                                      "lapsed", "broken", "alone"};
+    return names[static_cast<std::size_t>(how)];
+}
+
+const char* to_string(order_outcome outcome)
+{
+    static constexpr std::array<const char*, 11> names{
+        "accepted",  "fenced",  "superseded", "late",         "no_room",   "no_ticket",
+        "invalid",   "unhealthy", "other_worker", "not_sent", "unanswered"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+scheduler::scheduler(const scheduler_limits& limits, const logger& log)
+    : implementation_(std::make_unique<implementation>(limits, log))
+{
+}
+
+scheduler::~scheduler() = default;
+
+job_status* scheduler::implementation::find_job(const job_key& job)
+{
+    const auto found = jobs.find(job);
+    return found == jobs.end() ? nullptr : &found->second;
+}
+
+const queue_policy& scheduler::implementation::policy_of(const job_status& job) const
+{
+    // A job whose queue was removed is finished under the policy of no queue.
+    static const queue_policy removed_queue;
+    const auto found = queues.find(job.spec.queue);
+    return found == queues.end() ? removed_queue : found->second;
+}
+
+step_key scheduler::implementation::key_of(const job_status& job,
+                                           std::uint32_t step) const
+{
+    return step_key{policy_of(job).priority, job.spec.submitted_ms, job.spec.id, step};
+}
+
+bool scheduler::implementation::is_ready(const job_status& job, std::uint32_t step) const
+{
+    return std::ranges::all_of(job.spec.steps[step].after, [&job](std::uint32_t earlier)
+                               { return job.steps[earlier].remaining == 0; });
+}
+
+void scheduler::implementation::open_ready_steps(const job_status& job)
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+        if (job.steps[step].remaining > 0 && is_ready(job, step))
+            open_steps.insert(key_of(job, step));
+}
+
+void scheduler::configure(const std::vector<queue_policy>& queues)
+{
+    implementation& self = *implementation_;
+    for (const queue_policy& queue : queues)
+        self.queues[queue.name] = queue;
+    // Priorities are part of the order, so it is built anew.
+    self.open_steps.clear();
+    for (const auto& [id, job] : self.jobs)
+        if (!is_final(job.state))
+            self.open_ready_steps(job);
+}
+
+bool scheduler::add_job(job_spec job, bool inherited)
+{
+    implementation& self = *implementation_;
+    const job_key id = job.id;
+    if (self.jobs.contains(id))
+        return false;
+    job_status status;
+    status.inherited = inherited;
+    for (const step_spec& step : job.steps)
+    {
+        step_status& added = status.steps.emplace_back();
+        added.tasks.resize(step.count);
+        added.remaining = step.count;
+    }
+    status.spec = std::move(job);
+    const auto placed = self.jobs.emplace(id, std::move(status)).first;
+    ++self.open_job_count;
+    self.open_ready_steps(placed->second);
+    return true;
+}
+
+void scheduler::restore_final(const job_key& job, job_state state)
+{
+    assert(is_final(state) && "only final states are stored without the job");
+    job_status& status = implementation_->jobs[job];
+    status.spec.id = job;
+    status.state = state;
+    status.final_stored = true;
+}
+
+bool scheduler::cancel(const job_key& job)
+{
+    implementation& self = *implementation_;
+    job_status* found = self.find_job(job);
+    if (found == nullptr)
+        return false;
+    if (!is_final(found->state))
+        self.finish_job(*found, job_state::cancelled);
+    return true;
+}
+
+std::optional<job_state> scheduler::state(const job_key& job) const
+{
+    const auto found = implementation_->jobs.find(job);
+    if (found == implementation_->jobs.end())
+        return std::nullopt;
+    const job_status& status = found->second;
+    // A cancel was stored by the instance that received it. Other final states are shown
+    // once they are stored, so that no takeover can take them back.
+    if (!is_final(status.state) || status.final_stored ||
+        status.state == job_state::cancelled)
+        return status.state;
+    return job_state::running;
+}
+
+std::vector<queue_depth> scheduler::depths() const
+{
+    std::map<queue_name, std::uint64_t> counted;
+    for (const auto& [name, policy] : implementation_->queues)
+        counted[name] = 0;
+    for (const auto& [id, job] : implementation_->jobs)
+        if (!is_final(job.state) && !job.started)
+            ++counted[job.spec.queue];
+    std::vector<queue_depth> listed;
+    listed.reserve(counted.size());
+    for (const auto& [name, waiting] : counted)
+        listed.push_back({name, waiting});
+    return listed;
+}
+
+std::size_t scheduler::open_jobs() const
+{
+    return implementation_->open_job_count;
+}
+
+void scheduler::forget(const job_key& job)
+{
+    implementation_->jobs.erase(job);
+}
+
+void scheduler::implementation::finish_job(job_status& job, job_state state)
+{
+    assert(!is_final(job.state) && "a final state does not change");
+    log.info("cell", "job ended", {{"job", job.spec.id.value()}, {"state", to_string(state)}});
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+        open_steps.erase(key_of(job, step));
+    job.state = state;
+    --open_job_count;
+    changes.final_jobs.emplace_back(job.spec.id, state);
+    // Ends of a job whose final state is stored in the same batch are not needed.
+    std::erase_if(changes.ends, [&job](const stored_end& end)
+                  { return end.run.task.job == job.spec.id; });
+    stop_runs(job);
+}
+
+void scheduler::implementation::stop_runs(const job_status& job)
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+        for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index)
+        {
+            const worker_id& holder = job.steps[step].tasks[index].on;
+            if (!holder.empty())
+                order_stop(holder, task_ref{job.spec.id, step, index});
+        }
+}
+
+std::uint32_t
+scheduler::implementation::waiting_tasks(const step_status& step) const
+{
+    std::uint32_t waiting = 0;
+    for (const task_status& task : step.tasks)
+        waiting += !task.done && task.on.empty() ? 1U : 0U;
+    return waiting;
+}
+
+void scheduler::implementation::task_done(job_status& job, const task_ref& task)
+{
+    step_status& step = job.steps[task.step];
+    if (job.spec.steps[task.step].gang)
+    {
+        // One end stands for all members.
+        for (task_status& member : step.tasks)
+            member.done = true;
+        step.remaining = 0;
+    }
+    else if (!step.tasks[task.index].done)
+    {
+        step.tasks[task.index].done = true;
+        --step.remaining;
+    }
+    if (step.remaining == 0)
+        step_done(job, task.step);
+}
+
+void scheduler::implementation::step_done(job_status& job, std::uint32_t step)
+{
+    open_steps.erase(key_of(job, step));
+    const bool all = std::ranges::all_of(
+        job.steps, [](const step_status& each) { return each.remaining == 0; });
+    if (is_final(job.state))
+        return;
+    if (all)
+        finish_job(job, job_state::done);
+    else
+        open_ready_steps(job);
+}
+
+void scheduler::implementation::task_failed(job_status& job, const task_ref& task,
+                                            const worker_id& worker)
+{
+    step_status& step = job.steps[task.step];
+    const step_spec& spec = job.spec.steps[task.step];
+    task_status& failed = step.tasks[task.index];
+    ++failed.failures;
+    failed.failed_on = worker;
+    std::uint32_t failures = failed.failures;
+    if (spec.gang)
+    {
+        // A gang fails as a whole, whichever member is to blame.
+        failures = 0;
+        for (const task_status& member : step.tasks)
+            failures += member.failures;
+    }
+    if (!spec.persistent && !is_final(job.state) && failures >= policy_of(job).attempts)
+        finish_job(job, job_state::failed);
+}
+
+void scheduler::restore_end(const stored_end& end)
+{
+    implementation& self = *implementation_;
+    job_status* job = self.find_job(end.run.task.job);
+    if (job == nullptr || is_final(job->state) ||
+        end.run.task.step >= job->steps.size() ||
+        end.run.task.index >= job->steps[end.run.task.step].tasks.size())
+        return;
+    task_status& task = job->steps[end.run.task.step].tasks[end.run.task.index];
+    if (end.run.run <= task.ended_run)
+        return;
+    task.ended_run = end.run.run;
+    task.last_run = std::max(task.last_run, end.run.run);
+    job->started = true;
+    job->state = job_state::running;
+    if (end.how == run_end::done)
+        self.task_done(*job, end.run.task);
+    else if (end.how == run_end::failed)
+        self.task_failed(*job, end.run.task, worker_id());
+}
+
+pending_changes scheduler::take_changes()
+{
+    implementation& self = *implementation_;
+    pending_changes taken = std::exchange(self.changes, pending_changes());
+    for (auto& [id, holder] : self.workers)
+    {
+        if (holder.covered == holder.processed)
+            continue;
+        holder.covered = holder.processed;
+        taken.covered.push_back({id, holder.life, holder.processed});
+    }
+    return taken;
+}
+
+void scheduler::stored(const pending_changes& batch)
+{
+    for (const auto& [id, state] : batch.final_jobs)
+    {
+        job_status* job = implementation_->find_job(id);
+        if (job != nullptr)
+            job->final_stored = true;
+    }
+}
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/lib/cell/node.cpp
@@ -0,0 +1,348 @@
+/// \file
+/// Implements an instance of a cell.
+#include "hawthornbeam/cell/node.hpp"
+
+#include "hawthornbeam/cell/agent.hpp"
+#include "hawthornbeam/cell/claim.hpp"
+
+#include <map>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// An agent reports at least this often.
+constexpr duration heartbeat_period = std::chrono::milliseconds(500);
+/// Answers between instances; a claim ends after 2 s.
+constexpr duration report_timeout = std::chrono::milliseconds(1000);
+constexpr duration orders_timeout = std::chrono::milliseconds(1000);
+constexpr duration query_timeout = std::chrono::milliseconds(500);
+/// A count of waiting jobs is shown for so long.
+constexpr duration most_depth_age = std::chrono::milliseconds(1800);
+/// A planned stop waits so long for what is under way.
+constexpr duration handover_limit = std::chrono::milliseconds(600);
+
+} // namespace
+
+class node::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    explicit implementation(const node_parts& given);
+
+    void serve(const instance_id& from, wire::request message,
+               const std::function<void(wire::reply)>& answer);
+    wire::reply take_orders(const wire::cell_orders& message);
+    void gain(fence_token token, bool continued);
+    void report(fence_token known, agent_report observed);
+    void send_orders(const endpoint& target, wire::cell_orders message,
+                     std::function<void(result<fence_token>)> done);
+    using states_done =
+        std::function<void(result<std::vector<std::pair<job_key, job_state>>>)>;
+    void ask_owner(std::vector<job_key> jobs, states_done done);
+
+    /// A job that the owner has not confirmed yet.
+    struct unreported_job
+    {
+        job_spec job;
+        kv_revision stored;
+        bool offered = false; ///< An owner may have seen it without confirming.
+    };
+    void report_again(std::vector<unreported_job> jobs, const std::vector<job_key>& cancels,
+                      bool offered);
+
+    node_parts parts;
+    cell::claim claim;
+    cell::agent agent;
+    cell::receiver receiver;
+    std::unique_ptr<owner> owned;
+    std::vector<queue_policy> queues;
+    std::vector<unreported_job> accepted;
+    std::vector<job_key> cancelled;
+    std::map<queue_name, std::uint64_t> depths;
+    boot_time depths_at{};
+    bool leaving = false;
+    timer_handle heartbeat;
+};
+
+node::implementation::implementation(const node_parts& given)
+    : parts(given),
+      claim(given.loop, given.store, given.random, given.log,
+            owner_identity{given.self, given.address, fence_token()},
+            {[this](fence_token token, bool continued) { gain(token, continued); },
+             [this] { owned.reset(); },
+             [this](const std::optional<owner_identity>&)
+             { report(agent.token(), agent_report()); }}),
+      agent(given.loop, given.workers, given.log, given.limits.most_lease,
+            [this](fence_token token, agent_report observed)
+            { report(token, std::move(observed)); }),
+      receiver({given.loop, given.store, given.log,
+                [this](const job_spec& job, kv_revision stored)
+                {
+                    accepted.push_back({job, stored, false});
+                    report(agent.token(), agent_report());
+                },
+                [this](const job_key& job)
+                {
+                    cancelled.push_back(job);
+                    report(agent.token(), agent_report());
+                },
+                [this](std::vector<job_key> jobs, states_done done)
+                { ask_owner(std::move(jobs), std::move(done)); }})
+{
+}
+
+void node::implementation::gain(fence_token token, bool continued)
+{
+    if (continued && owned)
+        return owned->change_token(token);
+    owner_parts wanted{parts.loop, parts.store, parts.directory, parts.log,
+                       parts.limits, parts.self, std::chrono::minutes(5),
+                       [this](const endpoint& target, wire::cell_orders message,
+                              std::function<void(result<fence_token>)> done)
+                       { send_orders(target, std::move(message), std::move(done)); },
+                       [this](fence_token higher)
+                       {
+                           // Ends the owner, so it must not run inside one of its calls.
+                           parts.loop.post([weak = weak_from_this(), higher]
+                                           {
+                                               const std::shared_ptr<implementation> self =
+                                                   weak.lock();
+                                               if (self)
+                                                   self->claim.superseded(higher);
+                                           });
+                       },
+                       [] {}};
+    owned.reset();
+    owned = std::make_unique<owner>(wanted, token);
+    owned->configure(queues);
+    owned->start();
+    report(agent.token(), agent_report());
+}
+
+void node::implementation::report(fence_token known, agent_report observed)
+{
+    const std::optional<owner_identity>& target = claim.owner();
+    if (!target)
+        return;
+    wire::cell_report message;
+    message.token = known;
+    message.address = parts.address;
+    message.share = parts.share;
+    message.leaving = leaving;
+    message.report = std::move(observed);
+    const std::vector<unreported_job> jobs = std::exchange(accepted, {});
+    for (const unreported_job& job : jobs)
+    {
+        const bool is_new = !job.offered && job.stored.value() > target->token.value();
+        message.accepted.push_back({job.job, is_new});
+    }
+    message.cancelled = std::exchange(cancelled, {});
+    if (claim.is_owner())
+    {
+        if (owned)
+            owned->take_report(parts.self, std::move(message));
+        return;
+    }
+    parts.network.call(
+        wire::peer_address(target->address.value()), message, report_timeout,
+        [weak = weak_from_this(), jobs, cancels = message.cancelled](const result<wire::reply>& answer)
+        {
+            const std::shared_ptr<implementation> self = weak.lock();
+            if (!self)
+                return;
+            const wire::cell_report_reply* taken =
+                answer ? std::get_if<wire::cell_report_reply>(&answer.value()) : nullptr;
+            const bool offered =
+                !answer && answer.error().code == error_code::outcome_unknown;
+            if (taken == nullptr || !taken->is_owner)
+                self->report_again(jobs, cancels, offered);
+        });
+}
+
+void node::implementation::report_again(std::vector<unreported_job> jobs,
+                                        const std::vector<job_key>& cancels, bool offered)
+{
+    // They go out with the next heartbeat.
+    for (unreported_job& job : jobs)
+    {
+        job.offered = job.offered || offered;
+        accepted.push_back(std::move(job));
+    }
+    cancelled.insert(cancelled.end(), cancels.begin(), cancels.end());
+}
+
+void node::implementation::send_orders(const endpoint& target, wire::cell_orders message,
+                                       std::function<void(result<fence_token>)> done)
+{
+    message.owner = parts.address;
+    if (target == parts.address)
+    {
+        parts.loop.post(
+            [weak = weak_from_this(), message = std::move(message), done = std::move(done)]
+            {
+                const std::shared_ptr<implementation> self = weak.lock();
+                if (!self)
+                    return;
+                self->take_orders(message);
+                done(self->agent.token());
+            });
+        return;
+    }
+    parts.network.call(
+        wire::peer_address(target.value()), std::move(message), orders_timeout,
+        [done = std::move(done)](const result<wire::reply>& answer)
+        {
+            if (!answer)
+                return done(answer.error());
+            const wire::cell_orders_reply* taken =
+                std::get_if<wire::cell_orders_reply>(&answer.value());
+            if (taken == nullptr)
+                return done(make_error(error_code::outcome_unknown, "unexpected reply"));
+            done(taken->known);
+        });
+}
+
+wire::reply node::implementation::take_orders(const wire::cell_orders& message)
+{
+    agent.carry_out(message.token, message.orders);
+    if (message.token == agent.token())
+    {
+        claim.heard_owner();
+        for (const wire::cell_job_state& job : message.ended)
+            receiver.note_ended(job.job, job.state);
+        if (!message.depths.empty())
+        {
+            depths_at = parts.loop.clock().now();
+            depths.clear();
+            for (const queue_depth& depth : message.depths)
+                depths[depth.queue] = depth.waiting;
+        }
+    }
+    return wire::cell_orders_reply{agent.token()};
+}
+
+void node::implementation::ask_owner(std::vector<job_key> jobs, states_done done)
+{
+    const std::optional<owner_identity>& target = claim.owner();
+    if (!target)
+        return done(make_error(error_code::unavailable, "no owner is known"));
+    const std::function<void(bool, const std::vector<wire::cell_job_state>&)> convert =
+        [done](bool is_owner, const std::vector<wire::cell_job_state>& found)
+    {
+        if (!is_owner)
+            return done(make_error(error_code::unavailable, "not the owner"));
+        std::vector<std::pair<job_key, job_state>> states;
+        for (const wire::cell_job_state& each : found)
+            states.emplace_back(each.job, each.state);
+        done(std::move(states));
+    };
+    if (claim.is_owner())
+    {
+        const std::optional<std::vector<wire::cell_job_state>> found =
+            owned ? owned->states(jobs) : std::nullopt;
+        return convert(found.has_value(),
+                       found.value_or(std::vector<wire::cell_job_state>()));
+    }
+    parts.network.call(wire::peer_address(target->address.value()),
+                       wire::cell_query{std::move(jobs)}, query_timeout,
+                       [done, convert](const result<wire::reply>& answer)
+                       {
+                           const wire::cell_query_reply* found =
+                               answer ? std::get_if<wire::cell_query_reply>(&answer.value())
+                                      : nullptr;
+                           if (found == nullptr)
+                               return convert(false, {});
+                           convert(found->is_owner, found->found);
+                       });
+}
+
+void node::implementation::serve(const instance_id& from, wire::request message,
+                                 const std::function<void(wire::reply)>& answer)
+{
+    if (wire::cell_report* report_message = std::get_if<wire::cell_report>(&message))
+    {
+        const bool is_owner = owned != nullptr && claim.is_owner();
+        if (is_owner)
+            owned->take_report(from, std::move(*report_message));
+        return answer(wire::cell_report_reply{is_owner});
+    }
+    if (const wire::cell_orders* orders = std::get_if<wire::cell_orders>(&message))
+        return answer(take_orders(*orders));
+    if (const wire::cell_query* query = std::get_if<wire::cell_query>(&message))
+    {
+        wire::cell_query_reply reply;
+        const std::optional<std::vector<wire::cell_job_state>> found =
+            owned ? owned->states(query->jobs) : std::nullopt;
+        reply.is_owner = found.has_value();
+        if (found)
+            reply.found = *found;
+        return answer(reply);
+    }
+    answer(wire::failure_reply{error_code::invalid_input, "not a message of a cell"});
+}
+
+node::node(const node_parts& parts)
+    : implementation_(std::make_shared<implementation>(parts))
+{
+}
+
+node::~node() = default;
+
+void node::start()
+{
+    implementation& self = *implementation_;
+    self.parts.network.serve(
+        [&self](const instance_id& from, wire::request message,
+                const std::function<void(wire::reply)>& answer)
+        { self.serve(from, std::move(message), answer); });
+    self.heartbeat = self.parts.loop.every(
+        heartbeat_period, [&self] { self.report(self.agent.token(), agent_report()); });
+    self.claim.start();
+}
+
+void node::configure(const std::vector<queue_policy>& queues)
+{
+    implementation_->queues = queues;
+    if (implementation_->owned)
+        implementation_->owned->configure(queues);
+}
+
+receiver& node::requests()
+{
+    return implementation_->receiver;
+}
+
+std::optional<std::uint64_t> node::waiting(const queue_name& queue) const
+{
+    const implementation& self = *implementation_;
+    if (self.parts.loop.clock().now() - self.depths_at > most_depth_age)
+        return std::nullopt;
+    const auto found = self.depths.find(queue);
+    return found == self.depths.end() ? 0 : found->second;
+}
+
+void node::leave(std::function<void()> done)
+{
+    implementation& self = *implementation_;
+    self.leaving = true;
+    if (!self.owned)
+    {
+        self.claim.release();
+        self.report(self.agent.token(), agent_report());
+        return done();
+    }
+    self.owned->hand_over(handover_limit,
+                          [&self, done = std::move(done)]
+                          {
+                              self.parts.loop.post(
+                                  [&self, done]
+                                  {
+                                      self.claim.release();
+                                      done();
+                                  });
+                          });
+}
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/lib/cell/observe.cpp
@@ -0,0 +1,546 @@
+/// \file
+/// Implements the part of the scheduler that learns what workers run.
+#include "cell_state.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Ends of a worker that are looked at to find one that fails what it starts.
+constexpr std::size_t health_window = 8;
+/// So many of them must have failed, of more than one job.
+constexpr std::size_t failures_to_quarantine = 3;
+constexpr duration first_quarantine = std::chrono::seconds(2);
+/// Doublings of the quarantine: at most 16 s.
+constexpr std::uint32_t most_doublings = 3;
+/// A gang that lost a member is placed again after this pause, so that the stops of the
+/// others are usually listed by then.
+constexpr duration gang_pause = std::chrono::milliseconds(50);
+/// A look that was on its way when a lease was computed may still extend it.
+constexpr duration lease_slack = std::chrono::milliseconds(500);
+
+} // namespace
+
+worker_status& scheduler::implementation::worker(const worker_id& id, boot_time now)
+{
+    const auto [found, added] = workers.try_emplace(id);
+    if (added)
+    {
+        found->second.info.id = id;
+        found->second.contact_at = now;
+    }
+    return found->second;
+}
+
+void scheduler::update_worker(const worker_info& worker, boot_time now)
+{
+    worker_status& status = implementation_->worker(worker.id, now);
+    if (status.described && worker.draining && !status.info.draining)
+        implementation_->log.info("cell", "worker is draining",
+                                  {{"worker", worker.id.value()}});
+    status.info = worker;
+    status.described = true;
+}
+
+void scheduler::remove_worker(const worker_id& worker, boot_time now)
+{
+    const auto found = implementation_->workers.find(worker);
+    if (found == implementation_->workers.end() || !found->second.described)
+        return;
+    implementation_->log.info("cell", "worker is gone",
+                              {{"worker", worker.value()},
+                               {"runs", std::uint64_t{found->second.runs.size()}}});
+    found->second.described = false;
+    if (!found->second.looked && !implementation_->unsettled.contains(worker))
+        implementation_->unsettled[worker] = now;
+}
+
+void scheduler::expect_workers(const std::vector<worker_id>& workers, boot_time now)
+{
+    for (const worker_id& id : workers)
+    {
+        implementation_->worker(id, now);
+        implementation_->unsettled.emplace(id, now);
+    }
+}
+
+std::vector<worker_info> scheduler::workers() const
+{
+    std::vector<worker_info> listed;
+    listed.reserve(implementation_->workers.size());
+    for (const auto& [id, status] : implementation_->workers)
+        listed.push_back(status.info);
+    return listed;
+}
+
+void scheduler::allow_worker(const worker_id& worker)
+{
+    const auto found = implementation_->workers.find(worker);
+    if (found != implementation_->workers.end())
+        found->second.allowed = true;
+}
+
+bool scheduler::is_settled() const
+{
+    return implementation_->unsettled.empty();
+}
+
+void scheduler::implementation::release(worker_status& holder, const task_ref& task)
+{
+    const auto found = holder.runs.find(task);
+    if (found == holder.runs.end())
+        return;
+    holder.used -= found->second.size;
+    holder.runs.erase(found);
+    job_status* job = find_job(task.job);
+    if (job == nullptr || task.step >= job->steps.size())
+        return;
+    step_status& step = job->steps[task.step];
+    if (step.tasks[task.index].on != holder.info.id)
+        return;
+    step.tasks[task.index].on = worker_id();
+    --step.occupied;
+    if (!is_final(job->state) && step.remaining > 0)
+        open_steps.insert(key_of(*job, task.step));
+}
+
+void scheduler::implementation::order_stop(const worker_id& holder, const task_ref& task)
+{
+    const auto host = workers.find(holder);
+    assert(host != workers.end() && "runs are kept at known workers");
+    const auto found = host->second.runs.find(task);
+    if (found == host->second.runs.end() ||
+        found->second.phase == run_phase::stopping)
+        return;
+    found->second.phase = run_phase::stopping;
+    found->second.stop_answered = false;
+    stops.push_back({holder, host->second.info.address, {task, found->second.run}});
+}
+
+void scheduler::implementation::break_gang(job_status& job, std::uint32_t step,
+                                           boot_time now)
+{
+    if (!job.spec.steps[step].gang)
+        return;
+    job.steps[step].not_before = now + gang_pause;
+    for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index)
+    {
+        const worker_id holder = job.steps[step].tasks[index].on;
+        if (!holder.empty())
+            order_stop(holder, task_ref{job.spec.id, step, index});
+    }
+}
+
+void scheduler::implementation::lose_run(worker_status& holder, const task_ref& task,
+                                         const char* why)
+{
+    log.info("cell", "run lost",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"worker", holder.info.id.value()},
+              {"reason", why}});
+    release(holder, task);
+    job_status* job = find_job(task.job);
+    if (job != nullptr && !is_final(job->state) && task.step < job->steps.size() &&
+        job->steps[task.step].remaining > 0)
+        break_gang(*job, task.step, holder.contact_at);
+}
+
+void scheduler::implementation::lose_runs(worker_status& holder, const char* why)
+{
+    std::vector<task_ref> lost;
+    for (const auto& [task, run] : holder.runs)
+        lost.push_back(task);
+    for (const task_ref& task : lost)
+        lose_run(holder, task, why);
+}
+
+bool scheduler::implementation::lease_has_ended(const worker_status& holder,
+                                                boot_time now) const
+{
+    const duration silent = now - holder.contact_at;
+    const duration longest =
+        limits.most_lease + limits.start_deadline + lease_slack;
+    return silent > longest + std::chrono::duration_cast<duration>(
+                                  limits.clock_drift * longest);
+}
+
+void scheduler::implementation::expire_workers(boot_time now)
+{
+    for (auto position = workers.begin(); position != workers.end();)
+    {
+        worker_status& holder = position->second;
+        if (!lease_has_ended(holder, now))
+        {
+            ++position;
+            continue;
+        }
+        unsettled.erase(position->first);
+        lose_runs(holder, "lease ended");
+        holder.looked = false;
+        if (holder.described)
+            ++position;
+        else
+            position = workers.erase(position);
+    }
+}
+
+void scheduler::implementation::repeat_stops(boot_time now)
+{
+    for (auto& [id, holder] : workers)
+        for (auto& [task, run] : holder.runs)
+        {
+            if (run.phase != run_phase::stopping || run.stop_answered ||
+                now - run.ordered_at < limits.answer_limit)
+                continue;
+            run.ordered_at = now;
+            stops.push_back({id, holder.info.address, {task, run.run}});
+        }
+}
+
+void scheduler::implementation::move_stalled(boot_time now)
+{
+    for (auto& [id, holder] : workers)
+    {
+        if (now - holder.contact_at > limits.answer_limit)
+            continue;
+        std::vector<task_ref> stalled;
+        for (const auto& [task, run] : holder.runs)
+            if (run.phase == run_phase::running && run.progressed_at != boot_time() &&
+                now - run.progressed_at > limits.stall_limit)
+                stalled.push_back(task);
+        for (const task_ref& task : stalled)
+        {
+            job_status* job = find_job(task.job);
+            if (job == nullptr || job->spec.steps[task.step].persistent)
+                continue;
+            log.warning("cell", "run makes no progress",
+                        {{"job", task.job.value()}, {"worker", id.value()}});
+            job->steps[task.step].tasks[task.index].failed_on = id;
+            note_health(holder, task.job, true, now);
+            order_stop(id, task);
+        }
+    }
+}
+
+void scheduler::implementation::note_health(worker_status& holder, const job_key& job,
+                                            bool failed, boot_time now)
+{
+    holder.recent_ends.emplace_back(job, failed);
+    if (holder.recent_ends.size() > health_window)
+        holder.recent_ends.pop_front();
+    std::set<job_key> jobs_failed;
+    std::size_t failures = 0;
+    for (const auto& [ended, bad] : holder.recent_ends)
+        if (bad)
+        {
+            ++failures;
+            jobs_failed.insert(ended);
+        }
+    if (failures < failures_to_quarantine || jobs_failed.size() < 2 ||
+        2 * failures < holder.recent_ends.size())
+        return;
+    holder.quarantined_until =
+        now + first_quarantine * (1U << std::min(holder.quarantines, most_doublings));
+    ++holder.quarantines;
+    holder.recent_ends.clear();
+    log.warning("cell", "worker quarantined",
+                {{"worker", holder.info.id.value()},
+                 {"times", std::uint64_t{holder.quarantines}}});
+}
+
+void scheduler::implementation::take_end(worker_status& holder, const ended_task& end,
+                                         boot_time now)
+{
+    const task_ref& task = end.run.task;
+    const auto record = holder.runs.find(task);
+    if (record != holder.runs.end() && record->second.run <= end.run.run)
+        release(holder, task);
+    job_status* job = find_job(task.job);
+    if (job == nullptr || task.step >= job->steps.size() ||
+        task.index >= job->steps[task.step].tasks.size())
+        return;
+    step_status& step = job->steps[task.step];
+    task_status& status = step.tasks[task.index];
+    if (end.run.run <= status.ended_run)
+        return;
+    status.ended_run = end.run.run;
+    status.last_run = std::max(status.last_run, end.run.run);
+    if (!end.saved.empty())
+        status.saved = end.saved;
+    if (is_final(job->state) || status.done)
+        return;
+    log.info("cell", "run ended",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"run", std::uint64_t{end.run.run.value()}},
+              {"worker", holder.info.id.value()},
+              {"how", to_string(end.how)}});
+    job->started = true;
+    job->state = job_state::running;
+    if (end.how == run_end::done || end.how == run_end::failed)
+        changes.ends.push_back({end.run, end.how});
+    const bool persistent = job->spec.steps[task.step].persistent;
+    if (end.how == run_end::done && !persistent)
+    {
+        note_health(holder, task.job, false, now);
+        return task_done(*job, task);
+    }
+    if (end.how == run_end::failed)
+    {
+        note_health(holder, task.job, true, now);
+        task_failed(*job, task, holder.info.id);
+        if (is_final(job->state))
+            return;
+    }
+    open_steps.insert(key_of(*job, task.step));
+    if (end.how != run_end::stopped)
+        break_gang(*job, task.step, now);
+}
+
+void scheduler::implementation::take_running(worker_status& holder,
+                                             const running_task& shown, boot_time now,
+                                             observation began)
+{
+    const task_ref& task = shown.run.task;
+    const auto [found, added] = holder.runs.try_emplace(task);
+    run_record& record = found->second;
+    if (!added && shown.run.run < record.run)
+        return;
+    job_status* job = find_job(task.job);
+    const bool known = job != nullptr && task.step < job->steps.size() &&
+                       task.index < job->steps[task.step].tasks.size();
+    if (added)
+    {
+        record.run = shown.run.run;
+        record.ordered_at = now;
+        if (known)
+            record.size = job->spec.steps[task.step].size;
+        holder.used += record.size;
+    }
+    record.run = shown.run.run;
+    if (record.phase == run_phase::starting)
+    {
+        record.phase = run_phase::running;
+        record.seen = began;
+    }
+    if (shown.percent != record.percent || record.progressed_at == boot_time())
+    {
+        record.percent = shown.percent;
+        record.progressed_at = now;
+    }
+    if (!known)
+        return order_stop(holder.info.id, task);
+    step_status& step = job->steps[task.step];
+    task_status& status = step.tasks[task.index];
+    status.last_run = std::max(status.last_run, shown.run.run);
+    if (!shown.saved.empty())
+        status.saved = shown.saved;
+    if (is_final(job->state) || status.done)
+        return order_stop(holder.info.id, task);
+    if (status.on == holder.info.id)
+        return;
+    if (!status.on.empty())
+    {
+        log.warning("cell", "task runs on two workers",
+                    {{"job", task.job.value()},
+                     {"worker", holder.info.id.value()},
+                     {"other", status.on.value()}});
+        return order_stop(holder.info.id, task);
+    }
+    status.on = holder.info.id;
+    ++step.occupied;
+    job->started = true;
+    job->state = job_state::running;
+}
+
+void scheduler::implementation::settle_missing(worker_status& holder,
+                                               const worker_look& look, boot_time now,
+                                               const std::set<task_ref>& shown)
+{
+    std::vector<task_ref> missing;
+    for (const auto& [task, record] : holder.runs)
+        if (!shown.contains(task))
+            missing.push_back(task);
+    for (const task_ref& task : missing)
+    {
+        run_record& record = holder.runs.find(task)->second;
+        const bool reflected = record.seen != observation() && record.seen <= look.began;
+        switch (record.phase)
+        {
+        case run_phase::running:
+            if (reflected)
+                lose_run(holder, task, "not shown by the worker");
+            break;
+        case run_phase::stopping:
+            // After an answered stop the run can no longer begin there.
+            if (record.stop_answered && reflected)
+                release(holder, task);
+            break;
+        case run_phase::starting:
+            if (record.answered ? reflected : now - record.ordered_at > limits.answer_limit)
+            {
+                log.info("cell", "start unsettled",
+                         {{"job", task.job.value()}, {"worker", holder.info.id.value()}});
+                record.ordered_at = now;
+                job_status* job = find_job(task.job);
+                if (job != nullptr)
+                    break_gang(*job, task.step, now);
+                order_stop(holder.info.id, task);
+            }
+            break;
+        }
+    }
+}
+
+void scheduler::observe(const worker_look& look, boot_time now)
+{
+    implementation& self = *implementation_;
+    const auto found = self.workers.find(look.worker);
+    if (found == self.workers.end())
+        return;
+    worker_status& holder = found->second;
+    if (holder.looked && look.life < holder.life)
+        return;
+    if (look.life != holder.life)
+    {
+        if (holder.looked)
+        {
+            self.log.warning("cell", "worker restarted",
+                             {{"worker", look.worker.value()},
+                              {"runs", std::uint64_t{holder.runs.size()}}});
+            std::vector<task_ref> lost;
+            std::vector<task_ref> uncertain;
+            for (const auto& [task, record] : holder.runs)
+                (record.answered || record.phase == run_phase::running ? lost : uncertain)
+                    .push_back(task);
+            for (const task_ref& task : lost)
+                self.lose_run(holder, task, "worker restarted");
+            // An order that is carried out late may reach the new life.
+            for (const task_ref& task : uncertain)
+                self.order_stop(look.worker, task);
+        }
+        holder.life = look.life;
+        holder.processed = end_number();
+        holder.covered = end_number();
+    }
+    holder.looked = true;
+    holder.clock = look.clock;
+    holder.clock_at = now;
+    holder.contact_at = now;
+    self.unsettled.erase(look.worker);
+    for (const ended_task& end : look.ended)
+    {
+        if (end.number <= holder.processed)
+            continue;
+        self.take_end(holder, end, now);
+        holder.processed = end.number;
+    }
+    std::set<task_ref> shown;
+    for (const running_task& running : look.running)
+    {
+        shown.insert(running.run.task);
+        self.take_running(holder, running, now, look.began);
+    }
+    self.settle_missing(holder, look, now, shown);
+}
+
+void scheduler::observe(const order_result& result, boot_time now)
+{
+    implementation& self = *implementation_;
+    const auto found = self.workers.find(result.worker);
+    if (found == self.workers.end())
+        return;
+    worker_status& holder = found->second;
+    const auto record = holder.runs.find(result.run.task);
+    if (record == holder.runs.end() || record->second.run != result.run.run)
+        return;
+    if (result.stop)
+    {
+        if (result.outcome != order_outcome::accepted)
+            return;
+        record->second.stop_answered = true;
+        record->second.seen = result.seen;
+        return;
+    }
+    if (record->second.answered)
+        return;
+    if (result.outcome == order_outcome::accepted)
+    {
+        record->second.answered = true;
+        if (record->second.phase == run_phase::starting)
+        {
+            record->second.phase = run_phase::running;
+            record->second.seen = result.seen;
+        }
+        return;
+    }
+    if (result.outcome == order_outcome::unanswered)
+    {
+        self.log.info("cell", "start not answered",
+                      {{"job", result.run.task.job.value()},
+                       {"worker", result.worker.value()}});
+        return;
+    }
+    self.start_failed(holder, result, now);
+}
+
+void scheduler::implementation::start_failed(worker_status& holder,
+                                             const order_result& result, boot_time now)
+{
+    const task_ref task = result.run.task;
+    log.info("cell", "start refused",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"worker", result.worker.value()},
+              {"reason", to_string(result.outcome)}});
+    // A run that was seen on the worker was refused as a copy of itself.
+    if (holder.runs.find(task)->second.phase == run_phase::running)
+        return;
+    release(holder, task);
+    job_status* job = find_job(task.job);
+    if (job == nullptr || is_final(job->state))
+        return;
+    step_status& step = job->steps[task.step];
+    if (result.outcome == order_outcome::no_ticket)
+        step.good[result.worker].until = now;
+    if (result.outcome == order_outcome::unhealthy ||
+        result.outcome == order_outcome::invalid)
+        holder.quarantined_until =
+            std::max(holder.quarantined_until, now + first_quarantine);
+    if (result.outcome == order_outcome::no_room)
+        holder.quarantined_until =
+            std::max(holder.quarantined_until, now + limits.answer_limit);
+    break_gang(*job, task.step, now);
+}
+
+void scheduler::observe(const advice_result& result, boot_time now)
+{
+    job_status* job = implementation_->find_job(result.job);
+    if (job == nullptr || result.step >= job->steps.size())
+        return;
+    step_status& step = job->steps[result.step];
+    step.asking_since.reset();
+    if (!result.answered)
+    {
+        for (const worker_id& id : result.asked)
+            if (!step.good.contains(id))
+                step.asked.erase(id);
+        return;
+    }
+    // Tickets end a little early, since the start has to arrive before their end.
+    constexpr duration travel_time = std::chrono::milliseconds(150);
+    for (const auto& [id, proof] : result.good)
+        step.good[id] = permission{
+            proof, now + std::chrono::milliseconds(result.valid_ms) - travel_time};
+}
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/lib/cell/owner.cpp
@@ -0,0 +1,442 @@
+/// \file
+/// Implements the owner of a cell: agents and orders.
+#include "owner_state.hpp"
+
+#include <algorithm>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Input that arrives within this time is decided together.
+constexpr duration decision_delay = std::chrono::milliseconds(10);
+/// Decisions that follow from time alone: repeated stops, ended leases, tickets.
+constexpr duration decision_period = std::chrono::milliseconds(100);
+/// Each agent hears from the owner at least this often, also without orders.
+constexpr duration broadcast_period = std::chrono::milliseconds(400);
+/// An agent that was not heard for this long has its workers taken away.
+constexpr duration agent_silence = std::chrono::milliseconds(1500);
+/// With so many other agents the owner's own host is left to its decisions.
+constexpr std::size_t agents_to_spare_owner = 3;
+/// Questions to the advice service that may wait at one agent, in answering time.
+constexpr duration most_advice_backlog = std::chrono::milliseconds(1800);
+
+} // namespace
+
+void owner::implementation::begin()
+{
+    parts.directory.start([this](const std::vector<worker_info>& listed)
+                          { take_workers(listed); });
+    decision_timer = parts.loop.every(decision_period, [this] { decide(); });
+    broadcast_timer = parts.loop.every(broadcast_period, [this] { broadcast(); });
+    load_timer = parts.loop.every(reload_period, [this] { follow(); });
+    load();
+}
+
+void owner::implementation::decide_soon()
+{
+    if (decision_due)
+        return;
+    decision_due = true;
+    soon_timer = parts.loop.after(decision_delay,
+                                  [this]
+                                  {
+                                      decision_due = false;
+                                      decide();
+                                  });
+}
+
+agent_state& owner::implementation::agent_of(const instance_id& id)
+{
+    return agents[id];
+}
+
+void owner::implementation::take_workers(const std::vector<worker_info>& listed)
+{
+    const boot_time now = parts.loop.clock().now();
+    std::set<worker_id> present;
+    for (const worker_info& info : listed)
+    {
+        present.insert(info.id);
+        cell.update_worker(info, now);
+        worker_route& route = routes[info.id];
+        if (route.address != info.address)
+        {
+            route.address = info.address;
+            route.agent = instance_id();
+        }
+        if (stored_workers.contains(info.id))
+            cell.allow_worker(info.id);
+        else if (wanted_workers.insert(info.id).second)
+            workers_changed = true;
+    }
+    for (const worker_info& info : cell.workers())
+        if (!present.contains(info.id))
+            cell.remove_worker(info.id, now);
+    std::erase_if(routes, [this, &present](const std::pair<const worker_id, worker_route>& entry)
+                  {
+                      if (present.contains(entry.first))
+                          return false;
+                      if (!entry.second.agent.empty())
+                          outbox[entry.second.agent].assignments.push_back(
+                              {entry.first, entry.second.address, 0, false});
+                      return true;
+                  });
+    assign_workers();
+    store_soon();
+    decide_soon();
+}
+
+void owner::implementation::assign_workers()
+{
+    const boot_time now = parts.loop.clock().now();
+    std::map<instance_id, double> load;
+    std::size_t others = 0;
+    for (const auto& [id, state] : agents)
+        if (now - state.heard_at <= agent_silence && !state.leaving && !state.broken)
+        {
+            load[id] = 0;
+            others += id == parts.self ? 0U : 1U;
+        }
+    if (others >= agents_to_spare_owner)
+        load.erase(parts.self);
+    if (load.empty())
+        return;
+    for (auto& [id, route] : routes)
+    {
+        const auto serving = load.find(route.agent);
+        if (serving == load.end())
+            route.agent = instance_id();
+        else
+            serving->second += 1.0 / agents.at(route.agent).share;
+    }
+    for (auto& [id, route] : routes)
+    {
+        if (!route.agent.empty())
+            continue;
+        const auto least = std::ranges::min_element(
+            load, {}, [](const std::pair<const instance_id, double>& entry)
+            { return entry.second; });
+        route.agent = least->first;
+        least->second += 1.0 / agents.at(route.agent).share;
+        outbox[route.agent].assignments.push_back(
+            {id, route.address, ++last_assignment, true});
+    }
+    // A new agent takes over from the one with most workers, one for each round.
+    const auto [least, most] = std::ranges::minmax_element(
+        load, {}, [](const std::pair<const instance_id, double>& entry)
+        { return entry.second; });
+    const double step = 1.0 / agents.at(least->first).share +
+                        1.0 / agents.at(most->first).share;
+    if (most->second - least->second <= step)
+        return;
+    for (auto& [id, route] : routes)
+        if (route.agent == most->first)
+        {
+            outbox[route.agent].assignments.push_back({id, route.address, 0, false});
+            route.agent = least->first;
+            outbox[route.agent].assignments.push_back(
+                {id, route.address, ++last_assignment, true});
+            return decide_soon();
+        }
+}
+
+void owner::implementation::take_report(const instance_id& from, wire::cell_report report)
+{
+    const boot_time now = parts.loop.clock().now();
+    agent_state& sender = agent_of(from);
+    const bool usable = sender.heard_at != boot_time() && !sender.broken &&
+                        now - sender.heard_at <= agent_silence;
+    sender.address = report.address;
+    sender.share = std::max(report.share, 1U) / 1000.0;
+    sender.heard_at = now;
+    sender.broken = false;
+    const bool leaves = report.leaving && !sender.leaving;
+    sender.leaving = report.leaving;
+    for (wire::accepted_job& accepted : report.accepted)
+    {
+        const job_key id = accepted.job.id;
+        if (cell.add_job(std::move(accepted.job), !accepted.is_new) &&
+            cancelled_early.erase(id) != 0)
+            cell.cancel(id);
+    }
+    for (const job_key& job : report.cancelled)
+        if (!cell.cancel(job))
+            cancelled_early.insert(job);
+    if (report.token == token)
+        observe(from, report.report, now);
+    if (!usable || leaves)
+        assign_workers();
+    decide_soon();
+}
+
+void owner::implementation::observe(const instance_id& from, const agent_report& report,
+                                    boot_time now)
+{
+    for (const order_result& result : report.results)
+    {
+        if (result.outcome == order_outcome::fenced && result.token == token.value())
+            return parts.superseded(fence_token(token.value() + 1));
+        cell.observe(result, now);
+    }
+    for (const worker_look& look : report.looks)
+        cell.observe(look, now);
+    agent_state& sender = agent_of(from);
+    for (const advice_result& result : report.advice)
+    {
+        const auto cost = sender.asked.find({result.job, result.step});
+        if (cost != sender.asked.end())
+        {
+            sender.advice_backlog -= cost->second;
+            sender.asked.erase(cost);
+        }
+        cell.observe(result, now);
+    }
+    for (const worker_id& id : report.unreachable)
+    {
+        // Another agent may still reach the worker.
+        const auto route = routes.find(id);
+        if (route != routes.end() && route->second.agent == from && agents.size() > 2)
+            move_worker(id, route->second);
+    }
+    store_soon();
+}
+
+void owner::implementation::move_worker(const worker_id& id, worker_route& route)
+{
+    const boot_time now = parts.loop.clock().now();
+    std::vector<instance_id> others;
+    for (const auto& [agent, state] : agents)
+        if (agent != route.agent && agent != parts.self && !state.leaving &&
+            !state.broken && now - state.heard_at <= agent_silence)
+            others.push_back(agent);
+    if (others.empty())
+        return;
+    outbox[route.agent].assignments.push_back({id, route.address, 0, false});
+    route.agent = others[last_assignment % others.size()];
+    outbox[route.agent].assignments.push_back(
+        {id, route.address, ++last_assignment, true});
+}
+
+void owner::implementation::decide()
+{
+    if (!loaded || stopping)
+        return send_orders();
+    const boot_time now = parts.loop.clock().now();
+    decisions decided = cell.decide(now);
+    for (start_order& order : decided.starts)
+    {
+        const auto route = routes.find(order.worker);
+        if (route != routes.end() && !route->second.agent.empty())
+            outbox[route->second.agent].starts.push_back(std::move(order));
+        else
+            refuse_start(order.worker, order.run, now);
+    }
+    for (const stop_order& order : decided.stops)
+    {
+        const auto route = routes.find(order.worker);
+        if (route != routes.end() && !route->second.agent.empty())
+            outbox[route->second.agent].stops.push_back(order);
+    }
+    for (advice_order& order : decided.advice)
+        route_advice(std::move(order), now);
+    store_soon();
+    send_orders();
+}
+
+void owner::implementation::refuse_start(const worker_id& worker, const run_ref& run,
+                                         boot_time now)
+{
+    order_result result;
+    result.worker = worker;
+    result.run = run;
+    result.outcome = order_outcome::not_sent;
+    cell.observe(result, now);
+}
+
+void owner::implementation::route_advice(advice_order order, boot_time now)
+{
+    instance_id best;
+    duration least = most_advice_backlog;
+    for (auto& [id, state] : agents)
+    {
+        if (state.leaving || state.broken || now - state.heard_at > agent_silence)
+            continue;
+        if (state.advice_backlog < least)
+        {
+            least = state.advice_backlog;
+            best = id;
+        }
+    }
+    if (best.empty())
+    {
+        advice_result refused;
+        refused.job = order.job;
+        refused.step = order.step;
+        refused.asked = order.workers;
+        return cell.observe(refused, now);
+    }
+    agent_state& chosen = agents.at(best);
+    const duration cost = cell.advice_cost(order);
+    chosen.advice_backlog += cost;
+    chosen.asked[{order.job, order.step}] = cost;
+    outbox[best].advice.push_back(std::move(order));
+}
+
+void owner::implementation::send_orders()
+{
+    std::map<instance_id, agent_orders> sending;
+    sending.swap(outbox);
+    for (auto& [id, orders] : sending)
+        if (!orders.empty())
+            send_to(id, std::move(orders), {}, {});
+}
+
+void owner::implementation::broadcast()
+{
+    const boot_time now = parts.loop.clock().now();
+    std::erase_if(agents, [now](const std::pair<const instance_id, agent_state>& entry)
+                  { return now - entry.second.heard_at > 10 * agent_silence; });
+    assign_workers();
+    if (!loaded)
+        return;
+    const std::vector<queue_depth> depths = cell.depths();
+    std::map<instance_id, agent_orders> sending;
+    sending.swap(outbox);
+    for (const auto& [id, state] : agents)
+        if (now - state.heard_at <= agent_silence)
+            send_to(id, std::move(sending[id]), newly_ended, depths);
+    newly_ended.clear();
+}
+
+void owner::implementation::send_to(const instance_id& id, agent_orders orders,
+                                    std::vector<wire::cell_job_state> ended,
+                                    std::vector<queue_depth> depths)
+{
+    const auto found = agents.find(id);
+    if (found == agents.end())
+        return;
+    wire::cell_orders message;
+    message.token = token;
+    message.orders = std::move(orders);
+    message.ended = std::move(ended);
+    message.depths = std::move(depths);
+    std::vector<std::pair<worker_id, run_ref>> starts;
+    for (const start_order& order : message.orders.starts)
+        starts.emplace_back(order.worker, order.run);
+    parts.send(found->second.address, std::move(message),
+               [weak = weak_from_this(), id, starts](result<fence_token> answer)
+               {
+                   const std::shared_ptr<implementation> self = weak.lock();
+                   if (self)
+                       self->take_answer(id, starts, answer);
+               });
+}
+
+void owner::implementation::take_answer(
+    const instance_id& id, const std::vector<std::pair<worker_id, run_ref>>& starts,
+    const result<fence_token>& answer)
+{
+    if (answer)
+    {
+        if (answer.value() > token)
+            parts.superseded(answer.value());
+        return;
+    }
+    const boot_time now = parts.loop.clock().now();
+    parts.log.warning(
+        "owner", "orders not taken",
+        {{"agent", id.value()}, {"reason", answer.error().message}});
+    if (answer.error().code != error_code::outcome_unknown)
+        for (const auto& [worker, run] : starts)
+            refuse_start(worker, run, now);
+    const auto found = agents.find(id);
+    if (found == agents.end())
+        return;
+    // Its next report makes it usable again, with new assignments.
+    found->second.broken = true;
+    assign_workers();
+    decide_soon();
+}
+
+void owner::implementation::check_handover()
+{
+    if (!handover_done)
+        return;
+    if (!storing && (changes_wait() || parts.loop.clock().now() < handover_until))
+    {
+        store_soon();
+        handover_timer = parts.loop.after(decision_period, [this] { check_handover(); });
+        if (parts.loop.clock().now() < handover_until)
+            return;
+    }
+    const std::function<void()> done = std::exchange(handover_done, nullptr);
+    done();
+}
+
+owner::owner(const owner_parts& parts, fence_token token)
+    : implementation_(std::make_shared<implementation>(parts, token))
+{
+}
+
+owner::~owner()
+{
+    implementation_->parts.directory.stop();
+}
+
+void owner::start()
+{
+    implementation_->begin();
+}
+
+void owner::change_token(fence_token token)
+{
+    implementation& self = *implementation_;
+    self.token = token;
+    // Agents drop the assignments of an earlier token.
+    for (auto& [id, route] : self.routes)
+        route.agent = instance_id();
+    self.outbox.clear();
+    self.assign_workers();
+    self.send_orders();
+}
+
+void owner::configure(const std::vector<queue_policy>& queues)
+{
+    implementation_->cell.configure(queues);
+    implementation_->decide_soon();
+}
+
+void owner::take_report(const instance_id& from, wire::cell_report report)
+{
+    implementation_->take_report(from, std::move(report));
+}
+
+std::optional<std::vector<wire::cell_job_state>>
+owner::states(const std::vector<job_key>& jobs) const
+{
+    if (!implementation_->loaded)
+        return std::nullopt;
+    std::vector<wire::cell_job_state> found;
+    for (const job_key& job : jobs)
+    {
+        const std::optional<job_state> state = implementation_->cell.state(job);
+        if (state)
+            found.push_back({job, *state});
+    }
+    return found;
+}
+
+void owner::hand_over(duration limit, std::function<void()> done)
+{
+    implementation& self = *implementation_;
+    self.stopping = true;
+    self.handover_until = self.parts.loop.clock().now() + limit;
+    self.handover_done = std::move(done);
+    self.handover_timer =
+        self.parts.loop.after(limit, [&self] { self.check_handover(); });
+}
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/lib/cell/owner_state.hpp
@@ -0,0 +1,123 @@
+/// \file
+/// State of the owner of a cell.
+#ifndef HAWTHORNBEAM_LIB_CELL_OWNER_STATE_HPP
+#define HAWTHORNBEAM_LIB_CELL_OWNER_STATE_HPP
+
+#include "hawthornbeam/cell/owner.hpp"
+#include "stored_form.hpp"
+
+#include <deque>
+#include <map>
+
+namespace hawthornbeam::cell
+{
+
+/// How often the owner reads from the store what it may not have been told: jobs and
+/// cancels of receivers that died after they had stored them.
+inline constexpr duration reload_period = std::chrono::milliseconds(1000);
+
+struct agent_state
+{
+    endpoint address;
+    double share = 1; ///< Of a processor.
+    boot_time heard_at{};
+    bool leaving = false;
+    bool broken = false; ///< Orders did not reach it.
+    duration advice_backlog{};
+    std::map<std::pair<job_key, std::uint32_t>, duration> asked;
+};
+
+/// Who looks at a worker.
+struct worker_route
+{
+    endpoint address;
+    instance_id agent;
+};
+
+class owner::implementation : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(const owner_parts& given, fence_token claimed)
+        : parts(given), token(claimed), cell(given.limits, given.log)
+    {
+    }
+
+    void begin();
+    void decide_soon();
+    void decide();
+    void take_report(const instance_id& from, wire::cell_report report);
+    void observe(const instance_id& from, const agent_report& report, boot_time now);
+    agent_state& agent_of(const instance_id& id);
+    void take_workers(const std::vector<worker_info>& listed);
+    void assign_workers();
+    void move_worker(const worker_id& id, worker_route& route);
+    void refuse_start(const worker_id& worker, const run_ref& run, boot_time now);
+    void route_advice(advice_order order, boot_time now);
+    void send_orders();
+    void broadcast();
+    void send_to(const instance_id& id, agent_orders orders,
+                 std::vector<wire::cell_job_state> ended,
+                 std::vector<queue_depth> depths);
+    void take_answer(const instance_id& id,
+                     const std::vector<std::pair<worker_id, run_ref>>& starts,
+                     const result<fence_token>& answer);
+    void check_handover();
+
+    // Reading and writing of the store (owner_store.cpp).
+    void load();
+    void take_listing(const store_listing& listing);
+    void take_item(const store_item& item, std::vector<stored_end>& ends,
+                   std::vector<job_key>& cancels);
+    void follow();
+    void take_changes(const result<store_changes>& answer);
+    void store_soon();
+    void store_now();
+    bool changes_wait() const;
+    void commit(store_transaction change);
+    void take_commit(const store_transaction& change, const result<store_commit>& answer);
+    void finish_batch();
+    void remove_outdated(store_transaction& change);
+
+    owner_parts parts;
+    fence_token token;
+    scheduler cell;
+    bool loaded = false;
+    bool stopping = false;
+    std::map<instance_id, agent_state> agents;
+    std::map<worker_id, worker_route> routes;
+    std::uint64_t last_assignment = 0;
+    std::map<instance_id, agent_orders> outbox;
+    std::vector<wire::cell_job_state> newly_ended;
+    std::set<job_key> cancelled_early; ///< Cancels that came before their jobs.
+    std::function<void()> handover_done;
+    boot_time handover_until{};
+
+    // What is being stored.
+    bool storing = false;
+    pending_changes batch; ///< Under way, or waiting to be stored again.
+    std::string batch_key; ///< Key of its ends.
+    std::uint64_t last_batch = 0;
+    std::map<std::string, std::set<job_key>> ends_records; ///< Jobs of stored ends.
+    std::map<job_key, std::set<std::string>> records_of;   ///< Reverse of it.
+    std::vector<std::string> outdated;                     ///< Keys to remove.
+    std::deque<std::pair<boot_time, job_key>> ended;       ///< Stored final states.
+    std::set<worker_id> stored_workers;
+    std::set<worker_id> wanted_workers;
+    bool workers_changed = false;
+    bool workers_in_batch = false;
+    kv_revision followed; ///< Revision up to which changes were read.
+    bool following = false;
+
+    bool decision_due = false;
+    bool store_due = false;
+    timer_handle soon_timer;
+    timer_handle store_timer;
+    timer_handle decision_timer;
+    timer_handle broadcast_timer;
+    timer_handle load_timer;
+    timer_handle handover_timer;
+};
+
+} // namespace hawthornbeam::cell
+
+#endif
--- /dev/null
+++ b/lib/cell/owner_store.cpp
@@ -0,0 +1,335 @@
+/// \file
+/// Implements the part of the owner that reads and writes the store.
+#include "owner_state.hpp"
+
+#include <algorithm>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Changes that arise within this time are stored together.
+constexpr duration store_delay = std::chrono::milliseconds(30);
+/// Pause after a write that failed.
+constexpr duration store_retry = std::chrono::milliseconds(250);
+/// Final states and removals of a transaction; the rest of the entries is for the claim,
+/// the ends and the workers.
+constexpr std::size_t most_final_states = 20;
+constexpr std::size_t most_removals = 8;
+
+} // namespace
+
+void owner::implementation::load()
+{
+    parts.store.list(std::string(cell_prefix),
+                     [weak = weak_from_this()](const result<store_listing>& answer)
+                     {
+                         const std::shared_ptr<implementation> self = weak.lock();
+                         if (!self)
+                             return;
+                         if (answer)
+                             return self->take_listing(answer.value());
+                         self->parts.log.warning("owner", "stored jobs not read",
+                                                 {{"reason", answer.error().message}});
+                         self->store_timer = self->parts.loop.after(
+                             store_retry, [implementation = self.get()] { implementation->load(); });
+                     });
+}
+
+void owner::implementation::take_listing(const store_listing& listing)
+{
+    std::vector<stored_end> ends;
+    std::vector<job_key> cancels;
+    for (const store_item& item : listing.items)
+        take_item(item, ends, cancels);
+    for (const stored_end& end : ends)
+        cell.restore_end(end);
+    for (const job_key& job : cancels)
+        if (!cell.cancel(job))
+            cancelled_early.insert(job);
+    followed = std::max(followed, listing.at);
+    if (!loaded)
+        parts.log.info("owner", "stored jobs read",
+                       {{"open", std::uint64_t{cell.open_jobs()}},
+                        {"items", std::uint64_t{listing.items.size()}}});
+    loaded = true;
+    store_soon();
+    decide_soon();
+}
+
+void owner::implementation::take_item(const store_item& item,
+                                      std::vector<stored_end>& ends,
+                                      std::vector<job_key>& cancels)
+{
+    const std::string_view key = item.key;
+    if (key.starts_with(job_prefix))
+    {
+        result<job_record> record = decode_job(item.value);
+        if (!record)
+            return parts.log.error("owner", "stored job cannot be read",
+                                   {{"key", item.key}, {"reason", record.error().message}});
+        const job_key id{std::string(key.substr(job_prefix.size()))};
+        if (record.value().job)
+            cell.add_job(std::move(*record.value().job), true);
+        else if (!cell.state(id))
+        {
+            cell.restore_final(id, record.value().state);
+            ended.emplace_back(parts.loop.clock().now(), id);
+        }
+        return;
+    }
+    if (key.starts_with(cancel_prefix))
+        return cancels.emplace_back(std::string(key.substr(cancel_prefix.size()))), void();
+    if (key.starts_with(ends_prefix))
+    {
+        result<std::vector<stored_end>> stored = decode_ends(item.value);
+        if (!stored)
+            return parts.log.error("owner", "stored ends cannot be read",
+                                   {{"key", item.key}, {"reason", stored.error().message}});
+        for (const stored_end& end : stored.value())
+        {
+            ends_records[item.key].insert(end.run.task.job);
+            records_of[end.run.task.job].insert(item.key);
+            ends.push_back(end);
+        }
+        return;
+    }
+    if (key == workers_key)
+    {
+        result<std::vector<worker_id>> known = decode_workers(item.value);
+        if (!known)
+            return parts.log.error("owner", "stored workers cannot be read",
+                                   {{"reason", known.error().message}});
+        cell.expect_workers(known.value(), parts.loop.clock().now());
+        for (const worker_id& id : known.value())
+        {
+            stored_workers.insert(id);
+            wanted_workers.insert(id);
+            cell.allow_worker(id);
+        }
+    }
+}
+
+void owner::implementation::follow()
+{
+    if (!loaded || following)
+        return;
+    following = true;
+    parts.store.watch(std::string(cell_prefix), followed, duration::zero(),
+                      [weak = weak_from_this()](const result<store_changes>& answer)
+                      {
+                          const std::shared_ptr<implementation> self = weak.lock();
+                          if (self)
+                              self->take_changes(answer);
+                      });
+}
+
+void owner::implementation::take_changes(const result<store_changes>& answer)
+{
+    following = false;
+    if (!answer)
+        return;
+    if (answer.value().history_lost)
+        return load();
+    for (const store_event& event : answer.value().events)
+    {
+        const std::string_view key = event.item.key;
+        if (event.removed)
+            continue;
+        if (key == owner_key && event.item.revision > kv_revision(token.value()))
+            return parts.superseded(fence_token(event.item.revision.value()));
+        std::vector<stored_end> ends;
+        std::vector<job_key> cancels;
+        // Final states and ends are this owner's own writes.
+        if (key.starts_with(cancel_prefix) || key.starts_with(job_prefix))
+            take_item(event.item, ends, cancels);
+        for (const job_key& job : cancels)
+            if (!cell.cancel(job))
+                cancelled_early.insert(job);
+    }
+    followed = std::max(followed, answer.value().at);
+    if (!answer.value().events.empty())
+        decide_soon();
+}
+
+bool owner::implementation::changes_wait() const
+{
+    return storing || !batch.empty();
+}
+
+void owner::implementation::store_soon()
+{
+    if (store_due || storing || !loaded)
+        return;
+    store_due = true;
+    store_timer = parts.loop.after(store_delay,
+                                   [this]
+                                   {
+                                       store_due = false;
+                                       store_now();
+                                   });
+}
+
+void owner::implementation::store_now()
+{
+    if (storing)
+        return;
+    if (batch.empty())
+    {
+        batch = cell.take_changes();
+        if (!batch.ends.empty())
+            batch_key = ends_store_key(token, ++last_batch);
+    }
+    store_transaction change;
+    change.expect.push_back({std::string(owner_key), kv_revision(token.value())});
+    if (!batch.ends.empty())
+        change.puts.push_back({batch_key, encode(batch.ends), lease_id()});
+    const std::int64_t now_ms =
+        parts.loop.clock().wall_now().time_since_epoch().count();
+    std::size_t states = 0;
+    for (const auto& [job, state] : batch.final_jobs)
+    {
+        if (++states > most_final_states)
+            break;
+        change.puts.push_back(
+            {job_store_key(job), encode(job_record{state, std::nullopt, now_ms}),
+             lease_id()});
+    }
+    workers_in_batch = workers_changed;
+    if (workers_changed)
+    {
+        change.puts.push_back(
+            {std::string(workers_key),
+             encode(std::vector<worker_id>(wanted_workers.begin(), wanted_workers.end())),
+             lease_id()});
+        workers_changed = false;
+    }
+    remove_outdated(change);
+    if (change.puts.empty() && change.removals.empty())
+    {
+        // Ends that need no record are acknowledged without a write.
+        if (!batch.empty())
+            finish_batch();
+        return;
+    }
+    commit(std::move(change));
+}
+
+void owner::implementation::remove_outdated(store_transaction& change)
+{
+    const boot_time now = parts.loop.clock().now();
+    while (!ended.empty() && now - ended.front().first > parts.keep_ended)
+    {
+        outdated.push_back(job_store_key(ended.front().second));
+        outdated.push_back(cancel_store_key(ended.front().second));
+        cell.forget(ended.front().second);
+        ended.pop_front();
+    }
+    while (!outdated.empty() && change.removals.size() < most_removals)
+    {
+        change.removals.push_back(std::move(outdated.back()));
+        outdated.pop_back();
+    }
+}
+
+void owner::implementation::commit(store_transaction change)
+{
+    storing = true;
+    store_transaction sent = change;
+    parts.store.commit(
+        std::move(sent),
+        [weak = weak_from_this(), change = std::move(change)](
+            const result<store_commit>& answer)
+        {
+            const std::shared_ptr<implementation> self = weak.lock();
+            if (self)
+                self->take_commit(change, answer);
+        });
+}
+
+void owner::implementation::take_commit(const store_transaction& change,
+                                        const result<store_commit>& answer)
+{
+    storing = false;
+    if (!answer || !answer.value().committed)
+    {
+        workers_changed = workers_changed || workers_in_batch;
+        for (const std::string& key : change.removals)
+            outdated.push_back(key);
+        if (answer)
+            for (const store_item& item : answer.value().conflicts)
+                if (item.key == owner_key && item.revision > kv_revision(token.value()))
+                    return parts.superseded(fence_token(item.revision.value()));
+        if (answer)
+            parts.claim_missing();
+        else
+            parts.log.warning("owner", "changes not stored",
+                              {{"reason", answer.error().message}});
+        // The same values are written again, so a write that did take effect is harmless.
+        store_due = true;
+        store_timer = parts.loop.after(store_retry,
+                                       [this]
+                                       {
+                                           store_due = false;
+                                           store_now();
+                                       });
+        return;
+    }
+    if (workers_in_batch)
+    {
+        stored_workers = wanted_workers;
+        for (const worker_id& id : stored_workers)
+            cell.allow_worker(id);
+    }
+    finish_batch();
+}
+
+void owner::implementation::finish_batch()
+{
+    pending_changes stored;
+    stored.ends = std::exchange(batch.ends, {});
+    for (const stored_end& end : stored.ends)
+    {
+        ends_records[batch_key].insert(end.run.task.job);
+        records_of[end.run.task.job].insert(batch_key);
+    }
+    const std::size_t states = std::min(batch.final_jobs.size(), most_final_states);
+    stored.final_jobs.assign(batch.final_jobs.begin(),
+                             batch.final_jobs.begin() +
+                                 static_cast<std::ptrdiff_t>(states));
+    batch.final_jobs.erase(batch.final_jobs.begin(),
+                           batch.final_jobs.begin() + static_cast<std::ptrdiff_t>(states));
+    const boot_time now = parts.loop.clock().now();
+    for (const auto& [job, state] : stored.final_jobs)
+    {
+        ended.emplace_back(now, job);
+        newly_ended.push_back({job, state});
+        for (const std::string& record : records_of[job])
+        {
+            std::set<job_key>& jobs = ends_records[record];
+            jobs.erase(job);
+            if (!jobs.empty())
+                continue;
+            ends_records.erase(record);
+            outdated.push_back(record);
+        }
+        records_of.erase(job);
+    }
+    cell.stored(stored);
+    if (batch.final_jobs.empty())
+    {
+        for (const acknowledge_order& order : batch.covered)
+        {
+            const auto route = routes.find(order.worker);
+            if (route != routes.end() && !route->second.agent.empty())
+                outbox[route->second.agent].acknowledgements.push_back(order);
+        }
+        batch = pending_changes();
+    }
+    send_orders();
+    store_soon();
+}
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/lib/cell/place.cpp
@@ -0,0 +1,336 @@
+/// \file
+/// Implements placement: which waiting tasks start on which workers.
+#include "cell_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Steps that one decision looks at, in order; the rest waits for the next one.
+constexpr std::size_t most_steps = 96;
+/// Workers that a first question to the advice service names.
+constexpr std::size_t least_asked = 8;
+constexpr std::size_t most_asked = 40;
+/// Share of workers that advice is assumed to allow.
+constexpr double expected_good = 0.35;
+/// Workers that a renewal of tickets names.
+constexpr std::size_t most_renewed = 6;
+/// A question without an answer is asked again.
+constexpr duration advice_limit = std::chrono::seconds(4);
+
+std::int64_t fits(const resources& size, const resources& room)
+{
+    std::int64_t most = INT32_MAX;
+    if (size.processors.value() > 0)
+        most = std::min(most, room.processors.value() / size.processors.value());
+    if (size.memory.value() > 0)
+        most = std::min(most, room.memory.value() / size.memory.value());
+    if (size.accelerators.value() > 0)
+        most = std::min(most, room.accelerators.value() / size.accelerators.value());
+    return std::max<std::int64_t>(most, 0);
+}
+
+} // namespace
+
+bool scheduler::implementation::can_run(const worker_status& candidate,
+                                        const job_status& job, std::uint32_t step,
+                                        boot_time now) const
+{
+    const step_spec& spec = job.spec.steps[step];
+    const worker_info& info = candidate.info;
+    if (!candidate.described || !candidate.allowed || !candidate.looked ||
+        info.draining || info.life != candidate.life ||
+        info.service != policy_of(job).service || candidate.quarantined_until > now ||
+        now - candidate.contact_at > limits.answer_limit * 2)
+        return false;
+    if (!spec.label.empty() && std::ranges::find(info.labels, spec.label) ==
+                                   info.labels.end())
+        return false;
+    return spec.size.fits_in(info.capacity);
+}
+
+worker_status* scheduler::implementation::choose(
+    const job_status& job, std::uint32_t step, boot_time now,
+    const std::map<worker_id, resources>& taken,
+    const std::map<worker_id, std::uint32_t>& placed, const worker_id& avoid)
+{
+    const step_spec& spec = job.spec.steps[step];
+    const step_status& status = job.steps[step];
+    const bool needs_ticket = policy_of(job).advice.has_value();
+    worker_status* best = nullptr;
+    std::int64_t best_score = 0;
+    for (auto& [id, candidate] : workers)
+    {
+        if (!can_run(candidate, job, step, now))
+            continue;
+        if (needs_ticket)
+        {
+            const auto permitted = status.good.find(id);
+            if (permitted == status.good.end() || permitted->second.until <= now)
+                continue;
+        }
+        resources room = candidate.info.capacity - candidate.used;
+        const auto reserved = taken.find(id);
+        if (reserved != taken.end())
+            room -= reserved->second;
+        if (!spec.size.fits_in(room))
+            continue;
+        if (spec.per_worker > 0)
+        {
+            const auto on_worker = placed.find(id);
+            if (on_worker != placed.end() && on_worker->second >= spec.per_worker)
+                continue;
+        }
+        // The fullest worker that fits keeps large free blocks whole. Data of another
+        // rack and a worker on which the task failed cost more than any packing.
+        constexpr std::int64_t far_penalty = 1'000'000;
+        constexpr std::int64_t failed_penalty = 10'000'000;
+        std::int64_t score = room.processors.value();
+        if (!spec.data_rack.empty() && candidate.info.rack != spec.data_rack)
+            score += far_penalty;
+        if (id == avoid)
+            score += failed_penalty;
+        if (best == nullptr || score < best_score)
+        {
+            best = &candidate;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void scheduler::implementation::start(job_status& job, const task_ref& task,
+                                      run_number run, worker_status& target,
+                                      boot_time now, decisions& out)
+{
+    step_status& step = job.steps[task.step];
+    task_status& status = step.tasks[task.index];
+    run_record record;
+    record.run = run;
+    record.size = job.spec.steps[task.step].size;
+    record.ordered_at = now;
+    target.used += record.size;
+    target.runs[task] = record;
+    status.on = target.info.id;
+    status.last_run = run;
+    ++step.occupied;
+    job.started = true;
+    job.state = job_state::running;
+    start_order order;
+    order.worker = target.info.id;
+    order.address = target.info.address;
+    order.run = {task, run};
+    order.payload = job.spec.payload;
+    const duration since = now - target.clock_at + limits.start_deadline;
+    order.deadline = worker_time(
+        target.clock.value() +
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+    order.saved = status.saved;
+    const auto permitted = step.good.find(target.info.id);
+    if (permitted != step.good.end())
+        order.permission = permitted->second.proof;
+    log.info("cell", "start ordered",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"run", std::uint64_t{run.value()}},
+              {"worker", target.info.id.value()},
+              {"free_millicores", (target.info.capacity - target.used).processors.value()}});
+    out.starts.push_back(std::move(order));
+}
+
+bool scheduler::implementation::place_task(job_status& job, const task_ref& task,
+                                           boot_time now, decisions& out)
+{
+    const step_status& step = job.steps[task.step];
+    std::map<worker_id, std::uint32_t> placed;
+    if (job.spec.steps[task.step].per_worker > 0)
+        for (const task_status& other : step.tasks)
+            if (!other.on.empty())
+                ++placed[other.on];
+    const task_status& status = step.tasks[task.index];
+    worker_status* target = choose(job, task.step, now, {}, placed, status.failed_on);
+    if (target == nullptr)
+        return false;
+    start(job, task, status.last_run.next(), *target, now, out);
+    return true;
+}
+
+void scheduler::implementation::place_gang(job_status& job, std::uint32_t step,
+                                           boot_time now, decisions& out)
+{
+    step_status& status = job.steps[step];
+    // Members of one run carry the same number and the same saved state.
+    if (status.occupied > 0 || status.not_before > now)
+        return;
+    std::map<worker_id, resources> taken;
+    std::map<worker_id, std::uint32_t> placed;
+    std::vector<worker_status*> targets;
+    run_number run;
+    checkpoint saved;
+    for (const task_status& member : status.tasks)
+    {
+        worker_status* target = choose(job, step, now, taken, placed, member.failed_on);
+        if (target == nullptr)
+            return;
+        targets.push_back(target);
+        taken[target->info.id] += job.spec.steps[step].size;
+        ++placed[target->info.id];
+        run = std::max(run, member.last_run);
+        if (!member.saved.empty())
+            saved = member.saved;
+    }
+    for (std::uint32_t index = 0; index < targets.size(); ++index)
+    {
+        status.tasks[index].saved = saved;
+        start(job, task_ref{job.spec.id, step, index}, run.next(), *targets[index], now,
+              out);
+    }
+}
+
+void scheduler::implementation::ask_advice(job_status& job, std::uint32_t step,
+                                           boot_time now, decisions& out)
+{
+    step_status& status = job.steps[step];
+    if (status.asking_since && now - *status.asking_since < advice_limit)
+        return;
+    const step_spec& spec = job.spec.steps[step];
+    const std::size_t waiting = waiting_tasks(status);
+    std::vector<std::pair<std::int64_t, worker_id>> unknown;
+    std::vector<std::pair<std::int64_t, worker_id>> renewable;
+    std::int64_t permitted_room = 0;
+    for (const auto& [id, candidate] : workers)
+    {
+        if (!can_run(candidate, job, step, now))
+            continue;
+        std::int64_t room = fits(spec.size, candidate.info.capacity - candidate.used);
+        if (spec.per_worker > 0)
+            room = std::min<std::int64_t>(room, spec.per_worker);
+        const auto permitted = status.good.find(id);
+        if (permitted == status.good.end())
+        {
+            if (!status.asked.contains(id))
+                unknown.emplace_back(-room, id);
+        }
+        else if (permitted->second.until > now)
+            permitted_room += room;
+        else if (room > 0)
+            renewable.emplace_back(-room, id);
+    }
+    if (permitted_room >= static_cast<std::int64_t>(waiting))
+        return;
+    std::ranges::sort(unknown);
+    std::ranges::sort(renewable);
+    advice_order order;
+    order.job = job.spec.id;
+    order.step = step;
+    std::int64_t renewed_room = permitted_room;
+    for (const auto& [room, id] : renewable)
+    {
+        if (order.workers.size() >= most_renewed + waiting / 4 ||
+            renewed_room >= static_cast<std::int64_t>(2 * waiting))
+            break;
+        order.workers.push_back(id);
+        renewed_room -= room;
+    }
+    // Only when the permitted workers cannot hold the waiting tasks, others are asked
+    // about, and those without room only by the first question.
+    const bool first = status.asked.empty();
+    if (renewed_room < static_cast<std::int64_t>(waiting))
+    {
+        double expected = 0;
+        const double wanted =
+            2.0 * (static_cast<double>(waiting) - static_cast<double>(renewed_room));
+        std::size_t named = 0;
+        for (const auto& [room, id] : unknown)
+        {
+            if (named >= most_asked || (named >= least_asked && expected >= wanted) ||
+                (room == 0 && !first))
+                break;
+            order.workers.push_back(id);
+            expected -= static_cast<double>(room) * expected_good;
+            ++named;
+        }
+    }
+    if (order.workers.empty())
+        return;
+    for (const worker_id& id : order.workers)
+        status.asked.insert(id);
+    status.asking_since = now;
+    out.advice.push_back(std::move(order));
+}
+
+void scheduler::implementation::place_step(const step_key& key, boot_time now,
+                                           decisions& out)
+{
+    const std::uint32_t step = std::get<3>(key);
+    job_status* job = find_job(std::get<2>(key));
+    if (job == nullptr || is_final(job->state) || job->steps[step].remaining == 0)
+    {
+        open_steps.erase(key);
+        return;
+    }
+    step_status& status = job->steps[step];
+    if (job->inherited && !unsettled.empty())
+        return;
+    if (job->spec.steps[step].gang)
+        place_gang(*job, step, now, out);
+    else
+        for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
+        {
+            const task_status& task = status.tasks[index];
+            if (task.done || !task.on.empty())
+                continue;
+            if (!place_task(*job, task_ref{job->spec.id, step, index}, now, out))
+                break;
+        }
+    if (waiting_tasks(status) == 0)
+        open_steps.erase(key);
+    else if (policy_of(*job).advice)
+        ask_advice(*job, step, now, out);
+}
+
+duration scheduler::advice_cost(const advice_order& order) const
+{
+    const job_status* job = implementation_->find_job(order.job);
+    if (job == nullptr || !implementation_->policy_of(*job).advice)
+        return duration::zero();
+    const advice_policy& policy = *implementation_->policy_of(*job).advice;
+    return policy.decide + policy.each * static_cast<std::int64_t>(order.workers.size());
+}
+
+decisions scheduler::decide(boot_time now)
+{
+    implementation& self = *implementation_;
+    self.expire_workers(now);
+    self.repeat_stops(now);
+    self.move_stalled(now);
+    decisions out;
+    std::vector<step_key> considered;
+    for (const step_key& key : self.open_steps)
+    {
+        if (considered.size() >= most_steps)
+            break;
+        considered.push_back(key);
+    }
+    for (const step_key& key : considered)
+        self.place_step(key, now, out);
+    out.stops = std::exchange(self.stops, {});
+    for (const stop_order& stop : out.stops)
+    {
+        const auto holder = self.workers.find(stop.worker);
+        if (holder == self.workers.end())
+            continue;
+        const auto record = holder->second.runs.find(stop.run.task);
+        if (record != holder->second.runs.end())
+            record->second.ordered_at = now;
+    }
+    return out;
+}
+
+} // namespace hawthornbeam::cell
--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -16,6 +16,8 @@
 
 /// An idle connection may have gone silent without a sign, so it is not kept for long.
 constexpr std::chrono::seconds most_idle_time(5);
+/// With kept connections for all requests, a host is suspected for this long.
+constexpr duration kept_suspicion_time = std::chrono::milliseconds(1500);
 /// Over all hosts; stays below the usual limit of open files.
 constexpr int most_connections = 4096;
 
@@ -80,8 +82,9 @@
 class http_client::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    implementation(event_loop& loop, const logger& log, unsigned connections_per_host)
-        : loop_(loop), log_(log), session_(new_session(connections_per_host))
+    implementation(event_loop& loop, const logger& log, unsigned connections_per_host,
+                   connection_use use)
+        : loop_(loop), log_(log), use_(use), session_(new_session(connections_per_host))
     {
     }
     implementation(const implementation&) = delete;
@@ -108,6 +111,7 @@
 
     event_loop& loop_;
     const logger& log_;
+    connection_use use_;
     SoupSession* session_;
     std::set<call_pointer> open_;
     /// Hosts with a recent timeout. Until this time their idle connections may be silent
@@ -152,13 +156,15 @@
     if (needs_fresh_connection(request, call->host))
         flags |= SOUP_MESSAGE_NEW_CONNECTION;
     soup_message_set_flags(message, static_cast<SoupMessageFlags>(flags));
-    if (changes_something(request.method))
-        soup_message_headers_replace(soup_message_get_request_headers(message),
-                                     "Connection", "close");
+    SoupMessageHeaders* headers = soup_message_get_request_headers(message);
+    if (use_ == connection_use::fresh && changes_something(request.method))
+        soup_message_headers_replace(headers, "Connection", "close");
+    for (const auto& [name, value] : request.headers)
+        soup_message_headers_replace(headers, name.c_str(), value.c_str());
     if (!request.body.empty())
     {
         GBytes* body = g_bytes_new(request.body.data(), request.body.size());
-        soup_message_set_request_body_from_bytes(message, "application/octet-stream",
+        soup_message_set_request_body_from_bytes(message, request.content_type.c_str(),
                                                  body);
         g_bytes_unref(body);
     }
@@ -170,7 +176,7 @@
 bool http_client::implementation::needs_fresh_connection(const http_request& request,
                                                          const std::string& host)
 {
-    if (changes_something(request.method))
+    if (use_ == connection_use::fresh && changes_something(request.method))
         return true;
     const auto suspected = suspected_until_.find(host);
     if (suspected == suspected_until_.end())
@@ -216,7 +222,9 @@
     std::erase_if(suspected_until_,
                   [now](const std::pair<const std::string, boot_time>& host)
                   { return host.second <= now; });
-    suspected_until_[call->host] = now + most_idle_time;
+    suspected_until_[call->host] =
+        now + (use_ == connection_use::kept ? kept_suspicion_time
+                                            : duration(most_idle_time));
     // Ends the call inside libsoup, which closes its connection.
     g_cancellable_cancel(call->cancellable);
     const error_code code =
@@ -252,8 +260,9 @@
 }
 
 http_client::http_client(event_loop& loop, const logger& log,
-                         unsigned connections_per_host)
-    : implementation_(std::make_shared<implementation>(loop, log, connections_per_host))
+                         unsigned connections_per_host, connection_use use)
+    : implementation_(
+          std::make_shared<implementation>(loop, log, connections_per_host, use))
 {
     assert(connections_per_host > 0 && "calls need a connection");
 }
--- a/lib/platform/http_client.hpp
+++ b/lib/platform/http_client.hpp
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace hawthornbeam
 {
@@ -21,6 +23,15 @@
     std::string url;
     std::string body;
     duration timeout{};
+    std::string content_type = "application/octet-stream";
+    std::vector<std::pair<std::string, std::string>> headers = {};
+};
+
+/// How requests that may change something use connections.
+enum class connection_use
+{
+    fresh, ///< Each has its own, so that none is sent twice or on a silent connection.
+    kept   ///< They share kept ones; methods that libsoup may repeat are not allowed.
 };
 
 /// The whole answer to a request, whatever its status.
@@ -31,7 +42,7 @@
 };
 
 /// Sends requests with a bounded number of connections per host. GETs share kept
-/// connections; every other request has its own and is sent at most once. A request
+/// connections; every other request is sent at most once. A request
 /// fails with unavailable when it was not sent, and with outcome_unknown when it was sent
 /// but no whole answer came in time.
 class http_client
@@ -39,7 +50,8 @@
 public:
     using callback = std::function<void(result<http_reply>)>;
 
-    http_client(event_loop& loop, const logger& log, unsigned connections_per_host);
+    http_client(event_loop& loop, const logger& log, unsigned connections_per_host,
+                connection_use use = connection_use::fresh);
     /// Cancels open calls; their callbacks do not run.
     ~http_client();
 
--- /dev/null
+++ b/lib/wire/cell_codec.hpp
@@ -0,0 +1,192 @@
+/// \file
+/// Serializes the types of a cell, for messages and for records of the store. Include in
+/// .cpp files only.
+#ifndef HAWTHORNBEAM_LIB_WIRE_CELL_CODEC_HPP
+#define HAWTHORNBEAM_LIB_WIRE_CELL_CODEC_HPP
+
+#include "codec.hpp"
+#include "hawthornbeam/cell/types.hpp"
+
+namespace hawthornbeam::cell
+{
+
+// cereal finds these functions by the namespace of their types. The structured bindings
+// fail to compile when a type gets a field that is not serialized.
+
+/// The highest value of an enumeration in a message or record.
+template <class Enum>
+inline constexpr Enum last_enumerator = Enum::missing;
+template <>
+inline constexpr job_state last_enumerator<job_state> = job_state::cancelled;
+template <>
+inline constexpr run_end last_enumerator<run_end> = run_end::alone;
+template <>
+inline constexpr order_outcome last_enumerator<order_outcome> = order_outcome::unanswered;
+
+template <class Archive, class T>
+void member(Archive& archive, T& value)
+{
+    if constexpr (std::is_enum_v<T>)
+        wire::enumeration(archive, value, last_enumerator<T>);
+    else if constexpr (std::is_same_v<T, duration>)
+        wire::nanoseconds(archive, value);
+    else
+        archive(value);
+}
+
+template <class Archive, class... T>
+void members(Archive& archive, T&... values)
+{
+    (member(archive, values), ...);
+}
+
+template <class Archive>
+void serialize(Archive& archive, task_ref& value)
+{
+    auto& [job, step, index] = value;
+    members(archive, job, step, index);
+}
+
+template <class Archive>
+void serialize(Archive& archive, run_ref& value)
+{
+    auto& [task, run] = value;
+    members(archive, task, run);
+}
+
+template <class Archive>
+void serialize(Archive& archive, step_spec& value)
+{
+    auto& [count, size, estimate, gang, same_rack, checkpoints, speculative, persistent, label, data_rack, per_worker, after] = value;
+    members(archive, count, size, estimate, gang, same_rack, checkpoints, speculative, persistent, label, data_rack, per_worker, after);
+}
+
+template <class Archive>
+void serialize(Archive& archive, job_spec& value)
+{
+    auto& [id, queue, payload, steps, submitted_ms] = value;
+    members(archive, id, queue, payload, steps, submitted_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, running_task& value)
+{
+    auto& [run, saved, percent] = value;
+    members(archive, run, saved, percent);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ended_task& value)
+{
+    auto& [number, run, how, saved] = value;
+    members(archive, number, run, how, saved);
+}
+
+template <class Archive>
+void serialize(Archive& archive, observation& value)
+{
+    auto& [assignment, event] = value;
+    members(archive, assignment, event);
+}
+
+template <class Archive>
+void serialize(Archive& archive, worker_look& value)
+{
+    auto& [worker, began, life, clock, running, ended] = value;
+    members(archive, worker, began, life, clock, running, ended);
+}
+
+template <class Archive>
+void serialize(Archive& archive, order_result& value)
+{
+    auto& [worker, run, stop, outcome, seen, token] = value;
+    members(archive, worker, run, stop, outcome, seen, token);
+}
+
+template <class Archive>
+void serialize(Archive& archive, advice_result& value)
+{
+    auto& [job, step, answered, asked, good, valid_ms] = value;
+    members(archive, job, step, answered, asked, good, valid_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, assign_order& value)
+{
+    auto& [worker, address, assignment, assigned] = value;
+    members(archive, worker, address, assignment, assigned);
+}
+
+template <class Archive>
+void serialize(Archive& archive, acknowledge_order& value)
+{
+    auto& [worker, life, last] = value;
+    members(archive, worker, life, last);
+}
+
+template <class Archive>
+void serialize(Archive& archive, start_order& value)
+{
+    auto& [worker, address, run, payload, deadline, saved, permission] = value;
+    members(archive, worker, address, run, payload, deadline, saved, permission);
+}
+
+template <class Archive>
+void serialize(Archive& archive, stop_order& value)
+{
+    auto& [worker, address, run] = value;
+    members(archive, worker, address, run);
+}
+
+template <class Archive>
+void serialize(Archive& archive, advice_order& value)
+{
+    auto& [job, step, workers] = value;
+    members(archive, job, step, workers);
+}
+
+template <class Archive>
+void serialize(Archive& archive, agent_orders& value)
+{
+    auto& [assignments, acknowledgements, starts, stops, advice] = value;
+    members(archive, assignments, acknowledgements, starts, stops, advice);
+}
+
+template <class Archive>
+void serialize(Archive& archive, agent_report& value)
+{
+    auto& [looks, results, advice, unreachable] = value;
+    members(archive, looks, results, advice, unreachable);
+}
+
+template <class Archive>
+void serialize(Archive& archive, stored_end& value)
+{
+    auto& [run, how] = value;
+    members(archive, run, how);
+}
+
+template <class Archive>
+void serialize(Archive& archive, queue_depth& value)
+{
+    auto& [queue, waiting] = value;
+    members(archive, queue, waiting);
+}
+
+template <class Archive>
+void serialize(Archive& archive, job_record& value)
+{
+    bool whole = value.job.has_value();
+    member(archive, value.state);
+    member(archive, value.changed_ms);
+    member(archive, whole);
+    if (!whole)
+        return value.job.reset();
+    if (!value.job)
+        value.job.emplace();
+    member(archive, *value.job);
+}
+
+} // namespace hawthornbeam::cell
+
+#endif
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -2,6 +2,7 @@
 /// Serializes the messages between instances.
 #include "hawthornbeam/wire/messages.hpp"
 
+#include "cell_codec.hpp"
 #include "codec.hpp"
 
 #include <array>
@@ -24,6 +25,8 @@
 inline constexpr task_event last_value<task_event> = task_event::unknown;
 template <>
 inline constexpr error_code last_value<error_code> = error_code::internal;
+template <>
+inline constexpr cell::job_state last_value<cell::job_state> = cell::job_state::cancelled;
 
 template <class Archive, class T>
 void field(Archive& archive, T& value)
@@ -304,6 +307,62 @@
     fields(archive, reason);
 }
 
+template <class Archive>
+void serialize(Archive& archive, accepted_job& value)
+{
+    auto& [job, is_new] = value;
+    fields(archive, job, is_new);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_report& value)
+{
+    auto& [token, address, share, leaving, report, accepted, cancelled] = value;
+    fields(archive, token, address, share, leaving, report, accepted, cancelled);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_report_reply& value)
+{
+    auto& [is_owner] = value;
+    fields(archive, is_owner);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_job_state& value)
+{
+    auto& [job, state] = value;
+    fields(archive, job, state);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_orders& value)
+{
+    auto& [token, owner, orders, ended, depths] = value;
+    fields(archive, token, owner, orders, ended, depths);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_orders_reply& value)
+{
+    auto& [known] = value;
+    fields(archive, known);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_query& value)
+{
+    auto& [jobs] = value;
+    fields(archive, jobs);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_query_reply& value)
+{
+    auto& [is_owner, found] = value;
+    fields(archive, is_owner, found);
+}
+
 template <class Archive>
 void serialize(Archive& archive, failure_reply& value)
 {
--- /dev/null
+++ b/tools/hawthornbeamd/main.cpp
@@ -0,0 +1,254 @@
+/// \file
+/// The daemon on the users' platform: connects a node with the platform's interfaces.
+#include "hawthornbeam/support/text_file.hpp"
+#include "platform/configuration.hpp"
+#include "platform/ingress.hpp"
+#include "platform/runner_client.hpp"
+#include "platform/runner_registry.hpp"
+#include "platform/settings.hpp"
+#include "platform/store_client.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <csignal>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <glib-unix.h>
+#include <unistd.h>
+
+ABSL_FLAG(std::string, settings, "",
+          "TOML settings file; the default is the path in HAWTHORNBEAM_CONFIG");
+ABSL_FLAG(bool, check, false, "check the settings, print all findings and exit");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
+
+namespace
+{
+
+using namespace hawthornbeam;
+
+constexpr int exit_done = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+/// Kept connections to one host: a runner serves 64 in all.
+constexpr unsigned connections_per_host = 8;
+/// A leaving process goes on answering for this share of its grace time.
+constexpr double serving_share = 0.5;
+constexpr duration answer_period = std::chrono::milliseconds(50);
+/// A lease of a worker must outlast a takeover, which needs 3 to 4 s.
+constexpr duration most_wanted_lease = std::chrono::milliseconds(6000);
+
+constexpr const char* usage = R"(Scheduler daemon of hawthornbeam on the users' platform.
+
+Examples:
+  hawthornbeamd
+  hawthornbeamd --settings=/etc/hawthornbeam/node.toml --check
+
+SIGTERM makes it hand over its work, answer open requests and end. SIGHUP makes it check
+the settings file again.
+Exit codes: 0 ended or the settings have no findings, 1 it could not start, 2 faulty
+command line or settings.)";
+
+/// All parts of the process.
+class process
+{
+public:
+    process(glib_event_loop& loop, const logger& log,
+            const adapter::process_settings& settings, std::uint64_t seed)
+        : loop_(loop), log_(log), settings_(settings), random_(seed),
+          store_http_(loop, log, connections_per_host, connection_use::kept),
+          runner_http_(loop, log, connections_per_host, connection_use::kept),
+          store_(store_http_, log, settings.store),
+          runners_(runner_http_, settings.advice), registry_(loop, store_, log),
+          configuration_(loop, store_, log,
+                         [this](const adapter::configuration& version)
+                         { node_->configure(version.queues); })
+    {
+    }
+
+    result<bool> start();
+    void stop();
+
+private:
+    void finish();
+    result<bool> open_network();
+
+    glib_event_loop& loop_;
+    const logger& log_;
+    adapter::process_settings settings_;
+    random_source random_;
+    http_client store_http_;
+    http_client runner_http_;
+    adapter::store_client store_;
+    adapter::runner_client runners_;
+    adapter::runner_registry registry_;
+    adapter::configuration_follower configuration_;
+    std::unique_ptr<wire::tcp_peer_network> network_;
+    std::unique_ptr<cell::node> node_;
+    std::unique_ptr<adapter::ingress> ingress_;
+    bool stopping_ = false;
+    boot_time stop_at_{};
+    timer_handle finish_timer_;
+};
+
+result<bool> process::open_network()
+{
+    wire::tcp_peer_network::options options;
+    options.self = instance_id(fmt::format("{}.{:08x}", settings_.host_name,
+                                           static_cast<std::uint32_t>(random_.next())));
+    options.listen_ip = settings_.ip;
+    error last = make_error(error_code::unavailable, "the port range is empty");
+    // A port may still be held by a process that is going down.
+    for (std::uint32_t port = settings_.first_inner_port;
+         port <= settings_.last_inner_port; ++port)
+    {
+        options.port = static_cast<std::uint16_t>(port);
+        result<std::unique_ptr<wire::tcp_peer_network>> opened =
+            wire::tcp_peer_network::open(loop_, log_, options);
+        if (!opened)
+        {
+            last = opened.error();
+            continue;
+        }
+        network_ = std::move(opened).value();
+        cell::node_parts parts{
+            loop_,   store_,  runners_,     registry_,
+            *network_, random_, log_,       options.self,
+            cell::endpoint(fmt::format("{}:{}", settings_.ip, network_->port())),
+            static_cast<std::uint32_t>(settings_.processor_share * 1000),
+            cell::scheduler_limits()};
+        parts.limits.most_lease = std::min(settings_.most_lease, most_wanted_lease);
+        node_ = std::make_unique<cell::node>(parts);
+        return true;
+    }
+    return last;
+}
+
+result<bool> process::start()
+{
+    BOOST_OUTCOME_TRY(open_network());
+    result<std::unique_ptr<adapter::ingress>> opened = adapter::ingress::open(
+        {loop_, *node_, configuration_, log_}, settings_.callers, settings_.readiness);
+    if (!opened)
+        return opened.error();
+    ingress_ = std::move(opened).value();
+    node_->start();
+    configuration_.start();
+    log_.info("process", "started", {{"share", static_cast<int>(settings_.processor_share * 1000)}});
+    return true;
+}
+
+void process::stop()
+{
+    if (stopping_)
+        return;
+    stopping_ = true;
+    log_.info("process", "stopping", {});
+    ingress_->drain();
+    stop_at_ = loop_.clock().now() + std::chrono::duration_cast<duration>(
+                                         settings_.stop_grace * serving_share);
+    node_->leave([this] { log_.info("process", "handed over", {}); });
+    finish_timer_ = loop_.every(answer_period, [this] { finish(); });
+}
+
+void process::finish()
+{
+    const boot_time now = loop_.clock().now();
+    if (now < stop_at_)
+        return;
+    const boot_time latest = stop_at_ + std::chrono::duration_cast<duration>(
+                                            settings_.stop_grace * (0.8 - serving_share));
+    if (ingress_->open_requests() > 0 && now < latest)
+        return;
+    log_.info("process", "stopped", {});
+    loop_.quit();
+}
+
+gboolean on_stop(gpointer data)
+{
+    static_cast<process*>(data)->stop();
+    return G_SOURCE_CONTINUE;
+}
+
+/// Addresses and limits of a process do not change while it runs, so a changed file is
+/// only checked.
+gboolean on_reload(gpointer data)
+{
+    const logger& log = *static_cast<const logger*>(data);
+    const char* file = std::getenv("HAWTHORNBEAM_CONFIG");
+    const std::optional<std::string> text = read_text_file(file == nullptr ? "" : file);
+    if (!text)
+    {
+        log.warning("process", "settings not read again", {});
+        return G_SOURCE_CONTINUE;
+    }
+    const adapter::read_settings_result read = adapter::read_settings(*text, file);
+    for (const finding& fault : read.faults)
+        log.warning("process", "changed settings are faulty", {{"finding", fault.text()}});
+    log.info("process", "settings read again",
+             {{"findings", std::uint64_t{read.faults.size()}}});
+    return G_SOURCE_CONTINUE;
+}
+
+void write_to_standard_output(const std::string& line)
+{
+    // A reader that does not keep up must not block the loop; the line is lost then.
+    const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
+    static_cast<void>(written);
+}
+
+int run()
+{
+    std::string file = absl::GetFlag(FLAGS_settings);
+    const char* variable = std::getenv("HAWTHORNBEAM_CONFIG");
+    if (file.empty() && variable != nullptr)
+        file = variable;
+    const std::optional<std::string> text = read_text_file(file);
+    if (!text)
+    {
+        fmt::print(stderr, "hawthornbeamd: cannot read the settings file '{}'\n", file);
+        return exit_usage;
+    }
+    const adapter::read_settings_result read = adapter::read_settings(*text, file);
+    for (const finding& fault : read.faults)
+        fmt::print(stderr, "{}\n", fault.text());
+    if (!read.settings)
+        return exit_usage;
+    if (absl::GetFlag(FLAGS_check))
+        return exit_done;
+    const std::optional<log_level> level = parse_log_level(absl::GetFlag(FLAGS_log_level));
+    if (!level)
+    {
+        fmt::print(stderr, "hawthornbeamd: --log_level is debug, info, warning or error\n");
+        return exit_usage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    glib_event_loop loop;
+    const logger log(loop.clock(), read.settings->host_name, *level,
+                     write_to_standard_output);
+    const std::uint64_t seed =
+        static_cast<std::uint64_t>(loop.clock().wall_now().time_since_epoch().count()) ^
+        (static_cast<std::uint64_t>(getpid()) << 32U) ^
+        std::hash<std::string>{}(read.settings->host_name);
+    process running(loop, log, *read.settings, seed);
+    const result<bool> started = running.start();
+    if (!started)
+    {
+        log.error("process", "cannot start", {{"reason", started.error().message}});
+        return exit_failure;
+    }
+    g_unix_signal_add(SIGTERM, on_stop, &running);
+    g_unix_signal_add(SIGINT, on_stop, &running);
+    g_unix_signal_add(SIGHUP, on_reload, const_cast<logger*>(&log));
+    loop.run();
+    return exit_done;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(usage);
+    absl::ParseCommandLine(argc, argv);
+    return run();
+}
