Look at workers only after the jobs were read, count ends in any order, keep connections

Ruled out: a lost write of the former owner (its batch was still waiting). BUDGET: ends of one task arrive in any order at a takeover, and a lower run was taken for counted. Connections: libsoup opens one for each POST that is not marked as repeatable.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -39,12 +39,16 @@
     bool done = false;
     std::uint32_t failures = 0;
     run_number last_run;
-    run_number ended_run; ///< Ends up to this run were counted.
+    /// Runs whose end was counted; a takeover may show ends in any order.
+    std::vector<run_number> ended_runs;
     checkpoint saved;
     worker_id on; ///< The worker that has a record of a run; empty when none has.
     worker_id failed_on;
 };
 
+/// Notes the end of a run; false when it was counted before.
+bool count_run(task_status& task, run_number run);
+
 /// Permission to run a step on a worker.
 struct permission
 {
@@ -124,6 +128,11 @@
     void order_stop(const worker_id& holder, const task_ref& task);
     void break_gang(job_status& job, std::uint32_t step, boot_time now);
     void take_end(worker_status& holder, const ended_task& end, boot_time now);
+    void count_end(worker_status& holder, job_status& job, const ended_task& end,
+                   boot_time now);
+    void take_early_end(const worker_id& holder, const ended_task& end);
+    void adopt_run(worker_status& holder, run_record& record, job_status& job,
+                   const task_ref& task);
     void take_running(worker_status& holder, const running_task& shown, boot_time now,
                       observation began);
     void settle_missing(worker_status& holder, const worker_look& look, boot_time now,
@@ -158,6 +167,8 @@
     std::map<worker_id, worker_status> workers;
     std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
     std::map<worker_id, boot_time> unsettled; ///< Expected workers, and since when.
+    /// Ends of jobs that a receiver stored and of which this owner has not heard.
+    std::map<job_key, std::vector<std::pair<worker_id, ended_task>>> early_ends;
     pending_changes changes;
     std::vector<stop_order> stops; ///< Ordered since the last decision.
     std::size_t open_job_count = 0;
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -31,6 +31,15 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+bool count_run(task_status& task, run_number run)
+{
+    if (std::ranges::find(task.ended_runs, run) != task.ended_runs.end())
+        return false;
+    task.ended_runs.push_back(run);
+    task.last_run = std::max(task.last_run, run);
+    return true;
+}
+
 scheduler::scheduler(const scheduler_limits& limits, const logger& log)
     : implementation_(std::make_unique<implementation>(limits, log))
 {
@@ -101,9 +110,21 @@
     const auto placed = self.jobs.emplace(id, std::move(status)).first;
     ++self.open_job_count;
     self.open_ready_steps(placed->second);
+    const auto early = self.early_ends.extract(id);
+    if (early)
+        for (const auto& [holder, end] : early.mapped())
+            self.take_early_end(holder, end);
     return true;
 }
 
+void scheduler::implementation::take_early_end(const worker_id& holder,
+                                               const ended_task& end)
+{
+    const auto found = workers.find(holder);
+    if (found != workers.end())
+        take_end(found->second, end, found->second.contact_at);
+}
+
 void scheduler::restore_final(const job_key& job, job_state state)
 {
     assert(is_final(state) && "only final states are stored without the job");
@@ -259,10 +280,8 @@
         end.run.task.index >= job->steps[end.run.task.step].tasks.size())
         return;
     task_status& task = job->steps[end.run.task.step].tasks[end.run.task.index];
-    if (end.run.run <= task.ended_run)
+    if (!count_run(task, end.run.run))
         return;
-    task.ended_run = end.run.run;
-    task.last_run = std::max(task.last_run, end.run.run);
     job->started = true;
     job->state = job_state::running;
     if (end.how == run_end::done)
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -23,6 +23,9 @@
 constexpr duration gang_pause = std::chrono::milliseconds(50);
 /// A look that was on its way when a lease was computed may still extend it.
 constexpr duration lease_slack = std::chrono::milliseconds(500);
+/// A run of an unknown job is stopped after this time. The owner reads jobs that it was
+/// not told of once a second.
+constexpr duration unknown_job_limit = std::chrono::milliseconds(3000);
 
 } // namespace
 
@@ -263,18 +266,30 @@
     if (record != holder.runs.end() && record->second.run <= end.run.run)
         release(holder, task);
     job_status* job = find_job(task.job);
-    if (job == nullptr || task.step >= job->steps.size() ||
+    if (job == nullptr)
+    {
+        early_ends[task.job].emplace_back(holder.info.id, end);
+        if (end.how == run_end::done || end.how == run_end::failed)
+            changes.ends.push_back({end.run, end.how});
+        return;
+    }
+    if (task.step >= job->steps.size() ||
         task.index >= job->steps[task.step].tasks.size())
         return;
-    step_status& step = job->steps[task.step];
+    count_end(holder, *job, end, now);
+}
+
+void scheduler::implementation::count_end(worker_status& holder, job_status& job,
+                                          const ended_task& end, boot_time now)
+{
+    const task_ref& task = end.run.task;
+    step_status& step = job.steps[task.step];
     task_status& status = step.tasks[task.index];
-    if (end.run.run <= status.ended_run)
+    if (!count_run(status, end.run.run))
         return;
-    status.ended_run = end.run.run;
-    status.last_run = std::max(status.last_run, end.run.run);
     if (!end.saved.empty())
         status.saved = end.saved;
-    if (is_final(job->state) || status.done)
+    if (is_final(job.state) || status.done)
         return;
     log.info("cell", "run ended",
              {{"job", task.job.value()},
@@ -283,26 +298,26 @@
               {"run", std::uint64_t{end.run.run.value()}},
               {"worker", holder.info.id.value()},
               {"how", to_string(end.how)}});
-    job->started = true;
-    job->state = job_state::running;
+    job.started = true;
+    job.state = job_state::running;
     if (end.how == run_end::done || end.how == run_end::failed)
         changes.ends.push_back({end.run, end.how});
-    const bool persistent = job->spec.steps[task.step].persistent;
+    const bool persistent = job.spec.steps[task.step].persistent;
     if (end.how == run_end::done && !persistent)
     {
         note_health(holder, task.job, false, now);
-        return task_done(*job, task);
+        return task_done(job, task);
     }
     if (end.how == run_end::failed)
     {
         note_health(holder, task.job, true, now);
-        task_failed(*job, task, holder.info.id);
-        if (is_final(job->state))
+        task_failed(job, task, holder.info.id);
+        if (is_final(job.state))
             return;
     }
-    open_steps.insert(key_of(*job, task.step));
+    open_steps.insert(key_of(job, task.step));
     if (end.how != run_end::stopped)
-        break_gang(*job, task.step, now);
+        break_gang(job, task.step, now);
 }
 
 void scheduler::implementation::take_running(worker_status& holder,
@@ -321,10 +336,14 @@
     {
         record.run = shown.run.run;
         record.ordered_at = now;
-        if (known)
-            record.size = job->spec.steps[task.step].size;
-        holder.used += record.size;
     }
+    // The size of a run of an unknown job is not known either, so the worker counts as
+    // full until the job is known or the run is stopped.
+    const resources size =
+        known ? job->spec.steps[task.step].size : holder.info.capacity;
+    holder.used -= record.size;
+    holder.used += size;
+    record.size = size;
     record.run = shown.run.run;
     if (record.phase == run_phase::starting)
     {
@@ -337,15 +356,25 @@
         record.progressed_at = now;
     }
     if (!known)
-        return order_stop(holder.info.id, task);
-    step_status& step = job->steps[task.step];
-    task_status& status = step.tasks[task.index];
+    {
+        if (job != nullptr || now - record.ordered_at > unknown_job_limit)
+            order_stop(holder.info.id, task);
+        return;
+    }
+    task_status& status = job->steps[task.step].tasks[task.index];
     status.last_run = std::max(status.last_run, shown.run.run);
     if (!shown.saved.empty())
         status.saved = shown.saved;
     if (is_final(job->state) || status.done)
         return order_stop(holder.info.id, task);
-    if (status.on == holder.info.id)
+    adopt_run(holder, record, *job, task);
+}
+
+void scheduler::implementation::adopt_run(worker_status& holder, run_record& record,
+                                          job_status& job, const task_ref& task)
+{
+    task_status& status = job.steps[task.step].tasks[task.index];
+    if (record.phase == run_phase::stopping || status.on == holder.info.id)
         return;
     if (!status.on.empty())
     {
@@ -356,9 +385,9 @@
         return order_stop(holder.info.id, task);
     }
     status.on = holder.info.id;
-    ++step.occupied;
-    job->started = true;
-    job->state = job_state::running;
+    ++job.steps[task.step].occupied;
+    job.started = true;
+    job.state = job_state::running;
 }
 
 void scheduler::implementation::settle_missing(worker_status& holder,
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -27,8 +27,6 @@
 
 void owner::implementation::begin()
 {
-    parts.directory.start([this](const std::vector<worker_info>& listed)
-                          { take_workers(listed); });
     decision_timer = parts.loop.every(decision_period, [this] { decide(); });
     broadcast_timer = parts.loop.every(broadcast_period, [this] { broadcast(); });
     load_timer = parts.loop.every(reload_period, [this] { follow(); });
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -68,6 +68,7 @@
     void take_listing(const store_listing& listing);
     void take_item(const store_item& item, std::vector<stored_end>& ends,
                    std::vector<job_key>& cancels);
+    void remove_ends_of_ended_jobs();
     void follow();
     void take_changes(const result<store_changes>& answer);
     void store_soon();
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -50,10 +50,16 @@
         if (!cell.cancel(job))
             cancelled_early.insert(job);
     followed = std::max(followed, listing.at);
+    remove_ends_of_ended_jobs();
     if (!loaded)
         parts.log.info("owner", "stored jobs read",
                        {{"open", std::uint64_t{cell.open_jobs()}},
                         {"items", std::uint64_t{listing.items.size()}}});
+    // Workers are looked at only now: ends and runs of jobs that are not known yet could
+    // not be told from foreign ones.
+    if (!loaded)
+        parts.directory.start([this](const std::vector<worker_info>& listed)
+                              { take_workers(listed); });
     loaded = true;
     store_soon();
     decide_soon();
@@ -112,6 +118,26 @@
     }
 }
 
+void owner::implementation::remove_ends_of_ended_jobs()
+{
+    for (auto record = ends_records.begin(); record != ends_records.end();)
+    {
+        std::erase_if(record->second,
+                      [this](const job_key& job)
+                      {
+                          const std::optional<job_state> state = cell.state(job);
+                          return !state || is_final(*state);
+                      });
+        if (!record->second.empty())
+        {
+            ++record;
+            continue;
+        }
+        outdated.push_back(record->first);
+        record = ends_records.erase(record);
+    }
+}
+
 void owner::implementation::follow()
 {
     if (!loaded || following)
--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -153,6 +153,9 @@
     if (message == nullptr)
         return nullptr;
     guint flags = SOUP_MESSAGE_NO_REDIRECT;
+    // libsoup gives a POST a new connection each time unless it may be repeated.
+    if (use_ == connection_use::kept)
+        flags |= SOUP_MESSAGE_IDEMPOTENT;
     if (needs_fresh_connection(request, call->host))
         flags |= SOUP_MESSAGE_NEW_CONNECTION;
     soup_message_set_flags(message, static_cast<SoupMessageFlags>(flags));
--- a/lib/platform/http_client.hpp
+++ b/lib/platform/http_client.hpp
@@ -31,7 +31,8 @@
 enum class connection_use
 {
     fresh, ///< Each has its own, so that none is sent twice or on a silent connection.
-    kept   ///< They share kept ones; methods that libsoup may repeat are not allowed.
+    kept   ///< They share kept ones. libsoup repeats a request whose kept connection
+           ///< breaks, so the receiver has to bear repeated ones.
 };
 
 /// The whole answer to a request, whatever its status.
