--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -117,10 +117,8 @@
         const auto least = std::ranges::min_element(
             load, {}, [](const std::pair<const instance_id, double>& entry)
             { return entry.second; });
-        route.agent = least->first;
+        assign(id, route, least->first);
         least->second += 1.0 / agents.at(route.agent).share;
-        outbox[route.agent].assignments.push_back(
-            {id, route.address, ++last_assignment, true});
     }
     // A new agent takes over from the one with most workers, one for each round.
     const auto [least, most] = std::ranges::minmax_element(
@@ -134,13 +132,32 @@
         if (route.agent == most->first)
         {
             outbox[route.agent].assignments.push_back({id, route.address, 0, false});
-            route.agent = least->first;
-            outbox[route.agent].assignments.push_back(
-                {id, route.address, ++last_assignment, true});
+            assign(id, route, least->first);
             return decide_soon();
         }
 }
 
+void owner::implementation::assign(const worker_id& id, worker_route& route,
+                                   const instance_id& agent)
+{
+    route.agent = agent;
+    route.assignment = ++last_assignment;
+    outbox[agent].assignments.push_back({id, route.address, route.assignment, true});
+}
+
+order_result owner::implementation::ordered_by_looks(order_result result)
+{
+    const auto route = routes.find(result.worker);
+    if (route == routes.end() || route->second.agent.empty() ||
+        result.seen.assignment == route->second.assignment)
+        return result;
+    // The answer of a former agent has no order with the looks of the present one. A new
+    // assignment makes it begin looks that surely show the effect of the answer.
+    assign(result.worker, route->second, route->second.agent);
+    result.seen = observation{route->second.assignment, 0};
+    return result;
+}
+
 void owner::implementation::take_report(const instance_id& from, wire::cell_report report)
 {
     const boot_time now = parts.loop.clock().now();
@@ -177,7 +194,7 @@
     {
         if (result.outcome == order_outcome::fenced && result.token == token.value())
             return parts.superseded(fence_token(token.value() + 1));
-        cell.observe(result, now);
+        cell.observe(ordered_by_looks(result), now);
     }
     for (const worker_look& look : report.looks)
         cell.observe(look, now);
@@ -213,9 +230,7 @@
     if (others.empty())
         return;
     outbox[route.agent].assignments.push_back({id, route.address, 0, false});
-    route.agent = others[last_assignment % others.size()];
-    outbox[route.agent].assignments.push_back(
-        {id, route.address, ++last_assignment, true});
+    assign(id, route, others[last_assignment % others.size()]);
 }
 
 void owner::implementation::decide()
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -32,6 +32,7 @@
 {
     endpoint address;
     instance_id agent;
+    std::uint64_t assignment = 0;
 };
 
 class owner::implementation : public std::enable_shared_from_this<implementation>
@@ -50,6 +51,8 @@
     agent_state& agent_of(const instance_id& id);
     void take_workers(const std::vector<worker_info>& listed);
     void assign_workers();
+    void assign(const worker_id& id, worker_route& route, const instance_id& agent);
+    order_result ordered_by_looks(order_result result);
     void move_worker(const worker_id& id, worker_route& route);
     void refuse_start(const worker_id& worker, const run_ref& run, boot_time now);
     void route_advice(advice_order order, boot_time now);
