Order steps by lateness, hold workers back for gangs, ration questions to the advice service

Cause: in a flood the advice service was asked all the time for steps that could not start (467 s of answers in 440 s of all hosts), and urgent questions waited behind long ones; requests were served in order of arrival, so that all of them were late; small tasks took the cores that a gang waited for. Tests play each of these loads.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -59,8 +59,8 @@
 
     /// Adds a job; false when it is known already. An inherited job may have runs that
     /// the former owner started: its tasks wait until every worker that could run them
-    /// was looked at.
-    bool add_job(job_spec job, bool inherited);
+    /// was looked at. \p submitted is the caller's first request on this owner's clock.
+    bool add_job(job_spec job, bool inherited, boot_time submitted);
     /// Counts an end that a former owner stored.
     void restore_end(const stored_end& end);
     /// Notes that a job ended before, so that queries can be answered.
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -74,6 +74,12 @@
     bool started = false;
     job_state state = job_state::queued;
     bool final_stored = false;
+    boot_time submitted{};
+    /// Callers get the full worth until `due` and some of it until `worthless`. Steps are
+    /// ordered by what is still to be gained.
+    boot_time due{};
+    boot_time worthless{};
+    int lateness = 0; ///< 0: can be in time, 1: late, 2: worthless.
     std::vector<step_status> steps;
 };
 
@@ -96,8 +102,29 @@
     boot_time quarantined_until{};
 };
 
-/// Order in which steps are placed: priority, then age.
-using step_key = std::tuple<int, std::int64_t, job_key, std::uint32_t>;
+/// Order in which steps are placed: lateness, priority, age.
+struct step_key
+{
+    int lateness = 0;
+    int priority = 0;
+    boot_time submitted{};
+    job_key job;
+    std::uint32_t step = 0;
+
+    friend std::strong_ordering operator<=>(const step_key&, const step_key&) = default;
+};
+
+/// What one decision has done so far.
+struct decision_pass
+{
+    boot_time now{};
+    decisions out;
+    /// Workers that a waiting gang needs; less urgent steps leave them alone.
+    std::map<worker_id, step_key> reserved;
+    std::uint32_t reserved_gangs = 0;
+    /// Steps of each queue that wait with advice, in order.
+    std::map<queue_name, std::uint32_t> waiting_with_advice;
+};
 
 class scheduler::implementation
 {
@@ -148,17 +175,21 @@
     // Placement (place.cpp).
     bool can_run(const worker_status& candidate, const job_status& job,
                  std::uint32_t step, boot_time now) const;
-    void place_step(const step_key& key, boot_time now, decisions& out);
-    bool place_task(job_status& job, const task_ref& task, boot_time now,
-                    decisions& out);
-    void place_gang(job_status& job, std::uint32_t step, boot_time now, decisions& out);
-    worker_status* choose(const job_status& job, std::uint32_t step, boot_time now,
+    void set_due(job_status& job);
+    void age_jobs(boot_time now);
+    void place_step(const step_key& key, decision_pass& pass);
+    bool place_task(job_status& job, const task_ref& task, decision_pass& pass);
+    bool place_gang(job_status& job, std::uint32_t step, decision_pass& pass);
+    void reserve_workers(const job_status& job, std::uint32_t step, decision_pass& pass);
+    worker_status* choose(const job_status& job, std::uint32_t step,
+                          const decision_pass& pass,
                           const std::map<worker_id, resources>& taken,
                           const std::map<worker_id, std::uint32_t>& placed,
                           const worker_id& avoid);
     void start(job_status& job, const task_ref& task, run_number run,
-               worker_status& target, boot_time now, decisions& out);
-    void ask_advice(job_status& job, std::uint32_t step, boot_time now, decisions& out);
+               worker_status& target, decision_pass& pass);
+    bool may_ask(const job_status& job, decision_pass& pass) const;
+    void ask_advice(job_status& job, std::uint32_t step, decision_pass& pass);
 
     scheduler_limits limits;
     const logger& log;
@@ -172,6 +203,7 @@
     pending_changes changes;
     std::vector<stop_order> stops; ///< Ordered since the last decision.
     std::size_t open_job_count = 0;
+    boot_time aged_at{};
 };
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -64,7 +64,8 @@
 step_key scheduler::implementation::key_of(const job_status& job,
                                            std::uint32_t step) const
 {
-    return step_key{policy_of(job).priority, job.spec.submitted_ms, job.spec.id, step};
+    return step_key{job.lateness, policy_of(job).priority, job.submitted, job.spec.id,
+                    step};
 }
 
 bool scheduler::implementation::is_ready(const job_status& job, std::uint32_t step) const
@@ -87,12 +88,15 @@
         self.queues[queue.name] = queue;
     // Priorities are part of the order, so it is built anew.
     self.open_steps.clear();
-    for (const auto& [id, job] : self.jobs)
+    for (auto& [id, job] : self.jobs)
         if (!is_final(job.state))
+        {
+            self.set_due(job);
             self.open_ready_steps(job);
+        }
 }
 
-bool scheduler::add_job(job_spec job, bool inherited)
+bool scheduler::add_job(job_spec job, bool inherited, boot_time submitted)
 {
     implementation& self = *implementation_;
     const job_key id = job.id;
@@ -100,6 +104,7 @@
         return false;
     job_status status;
     status.inherited = inherited;
+    status.submitted = submitted;
     for (const step_spec& step : job.steps)
     {
         step_status& added = status.steps.emplace_back();
@@ -109,6 +114,7 @@
     status.spec = std::move(job);
     const auto placed = self.jobs.emplace(id, std::move(status)).first;
     ++self.open_job_count;
+    self.set_due(placed->second);
     self.open_ready_steps(placed->second);
     const auto early = self.early_ends.extract(id);
     if (early)
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -20,8 +20,15 @@
 constexpr duration agent_silence = std::chrono::milliseconds(1500);
 /// With so many other agents the owner's own host is left to its decisions.
 constexpr std::size_t agents_to_spare_owner = 3;
-/// Questions to the advice service that may wait at one agent, in answering time.
-constexpr duration most_advice_backlog = std::chrono::milliseconds(1800);
+/// Questions to the advice service that may wait at one agent, in answering time. The
+/// service answers each host's questions in turn, so that long questions would hold up
+/// short ones: one agent of four takes only the short ones.
+constexpr duration most_advice_backlog = std::chrono::milliseconds(1200);
+constexpr duration most_short_backlog = std::chrono::milliseconds(150);
+constexpr duration short_question = std::chrono::milliseconds(30);
+constexpr std::size_t agents_for_short_questions = 4;
+/// Age of a job that a takeover found is not taken for higher.
+constexpr std::chrono::milliseconds most_age = std::chrono::minutes(2);
 
 } // namespace
 
@@ -173,7 +180,8 @@
     for (wire::accepted_job& accepted : report.accepted)
     {
         const job_key id = accepted.job.id;
-        if (cell.add_job(std::move(accepted.job), !accepted.is_new) &&
+        const boot_time submitted = submission_time(accepted.job);
+        if (cell.add_job(std::move(accepted.job), !accepted.is_new, submitted) &&
             cancelled_early.erase(id) != 0)
             cell.cancel(id);
     }
@@ -187,6 +195,16 @@
     decide_soon();
 }
 
+boot_time owner::implementation::submission_time(const job_spec& job) const
+{
+    // The wall clocks of hosts differ by seconds at worst, so that the age is bounded.
+    const std::int64_t now_ms =
+        parts.loop.clock().wall_now().time_since_epoch().count();
+    const std::chrono::milliseconds age(
+        std::clamp<std::int64_t>(now_ms - job.submitted_ms, 0, most_age.count()));
+    return parts.loop.clock().now() - age;
+}
+
 void owner::implementation::observe(const instance_id& from, const agent_report& report,
                                     boot_time now)
 {
@@ -271,16 +289,23 @@
 
 void owner::implementation::route_advice(advice_order order, boot_time now)
 {
+    std::vector<instance_id> usable;
+    for (const auto& [id, state] : agents)
+        if (!state.leaving && !state.broken && now - state.heard_at <= agent_silence)
+            usable.push_back(id);
+    const duration cost = cell.advice_cost(order);
+    const bool is_short = cost <= short_question;
+    const std::size_t reserved = usable.size() / agents_for_short_questions;
     instance_id best;
-    duration least = most_advice_backlog;
-    for (auto& [id, state] : agents)
+    duration least = is_short && reserved > 0 ? most_short_backlog : most_advice_backlog;
+    // Short questions overflow to the others when the reserved agents are busy.
+    for (std::size_t place = 0; place < usable.size(); ++place)
     {
-        if (state.leaving || state.broken || now - state.heard_at > agent_silence)
-            continue;
-        if (state.advice_backlog < least)
+        const duration backlog = agents.at(usable[place]).advice_backlog;
+        if ((is_short || place >= reserved) && backlog < least)
         {
-            least = state.advice_backlog;
-            best = id;
+            least = backlog;
+            best = usable[place];
         }
     }
     if (best.empty())
@@ -292,7 +317,6 @@
         return cell.observe(refused, now);
     }
     agent_state& chosen = agents.at(best);
-    const duration cost = cell.advice_cost(order);
     chosen.advice_backlog += cost;
     chosen.asked[{order.job, order.step}] = cost;
     outbox[best].advice.push_back(std::move(order));
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -54,6 +54,7 @@
     void assign(const worker_id& id, worker_route& route, const instance_id& agent);
     order_result ordered_by_looks(order_result result);
     void move_worker(const worker_id& id, worker_route& route);
+    boot_time submission_time(const job_spec& job) const;
     void refuse_start(const worker_id& worker, const run_ref& run, boot_time now);
     void route_advice(advice_order order, boot_time now);
     void send_orders();
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -78,7 +78,10 @@
                                    {{"key", item.key}, {"reason", record.error().message}});
         const job_key id{std::string(key.substr(job_prefix.size()))};
         if (record.value().job)
-            cell.add_job(std::move(*record.value().job), true);
+        {
+            const boot_time submitted = submission_time(*record.value().job);
+            cell.add_job(std::move(*record.value().job), true, submitted);
+        }
         else if (!cell.state(id))
         {
             cell.restore_final(id, record.value().state);
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -20,6 +20,18 @@
 constexpr double expected_good = 0.35;
 /// Workers that a renewal of tickets names.
 constexpr std::size_t most_renewed = 6;
+/// Gangs for which workers are held back at a time.
+constexpr std::uint32_t most_reserved_gangs = 3;
+/// Steps of a queue that may wait with tickets: so many answering times of the advice
+/// service fit into the life of a ticket, within these bounds.
+constexpr std::int64_t least_waiting_steps = 3;
+constexpr std::int64_t most_waiting_steps = 16;
+constexpr std::int64_t agents_assumed = 3;
+constexpr std::int64_t usual_question = 30;
+/// Callers get some of the worth up to this many times the objective.
+constexpr std::int64_t late_objectives = 3;
+/// How often the lateness of waiting jobs is looked at.
+constexpr duration age_period = std::chrono::milliseconds(50);
 /// A question without an answer is asked again.
 constexpr duration advice_limit = std::chrono::seconds(4);
 
@@ -54,24 +66,77 @@
     return spec.size.fits_in(info.capacity);
 }
 
+void scheduler::implementation::set_due(job_status& job)
+{
+    const queue_policy& policy = policy_of(job);
+    std::vector<duration> chains;
+    duration longest = duration::zero();
+    for (const step_spec& step : job.spec.steps)
+    {
+        duration before = duration::zero();
+        for (const std::uint32_t earlier : step.after)
+            before = std::max(before, chains[earlier]);
+        if (policy.advice)
+            before += policy.advice->decide + policy.advice->each * usual_question;
+        chains.push_back(before + step.estimate);
+        longest = std::max(longest, chains.back());
+    }
+    const duration objective =
+        policy.objective + std::chrono::duration_cast<duration>(longest * policy.stretch);
+    job.due = job.submitted + objective;
+    job.worthless = job.submitted + late_objectives * objective;
+}
+
+void scheduler::implementation::age_jobs(boot_time now)
+{
+    if (now - aged_at < age_period)
+        return;
+    aged_at = now;
+    std::vector<step_key> changed;
+    for (const step_key& key : open_steps)
+    {
+        const job_status* job = find_job(key.job);
+        if (job == nullptr || is_final(job->state))
+            continue;
+        // A step that cannot end in time any more counts as late already.
+        const boot_time end = now + job->spec.steps[key.step].estimate;
+        const int lateness = end > job->worthless ? 2 : end > job->due ? 1 : 0;
+        if (lateness > job->lateness)
+            changed.push_back(key);
+    }
+    for (const step_key& key : changed)
+    {
+        job_status* job = find_job(key.job);
+        const boot_time end = now + job->spec.steps[key.step].estimate;
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step)
+            open_steps.erase(key_of(*job, step));
+        job->lateness = end > job->worthless ? 2 : 1;
+        open_ready_steps(*job);
+    }
+}
+
 worker_status* scheduler::implementation::choose(
-    const job_status& job, std::uint32_t step, boot_time now,
+    const job_status& job, std::uint32_t step, const decision_pass& pass,
     const std::map<worker_id, resources>& taken,
     const std::map<worker_id, std::uint32_t>& placed, const worker_id& avoid)
 {
     const step_spec& spec = job.spec.steps[step];
     const step_status& status = job.steps[step];
     const bool needs_ticket = policy_of(job).advice.has_value();
+    const step_key key = key_of(job, step);
     worker_status* best = nullptr;
     std::int64_t best_score = 0;
     for (auto& [id, candidate] : workers)
     {
-        if (!can_run(candidate, job, step, now))
+        if (!can_run(candidate, job, step, pass.now))
+            continue;
+        const auto held = pass.reserved.find(id);
+        if (held != pass.reserved.end() && held->second < key)
             continue;
         if (needs_ticket)
         {
             const auto permitted = status.good.find(id);
-            if (permitted == status.good.end() || permitted->second.until <= now)
+            if (permitted == status.good.end() || permitted->second.until <= pass.now)
                 continue;
         }
         resources room = candidate.info.capacity - candidate.used;
@@ -106,8 +171,9 @@
 
 void scheduler::implementation::start(job_status& job, const task_ref& task,
                                       run_number run, worker_status& target,
-                                      boot_time now, decisions& out)
+                                      decision_pass& pass)
 {
+    const boot_time now = pass.now;
     step_status& step = job.steps[task.step];
     task_status& status = step.tasks[task.index];
     run_record record;
@@ -141,11 +207,11 @@
               {"run", std::uint64_t{run.value()}},
               {"worker", target.info.id.value()},
               {"free_millicores", (target.info.capacity - target.used).processors.value()}});
-    out.starts.push_back(std::move(order));
+    pass.out.starts.push_back(std::move(order));
 }
 
 bool scheduler::implementation::place_task(job_status& job, const task_ref& task,
-                                           boot_time now, decisions& out)
+                                           decision_pass& pass)
 {
     const step_status& step = job.steps[task.step];
     std::map<worker_id, std::uint32_t> placed;
@@ -154,20 +220,20 @@
             if (!other.on.empty())
                 ++placed[other.on];
     const task_status& status = step.tasks[task.index];
-    worker_status* target = choose(job, task.step, now, {}, placed, status.failed_on);
+    worker_status* target = choose(job, task.step, pass, {}, placed, status.failed_on);
     if (target == nullptr)
         return false;
-    start(job, task, status.last_run.next(), *target, now, out);
+    start(job, task, status.last_run.next(), *target, pass);
     return true;
 }
 
-void scheduler::implementation::place_gang(job_status& job, std::uint32_t step,
-                                           boot_time now, decisions& out)
+bool scheduler::implementation::place_gang(job_status& job, std::uint32_t step,
+                                           decision_pass& pass)
 {
     step_status& status = job.steps[step];
     // Members of one run carry the same number and the same saved state.
-    if (status.occupied > 0 || status.not_before > now)
-        return;
+    if (status.occupied > 0 || status.not_before > pass.now)
+        return true;
     std::map<worker_id, resources> taken;
     std::map<worker_id, std::uint32_t> placed;
     std::vector<worker_status*> targets;
@@ -175,9 +241,9 @@
     checkpoint saved;
     for (const task_status& member : status.tasks)
     {
-        worker_status* target = choose(job, step, now, taken, placed, member.failed_on);
+        worker_status* target = choose(job, step, pass, taken, placed, member.failed_on);
         if (target == nullptr)
-            return;
+            return false;
         targets.push_back(target);
         taken[target->info.id] += job.spec.steps[step].size;
         ++placed[target->info.id];
@@ -188,14 +254,65 @@
     for (std::uint32_t index = 0; index < targets.size(); ++index)
     {
         status.tasks[index].saved = saved;
-        start(job, task_ref{job.spec.id, step, index}, run.next(), *targets[index], now,
-              out);
+        start(job, task_ref{job.spec.id, step, index}, run.next(), *targets[index],
+              pass);
+    }
+    return true;
+}
+
+void scheduler::implementation::reserve_workers(const job_status& job, std::uint32_t step,
+                                                decision_pass& pass)
+{
+    if (pass.reserved_gangs >= most_reserved_gangs)
+        return;
+    const step_spec& spec = job.spec.steps[step];
+    const step_status& status = job.steps[step];
+    const bool needs_ticket = policy_of(job).advice.has_value();
+    const step_key key = key_of(job, step);
+    std::vector<std::pair<std::int64_t, worker_id>> candidates;
+    std::int64_t slots = 0;
+    for (const auto& [id, candidate] : workers)
+    {
+        if (!can_run(candidate, job, step, pass.now) || pass.reserved.contains(id) ||
+            (needs_ticket && !status.good.contains(id)))
+            continue;
+        const resources& capacity = candidate.info.capacity;
+        slots += fits(spec.size, capacity);
+        candidates.emplace_back(
+            (candidate.used.processors - capacity.processors).value(), id);
     }
+    // Workers held back for a gang that they can never hold would be wasted.
+    if (slots < static_cast<std::int64_t>(spec.count))
+        return;
+    std::ranges::sort(candidates);
+    // About half of a worker becomes free while the gang waits.
+    std::int64_t expected = 0;
+    for (const auto& [taken, id] : candidates)
+    {
+        if (expected >= static_cast<std::int64_t>(spec.count))
+            break;
+        const std::int64_t whole = fits(spec.size, workers.at(id).info.capacity);
+        expected += std::max<std::int64_t>(1, whole / 2);
+        pass.reserved.emplace(id, key);
+    }
+    ++pass.reserved_gangs;
+}
+
+bool scheduler::implementation::may_ask(const job_status& job, decision_pass& pass) const
+{
+    const advice_policy& advice = *policy_of(job).advice;
+    const duration cost = advice.decide + advice.each * usual_question;
+    const std::int64_t most =
+        cost <= duration::zero() ? most_waiting_steps
+                                 : std::clamp(advice.valid * agents_assumed / cost,
+                                              least_waiting_steps, most_waiting_steps);
+    return ++pass.waiting_with_advice[job.spec.queue] <= static_cast<std::uint64_t>(most);
 }
 
 void scheduler::implementation::ask_advice(job_status& job, std::uint32_t step,
-                                           boot_time now, decisions& out)
+                                           decision_pass& pass)
 {
+    const boot_time now = pass.now;
     step_status& status = job.steps[step];
     if (status.asking_since && now - *status.asking_since < advice_limit)
         return;
@@ -262,14 +379,13 @@
     for (const worker_id& id : order.workers)
         status.asked.insert(id);
     status.asking_since = now;
-    out.advice.push_back(std::move(order));
+    pass.out.advice.push_back(std::move(order));
 }
 
-void scheduler::implementation::place_step(const step_key& key, boot_time now,
-                                           decisions& out)
+void scheduler::implementation::place_step(const step_key& key, decision_pass& pass)
 {
-    const std::uint32_t step = std::get<3>(key);
-    job_status* job = find_job(std::get<2>(key));
+    const std::uint32_t step = key.step;
+    job_status* job = find_job(key.job);
     if (job == nullptr || is_final(job->state) || job->steps[step].remaining == 0)
     {
         open_steps.erase(key);
@@ -279,20 +395,23 @@
     if (job->inherited && !unsettled.empty())
         return;
     if (job->spec.steps[step].gang)
-        place_gang(*job, step, now, out);
+    {
+        if (!place_gang(*job, step, pass))
+            reserve_workers(*job, step, pass);
+    }
     else
         for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
         {
             const task_status& task = status.tasks[index];
             if (task.done || !task.on.empty())
                 continue;
-            if (!place_task(*job, task_ref{job->spec.id, step, index}, now, out))
+            if (!place_task(*job, task_ref{job->spec.id, step, index}, pass))
                 break;
         }
     if (waiting_tasks(status) == 0)
         open_steps.erase(key);
-    else if (policy_of(*job).advice)
-        ask_advice(*job, step, now, out);
+    else if (policy_of(*job).advice && may_ask(*job, pass))
+        ask_advice(*job, step, pass);
 }
 
 duration scheduler::advice_cost(const advice_order& order) const
@@ -310,7 +429,9 @@
     self.expire_workers(now);
     self.repeat_stops(now);
     self.move_stalled(now);
-    decisions out;
+    self.age_jobs(now);
+    decision_pass pass;
+    pass.now = now;
     std::vector<step_key> considered;
     for (const step_key& key : self.open_steps)
     {
@@ -319,7 +440,8 @@
         considered.push_back(key);
     }
     for (const step_key& key : considered)
-        self.place_step(key, now, out);
+        self.place_step(key, pass);
+    decisions& out = pass.out;
     out.stops = std::exchange(self.stops, {});
     for (const stop_order& stop : out.stops)
     {
@@ -330,7 +452,7 @@
         if (record != holder->second.runs.end())
             record->second.ordered_at = now;
     }
-    return out;
+    return std::move(pass.out);
 }
 
 } // namespace hawthornbeam::cell
--- /dev/null
+++ b/unittests/adapter/adapter_test.cpp
@@ -0,0 +1,183 @@
+/// \file
+/// Tests of the formats of the users' platform.
+#include "platform/configuration.hpp"
+#include "platform/job_document.hpp"
+#include "platform/runner_registry.hpp"
+#include "platform/settings.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace hawthornbeam::adapter
+{
+
+namespace
+{
+
+constexpr const char* whole_settings = R"(
+node-name = "front-a-1"
+ip = "10.1.0.13"
+zone = "a"
+port-range = [7720, 7735]
+advice = "10.200.1.9:8169"
+surprise = { key = 1 }
+[listen]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+[limits]
+cpu-share = 0.25
+[parameters]
+hold-max-ms = 10000
+kill-grace-ms = 900
+grace-s = 6
+[platform]
+address = "10.200.1.7:8169"
+)";
+
+constexpr const char* whole_configuration = R"({"version":7,"routes":[
+  {"name":"r-1","host":"a.example","prefix":"/p/","service":"s1","priority":1,
+   "attempts":2,"stretch":2.2,"slo-ms":1000,
+   "advice":{"decide-ms":410.0,"each-ms":5.9,"valid-ms":1500}},
+  {"name":"r-2","host":"a.example","prefix":"/p/longer/","service":"s1"}],
+  "services":[],"limits":{"body-bytes":1000}})";
+
+constexpr const char* whole_entry =
+    R"({"service":"s1","address":"10.128.0.9:8080","zone":"a","version":"v1",
+    "capacity":8,"state":"ready","warmup-ms":0,"room":{"cpu":16000,"mem-mb":32768,
+    "gpu":0},"labels":["a","r1-3"],"clock-ms":4,"seq":4,"born":1790000000000})";
+
+} // namespace
+
+TEST(settings_test, reads_a_whole_file_and_ignores_unknown_keys)
+{
+    const read_settings_result read = read_settings(whole_settings, "node.toml");
+    ASSERT_TRUE(read.settings) << read.faults.front().text();
+    EXPECT_EQ(read.settings->host_name, "front-a-1");
+    EXPECT_EQ(read.settings->first_inner_port, 7720);
+    EXPECT_EQ(read.settings->store.value(), "10.200.1.7:8169");
+    EXPECT_EQ(read.settings->most_lease, std::chrono::seconds(10));
+    EXPECT_DOUBLE_EQ(read.settings->processor_share, 0.25);
+}
+
+TEST(settings_test, reports_all_faults_with_their_places)
+{
+    std::string text(whole_settings);
+    text.replace(text.find("[7720, 7735]"), 12, "[7735, 7720]");
+    text.replace(text.find("\"10.200.1.7:8169\""), 17, "5");
+    text.replace(text.find("cpu-share = 0.25"), 16, "cores = 1");
+    const read_settings_result read = read_settings(text, "node.toml");
+    EXPECT_FALSE(read.settings);
+    std::string all;
+    for (const finding& fault : read.faults)
+        all += fault.text() + "\n";
+    EXPECT_NE(all.find("port-range"), std::string::npos) << all;
+    EXPECT_NE(all.find("platform.address"), std::string::npos) << all;
+    EXPECT_NE(all.find("limits.cpu-share"), std::string::npos) << all;
+}
+
+TEST(configuration_test, reads_queues_and_finds_the_longest_prefix)
+{
+    const result<configuration> read = read_configuration(whole_configuration);
+    ASSERT_TRUE(read);
+    const configuration& version = read.value();
+    EXPECT_EQ(version.version, 7U);
+    EXPECT_EQ(version.queues[0].attempts, 2U);
+    EXPECT_EQ(version.queues[0].objective, std::chrono::seconds(1));
+    ASSERT_TRUE(version.queues[0].advice);
+    EXPECT_EQ(version.queues[0].advice->decide, std::chrono::milliseconds(410));
+    EXPECT_FALSE(version.queues[1].advice);
+    EXPECT_EQ(version.find("a.example", "/p/longer/x")->queue.value(), "r-2");
+    EXPECT_EQ(version.find("a.example", "/p/x")->queue.value(), "r-1");
+    EXPECT_EQ(version.find("b.example", "/p/x"), nullptr);
+    EXPECT_EQ(version.find("a.example", "/q/x"), nullptr);
+}
+
+class faulty_configuration_test : public testing::TestWithParam<const char*>
+{
+};
+
+TEST_P(faulty_configuration_test, is_not_taken)
+{
+    EXPECT_FALSE(read_configuration(GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(documents, faulty_configuration_test,
+                         testing::Values("", "[]", "{", R"({"version":1})",
+                                         R"({"version":-1,"routes":[]})",
+                                         R"({"version":1,"routes":[{"name":"r"}]})"));
+
+TEST(runner_entry_test, is_read_with_rack_and_life)
+{
+    const std::optional<cell::worker_info> read =
+        read_runner(worker_id("i-1"), whole_entry);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->rack.value(), "r1-3");
+    EXPECT_EQ(read->life.value(), 1790000000000);
+    EXPECT_EQ(read->capacity.processors.value(), 16000);
+    EXPECT_FALSE(read->draining);
+}
+
+/// Entries of other writers name no worker.
+class foreign_entry_test : public testing::TestWithParam<const char*>
+{
+};
+
+TEST_P(foreign_entry_test, names_no_worker)
+{
+    EXPECT_FALSE(read_runner(worker_id("i-1"), GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    entries, foreign_entry_test,
+    testing::Values("", "\xff\xfe", "null", "7", "{}",
+                    R"({"service":"s1","address":"1.1.1.1:1","state":"resting",
+                        "room":{"cpu":1,"mem-mb":1},"labels":[]})",
+                    R"({"service":"s1","address":"1.1.1.1:1","state":"ready",
+                        "room":{"cpu":"1","mem-mb":1},"labels":[]})",
+                    R"({"service":5,"address":"1.1.1.1:1","state":"ready",
+                        "room":{"cpu":1,"mem-mb":1},"labels":[]})",
+                    R"({"service":"s1","address":"1.1.1.1:1","state":"ready",
+                        "room":{"cpu":1,"mem-mb":1},"labels":[3]})"));
+
+TEST(job_document_test, reads_steps)
+{
+    findings faults;
+    const cell::job_spec job = read_job(
+        R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900,
+        "affinity":"r1-3","gang":true},{"cpu":2000,"after":[0],"checkpoint":true,
+        "anti-affinity":2}]})",
+        faults);
+    ASSERT_TRUE(faults.empty()) << faults.front().text();
+    ASSERT_EQ(job.steps.size(), 2U);
+    EXPECT_EQ(job.payload, "text");
+    EXPECT_EQ(job.steps[0].count, 4U);
+    EXPECT_TRUE(job.steps[0].gang);
+    EXPECT_EQ(job.steps[0].data_rack.value(), "r1-3");
+    EXPECT_EQ(job.steps[1].count, 1U);
+    EXPECT_EQ(job.steps[1].after, std::vector<std::uint32_t>{0});
+    EXPECT_EQ(job.steps[1].per_worker, 2U);
+}
+
+TEST(job_document_test, reports_all_faults_together)
+{
+    findings faults;
+    read_job(R"({"spec":5,"times":3,"steps":[{"count":0},{"cpu":-1,"after":[1]},
+        {"fills":true}]})",
+             faults);
+    std::set<std::string> places;
+    for (const finding& fault : faults)
+        places.insert(fault.place);
+    const std::set<std::string> expected{"/spec",         "/times",         "/steps/0/count",
+                                         "/steps/1/cpu",  "/steps/1/after", "/steps/2/fills"};
+    EXPECT_EQ(places, expected);
+}
+
+TEST(job_document_test, takes_ids_of_16_hexadecimal_digits)
+{
+    EXPECT_TRUE(is_job_id("5c0e7a21d94b36f8"));
+    EXPECT_FALSE(is_job_id("5c0e7a21d94b36f"));
+    EXPECT_FALSE(is_job_id("5c0e7a21d94b36fg"));
+    EXPECT_FALSE(is_job_id(""));
+}
+
+} // namespace hawthornbeam::adapter
--- /dev/null
+++ b/unittests/cell/scheduler_test.cpp
@@ -0,0 +1,407 @@
+/// \file
+/// Tests of the scheduler of a cell. Each names the failure that it guards against.
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A start or stop that stays without an answer is settled after this time.
+constexpr duration unanswered = milliseconds(900);
+
+task_ref first_task(const std::string& job)
+{
+    return task_ref{job_key(job), 0, 0};
+}
+
+} // namespace
+
+TEST(scheduler_test, runs_a_job_to_its_end_and_shows_it_once_it_is_stored)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 3, 2));
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::queued);
+    workers.decide();
+    EXPECT_EQ(workers.runs("a").size(), 3U);
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::running);
+    workers.end_all(run_end::done);
+    workers.look_at_all();
+    // A final state that a takeover could lose must not be shown.
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::running);
+    workers.store();
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::done);
+}
+
+TEST(scheduler_test, starts_a_step_only_after_all_tasks_of_the_earlier_one)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    job_spec spec = fleet::job("a", "q", 2, 1);
+    spec.steps.push_back(spec.steps[0]);
+    spec.steps[1].after = {0};
+    workers.submit(spec);
+    workers.decide();
+    ASSERT_EQ(workers.runs("a").size(), 2U);
+    workers.end({first_task("a"), run_number(1)}, run_end::done);
+    workers.look_at_all();
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.end({{job_key("a"), 0, 1}, run_number(1)}, run_end::done);
+    workers.look_at_all();
+    EXPECT_EQ(workers.decide().starts.size(), 2U);
+}
+
+// Runs of two takeovers: ends of one task arrive from several workers in any order, and
+// each of the failed ones counts as an attempt.
+TEST(scheduler_test, counts_failed_ends_in_any_order)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0, 2);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    workers.cell.restore_end({{first_task("a"), run_number(2)}, run_end::failed});
+    workers.cell.restore_end({{first_task("a"), run_number(1)}, run_end::failed});
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.store();
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::failed);
+}
+
+TEST(scheduler_test, counts_an_end_once_that_is_stored_and_listed)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0, 2);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    workers.decide();
+    workers.end_all(run_end::failed);
+    workers.look_at_all();
+    workers.cell.restore_end({{first_task("a"), run_number(1)}, run_end::failed});
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+// A receiver's message about a job may come after a worker has listed the job's end.
+TEST(scheduler_test, keeps_ends_of_jobs_that_are_not_known_yet)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    const job_spec spec = fleet::job("a", "q", 1, 1);
+    workers.submit(spec);
+    workers.decide();
+    workers.end_all(run_end::done);
+
+    scheduler successor{scheduler_limits(), workers.log};
+    successor.update_worker(workers.info("w0"), workers.clock.now());
+    worker_look look;
+    look.worker = worker_id("w0");
+    look.began = observation{1, 1};
+    look.life = workers.info("w0").life;
+    look.ended.push_back({end_number(1), {first_task("a"), run_number(1)}, run_end::done,
+                          checkpoint()});
+    successor.observe(look, workers.clock.now());
+    EXPECT_EQ(successor.take_changes().ends.size(), 1U);
+    successor.add_job(spec, true, workers.clock.now());
+    EXPECT_TRUE(successor.decide(workers.clock.now()).starts.empty());
+    EXPECT_EQ(successor.take_changes().final_jobs.size(), 1U);
+}
+
+// A former owner may have started an inherited task on any worker that it used.
+TEST(scheduler_test, holds_inherited_tasks_until_every_worker_was_looked_at)
+{
+    fleet workers(3, false);
+    workers.add_queue("q", 0);
+    workers.cell.expect_workers({worker_id("w0"), worker_id("w1"), worker_id("w2")},
+                                workers.clock.now());
+    workers.submit(fleet::job("old", "q", 1, 1), true);
+    workers.submit(fleet::job("new", "q", 1, 1), false);
+    workers.look("w0");
+    workers.look("w1");
+    const decisions early = workers.decide();
+    ASSERT_EQ(early.starts.size(), 1U);
+    EXPECT_EQ(early.starts[0].run.task.job, job_key("new"));
+    workers.look("w2");
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+TEST(scheduler_test, gives_up_an_unreachable_worker_only_after_its_longest_lease)
+{
+    fleet workers(2, false);
+    workers.add_queue("q", 0);
+    workers.cell.expect_workers({worker_id("w0"), worker_id("w1")}, workers.clock.now());
+    workers.submit(fleet::job("old", "q", 1, 1), true);
+    workers.look("w0");
+    const scheduler_limits limits;
+    workers.advance(limits.most_lease);
+    workers.look("w0");
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.advance(limits.start_deadline + seconds(1));
+    workers.look("w0");
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+TEST(scheduler_test, adopts_runs_that_a_look_shows)
+{
+    fleet former(1);
+    former.add_queue("q", 0);
+    const job_spec spec = fleet::job("a", "q", 1, 5);
+    former.submit(spec);
+    former.decide();
+
+    scheduler successor{scheduler_limits(), former.log};
+    queue_policy queue;
+    queue.name = queue_name("q");
+    queue.service = service_name("pool");
+    successor.configure({queue});
+    successor.update_worker(former.info("w0"), former.clock.now());
+    successor.allow_worker(worker_id("w0"));
+    successor.expect_workers({worker_id("w0")}, former.clock.now());
+    successor.add_job(spec, true, former.clock.now());
+    successor.add_job(fleet::job("b", "q", 1, 5), true, former.clock.now());
+    worker_look look;
+    look.worker = worker_id("w0");
+    look.began = observation{1, 1};
+    look.life = former.info("w0").life;
+    look.running.push_back({{first_task("a"), run_number(1)}, checkpoint(), 3});
+    successor.observe(look, former.clock.now());
+    // The room of the adopted run is taken: the other job does not fit beside it.
+    EXPECT_TRUE(successor.decide(former.clock.now()).starts.empty());
+    EXPECT_EQ(successor.state(job_key("a")), job_state::running);
+}
+
+/// A start whose outcome is not known, carried out or not.
+class unsettled_start_test : public testing::TestWithParam<delivery>
+{
+};
+
+TEST_P(unsettled_start_test, is_settled_before_the_task_starts_elsewhere)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    ASSERT_EQ(workers.decide(GetParam()).starts.size(), 1U);
+    for (int round = 0; round < 20; ++round)
+    {
+        workers.advance(milliseconds(200));
+        workers.look_at_all();
+        workers.decide();
+        EXPECT_LE(workers.runs("a").size(), 1U);
+    }
+    EXPECT_EQ(workers.runs("a").size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(outcomes, unsettled_start_test,
+                         testing::Values(delivery::lost, delivery::answer_lost));
+
+TEST(scheduler_test, frees_room_of_a_stopped_run_only_when_its_end_is_listed)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 8));
+    workers.decide();
+    workers.look_at_all();
+    workers.cell.cancel(job_key("a"));
+    workers.submit(fleet::job("b", "q", 1, 8));
+    // The stop takes a while at the worker.
+    const decisions decided = workers.cell.decide(workers.clock.now());
+    ASSERT_EQ(decided.stops.size(), 1U);
+    EXPECT_TRUE(decided.starts.empty());
+    workers.look_at_all();
+    EXPECT_TRUE(workers.cell.decide(workers.clock.now()).starts.empty());
+    workers.deliver(decided.stops[0]);
+    workers.look_at_all();
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+    EXPECT_LE(workers.most_millicores(), 8000);
+}
+
+TEST(scheduler_test, stops_what_a_restarted_worker_may_still_begin)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    workers.submit(fleet::job("b", "q", 1, 1));
+    const decisions first = workers.cell.decide(workers.clock.now());
+    ASSERT_EQ(first.starts.size(), 2U);
+    workers.deliver(first.starts[0]);
+    workers.deliver(first.starts[1], delivery::lost);
+    workers.restart("w0");
+    workers.look_at_all();
+    const decisions second = workers.cell.decide(workers.clock.now());
+    // The answered run is gone for certain; the other order may still arrive.
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts[0].run.task, first.starts[0].run.task);
+    ASSERT_EQ(second.stops.size(), 1U);
+    EXPECT_EQ(second.stops[0].run.task, first.starts[1].run.task);
+}
+
+TEST(scheduler_test, starts_nothing_on_a_draining_worker)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.info("w0").draining = true;
+    workers.publish("w0");
+    workers.submit(fleet::job("a", "q", 1, 1));
+    EXPECT_TRUE(workers.decide().starts.empty());
+}
+
+// An entry that describes an earlier life may name more room than the worker has now.
+TEST(scheduler_test, starts_nothing_before_the_entry_describes_the_worker_s_life)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    worker_look look;
+    look.worker = worker_id("w0");
+    look.began = observation{1, 9};
+    look.life = worker_life(2000);
+    workers.cell.observe(look, workers.clock.now());
+    EXPECT_TRUE(workers.decide().starts.empty());
+}
+
+TEST(scheduler_test, places_a_gang_at_once_or_not_at_all)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    job_spec gang = fleet::job("a", "q", 5, 4);
+    gang.steps[0].gang = true;
+    workers.submit(gang);
+    EXPECT_TRUE(workers.decide().starts.empty());
+    job_spec smaller = fleet::job("b", "q", 4, 4);
+    smaller.steps[0].gang = true;
+    workers.submit(smaller);
+    EXPECT_EQ(workers.decide().starts.size(), 4U);
+}
+
+// A member that waits for one that never comes would end alone.
+TEST(scheduler_test, stops_a_gang_when_one_start_is_refused)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    job_spec gang = fleet::job("a", "q", 3, 2);
+    gang.steps[0].gang = true;
+    workers.submit(gang);
+    const decisions first = workers.cell.decide(workers.clock.now());
+    ASSERT_EQ(first.starts.size(), 3U);
+    workers.deliver(first.starts[0]);
+    workers.deliver(first.starts[1]);
+    workers.deliver(first.starts[2], delivery::refused);
+    workers.decide();
+    EXPECT_TRUE(workers.runs("a").empty());
+    workers.look_at_all();
+    workers.advance(milliseconds(900));
+    workers.look_at_all();
+    workers.decide();
+    ASSERT_EQ(workers.runs("a").size(), 3U);
+    std::set<run_number> numbers;
+    for (const auto& [holder, run] : workers.runs("a"))
+        numbers.insert(run.run);
+    EXPECT_EQ(numbers, std::set<run_number>{run_number(2)});
+}
+
+TEST(scheduler_test, fails_a_gang_after_its_attempts_whichever_member_failed)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0, 2);
+    job_spec gang = fleet::job("a", "q", 2, 2);
+    gang.steps[0].gang = true;
+    workers.submit(gang);
+    workers.cell.restore_end({{{job_key("a"), 0, 0}, run_number(1)}, run_end::failed});
+    workers.cell.restore_end({{{job_key("a"), 0, 1}, run_number(2)}, run_end::failed});
+    workers.store();
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::failed);
+}
+
+TEST(scheduler_test, keeps_the_limit_of_tasks_of_a_step_on_one_worker)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    job_spec spread = fleet::job("a", "q", 4, 1);
+    spread.steps[0].per_worker = 1;
+    workers.submit(spread);
+    EXPECT_EQ(workers.decide().starts.size(), 2U);
+}
+
+TEST(scheduler_test, restarts_a_persistent_task_however_it_ends)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0, 1);
+    job_spec lasting = fleet::job("a", "q", 1, 1);
+    lasting.steps[0].persistent = true;
+    workers.submit(lasting);
+    for (const run_end how : {run_end::done, run_end::failed, run_end::lapsed})
+    {
+        ASSERT_EQ(workers.decide().starts.size(), 1U);
+        workers.end_all(how);
+        workers.look_at_all();
+    }
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::running);
+}
+
+TEST(scheduler_test, leaves_a_worker_that_fails_tasks_of_several_jobs)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0, 5);
+    for (const char* id : {"a", "b", "c"})
+        workers.submit(fleet::job(id, "q", 1, 1));
+    workers.decide();
+    workers.end_all(run_end::failed);
+    workers.look_at_all();
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.advance(milliseconds(2100));
+    workers.look_at_all();
+    EXPECT_EQ(workers.decide().starts.size(), 3U);
+}
+
+// Load: requests with short objectives arrive faster than they can run for a while. In
+// order of arrival all of them would be late from then on.
+TEST(scheduler_test, serves_requests_in_time_before_those_that_are_late_already)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0, 3, 1.5, milliseconds(250));
+    for (int number = 0; number < 4; ++number)
+        workers.submit(fleet::job("old" + std::to_string(number), "q", 1, 8,
+                                  milliseconds(800)));
+    workers.advance(seconds(1));
+    workers.look_at_all();
+    workers.submit(fleet::job("new", "q", 1, 8, milliseconds(800)));
+    const decisions decided = workers.decide();
+    ASSERT_EQ(decided.starts.size(), 1U);
+    EXPECT_EQ(decided.starts[0].run.task.job, job_key("new"));
+}
+
+// Load: a flood of small tasks of a less urgent queue takes each core that becomes free,
+// so that a gang never finds room for all members at once.
+TEST(scheduler_test, holds_workers_back_for_a_gang_in_a_flood)
+{
+    fleet workers(4);
+    workers.add_queue("gangs", 1, 3, 2, seconds(60));
+    workers.add_queue("flood", 2, 3, 2, seconds(60));
+    for (int number = 0; number < 60; ++number)
+        workers.submit(fleet::job("f" + std::to_string(number), "flood", 1, 2));
+    workers.decide();
+    job_spec gang = fleet::job("g", "gangs", 2, 6);
+    gang.steps[0].gang = true;
+    workers.submit(gang);
+    bool placed = false;
+    // Each round one small task ends on each worker.
+    for (int round = 0; round < 6 && !placed; ++round)
+    {
+        std::set<worker_id> served;
+        for (int number = 0; number < 60; ++number)
+            for (const auto& [holder, run] : workers.runs("f" + std::to_string(number)))
+                if (served.insert(holder).second)
+                    workers.end(run, run_end::done);
+        workers.look_at_all();
+        workers.decide();
+        placed = workers.runs("g").size() == 2;
+    }
+    EXPECT_TRUE(placed);
+    EXPECT_LE(workers.most_millicores(), 8000);
+}
+
+} // namespace hawthornbeam::cell
