--- /dev/null
+++ b/unittests/cell/claim_test.cpp
@@ -0,0 +1,156 @@
+/// \file
+/// Tests of the claim of a cell.
+#include "hawthornbeam/cell/claim.hpp"
+
+#include "memory_store.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// An instance that claims, and what it was told.
+struct claimant
+{
+    claimant(manual_event_loop& loop, memory_store_state& state, const logger& log,
+             const std::string& name)
+        : store(state), random(std::hash<std::string>{}(name)),
+          claimed(loop, store, random, log,
+                  owner_identity{instance_id(name), endpoint(name + ":1"), fence_token()},
+                  {[this](fence_token token, bool was_continued)
+                   {
+                       gained.push_back(token);
+                       continued.push_back(was_continued);
+                   },
+                   [this] { ++lost; }, [](const std::optional<owner_identity>&) {}})
+    {
+    }
+
+    memory_store store;
+    random_source random;
+    std::vector<fence_token> gained;
+    std::vector<bool> continued;
+    int lost = 0;
+    claim claimed;
+};
+
+class claim_test : public testing::Test
+{
+protected:
+    int owners() const
+    {
+        return (first.claimed.is_owner() ? 1 : 0) + (second.claimed.is_owner() ? 1 : 0);
+    }
+    claimant& owner() { return first.claimed.is_owner() ? first : second; }
+    claimant& other() { return first.claimed.is_owner() ? second : first; }
+    void start()
+    {
+        first.claimed.start();
+        second.claimed.start();
+        loop.advance(seconds(1));
+        ASSERT_EQ(owners(), 1);
+    }
+
+    manual_event_loop loop;
+    logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
+    memory_store_state state{loop};
+    claimant first{loop, state, log, "first"};
+    claimant second{loop, state, log, "second"};
+};
+
+TEST_F(claim_test, is_held_by_one_and_seen_by_the_other)
+{
+    start();
+    loop.advance(seconds(10));
+    EXPECT_EQ(owners(), 1);
+    ASSERT_TRUE(other().claimed.owner());
+    EXPECT_EQ(other().claimed.owner()->token, owner().claimed.token());
+    EXPECT_EQ(owner().gained.size(), 1U);
+}
+
+TEST_F(claim_test, passes_to_another_with_a_higher_token_when_the_store_refuses_the_owner)
+{
+    start();
+    claimant& former = owner();
+    claimant& successor = other();
+    const fence_token token = former.claimed.token();
+    former.store.condition = store_condition::refusing;
+    loop.advance(seconds(4));
+    EXPECT_TRUE(successor.claimed.is_owner());
+    EXPECT_GT(successor.claimed.token(), token);
+    EXPECT_FALSE(successor.continued.back());
+    // The former owner does not hear of it from the store, but from workers.
+    EXPECT_TRUE(former.claimed.is_owner());
+    former.claimed.superseded(successor.claimed.token());
+    EXPECT_FALSE(former.claimed.is_owner());
+    EXPECT_EQ(former.lost, 1);
+}
+
+TEST_F(claim_test, is_kept_while_the_store_is_away_and_continued_after_it)
+{
+    start();
+    claimant& former = owner();
+    const fence_token token = former.claimed.token();
+    first.store.condition = store_condition::refusing;
+    second.store.condition = store_condition::refusing;
+    for (int round = 0; round < 10; ++round)
+    {
+        loop.advance(milliseconds(500));
+        other().claimed.heard_owner();
+    }
+    EXPECT_TRUE(former.claimed.is_owner());
+    first.store.condition = store_condition::well;
+    second.store.condition = store_condition::well;
+    loop.advance(milliseconds(1000));
+    // The lease has ended, so the token is new, but what the owner knows is complete.
+    EXPECT_TRUE(former.claimed.is_owner());
+    EXPECT_EQ(owners(), 1);
+    EXPECT_GT(former.claimed.token(), token);
+    EXPECT_TRUE(former.continued.back());
+}
+
+TEST_F(claim_test, is_settled_when_the_answer_to_a_claim_is_lost)
+{
+    first.store.condition = store_condition::losing_answers;
+    first.claimed.start();
+    loop.advance(seconds(3));
+    first.store.condition = store_condition::well;
+    loop.advance(seconds(4));
+    EXPECT_TRUE(first.claimed.is_owner());
+    EXPECT_EQ(state.items.at("cell/owner").revision.value(),
+              first.claimed.token().value());
+}
+
+TEST_F(claim_test, passes_on_at_once_at_a_planned_stop)
+{
+    start();
+    claimant& successor = other();
+    owner().claimed.release();
+    loop.advance(milliseconds(300));
+    EXPECT_TRUE(successor.claimed.is_owner());
+    EXPECT_EQ(owners(), 1);
+}
+
+TEST_F(claim_test, ends_when_a_paused_owner_wakes_after_a_takeover)
+{
+    start();
+    claimant& former = owner();
+    claimant& successor = other();
+    // The owner's calls are held up by a pause: its lease ends.
+    state.leases.begin()->second.first = loop.clock().now();
+    loop.advance(milliseconds(400));
+    EXPECT_EQ(owners(), 1);
+    EXPECT_EQ(former.claimed.is_owner() ? former.gained.size()
+                                        : successor.gained.size() + 1,
+              2U);
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/unittests/cell/memory_store.cpp
@@ -0,0 +1,198 @@
+/// \file
+/// Implements the store in memory.
+#include "memory_store.hpp"
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+constexpr duration call_time = std::chrono::milliseconds(4);
+constexpr duration lost_after = std::chrono::milliseconds(1000);
+constexpr duration poll_period = std::chrono::milliseconds(10);
+} // namespace
+
+void memory_store_state::expire()
+{
+    const boot_time now = loop.clock().now();
+    for (auto lease = leases.begin(); lease != leases.end();)
+    {
+        if (lease->second.first > now)
+        {
+            ++lease;
+            continue;
+        }
+        std::vector<std::string> ended;
+        for (const auto& [key, holder] : leases_of)
+            if (holder == lease->first)
+                ended.push_back(key);
+        for (const std::string& key : ended)
+            remove(key);
+        lease = leases.erase(lease);
+    }
+}
+
+void memory_store_state::put(const std::string& key, std::string value, lease_id lease)
+{
+    items[key] = store_item{key, std::move(value), kv_revision(revision)};
+    leases_of[key] = lease;
+    history.push_back({items[key], false});
+}
+
+void memory_store_state::remove(const std::string& key)
+{
+    if (items.erase(key) == 0)
+        return;
+    leases_of.erase(key);
+    history.push_back({store_item{key, "", kv_revision(++revision)}, true});
+}
+
+void memory_store::later(duration delay, std::function<void()> action)
+{
+    const std::uint64_t number = ++last_timer_;
+    timers_[number] = state_.loop.after(delay,
+                                        [this, number, action = std::move(action)]
+                                        {
+                                            action();
+                                            timers_.erase(number);
+                                        });
+}
+
+template <class T>
+void memory_store::answer(const callback<T>& done, std::function<T()> work)
+{
+    const store_condition met = condition;
+    later(
+        met == store_condition::losing_answers ? lost_after : call_time,
+        [this, done, work, met]
+        {
+            state_.expire();
+            if (met == store_condition::refusing)
+                return done(make_error(error_code::unavailable, "refused"));
+            T outcome = work();
+            if (met == store_condition::losing_answers)
+                return done(make_error(error_code::outcome_unknown, "answer lost"));
+            done(std::move(outcome));
+        });
+}
+
+void memory_store::read(const std::string& key, callback<std::optional<store_item>> done)
+{
+    answer<std::optional<store_item>>(
+        done,
+        [this, key]
+        {
+            const auto found = state_.items.find(key);
+            return found == state_.items.end() ? std::optional<store_item>()
+                                               : std::optional<store_item>(found->second);
+        });
+}
+
+void memory_store::list(const std::string& prefix, callback<store_listing> done)
+{
+    answer<store_listing>(done,
+                          [this, prefix]
+                          {
+                              store_listing listed;
+                              for (const auto& [key, item] : state_.items)
+                                  if (key.starts_with(prefix))
+                                      listed.items.push_back(item);
+                              listed.at = kv_revision(state_.revision);
+                              return listed;
+                          });
+}
+
+void memory_store::watch(const std::string& prefix, kv_revision after, duration wait,
+                         callback<store_changes> done)
+{
+    poll(prefix, after, state_.loop.clock().now() + wait, done);
+}
+
+void memory_store::poll(const std::string& prefix, kv_revision after, boot_time until,
+                        const callback<store_changes>& done)
+{
+    later(
+        poll_period,
+        [this, prefix, after, until, done]
+        {
+            if (condition != store_condition::well)
+                return done(make_error(error_code::unavailable, "refused"));
+            state_.expire();
+            store_changes changes;
+            for (const store_event& event : state_.history)
+                if (event.item.revision > after && event.item.key.starts_with(prefix))
+                    changes.events.push_back(event);
+            changes.at = kv_revision(state_.revision);
+            if (changes.events.empty() && state_.loop.clock().now() < until)
+                return poll(prefix, after, until, done);
+            done(std::move(changes));
+        });
+}
+
+store_commit memory_store::apply(const store_transaction& change)
+{
+    ++state_.commits;
+    store_commit outcome;
+    for (const store_expectation& each : change.expect)
+    {
+        const auto found = state_.items.find(each.key);
+        const kv_revision present =
+            found == state_.items.end() ? kv_revision() : found->second.revision;
+        if (present == each.revision)
+            continue;
+        for (const store_expectation& expected : change.expect)
+        {
+            const auto item = state_.items.find(expected.key);
+            outcome.conflicts.push_back(item == state_.items.end()
+                                            ? store_item{expected.key, "", kv_revision()}
+                                            : item->second);
+        }
+        return outcome;
+    }
+    for (const store_put& each : change.puts)
+        if (each.lease != lease_id() && !state_.leases.contains(each.lease))
+        {
+            outcome.lease_ended = true;
+            return outcome;
+        }
+    ++state_.revision;
+    for (const store_put& each : change.puts)
+        state_.put(each.key, each.value, each.lease);
+    for (const std::string& key : change.removals)
+        state_.remove(key);
+    outcome.committed = true;
+    outcome.revision = kv_revision(state_.revision);
+    return outcome;
+}
+
+void memory_store::commit(store_transaction change, callback<store_commit> done)
+{
+    answer<store_commit>(done, [this, change = std::move(change)]
+                         { return apply(change); });
+}
+
+void memory_store::grant(duration life, callback<lease_id> done)
+{
+    answer<lease_id>(done,
+                     [this, life]
+                     {
+                         const lease_id granted(++state_.last_lease);
+                         state_.leases[granted] = {state_.loop.clock().now() + life, life};
+                         return granted;
+                     });
+}
+
+void memory_store::renew(lease_id lease, callback<bool> done)
+{
+    answer<bool>(done,
+                 [this, lease]
+                 {
+                     const auto found = state_.leases.find(lease);
+                     if (found == state_.leases.end())
+                         return false;
+                     found->second.first = state_.loop.clock().now() + found->second.second;
+                     return true;
+                 });
+}
+
+} // namespace hawthornbeam::cell
--- /dev/null
+++ b/unittests/cell/memory_store.hpp
@@ -0,0 +1,72 @@
+/// \file
+/// A cell_store in memory on an injected loop, with the failures of the real one.
+#ifndef HAWTHORNBEAM_UNITTESTS_CELL_MEMORY_STORE_HPP
+#define HAWTHORNBEAM_UNITTESTS_CELL_MEMORY_STORE_HPP
+
+#include "hawthornbeam/cell/store.hpp"
+#include "hawthornbeam/support/event_loop.hpp"
+
+#include <map>
+
+namespace hawthornbeam::cell
+{
+
+/// How the store treats calls.
+enum class store_condition
+{
+    well,
+    refusing,      ///< Answers that it has done nothing.
+    losing_answers ///< Does what it is asked and does not answer.
+};
+
+/// What all clients of the store share.
+struct memory_store_state
+{
+    explicit memory_store_state(event_loop& given) : loop(given) {}
+
+    void expire();
+    void put(const std::string& key, std::string value, lease_id lease);
+    void remove(const std::string& key);
+
+    event_loop& loop;
+    std::map<std::string, store_item> items;
+    std::map<std::string, lease_id> leases_of;
+    std::map<lease_id, std::pair<boot_time, duration>> leases;
+    std::vector<store_event> history;
+    std::uint64_t revision = 1;
+    std::uint64_t last_lease = 0;
+    std::size_t commits = 0;
+};
+
+/// The store as one client sees it.
+class memory_store final : public cell_store
+{
+public:
+    explicit memory_store(memory_store_state& state) : state_(state) {}
+
+    void read(const std::string& key, callback<std::optional<store_item>> done) override;
+    void list(const std::string& prefix, callback<store_listing> done) override;
+    void watch(const std::string& prefix, kv_revision after, duration wait,
+               callback<store_changes> done) override;
+    void commit(store_transaction change, callback<store_commit> done) override;
+    void grant(duration life, callback<lease_id> done) override;
+    void renew(lease_id lease, callback<bool> done) override;
+
+    store_condition condition = store_condition::well;
+
+private:
+    void later(duration delay, std::function<void()> action);
+    template <class T>
+    void answer(const callback<T>& done, std::function<T()> work);
+    store_commit apply(const store_transaction& change);
+    void poll(const std::string& prefix, kv_revision after, boot_time until,
+              const callback<store_changes>& done);
+
+    memory_store_state& state_;
+    std::map<std::uint64_t, timer_handle> timers_;
+    std::uint64_t last_timer_ = 0;
+};
+
+} // namespace hawthornbeam::cell
+
+#endif
--- /dev/null
+++ b/unittests/cell/receiver_test.cpp
@@ -0,0 +1,158 @@
+/// \file
+/// Tests of the receiver: what callers are told when the store misbehaves.
+#include "hawthornbeam/cell/receiver.hpp"
+
+#include "fleet.hpp"
+#include "memory_store.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class receiver_test : public testing::Test
+{
+protected:
+    receiver_parts parts()
+    {
+        return {loop,
+                store,
+                log,
+                [this](const job_spec& job, kv_revision) { accepted.push_back(job.id); },
+                [this](const job_key& job) { cancelled.push_back(job); },
+                [this](const std::vector<job_key>&,
+                       const std::function<void(
+                           result<std::vector<std::pair<job_key, job_state>>>)>& done)
+                {
+                    if (owner_states.empty())
+                        return done(make_error(error_code::unavailable, "no owner"));
+                    done(owner_states);
+                }};
+    }
+    verdict submit(const std::string& id, duration wait)
+    {
+        std::optional<verdict> told;
+        requests.submit(fleet::job(id, "q", 1, 1),
+                        [&told](verdict outcome) { told = outcome; });
+        loop.advance(wait);
+        return told.value_or(verdict::unknown);
+    }
+    query_answer query(const std::string& id)
+    {
+        query_answer told;
+        requests.query(job_key(id), [&told](const query_answer& given) { told = given; });
+        loop.advance(milliseconds(100));
+        return told;
+    }
+
+    manual_event_loop loop;
+    logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
+    memory_store_state state{loop};
+    memory_store store{state};
+    std::vector<job_key> accepted;
+    std::vector<job_key> cancelled;
+    std::vector<std::pair<job_key, job_state>> owner_states;
+    receiver requests{parts()};
+};
+
+TEST_F(receiver_test, stores_a_job_before_it_is_accepted)
+{
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    EXPECT_TRUE(state.items.contains("cell/job/a"));
+    EXPECT_EQ(accepted.size(), 1U);
+}
+
+TEST_F(receiver_test, accepts_a_repeated_job_without_storing_it_again)
+{
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    const kv_revision stored = state.items.at("cell/job/a").revision;
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    EXPECT_EQ(state.items.at("cell/job/a").revision, stored);
+    EXPECT_EQ(accepted.size(), 1U);
+}
+
+TEST_F(receiver_test, stores_the_others_of_a_batch_in_which_one_is_repeated)
+{
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    std::vector<verdict> told;
+    for (const char* id : {"b", "a", "c"})
+        requests.submit(fleet::job(id, "q", 1, 1),
+                        [&told](verdict outcome) { told.push_back(outcome); });
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(told, (std::vector<verdict>{verdict::done, verdict::done, verdict::done}));
+    EXPECT_TRUE(state.items.contains("cell/job/b"));
+    EXPECT_TRUE(state.items.contains("cell/job/c"));
+}
+
+TEST_F(receiver_test, refuses_at_once_when_the_store_has_done_nothing)
+{
+    store.condition = store_condition::refusing;
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::refused);
+    EXPECT_TRUE(accepted.empty());
+}
+
+// A refusal says that the job never runs, so it must not follow a write that may be done.
+TEST_F(receiver_test, does_not_refuse_what_may_be_stored)
+{
+    store.condition = store_condition::losing_answers;
+    std::optional<verdict> told;
+    requests.submit(fleet::job("a", "q", 1, 1),
+                    [&told](verdict outcome) { told = outcome; });
+    loop.advance(milliseconds(1050));
+    store.condition = store_condition::refusing;
+    loop.advance(seconds(4));
+    EXPECT_EQ(told, verdict::unknown);
+    EXPECT_TRUE(state.items.contains("cell/job/a"));
+}
+
+TEST_F(receiver_test, settles_a_lost_answer_by_storing_again)
+{
+    store.condition = store_condition::losing_answers;
+    std::optional<verdict> told;
+    requests.submit(fleet::job("a", "q", 1, 1),
+                    [&told](verdict outcome) { told = outcome; });
+    loop.advance(milliseconds(1050));
+    store.condition = store_condition::well;
+    loop.advance(milliseconds(500));
+    EXPECT_EQ(told, verdict::done);
+}
+
+TEST_F(receiver_test, finds_an_accepted_job_of_which_no_owner_has_heard)
+{
+    submit("a", milliseconds(50));
+    EXPECT_EQ(query("a").outcome, verdict::done);
+    EXPECT_EQ(query("a").state, job_state::queued);
+    owner_states = {{job_key("other"), job_state::running}};
+    EXPECT_EQ(query("a").outcome, verdict::done);
+    EXPECT_EQ(query("b").outcome, verdict::not_found);
+}
+
+TEST_F(receiver_test, says_not_found_only_when_the_store_has_answered)
+{
+    store.condition = store_condition::refusing;
+    EXPECT_EQ(query("a").outcome, verdict::refused);
+}
+
+TEST_F(receiver_test, stores_a_cancel_before_it_is_confirmed)
+{
+    submit("a", milliseconds(50));
+    std::optional<verdict> told;
+    requests.cancel(job_key("a"), [&told](verdict outcome) { told = outcome; });
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(told, verdict::done);
+    EXPECT_TRUE(state.items.contains("cell/cancel/a"));
+    EXPECT_EQ(cancelled.size(), 1U);
+    requests.cancel(job_key("b"), [&told](verdict outcome) { told = outcome; });
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(told, verdict::not_found);
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
