Take looks only from a worker's present agent

Ruled out: answers that overtake each other at one agent (its positions only rise); a repeated POST.

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -215,7 +215,13 @@
         cell.observe(ordered_by_looks(result), now);
     }
     for (const worker_look& look : report.looks)
-        cell.observe(look, now);
+    {
+        // A look of a former agent has no order with those of the present one: a run that
+        // it shows may have begun after a look that the present one had sent before.
+        const auto route = routes.find(look.worker);
+        if (route != routes.end() && look.began.assignment == route->second.assignment)
+            cell.observe(look, now);
+    }
     agent_state& sender = agent_of(from);
     for (const advice_result& result : report.advice)
     {
--- /dev/null
+++ b/unittests/cell/owner_test.cpp
@@ -0,0 +1,229 @@
+/// \file
+/// Tests of the owner: agents, assignments and the store.
+#include "hawthornbeam/cell/owner.hpp"
+
+#include "fleet.hpp"
+#include "memory_store.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t first_token = 2;
+
+class listed_workers final : public worker_directory
+{
+public:
+    void
+    start(std::function<void(const std::vector<worker_info>&)> handler) override
+    {
+        changed = std::move(handler);
+        changed(workers);
+    }
+    void stop() override { changed = nullptr; }
+
+    std::vector<worker_info> workers;
+    std::function<void(const std::vector<worker_info>&)> changed;
+};
+
+class owner_test : public testing::Test
+{
+protected:
+    owner_test()
+    {
+        worker_info worker;
+        worker.id = worker_id("w");
+        worker.address = endpoint("10.0.0.1:1");
+        worker.service = service_name("pool");
+        worker.life = worker_life(7);
+        worker.capacity = resources{millicores(8000), byte_count(0), accelerator_count()};
+        directory.workers = {worker};
+        state.revision = first_token;
+        state.put("cell/owner", "", lease_id());
+    }
+    void start()
+    {
+        queue_policy queue;
+        queue.name = queue_name("q");
+        queue.service = service_name("pool");
+        queue.attempts = 3;
+        cell->configure({queue});
+        cell->start();
+        report("a");
+        loop.advance(milliseconds(200));
+    }
+    void report(const std::string& agent, agent_report observed = {},
+                std::vector<wire::accepted_job> accepted = {})
+    {
+        wire::cell_report message;
+        message.token = fence_token(first_token);
+        message.address = endpoint(agent);
+        message.share = 250;
+        message.report = std::move(observed);
+        message.accepted = std::move(accepted);
+        cell->take_report(instance_id(agent), std::move(message));
+    }
+    worker_look look(observation began) const
+    {
+        worker_look seen;
+        seen.worker = worker_id("w");
+        seen.began = began;
+        seen.life = worker_life(7);
+        return seen;
+    }
+    static agent_report with(worker_look look)
+    {
+        agent_report observed;
+        observed.looks.push_back(std::move(look));
+        return observed;
+    }
+    /// The latest assignment that the owner sent for the worker.
+    std::uint64_t assignment() const
+    {
+        std::uint64_t latest = 0;
+        for (const auto& [agent, message] : sent)
+            for (const assign_order& order : message.orders.assignments)
+                if (order.assigned)
+                    latest = std::max(latest, order.assignment);
+        return latest;
+    }
+    std::vector<start_order> starts() const
+    {
+        std::vector<start_order> all;
+        for (const auto& [agent, message] : sent)
+            all.insert(all.end(), message.orders.starts.begin(),
+                       message.orders.starts.end());
+        return all;
+    }
+    end_number acknowledged() const
+    {
+        end_number last;
+        for (const auto& [agent, message] : sent)
+            for (const acknowledge_order& order : message.orders.acknowledgements)
+                last = std::max(last, order.last);
+        return last;
+    }
+    void submit(const std::string& id)
+    {
+        report("a", {}, {{fleet::job(id, "q", 1, 1), true}});
+        loop.advance(milliseconds(50));
+    }
+
+    manual_event_loop loop;
+    logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
+    memory_store_state state{loop};
+    memory_store store{state};
+    listed_workers directory;
+    std::vector<std::pair<endpoint, wire::cell_orders>> sent;
+    std::vector<fence_token> superseded;
+    std::unique_ptr<owner> cell = std::make_unique<owner>(
+        owner_parts{loop, store, directory, log, scheduler_limits(), instance_id("self"),
+                    std::chrono::minutes(5),
+                    [this](const endpoint& agent, wire::cell_orders message,
+                           const std::function<void(result<fence_token>)>& done)
+                    {
+                        sent.emplace_back(agent, std::move(message));
+                        done(fence_token(first_token));
+                    },
+                    [this](fence_token higher) { superseded.push_back(higher); }, [] {}},
+        fence_token(first_token));
+};
+
+TEST_F(owner_test, starts_a_job_on_a_worker_that_was_looked_at_and_stored)
+{
+    start();
+    submit("a");
+    EXPECT_TRUE(starts().empty());
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(200));
+    EXPECT_TRUE(state.items.contains("cell/workers"));
+    ASSERT_EQ(starts().size(), 1U);
+    EXPECT_EQ(starts()[0].worker.value(), "w");
+}
+
+// A run that only a former agent's late look shows must not count as gone when the
+// present agent's look, which had begun before the run, does not show it.
+TEST_F(owner_test, does_not_compare_looks_of_two_agents)
+{
+    start();
+    submit("a");
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(200));
+    ASSERT_EQ(starts().size(), 1U);
+    const std::uint64_t former = assignment();
+    // Agent "a" falls silent; "b" gets the worker and looks at it.
+    for (int round = 0; round < 6; ++round)
+    {
+        report("b");
+        loop.advance(milliseconds(400));
+    }
+    const std::uint64_t present = assignment();
+    ASSERT_GT(present, former);
+    worker_look late = look({former, 5});
+    late.running.push_back({starts()[0].run, checkpoint(), 1});
+    report("a", with(late));
+    report("b", with(look({present, 1})));
+    loop.advance(milliseconds(50));
+    EXPECT_EQ(starts().size(), 1U);
+}
+
+TEST_F(owner_test, acknowledges_an_end_only_after_it_is_stored)
+{
+    start();
+    submit("a");
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(200));
+    ASSERT_EQ(starts().size(), 1U);
+    store.condition = store_condition::refusing;
+    worker_look ended = look({assignment(), 2});
+    ended.ended.push_back({end_number(1), starts()[0].run, run_end::done, checkpoint()});
+    report("a", with(ended));
+    loop.advance(milliseconds(700));
+    EXPECT_EQ(acknowledged(), end_number());
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::running);
+    store.condition = store_condition::well;
+    loop.advance(milliseconds(700));
+    EXPECT_EQ(acknowledged(), end_number(1));
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::done);
+}
+
+TEST_F(owner_test, writes_nothing_once_another_instance_holds_the_claim)
+{
+    start();
+    submit("a");
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(200));
+    ++state.revision;
+    state.put("cell/owner", "another", lease_id());
+    worker_look ended = look({assignment(), 2});
+    ended.ended.push_back({end_number(1), starts()[0].run, run_end::done, checkpoint()});
+    report("a", with(ended));
+    loop.advance(milliseconds(500));
+    EXPECT_FALSE(superseded.empty());
+    EXPECT_FALSE(state.items.contains("cell/job/a"));
+    EXPECT_EQ(acknowledged(), end_number());
+}
+
+TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
+{
+    start();
+    agent_report refused;
+    order_result result;
+    result.worker = worker_id("w");
+    result.outcome = order_outcome::fenced;
+    result.token = first_token;
+    refused.results.push_back(result);
+    report("a", refused);
+    EXPECT_EQ(superseded.size(), 1U);
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
