Bound the log, never block on it, and count requests, runs and calls

Counters and histograms are served at /metrics on every host. Their cost in processor time is not measured yet.

--- a/include/hawthornbeam/cell/node.hpp
+++ b/include/hawthornbeam/cell/node.hpp
@@ -24,6 +24,7 @@
     wire::peer_network& network;
     random_source& random;
     const logger& log;
+    metrics_registry& metrics;
     instance_id self;
     endpoint address;           ///< Of the inner protocol.
     std::uint32_t share = 1000; ///< Processor share of the host, in thousandths.
--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -31,6 +31,7 @@
     cell_store& store;
     worker_directory& directory;
     const logger& log;
+    metrics_registry& metrics;
     scheduler_limits limits;
     instance_id self;
     /// Ended jobs can be asked for at least this long.
--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -4,6 +4,7 @@
 #define HAWTHORNBEAM_CELL_SCHEDULER_HPP
 
 #include "hawthornbeam/cell/types.hpp"
+#include "hawthornbeam/metrics/metrics.hpp"
 #include "hawthornbeam/support/log.hpp"
 
 #include <memory>
@@ -52,7 +53,8 @@
 class scheduler
 {
 public:
-    scheduler(const scheduler_limits& limits, const logger& log);
+    scheduler(const scheduler_limits& limits, const logger& log,
+              metrics_registry& metrics);
     ~scheduler();
 
     void configure(const std::vector<queue_policy>& queues);
@@ -96,7 +98,7 @@
     /// Changes since the last call.
     pending_changes take_changes();
     /// The batch is stored: final states become visible.
-    void stored(const pending_changes& batch);
+    void stored(const pending_changes& batch, boot_time now);
 
     /// True when no expected worker may run something that was not seen.
     bool is_settled() const;
--- a/include/hawthornbeam/support/log.hpp
+++ b/include/hawthornbeam/support/log.hpp
@@ -43,6 +43,8 @@
 /// \p text as a JSON string with quotes; bytes that are not UTF-8 become U+FFFD.
 std::string json_quote(std::string_view text);
 
+class bounded_log;
+
 /// Writes lines such as
 /// {"time":"...","level":"info","component":"journal","instance":"entry-1","message":"..."}.
 class logger
@@ -53,6 +55,9 @@
     /// Writes to standard error.
     logger(const clock_source& clock, std::string instance, log_level least);
     logger(const clock_source& clock, std::string instance, log_level least, sink write);
+    /// Writes to \p bounded, which must outlive the logger.
+    logger(const clock_source& clock, std::string instance, log_level least,
+           bounded_log& bounded);
 
     void debug(std::string_view component, std::string_view message,
                std::initializer_list<log_field> fields = {}) const;
@@ -71,6 +76,7 @@
     std::string instance_;
     log_level least_;
     sink write_;
+    bounded_log* bounded_ = nullptr;
 };
 
 } // namespace hawthornbeam
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -129,8 +129,9 @@
 class scheduler::implementation
 {
 public:
-    implementation(const scheduler_limits& given, const logger& sink)
-        : limits(given), log(sink)
+    implementation(const scheduler_limits& given, const logger& sink,
+                   metrics_registry& registry)
+        : limits(given), log(sink), metrics(registry)
     {
     }
 
@@ -141,6 +142,7 @@
     bool is_ready(const job_status& job, std::uint32_t step) const;
     void open_ready_steps(const job_status& job);
     void finish_job(job_status& job, job_state state);
+    void note_started(job_status& job, boot_time now);
     void stop_runs(const job_status& job);
     void task_done(job_status& job, const task_ref& task);
     void step_done(job_status& job, std::uint32_t step);
@@ -193,6 +195,7 @@
 
     scheduler_limits limits;
     const logger& log;
+    metrics_registry& metrics;
     std::map<queue_name, queue_policy> queues;
     std::unordered_map<job_key, job_status> jobs;
     std::map<worker_id, worker_status> workers;
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -40,8 +40,9 @@
     return true;
 }
 
-scheduler::scheduler(const scheduler_limits& limits, const logger& log)
-    : implementation_(std::make_unique<implementation>(limits, log))
+scheduler::scheduler(const scheduler_limits& limits, const logger& log,
+                     metrics_registry& metrics)
+    : implementation_(std::make_unique<implementation>(limits, log, metrics))
 {
 }
 
@@ -197,6 +198,8 @@
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         open_steps.erase(key_of(job, step));
     job.state = state;
+    metrics.add("hawthornbeam_jobs_ended_total",
+                {{"queue", job.spec.queue.value()}, {"state", to_string(state)}});
     --open_job_count;
     changes.final_jobs.emplace_back(job.spec.id, state);
     // Ends of a job whose final state is stored in the same batch are not needed.
@@ -205,6 +208,15 @@
     stop_runs(job);
 }
 
+void scheduler::implementation::note_started(job_status& job, boot_time now)
+{
+    if (!job.started)
+        metrics.observe("hawthornbeam_job_wait_seconds",
+                        {{"queue", job.spec.queue.value()}}, now - job.submitted);
+    job.started = true;
+    job.state = job_state::running;
+}
+
 void scheduler::implementation::stop_runs(const job_status& job)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
@@ -310,13 +322,17 @@
     return taken;
 }
 
-void scheduler::stored(const pending_changes& batch)
+void scheduler::stored(const pending_changes& batch, boot_time now)
 {
     for (const auto& [id, state] : batch.final_jobs)
     {
         job_status* job = implementation_->find_job(id);
-        if (job != nullptr)
-            job->final_stored = true;
+        if (job == nullptr)
+            continue;
+        job->final_stored = true;
+        implementation_->metrics.observe("hawthornbeam_job_time_seconds",
+                                         {{"queue", job->spec.queue.value()}},
+                                         now - job->submitted);
     }
 }
 
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -98,7 +98,7 @@
     if (continued && owned)
         return owned->change_token(token);
     owner_parts wanted{parts.loop, parts.store, parts.directory, parts.log,
-                       parts.limits, parts.self, std::chrono::minutes(5),
+                       parts.metrics, parts.limits, parts.self, std::chrono::minutes(5),
                        [this](const endpoint& target, wire::cell_orders message,
                               std::function<void(result<fence_token>)> done)
                        { send_orders(target, std::move(message), std::move(done)); },
@@ -114,6 +114,7 @@
                                            });
                        },
                        [] {}};
+    parts.metrics.add("hawthornbeam_takeovers_total", {});
     owned.reset();
     owned = std::make_unique<owner>(wanted, token);
     owned->configure(queues);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -252,6 +252,7 @@
     holder.quarantined_until =
         now + first_quarantine * (1U << std::min(holder.quarantines, most_doublings));
     ++holder.quarantines;
+    metrics.add("hawthornbeam_quarantines_total", {});
     holder.recent_ends.clear();
     log.warning("cell", "worker quarantined",
                 {{"worker", holder.info.id.value()},
@@ -298,8 +299,8 @@
               {"run", std::uint64_t{end.run.run.value()}},
               {"worker", holder.info.id.value()},
               {"how", to_string(end.how)}});
-    job.started = true;
-    job.state = job_state::running;
+    note_started(job, now);
+    metrics.add("hawthornbeam_run_ends_total", {{"how", to_string(end.how)}});
     if (end.how == run_end::done || end.how == run_end::failed)
         changes.ends.push_back({end.run, end.how});
     const bool persistent = job.spec.steps[task.step].persistent;
@@ -501,6 +502,8 @@
     }
     if (record->second.answered)
         return;
+    self.metrics.add("hawthornbeam_start_answers_total",
+                     {{"outcome", to_string(result.outcome)}});
     if (result.outcome == order_outcome::accepted)
     {
         record->second.answered = true;
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -346,6 +346,13 @@
     if (!loaded)
         return;
     const std::vector<queue_depth> depths = cell.depths();
+    parts.metrics.set_gauge("hawthornbeam_open_jobs", {},
+                            static_cast<double>(cell.open_jobs()));
+    parts.metrics.set_gauge("hawthornbeam_settled", {}, cell.is_settled() ? 1 : 0);
+    for (const queue_depth& depth : depths)
+        parts.metrics.set_gauge("hawthornbeam_waiting_jobs",
+                                {{"queue", depth.queue.value()}},
+                                static_cast<double>(depth.waiting));
     std::map<instance_id, agent_orders> sending;
     sending.swap(outbox);
     for (const auto& [id, state] : agents)
@@ -389,6 +396,7 @@
         return;
     }
     const boot_time now = parts.loop.clock().now();
+    parts.metrics.add("hawthornbeam_orders_not_taken_total", {});
     parts.log.warning(
         "owner", "orders not taken",
         {{"agent", id.value()}, {"reason", answer.error().message}});
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -39,7 +39,7 @@
 {
 public:
     implementation(const owner_parts& given, fence_token claimed)
-        : parts(given), token(claimed), cell(given.limits, given.log)
+        : parts(given), token(claimed), cell(given.limits, given.log, given.metrics)
     {
     }
 
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -346,7 +346,7 @@
         }
         records_of.erase(job);
     }
-    cell.stored(stored);
+    cell.stored(stored, now);
     if (batch.final_jobs.empty())
     {
         for (const acknowledge_order& order : batch.covered)
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -185,8 +185,9 @@
     status.on = target.info.id;
     status.last_run = run;
     ++step.occupied;
-    job.started = true;
-    job.state = job_state::running;
+    note_started(job, now);
+    metrics.add("hawthornbeam_starts_ordered_total",
+                {{"queue", job.spec.queue.value()}});
     start_order order;
     order.worker = target.info.id;
     order.address = target.info.address;
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -2,6 +2,8 @@
 /// Implements the JSON-line log.
 #include "hawthornbeam/support/log.hpp"
 
+#include "hawthornbeam/support/bounded_log.hpp"
+
 #include <array>
 #include <cstdio>
 #include <fmt/format.h>
@@ -96,6 +98,14 @@
 {
 }
 
+logger::logger(const clock_source& clock, std::string instance, log_level least,
+               bounded_log& bounded)
+    : logger(clock, std::move(instance), least,
+             [&bounded](const std::string& line) { bounded.write(line); })
+{
+    bounded_ = &bounded;
+}
+
 void logger::debug(std::string_view component, std::string_view message,
                    std::initializer_list<log_field> fields) const
 {
@@ -125,6 +135,8 @@
 {
     if (level < least_)
         return;
+    if (bounded_ != nullptr && !bounded_->admit(level, component, message))
+        return;
     std::string line = fmt::format(
         R"({{"time":"{}","level":"{}","component":{},"instance":{},"message":{})",
         format_wall_time(clock_.wall_now()), level_names[static_cast<std::size_t>(level)],
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// The daemon on the users' platform: connects a node with the platform's interfaces.
+#include "hawthornbeam/support/bounded_log.hpp"
 #include "hawthornbeam/support/text_file.hpp"
 #include "platform/configuration.hpp"
 #include "platform/ingress.hpp"
@@ -19,6 +20,8 @@
 
 ABSL_FLAG(std::string, settings, "",
           "TOML settings file; the default is the path in HAWTHORNBEAM_CONFIG");
+ABSL_FLAG(std::uint16_t, metrics_port, 9464,
+          "port of /metrics; the deploy file names the same");
 ABSL_FLAG(bool, check, false, "check the settings, print all findings and exit");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
@@ -34,6 +37,8 @@
 constexpr unsigned connections_per_host = 8;
 /// A leaving process goes on answering for this share of its grace time.
 constexpr double serving_share = 0.5;
+/// Log lines that a slow reader did not take are offered again this often.
+constexpr duration flush_period = std::chrono::milliseconds(1000);
 constexpr duration answer_period = std::chrono::milliseconds(50);
 /// A lease of a worker must outlast a takeover, which needs 3 to 4 s.
 constexpr duration most_wanted_lease = std::chrono::milliseconds(6000);
@@ -58,8 +63,8 @@
         : loop_(loop), log_(log), settings_(settings), random_(seed),
           store_http_(loop, log, connections_per_host, connection_use::kept),
           runner_http_(loop, log, connections_per_host, connection_use::kept),
-          store_(store_http_, log, settings.store),
-          runners_(runner_http_, settings.advice), registry_(loop, store_, log),
+          store_(store_http_, metrics_, settings.store),
+          runners_(runner_http_, metrics_, settings.advice), registry_(loop, store_, log),
           configuration_(loop, store_, log,
                          [this](const adapter::configuration& version)
                          { node_->configure(version.queues); })
@@ -77,6 +82,7 @@
     const logger& log_;
     adapter::process_settings settings_;
     random_source random_;
+    metrics_registry metrics_;
     http_client store_http_;
     http_client runner_http_;
     adapter::store_client store_;
@@ -113,7 +119,7 @@
         network_ = std::move(opened).value();
         cell::node_parts parts{
             loop_,   store_,  runners_,     registry_,
-            *network_, random_, log_,       options.self,
+            *network_, random_, log_, metrics_, options.self,
             cell::endpoint(fmt::format("{}:{}", settings_.ip, network_->port())),
             static_cast<std::uint32_t>(settings_.processor_share * 1000),
             cell::scheduler_limits()};
@@ -128,7 +134,10 @@
 {
     BOOST_OUTCOME_TRY(open_network());
     result<std::unique_ptr<adapter::ingress>> opened = adapter::ingress::open(
-        {loop_, *node_, configuration_, log_}, settings_.callers, settings_.readiness);
+        {loop_, *node_, configuration_, log_, metrics_}, settings_.callers,
+        settings_.readiness,
+        cell::endpoint(
+            fmt::format("{}:{}", settings_.ip, absl::GetFlag(FLAGS_metrics_port))));
     if (!opened)
         return opened.error();
     ingress_ = std::move(opened).value();
@@ -190,13 +199,6 @@
     return G_SOURCE_CONTINUE;
 }
 
-void write_to_standard_output(const std::string& line)
-{
-    // A reader that does not keep up must not block the loop; the line is lost then.
-    const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
-    static_cast<void>(written);
-}
-
 int run()
 {
     std::string file = absl::GetFlag(FLAGS_settings);
@@ -224,8 +226,10 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     glib_event_loop loop;
-    const logger log(loop.clock(), read.settings->host_name, *level,
-                     write_to_standard_output);
+    bounded_log lines(loop.clock(), STDOUT_FILENO);
+    const logger log(loop.clock(), read.settings->host_name, *level, lines);
+    const timer_handle flushing =
+        loop.every(flush_period, [&lines] { lines.flush(); });
     const std::uint64_t seed =
         static_cast<std::uint64_t>(loop.clock().wall_now().time_since_epoch().count()) ^
         (static_cast<std::uint64_t>(getpid()) << 32U) ^
--- a/unittests/cell/fleet.cpp
+++ b/unittests/cell/fleet.cpp
@@ -186,7 +186,7 @@
 pending_changes fleet::store()
 {
     const pending_changes batch = cell.take_changes();
-    cell.stored(batch);
+    cell.stored(batch, clock.now());
     return batch;
 }
 
--- a/unittests/cell/fleet.hpp
+++ b/unittests/cell/fleet.hpp
@@ -60,7 +60,8 @@
 
     manual_clock clock;
     logger log{clock, "test", log_level::error, [](const std::string&) {}};
-    scheduler cell{scheduler_limits(), log};
+    metrics_registry metrics;
+    scheduler cell{scheduler_limits(), log, metrics};
 
 private:
     struct worker
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -118,13 +118,15 @@
 
     manual_event_loop loop;
     logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
+    metrics_registry metrics;
     memory_store_state state{loop};
     memory_store store{state};
     listed_workers directory;
     std::vector<std::pair<endpoint, wire::cell_orders>> sent;
     std::vector<fence_token> superseded;
     std::unique_ptr<owner> cell = std::make_unique<owner>(
-        owner_parts{loop, store, directory, log, scheduler_limits(), instance_id("self"),
+        owner_parts{loop, store, directory, log, metrics, scheduler_limits(),
+                    instance_id("self"),
                     std::chrono::minutes(5),
                     [this](const endpoint& agent, wire::cell_orders message,
                            const std::function<void(result<fence_token>)>& done)
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -95,7 +95,7 @@
     workers.decide();
     workers.end_all(run_end::done);
 
-    scheduler successor{scheduler_limits(), workers.log};
+    scheduler successor{scheduler_limits(), workers.log, workers.metrics};
     successor.update_worker(workers.info("w0"), workers.clock.now());
     worker_look look;
     look.worker = worker_id("w0");
@@ -152,7 +152,7 @@
     former.submit(spec);
     former.decide();
 
-    scheduler successor{scheduler_limits(), former.log};
+    scheduler successor{scheduler_limits(), former.log, former.metrics};
     queue_policy queue;
     queue.name = queue_name("q");
     queue.service = service_name("pool");
