--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -46,6 +46,9 @@
     void start();
     /// Hands the cell over and does not claim it again.
     void release();
+    /// Gives the claim up for others to take; claims again when none of them has done so
+    /// within \p pause.
+    void resign(duration pause);
     /// A worker or an instance has shown a higher token: the role ends at once.
     void superseded(fence_token higher);
     /// A message of the owner arrived, so nobody needs to claim for a moment.
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -60,6 +60,7 @@
     void take_commit(result<store_commit> answer);
     void gain(kv_revision revision);
     void step_down(const char* reason);
+    void give_up(const char* reason);
     void renew();
     void take_renewal(result<bool> answer);
 
@@ -79,7 +80,7 @@
     kv_revision expected_last;  ///< What the claim under way expects.
     kv_revision seen;           ///< Where the watch continues.
     std::optional<boot_time> heard_at;
-    boot_time absent_since{};
+    boot_time claim_not_before{}; ///< After a resignation others come first.
     timer_handle retry_timer;
     timer_handle claim_timer;
     timer_handle renewal_timer;
@@ -169,14 +170,13 @@
     if (released || claiming)
         return;
     const boot_time now = loop.clock().now();
-    if (absent_since == boot_time())
-        absent_since = now;
     duration delay = duration::zero();
     if (!owning)
         delay = duration(static_cast<std::int64_t>(
             random.unit() * static_cast<double>(claim_spread.count())));
     if (!owning && heard_at && now - *heard_at < owner_grace)
         delay += owner_grace - (now - *heard_at);
+    delay = std::max(delay, claim_not_before - now);
     claim_timer = loop.after(delay, [this] { begin_claim(); });
 }
 
@@ -237,7 +237,6 @@
         step_down("another instance owned the cell meanwhile");
     owning = true;
     last_claim = revision;
-    absent_since = boot_time();
     seen = std::max(seen, revision);
     current = owner_identity{self.instance, self.address, fence_token(revision.value())};
     log.info("claim", "cell claimed",
@@ -258,6 +257,15 @@
     handlers.lost();
 }
 
+void claim::implementation::give_up(const char* reason)
+{
+    store_transaction change;
+    change.expect = {{std::string(owner_key), kv_revision(current->token.value())}};
+    change.removals = {std::string(owner_key)};
+    store.commit(std::move(change), [](const result<store_commit>&) {});
+    step_down(reason);
+}
+
 void claim::implementation::renew()
 {
     store.renew(lease, guarded(&implementation::take_renewal));
@@ -288,17 +296,19 @@
 }
 
 void claim::release()
+{
+    implementation_->released = true;
+    if (implementation_->owning)
+        implementation_->give_up("planned stop");
+}
+
+void claim::resign(duration pause)
 {
     implementation& self = *implementation_;
-    self.released = true;
     if (!self.owning)
         return;
-    store_transaction change;
-    change.expect = {{std::string(owner_key),
-                      kv_revision(self.current->token.value())}};
-    change.removals = {std::string(owner_key)};
-    self.store.commit(std::move(change), [](const result<store_commit>&) {});
-    self.step_down("planned stop");
+    self.claim_not_before = self.loop.clock().now() + pause;
+    self.give_up("no other instance is heard");
 }
 
 void claim::superseded(fence_token higher)
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -23,6 +23,10 @@
 constexpr duration most_depth_age = std::chrono::milliseconds(1800);
 /// A planned stop waits so long for what is under way.
 constexpr duration handover_limit = std::chrono::milliseconds(600);
+/// An owner that hears no other instance for so long is probably cut off from them, while
+/// it still reaches the store. The others get so long to claim the cell.
+constexpr duration alone_limit = std::chrono::milliseconds(2000);
+constexpr duration resignation_pause = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -35,6 +39,7 @@
                const std::function<void(wire::reply)>& answer);
     wire::reply take_orders(const wire::cell_orders& message);
     void gain(fence_token token, bool continued);
+    void resign_when_alone();
     void report(fence_token known, agent_report observed);
     void send_orders(const endpoint& target, wire::cell_orders message,
                      std::function<void(result<fence_token>)> done);
@@ -63,6 +68,9 @@
     std::map<queue_name, std::uint64_t> depths;
     boot_time depths_at{};
     bool leaving = false;
+    /// When another instance was heard last; empty when none was since the last
+    /// resignation.
+    std::optional<boot_time> others_heard;
     timer_handle heartbeat;
 };
 
@@ -122,6 +130,15 @@
     report(agent.token(), agent_report());
 }
 
+void node::implementation::resign_when_alone()
+{
+    if (!claim.is_owner() || !others_heard ||
+        parts.loop.clock().now() - *others_heard < alone_limit)
+        return;
+    others_heard.reset();
+    claim.resign(resignation_pause);
+}
+
 void node::implementation::report(fence_token known, agent_report observed)
 {
     const std::optional<owner_identity>& target = claim.owner();
@@ -262,6 +279,7 @@
 void node::implementation::serve(const instance_id& from, wire::request message,
                                  const std::function<void(wire::reply)>& answer)
 {
+    others_heard = parts.loop.clock().now();
     if (wire::cell_report* report_message = std::get_if<wire::cell_report>(&message))
     {
         const bool is_owner = owned != nullptr && claim.is_owner();
@@ -299,7 +317,12 @@
                 const std::function<void(wire::reply)>& answer)
         { self.serve(from, std::move(message), answer); });
     self.heartbeat = self.parts.loop.every(
-        heartbeat_period, [&self] { self.report(self.agent.token(), agent_report()); });
+        heartbeat_period,
+        [&self]
+        {
+            self.report(self.agent.token(), agent_report());
+            self.resign_when_alone();
+        });
     self.claim.start();
 }
 
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -137,6 +137,29 @@
     EXPECT_EQ(owners(), 1);
 }
 
+TEST_F(claim_test, passes_on_when_the_owner_resigns)
+{
+    start();
+    claimant& successor = other();
+    owner().claimed.resign(seconds(1));
+    loop.advance(milliseconds(500));
+    EXPECT_TRUE(successor.claimed.is_owner());
+    EXPECT_EQ(owners(), 1);
+}
+
+TEST_F(claim_test, is_taken_again_after_a_resignation_that_nobody_used)
+{
+    first.claimed.start();
+    loop.advance(seconds(1));
+    ASSERT_TRUE(first.claimed.is_owner());
+    first.claimed.resign(seconds(1));
+    loop.advance(milliseconds(500));
+    EXPECT_FALSE(first.claimed.is_owner());
+    loop.advance(seconds(2));
+    EXPECT_TRUE(first.claimed.is_owner());
+    EXPECT_FALSE(first.continued.back());
+}
+
 TEST_F(claim_test, ends_when_a_paused_owner_wakes_after_a_takeover)
 {
     start();
