--- a/include/hawthornbeam/cell/receiver.hpp
+++ b/include/hawthornbeam/cell/receiver.hpp
@@ -13,15 +13,6 @@
 namespace hawthornbeam::cell
 {
 
-/// What a caller may be told about a request.
-enum class verdict : std::uint8_t
-{
-    done,      ///< Stored; holds whatever fails afterwards.
-    not_found, ///< No such job.
-    refused,   ///< Certainly not done; the caller may come back.
-    unknown    ///< It cannot be known in time; repeating the request is safe.
-};
-
 /// Outcome of a query.
 struct query_answer
 {
@@ -43,6 +34,10 @@
         std::vector<job_key>,
         std::function<void(result<std::vector<std::pair<job_key, job_state>>>)>)>
         ask_owner;
+    /// Asks another instance to store a job or a cancel, since the store may serve it
+    /// while it turns this host away. Fails when none can be asked.
+    std::function<void(const relayed_change&, std::function<void(result<verdict>)>)>
+        relay;
 };
 
 /// A job is accepted by storing it under its id if that key is absent, so that the same
@@ -55,6 +50,8 @@
     ~receiver();
 
     void submit(job_spec job, std::function<void(verdict)> done);
+    /// Stores what another instance has relayed; it is not relayed again.
+    void take_relayed(relayed_change change, std::function<void(verdict)> done);
     void cancel(const job_key& job, std::function<void(verdict)> done);
     void query(const job_key& job, std::function<void(query_answer)> done);
     /// A final state was stored; queries need not ask the owner.
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -320,6 +320,22 @@
     std::int64_t changed_ms = 0; ///< Wall time of the write.
 };
 
+/// What a caller may be told about a request.
+enum class verdict : std::uint8_t
+{
+    done,      ///< Stored; holds whatever fails afterwards.
+    not_found, ///< No such job.
+    refused,   ///< Certainly not done; the caller may come back.
+    unknown    ///< It cannot be known in time; repeating the request is safe.
+};
+
+/// A change of the store that a receiver asks another instance to make.
+struct relayed_change
+{
+    job_spec job;        ///< Of a cancel, only the id.
+    bool cancel = false; ///< Cancel the job instead of storing it.
+};
+
 /// Number of jobs of a queue of which no task has started.
 struct queue_depth
 {
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -346,6 +346,15 @@
     bool is_owner = false; ///< False: the states are not known here.
     std::vector<cell_job_state> found;
 };
+/// Asks another instance to store what the sender could not.
+struct cell_relay
+{
+    cell::relayed_change change;
+};
+struct cell_relay_reply
+{
+    cell::verdict outcome = cell::verdict::unknown;
+};
 /// Fallback answer when a request cannot be served.
 struct failure_reply
 {
@@ -359,13 +368,14 @@
                              start_request, update_request, stop_request,
                              inventory_request, epochs_request, table_fetch,
                              status_request, drain_request, explain_request, cell_report,
-                             cell_orders, cell_query>;
+                             cell_orders, cell_query, cell_relay>;
 /// All replies; same rule.
 using reply =
     std::variant<failure_reply, submit_reply, job_reply, job_list_reply, cancel_reply,
                  start_reply, update_reply, stop_reply, inventory_reply, epochs_reply,
                  table_reply, status_reply, drain_reply, explain_reply,
-                 cell_report_reply, cell_orders_reply, cell_query_reply>;
+                 cell_report_reply, cell_orders_reply, cell_query_reply,
+                 cell_relay_reply>;
 
 /// Serializes to portable binary.
 std::string encode(const request& message);
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -19,6 +19,7 @@
 constexpr duration report_timeout = std::chrono::milliseconds(1000);
 constexpr duration orders_timeout = std::chrono::milliseconds(1000);
 constexpr duration query_timeout = std::chrono::milliseconds(500);
+constexpr duration relay_timeout = std::chrono::milliseconds(1100);
 /// A count of waiting jobs is shown for so long.
 constexpr duration most_depth_age = std::chrono::milliseconds(1800);
 /// A planned stop waits so long for what is under way.
@@ -46,6 +47,7 @@
     using states_done =
         std::function<void(result<std::vector<std::pair<job_key, job_state>>>)>;
     void ask_owner(std::vector<job_key> jobs, states_done done);
+    void relay(const relayed_change& change, std::function<void(result<verdict>)> done);
 
     /// A job that the owner has not confirmed yet.
     struct unreported_job
@@ -97,7 +99,10 @@
                     report(agent.token(), agent_report());
                 },
                 [this](std::vector<job_key> jobs, states_done done)
-                { ask_owner(std::move(jobs), std::move(done)); }})
+                { ask_owner(std::move(jobs), std::move(done)); },
+                [this](const relayed_change& change,
+                       std::function<void(result<verdict>)> done)
+                { relay(change, std::move(done)); }})
 {
 }
 
@@ -276,6 +281,29 @@
                        });
 }
 
+void node::implementation::relay(const relayed_change& change,
+                                 std::function<void(result<verdict>)> done)
+{
+    // The owner needs the store itself; an owner that is turned away asks an agent.
+    std::optional<endpoint> target;
+    if (claim.is_owner())
+        target = owned ? owned->some_agent() : std::nullopt;
+    else if (claim.owner())
+        target = claim.owner()->address;
+    if (!target)
+        return done(make_error(error_code::unavailable, "no other instance is known"));
+    parts.network.call(wire::peer_address(target->value()), wire::cell_relay{change},
+                       relay_timeout,
+                       [done = std::move(done)](const result<wire::reply>& answer)
+                       {
+                           if (!answer)
+                               return done(answer.error());
+                           const wire::cell_relay_reply* told =
+                               std::get_if<wire::cell_relay_reply>(&answer.value());
+                           done(told == nullptr ? verdict::unknown : told->outcome);
+                       });
+}
+
 void node::implementation::serve(const instance_id& from, wire::request message,
                                  const std::function<void(wire::reply)>& answer)
 {
@@ -289,6 +317,10 @@
     }
     if (const wire::cell_orders* orders = std::get_if<wire::cell_orders>(&message))
         return answer(take_orders(*orders));
+    if (wire::cell_relay* relayed = std::get_if<wire::cell_relay>(&message))
+        return receiver.take_relayed(std::move(relayed->change),
+                                     [answer](verdict outcome)
+                                     { answer(wire::cell_relay_reply{outcome}); });
     if (const wire::cell_query* query = std::get_if<wire::cell_query>(&message))
     {
         wire::cell_query_reply reply;
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -465,6 +465,20 @@
     implementation_->take_report(from, std::move(report));
 }
 
+std::optional<endpoint> owner::some_agent() const
+{
+    const boot_time now = implementation_->parts.loop.clock().now();
+    std::vector<endpoint> usable;
+    for (const auto& [id, state] : implementation_->agents)
+        if (id != implementation_->parts.self && !state.leaving && !state.broken &&
+            now - state.heard_at <= agent_silence)
+            usable.push_back(state.address);
+    if (usable.empty())
+        return std::nullopt;
+    return usable[static_cast<std::size_t>(now.time_since_epoch().count()) %
+                  usable.size()];
+}
+
 std::optional<std::vector<wire::cell_job_state>>
 owner::states(const std::vector<job_key>& jobs) const
 {
--- a/lib/cell/receiver.cpp
+++ b/lib/cell/receiver.cpp
@@ -17,8 +17,9 @@
 /// Each job needs an expectation and a put.
 constexpr std::size_t most_jobs_in_transaction = most_transaction_entries / 2;
 constexpr std::size_t most_transactions_open = 4;
-/// A write whose outcome is unknown is repeated until then; callers wait 3 s.
-constexpr duration settle_limit = std::chrono::milliseconds(2300);
+/// A write whose outcome is unknown is repeated until then. Callers wait 3 s, and one that
+/// gets no verdict in half of that can still try another host.
+constexpr duration settle_limit = std::chrono::milliseconds(1400);
 constexpr duration settle_pause = std::chrono::milliseconds(100);
 /// Queries that arrive within this time go to the owner together.
 constexpr duration query_delay = std::chrono::milliseconds(8);
@@ -37,6 +38,7 @@
         job_spec job;
         boot_time since{};
         bool uncertain = false; ///< An earlier write may still take effect.
+        bool relayed = false;   ///< Another instance was asked, or is asking.
         std::vector<submit_done> waiting;
     };
     using submissions = std::vector<std::shared_ptr<submission>>;
@@ -46,10 +48,19 @@
     void store_submissions();
     void take_commit(const submissions& sent, const result<store_commit>& answer);
     void finish(const std::shared_ptr<submission>& ended, verdict outcome);
+    void add(job_spec job, bool relayed, submit_done done);
+    void relay(const std::shared_ptr<submission>& failed);
     void retry(const std::shared_ptr<submission>& unsettled);
-    void read_before_cancel(const job_key& job, boot_time since, submit_done done);
-    void write_cancel(const job_key& job, boot_time since, bool uncertain,
-                      submit_done done);
+    struct cancellation
+    {
+        job_key job;
+        boot_time since{};
+        bool uncertain = false;
+        bool relayed = false;
+    };
+    void read_before_cancel(const cancellation& wanted, submit_done done);
+    void write_cancel(const cancellation& wanted, submit_done done);
+    void cancel_failed(cancellation wanted, bool nothing_done, submit_done done);
     void send_queries();
     void read_state(const job_key& job, std::function<void(query_answer)> done);
     bool is_late(boot_time since) const
@@ -109,13 +120,11 @@
         const bool nothing_done = answer.error().code != error_code::outcome_unknown;
         for (const std::shared_ptr<submission>& each : sent)
         {
-            if (nothing_done && !each->uncertain)
-                finish(each, verdict::refused);
-            else
-            {
-                each->uncertain = true;
+            each->uncertain = each->uncertain || !nothing_done;
+            if (each->relayed)
                 retry(each);
-            }
+            else
+                relay(each);
         }
         return store_submissions();
     }
@@ -140,8 +149,29 @@
     store_submissions();
 }
 
+void receiver::implementation::relay(const std::shared_ptr<submission>& failed)
+{
+    failed->relayed = true;
+    parts.relay(relayed_change{failed->job, false},
+                [weak = weak_from_this(), failed](const result<verdict>& answer)
+                {
+                    const std::shared_ptr<implementation> self = weak.lock();
+                    if (!self)
+                        return;
+                    if (answer && answer.value() == verdict::done)
+                        return self->finish(failed, verdict::done);
+                    const bool nothing_done =
+                        answer ? answer.value() == verdict::refused
+                               : answer.error().code != error_code::outcome_unknown;
+                    failed->uncertain = failed->uncertain || !nothing_done;
+                    self->retry(failed);
+                });
+}
+
 void receiver::implementation::retry(const std::shared_ptr<submission>& unsettled)
 {
+    if (!unsettled->uncertain)
+        return finish(unsettled, verdict::refused);
     if (is_late(unsettled->since))
         return finish(unsettled, verdict::unknown);
     unsettled_submissions.push_back(unsettled);
@@ -163,36 +193,35 @@
         done(outcome);
 }
 
-void receiver::implementation::read_before_cancel(const job_key& job, boot_time since,
+void receiver::implementation::read_before_cancel(const cancellation& wanted,
                                                   submit_done done)
 {
     parts.store.read(
-        job_store_key(job),
-        [weak = weak_from_this(), job, since,
+        job_store_key(wanted.job),
+        [weak = weak_from_this(), wanted,
          done = std::move(done)](const result<std::optional<store_item>>& answer)
         {
             const std::shared_ptr<implementation> self = weak.lock();
             if (!self)
                 return;
             if (!answer)
-                return done(verdict::refused);
+                return self->cancel_failed(wanted, true, done);
             if (!answer.value())
                 return done(verdict::not_found);
             const result<job_record> record = decode_job(answer.value()->value);
             if (record && is_final(record.value().state))
                 return done(verdict::done);
-            self->write_cancel(job, since, false, done);
+            self->write_cancel(wanted, done);
         });
 }
 
-void receiver::implementation::write_cancel(const job_key& job, boot_time since,
-                                            bool uncertain, submit_done done)
+void receiver::implementation::write_cancel(const cancellation& wanted, submit_done done)
 {
     store_transaction change;
-    change.puts.push_back({cancel_store_key(job), "", lease_id()});
+    change.puts.push_back({cancel_store_key(wanted.job), "", lease_id()});
     parts.store.commit(
         std::move(change),
-        [weak = weak_from_this(), job, since, uncertain,
+        [weak = weak_from_this(), wanted,
          done = std::move(done)](const result<store_commit>& answer)
         {
             const std::shared_ptr<implementation> self = weak.lock();
@@ -200,18 +229,46 @@
                 return;
             if (answer && answer.value().committed)
             {
-                self->parts.cancelled(job);
+                self->parts.cancelled(wanted.job);
                 return done(verdict::done);
             }
-            const bool may_be_done =
-                uncertain ||
-                (!answer && answer.error().code == error_code::outcome_unknown);
-            if (self->is_late(since))
-                return done(may_be_done ? verdict::unknown : verdict::refused);
-            self->write_cancel(job, since, may_be_done, done);
+            const bool nothing_done =
+                answer || answer.error().code != error_code::outcome_unknown;
+            self->cancel_failed(wanted, nothing_done, done);
         });
 }
 
+void receiver::implementation::cancel_failed(cancellation wanted, bool nothing_done,
+                                             submit_done done)
+{
+    wanted.uncertain = wanted.uncertain || !nothing_done;
+    if (wanted.relayed)
+    {
+        if (!wanted.uncertain)
+            return done(verdict::refused);
+        return is_late(wanted.since) ? done(verdict::unknown)
+                                     : write_cancel(wanted, std::move(done));
+    }
+    wanted.relayed = true;
+    relayed_change change;
+    change.job.id = wanted.job;
+    change.cancel = true;
+    parts.relay(change,
+                [weak = weak_from_this(), wanted,
+                 done = std::move(done)](const result<verdict>& answer)
+                {
+                    const std::shared_ptr<implementation> self = weak.lock();
+                    if (!self)
+                        return;
+                    if (answer && answer.value() == verdict::done)
+                        return done(verdict::done);
+                    const bool refused =
+                        answer ? answer.value() == verdict::refused
+                               : answer.error().code != error_code::outcome_unknown;
+                    self->cancel_failed(wanted, refused, done);
+                });
+}
+
 void receiver::implementation::send_queries()
 {
     std::map<job_key, std::vector<std::function<void(query_answer)>>> asking;
@@ -269,26 +326,39 @@
 
 receiver::~receiver() = default;
 
-void receiver::submit(job_spec job, std::function<void(verdict)> done)
+void receiver::implementation::add(job_spec job, bool relayed, submit_done done)
 {
-    implementation& self = *implementation_;
-    const auto same = self.open.find(job.id);
-    if (same != self.open.end())
+    const auto same = open.find(job.id);
+    if (same != open.end())
         return same->second->waiting.push_back(std::move(done));
-    const std::shared_ptr<implementation::submission> added =
-        std::make_shared<implementation::submission>();
+    const std::shared_ptr<submission> added = std::make_shared<submission>();
     added->job = std::move(job);
-    added->since = self.parts.loop.clock().now();
+    added->since = parts.loop.clock().now();
+    added->relayed = relayed;
     added->waiting.push_back(std::move(done));
-    self.open[added->job.id] = added;
-    self.queued.push_back(added);
-    self.store_submissions();
+    open[added->job.id] = added;
+    queued.push_back(added);
+    store_submissions();
+}
+
+void receiver::submit(job_spec job, std::function<void(verdict)> done)
+{
+    implementation_->add(std::move(job), false, std::move(done));
+}
+
+void receiver::take_relayed(relayed_change change, std::function<void(verdict)> done)
+{
+    if (change.cancel)
+        return implementation_->write_cancel(
+            {change.job.id, implementation_->parts.loop.clock().now(), false, true},
+            std::move(done));
+    implementation_->add(std::move(change.job), true, std::move(done));
 }
 
 void receiver::cancel(const job_key& job, std::function<void(verdict)> done)
 {
-    implementation_->read_before_cancel(job, implementation_->parts.loop.clock().now(),
-                                        std::move(done));
+    implementation_->read_before_cancel(
+        {job, implementation_->parts.loop.clock().now(), false, false}, std::move(done));
 }
 
 void receiver::query(const job_key& job, std::function<void(query_answer)> done)
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -22,6 +22,8 @@
 inline constexpr run_end last_enumerator<run_end> = run_end::alone;
 template <>
 inline constexpr order_outcome last_enumerator<order_outcome> = order_outcome::unanswered;
+template <>
+inline constexpr verdict last_enumerator<verdict> = verdict::unknown;
 
 template <class Archive, class T>
 void member(Archive& archive, T& value)
@@ -166,6 +168,13 @@
     members(archive, run, how);
 }
 
+template <class Archive>
+void serialize(Archive& archive, relayed_change& value)
+{
+    auto& [job, cancel] = value;
+    members(archive, job, cancel);
+}
+
 template <class Archive>
 void serialize(Archive& archive, queue_depth& value)
 {
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -27,6 +27,8 @@
 inline constexpr error_code last_value<error_code> = error_code::internal;
 template <>
 inline constexpr cell::job_state last_value<cell::job_state> = cell::job_state::cancelled;
+template <>
+inline constexpr cell::verdict last_value<cell::verdict> = cell::verdict::unknown;
 
 template <class Archive, class T>
 void field(Archive& archive, T& value)
@@ -363,6 +365,20 @@
     fields(archive, is_owner, found);
 }
 
+template <class Archive>
+void serialize(Archive& archive, cell_relay& value)
+{
+    auto& [change] = value;
+    fields(archive, change);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_relay_reply& value)
+{
+    auto& [outcome] = value;
+    fields(archive, outcome);
+}
+
 template <class Archive>
 void serialize(Archive& archive, failure_reply& value)
 {
--- a/unittests/cell/receiver_test.cpp
+++ b/unittests/cell/receiver_test.cpp
@@ -33,6 +33,13 @@
                     if (owner_states.empty())
                         return done(make_error(error_code::unavailable, "no owner"));
                     done(owner_states);
+                },
+                [this](const relayed_change& change,
+                       const std::function<void(result<verdict>)>& done)
+                {
+                    if (!other)
+                        return done(make_error(error_code::unavailable, "no other"));
+                    other->take_relayed(change, [done](verdict told) { done(told); });
                 }};
     }
     verdict submit(const std::string& id, duration wait)
@@ -58,6 +65,7 @@
     std::vector<job_key> accepted;
     std::vector<job_key> cancelled;
     std::vector<std::pair<job_key, job_state>> owner_states;
+    receiver* other = nullptr; ///< An instance that the store still serves.
     receiver requests{parts()};
 };
 
@@ -111,6 +119,25 @@
     EXPECT_TRUE(state.items.contains("cell/job/a"));
 }
 
+/// A store that turns one host away and serves the others.
+TEST_F(receiver_test, asks_another_instance_when_the_store_turns_this_host_away)
+{
+    memory_store served(state);
+    receiver_parts others = parts();
+    receiver helper({loop, served, log, others.accepted, others.cancelled,
+                     others.ask_owner, others.relay});
+    other = &helper;
+    store.condition = store_condition::refusing;
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    EXPECT_TRUE(state.items.contains("cell/job/a"));
+    std::optional<verdict> told;
+    requests.cancel(job_key("a"), [&told](verdict outcome) { told = outcome; });
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(told, verdict::done);
+    served.condition = store_condition::refusing;
+    EXPECT_EQ(submit("b", milliseconds(50)), verdict::refused);
+}
+
 TEST_F(receiver_test, settles_a_lost_answer_by_storing_again)
 {
     store.condition = store_condition::losing_answers;
