--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   libabsl-dev libfmt-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev \
   libbenchmark-dev libgtest-dev libgmock-dev python3
 
-SOURCES = $(shell git ls-files 'include/*.hpp' 'lib/*.?pp' 'tools/*.?pp' 'test/*.?pp' \
+SOURCES = $(shell git ls-files 'include/*.hpp' 'lib/*.?pp' 'platform/*.?pp' 'tools/*.?pp' 'test/*.?pp' \
   'unittests/*.?pp' 'benchmarks/*.?pp')
 
 .PHONY: packages build check test test-process format format-check lint demo golden-update \
@@ -57,7 +57,7 @@
 
 # clang-tidy 14 counts the warnings it hides in system headers; only its findings matter.
 lint: build
-	@git ls-files 'lib/*.cpp' 'tools/*.cpp' 'test/*.cpp' | \
+	@git ls-files 'lib/*.cpp' 'platform/*.cpp' 'tools/*.cpp' 'test/*.cpp' | \
 	  xargs -P $(JOBS) -n 1 sh -c 'clang-tidy -p $(BUILD) --quiet "$$0" 2>/dev/null'
 
 # About 20 s of mixed load on three instances; see test/sessions/demo.py.
--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -22,9 +22,9 @@
     fence_token token;
 };
 
-/// The claim is a key with a lease. Its revision is the fencing token, so each claim has a
-/// higher token than all earlier ones. While the store is away the owner keeps its role:
-/// nobody can claim, and workers refuse lower tokens.
+/// The claim is a key with a lease. Its revision is the fencing token, so each claim has
+/// a higher token than all earlier ones. While the store is away the owner keeps its
+/// role: nobody can claim, and workers refuse lower tokens.
 class claim
 {
 public:
--- a/include/hawthornbeam/cell/ports.hpp
+++ b/include/hawthornbeam/cell/ports.hpp
@@ -19,7 +19,7 @@
     fence_token token;
     end_number acknowledged; ///< Ends up to it are forgotten by the worker.
     std::optional<worker_time> lease_until; ///< Empty: the lease stays as it is.
-    duration wait{}; ///< How long the worker may wait for an end.
+    duration wait{};                        ///< How long the worker may wait for an end.
 };
 
 /// Answer to a look, or why there is none.
--- a/include/hawthornbeam/cell/store.hpp
+++ b/include/hawthornbeam/cell/store.hpp
@@ -45,7 +45,7 @@
 struct store_changes
 {
     std::vector<store_event> events;
-    kv_revision at; ///< Continue the watch after it.
+    kv_revision at;            ///< Continue the watch after it.
     bool history_lost = false; ///< The caller has to list the keys again.
 };
 
@@ -77,8 +77,8 @@
 struct store_commit
 {
     bool committed = false;
-    bool lease_ended = false; ///< Not committed: a lease of a put has ended.
-    kv_revision revision;     ///< Of the change.
+    bool lease_ended = false;          ///< Not committed: a lease of a put has ended.
+    kv_revision revision;              ///< Of the change.
     std::vector<store_item> conflicts; ///< Not committed: the expected keys as they are;
                                        ///< an absent key has revision zero.
 };
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -64,15 +64,15 @@
 struct step_spec
 {
     std::uint32_t count = 1;
-    resources size;            ///< Declared size of each task.
-    duration estimate{};       ///< Rough run time; zero when unknown.
-    bool gang = false;         ///< The tasks work only while all of them run.
-    bool same_rack = false;    ///< A gang is slower when it spans racks.
-    bool checkpoints = false;  ///< Ends and stops carry a state to resume from.
-    bool speculative = false;  ///< Copies may run in parallel.
-    bool persistent = false;   ///< Runs until the job is cancelled.
-    std::string label;         ///< A worker needs it; empty when any will do.
-    rack_id data_rack;         ///< Where the data lies; empty when anywhere.
+    resources size;               ///< Declared size of each task.
+    duration estimate{};          ///< Rough run time; zero when unknown.
+    bool gang = false;            ///< The tasks work only while all of them run.
+    bool same_rack = false;       ///< A gang is slower when it spans racks.
+    bool checkpoints = false;     ///< Ends and stops carry a state to resume from.
+    bool speculative = false;     ///< Copies may run in parallel.
+    bool persistent = false;      ///< Runs until the job is cancelled.
+    std::string label;            ///< A worker needs it; empty when any will do.
+    rack_id data_rack;            ///< Where the data lies; empty when anywhere.
     std::uint32_t per_worker = 0; ///< Most tasks of the step on a worker; 0: no limit.
     std::vector<std::uint32_t> after; ///< Earlier steps, counted from 0.
 };
@@ -134,8 +134,8 @@
     service_name service;
     int priority = 0; ///< Zero comes first.
     std::uint32_t attempts = 1;
-    double stretch = 1;    ///< Objective: this many times the job's longest chain of work
-    duration objective{};  ///< and this much more.
+    double stretch = 1;   ///< Objective: this many times the job's longest chain of work
+    duration objective{}; ///< and this much more.
     std::optional<advice_policy> advice;
 };
 
@@ -200,9 +200,9 @@
     superseded, ///< The run number is not above one that ended there.
     late,       ///< The start's deadline has passed.
     no_room,
-    no_ticket,   ///< The ticket is not valid.
-    invalid,     ///< The worker cannot read the order.
-    unhealthy,   ///< The worker did nothing.
+    no_ticket,    ///< The ticket is not valid.
+    invalid,      ///< The worker cannot read the order.
+    unhealthy,    ///< The worker did nothing.
     other_worker, ///< Another worker answers at this address.
     not_sent,
     unanswered ///< It may have been carried out, now or seconds later.
--- a/include/hawthornbeam/support/bounded_log.hpp
+++ b/include/hawthornbeam/support/bounded_log.hpp
@@ -14,7 +14,8 @@
 /// Bounds of a log.
 struct log_bounds
 {
-    /// Lines of one message in a second; at 48 workers an owner orders 250 starts a second.
+    /// Lines of one message in a second; at 48 workers an owner orders 250 starts a
+    /// second.
     std::size_t lines_a_second = 300;
     /// The same for warnings and errors, which explain failures.
     std::size_t urgent_lines_a_second = 1000;
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -364,18 +364,17 @@
 
 /// All requests; the index in the variant is the message type on the wire, so new
 /// types go at the end.
-using request = std::variant<submit_request, job_query, job_list_request, cancel_request,
-                             start_request, update_request, stop_request,
-                             inventory_request, epochs_request, table_fetch,
-                             status_request, drain_request, explain_request, cell_report,
-                             cell_orders, cell_query, cell_relay>;
+using request =
+    std::variant<submit_request, job_query, job_list_request, cancel_request,
+                 start_request, update_request, stop_request, inventory_request,
+                 epochs_request, table_fetch, status_request, drain_request,
+                 explain_request, cell_report, cell_orders, cell_query, cell_relay>;
 /// All replies; same rule.
 using reply =
     std::variant<failure_reply, submit_reply, job_reply, job_list_reply, cancel_reply,
                  start_reply, update_reply, stop_reply, inventory_reply, epochs_reply,
-                 table_reply, status_reply, drain_reply, explain_reply,
-                 cell_report_reply, cell_orders_reply, cell_query_reply,
-                 cell_relay_reply>;
+                 table_reply, status_reply, drain_reply, explain_reply, cell_report_reply,
+                 cell_orders_reply, cell_query_reply, cell_relay_reply>;
 
 /// Serializes to portable binary.
 std::string encode(const request& message);
--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -18,8 +18,8 @@
 /// Least time between two looks at a worker: ends that follow each other closely are read
 /// together.
 constexpr duration look_spacing = std::chrono::milliseconds(60);
-/// With ends that are not stored yet, a look returns at once; the next one waits for their
-/// acknowledgement or so long.
+/// With ends that are not stored yet, a look returns at once; the next one waits for
+/// their acknowledgement or so long.
 constexpr duration acknowledgement_wait = std::chrono::milliseconds(500);
 /// Answers are collected for this long before they are reported.
 constexpr duration report_delay = std::chrono::milliseconds(20);
@@ -197,8 +197,7 @@
 }
 
 order_result& agent::implementation::add_result(const worker_id& worker,
-                                                const run_ref& run,
-                                                order_outcome outcome)
+                                                const run_ref& run, order_outcome outcome)
 {
     order_result& result = pending.results.emplace_back();
     result.worker = worker;
@@ -237,8 +236,7 @@
                   self->add_result(worker, run, outcome).stop = true;
                   self->report_soon();
                   // The next look shows whether the room is free.
-                  if (self->workers.contains(worker) &&
-                      !self->workers.at(worker).looking)
+                  if (self->workers.contains(worker) && !self->workers.at(worker).looking)
                       self->look_after(worker, duration::zero());
               });
 }
@@ -271,8 +269,8 @@
 
 agent::agent(event_loop& loop, worker_port& port, const logger& log, duration most_lease,
              report_sink sink)
-    : implementation_(std::make_shared<implementation>(loop, port, log, most_lease,
-                                                       std::move(sink)))
+    : implementation_(
+          std::make_shared<implementation>(loop, port, log, most_lease, std::move(sink)))
 {
 }
 
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -26,10 +26,10 @@
     run_number run;
     run_phase phase = run_phase::starting;
     resources size;
-    boot_time ordered_at{};   ///< When the latest order was given.
+    boot_time ordered_at{}; ///< When the latest order was given.
     bool stop_answered = false;
     bool answered = false;
-    observation seen;         ///< Looks that began after it show the run if it exists.
+    observation seen; ///< Looks that began after it show the run if it exists.
     std::uint32_t percent = 0;
     boot_time progressed_at{}; ///< When it was seen first or its percent changed.
 };
@@ -64,7 +64,7 @@
     std::map<worker_id, permission> good;
     std::set<worker_id> asked; ///< Workers about which advice is known or under way.
     std::optional<boot_time> asking_since;
-    boot_time not_before{};    ///< A gang that lost a member waits a moment.
+    boot_time not_before{}; ///< A gang that lost a member waits a moment.
 };
 
 struct job_status
@@ -90,11 +90,11 @@
     bool allowed = false;   ///< The store names it as used.
     bool looked = false;    ///< Was looked at by this owner in its current life.
     worker_life life;
-    worker_time clock;      ///< At clock_at or later.
+    worker_time clock; ///< At clock_at or later.
     boot_time clock_at{};
     boot_time contact_at{}; ///< Last look, or when it became known.
     end_number processed;
-    end_number covered;     ///< Handed out for storing.
+    end_number covered; ///< Handed out for storing.
     std::map<task_ref, run_record> runs;
     resources used;
     std::deque<std::pair<job_key, bool>> recent_ends; ///< Job, failed.
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -36,8 +36,7 @@
     }
 
     template <class T>
-    std::function<void(result<T>)>
-    guarded(void (implementation::*step)(result<T>))
+    std::function<void(result<T>)> guarded(void (implementation::*step)(result<T>))
     {
         return [weak = weak_from_this(), step](result<T> answer)
         {
@@ -76,9 +75,9 @@
     bool released = false;
     bool claiming = false;
     lease_id lease;
-    kv_revision last_claim;     ///< Revision of the latest claim, when it was this one's.
-    kv_revision expected_last;  ///< What the claim under way expects.
-    kv_revision seen;           ///< Where the watch continues.
+    kv_revision last_claim;    ///< Revision of the latest claim, when it was this one's.
+    kv_revision expected_last; ///< What the claim under way expects.
+    kv_revision seen;          ///< Where the watch continues.
     std::optional<boot_time> heard_at;
     boot_time claim_not_before{}; ///< After a resignation others come first.
     timer_handle retry_timer;
@@ -231,8 +230,8 @@
         return;
     if (current && current->token >= fence_token(revision.value()))
         return;
-    const bool continued = owning && last_claim != kv_revision() &&
-                           expected_last == last_claim;
+    const bool continued =
+        owning && last_claim != kv_revision() && expected_last == last_claim;
     if (owning && !continued)
         step_down("another instance owned the cell meanwhile");
     owning = true;
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -26,8 +26,8 @@
 const char* to_string(order_outcome outcome)
 {
     static constexpr std::array<const char*, 11> names{
-        "accepted",  "fenced",  "superseded", "late",         "no_room",   "no_ticket",
-        "invalid",   "unhealthy", "other_worker", "not_sent", "unanswered"};
+        "accepted", "fenced",    "superseded",   "late",     "no_room",   "no_ticket",
+        "invalid",  "unhealthy", "other_worker", "not_sent", "unanswered"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -194,7 +194,8 @@
 void scheduler::implementation::finish_job(job_status& job, job_state state)
 {
     assert(!is_final(job.state) && "a final state does not change");
-    log.info("cell", "job ended", {{"job", job.spec.id.value()}, {"state", to_string(state)}});
+    log.info("cell", "job ended",
+             {{"job", job.spec.id.value()}, {"state", to_string(state)}});
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         open_steps.erase(key_of(job, step));
     job.state = state;
@@ -228,8 +229,7 @@
         }
 }
 
-std::uint32_t
-scheduler::implementation::waiting_tasks(const step_status& step) const
+std::uint32_t scheduler::implementation::waiting_tasks(const step_status& step) const
 {
     std::uint32_t waiting = 0;
     for (const task_status& task : step.tasks)
@@ -259,8 +259,8 @@
 void scheduler::implementation::step_done(job_status& job, std::uint32_t step)
 {
     open_steps.erase(key_of(job, step));
-    const bool all = std::ranges::all_of(
-        job.steps, [](const step_status& each) { return each.remaining == 0; });
+    const bool all = std::ranges::all_of(job.steps, [](const step_status& each)
+                                         { return each.remaining == 0; });
     if (is_final(job.state))
         return;
     if (all)
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -56,8 +56,8 @@
         kv_revision stored;
         bool offered = false; ///< An owner may have seen it without confirming.
     };
-    void report_again(std::vector<unreported_job> jobs, const std::vector<job_key>& cancels,
-                      bool offered);
+    void report_again(std::vector<unreported_job> jobs,
+                      const std::vector<job_key>& cancels, bool offered);
 
     node_parts parts;
     cell::claim claim;
@@ -87,22 +87,22 @@
       agent(given.loop, given.workers, given.log, given.limits.most_lease,
             [this](fence_token token, agent_report observed)
             { report(token, std::move(observed)); }),
-      receiver({given.loop, given.store, given.log,
-                [this](const job_spec& job, kv_revision stored)
-                {
-                    accepted.push_back({job, stored, false});
-                    report(agent.token(), agent_report());
-                },
-                [this](const job_key& job)
-                {
-                    cancelled.push_back(job);
-                    report(agent.token(), agent_report());
-                },
-                [this](std::vector<job_key> jobs, states_done done)
-                { ask_owner(std::move(jobs), std::move(done)); },
-                [this](const relayed_change& change,
-                       std::function<void(result<verdict>)> done)
-                { relay(change, std::move(done)); }})
+      receiver(
+          {given.loop, given.store, given.log,
+           [this](const job_spec& job, kv_revision stored)
+           {
+               accepted.push_back({job, stored, false});
+               report(agent.token(), agent_report());
+           },
+           [this](const job_key& job)
+           {
+               cancelled.push_back(job);
+               report(agent.token(), agent_report());
+           },
+           [this](std::vector<job_key> jobs, states_done done)
+           { ask_owner(std::move(jobs), std::move(done)); },
+           [this](const relayed_change& change, std::function<void(result<verdict>)> done)
+           { relay(change, std::move(done)); }})
 {
 }
 
@@ -110,21 +110,28 @@
 {
     if (continued && owned)
         return owned->change_token(token);
-    owner_parts wanted{parts.loop, parts.store, parts.directory, parts.log,
-                       parts.metrics, parts.limits, parts.self, std::chrono::minutes(5),
+    owner_parts wanted{parts.loop,
+                       parts.store,
+                       parts.directory,
+                       parts.log,
+                       parts.metrics,
+                       parts.limits,
+                       parts.self,
+                       std::chrono::minutes(5),
                        [this](const endpoint& target, wire::cell_orders message,
                               std::function<void(result<fence_token>)> done)
                        { send_orders(target, std::move(message), std::move(done)); },
                        [this](fence_token higher)
                        {
                            // Ends the owner, so it must not run inside one of its calls.
-                           parts.loop.post([weak = weak_from_this(), higher]
-                                           {
-                                               const std::shared_ptr<implementation> self =
-                                                   weak.lock();
-                                               if (self)
-                                                   self->claim.superseded(higher);
-                                           });
+                           parts.loop.post(
+                               [weak = weak_from_this(), higher]
+                               {
+                                   const std::shared_ptr<implementation> self =
+                                       weak.lock();
+                                   if (self)
+                                       self->claim.superseded(higher);
+                               });
                        },
                        [] {}};
     parts.metrics.add("hawthornbeam_takeovers_total", {});
@@ -170,7 +177,8 @@
     }
     parts.network.call(
         wire::peer_address(target->address.value()), message, report_timeout,
-        [weak = weak_from_this(), jobs, cancels = message.cancelled](const result<wire::reply>& answer)
+        [weak = weak_from_this(), jobs,
+         cancels = message.cancelled](const result<wire::reply>& answer)
         {
             const std::shared_ptr<implementation> self = weak.lock();
             if (!self)
@@ -203,7 +211,8 @@
     if (target == parts.address)
     {
         parts.loop.post(
-            [weak = weak_from_this(), message = std::move(message), done = std::move(done)]
+            [weak = weak_from_this(), message = std::move(message),
+             done = std::move(done)]
             {
                 const std::shared_ptr<implementation> self = weak.lock();
                 if (!self)
@@ -273,8 +282,9 @@
                        [done, convert](const result<wire::reply>& answer)
                        {
                            const wire::cell_query_reply* found =
-                               answer ? std::get_if<wire::cell_query_reply>(&answer.value())
-                                      : nullptr;
+                               answer
+                                   ? std::get_if<wire::cell_query_reply>(&answer.value())
+                                   : nullptr;
                            if (found == nullptr)
                                return convert(false, {});
                            convert(found->is_owner, found->found);
@@ -318,8 +328,7 @@
     if (const wire::cell_orders* orders = std::get_if<wire::cell_orders>(&message))
         return answer(take_orders(*orders));
     if (wire::cell_relay* relayed = std::get_if<wire::cell_relay>(&message))
-        return receiver.take_relayed(std::move(relayed->change),
-                                     [answer](verdict outcome)
+        return receiver.take_relayed(std::move(relayed->change), [answer](verdict outcome)
                                      { answer(wire::cell_relay_reply{outcome}); });
     if (const wire::cell_query* query = std::get_if<wire::cell_query>(&message))
     {
@@ -344,17 +353,16 @@
 void node::start()
 {
     implementation& self = *implementation_;
-    self.parts.network.serve(
-        [&self](const instance_id& from, wire::request message,
-                const std::function<void(wire::reply)>& answer)
-        { self.serve(from, std::move(message), answer); });
-    self.heartbeat = self.parts.loop.every(
-        heartbeat_period,
-        [&self]
-        {
-            self.report(self.agent.token(), agent_report());
-            self.resign_when_alone();
-        });
+    self.parts.network.serve([&self](const instance_id& from, wire::request message,
+                                     const std::function<void(wire::reply)>& answer)
+                             { self.serve(from, std::move(message), answer); });
+    self.heartbeat =
+        self.parts.loop.every(heartbeat_period,
+                              [&self]
+                              {
+                                  self.report(self.agent.token(), agent_report());
+                                  self.resign_when_alone();
+                              });
     self.claim.start();
 }
 
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -55,9 +55,9 @@
     const auto found = implementation_->workers.find(worker);
     if (found == implementation_->workers.end() || !found->second.described)
         return;
-    implementation_->log.info("cell", "worker is gone",
-                              {{"worker", worker.value()},
-                               {"runs", std::uint64_t{found->second.runs.size()}}});
+    implementation_->log.info(
+        "cell", "worker is gone",
+        {{"worker", worker.value()}, {"runs", std::uint64_t{found->second.runs.size()}}});
     found->second.described = false;
     if (!found->second.looked && !implementation_->unsettled.contains(worker))
         implementation_->unsettled[worker] = now;
@@ -117,8 +117,7 @@
     const auto host = workers.find(holder);
     assert(host != workers.end() && "runs are kept at known workers");
     const auto found = host->second.runs.find(task);
-    if (found == host->second.runs.end() ||
-        found->second.phase == run_phase::stopping)
+    if (found == host->second.runs.end() || found->second.phase == run_phase::stopping)
         return;
     found->second.phase = run_phase::stopping;
     found->second.stop_answered = false;
@@ -168,10 +167,9 @@
                                                 boot_time now) const
 {
     const duration silent = now - holder.contact_at;
-    const duration longest =
-        limits.most_lease + limits.start_deadline + lease_slack;
-    return silent > longest + std::chrono::duration_cast<duration>(
-                                  limits.clock_drift * longest);
+    const duration longest = limits.most_lease + limits.start_deadline + lease_slack;
+    return silent >
+           longest + std::chrono::duration_cast<duration>(limits.clock_drift * longest);
 }
 
 void scheduler::implementation::expire_workers(boot_time now)
@@ -340,8 +338,7 @@
     }
     // The size of a run of an unknown job is not known either, so the worker counts as
     // full until the job is known or the run is stopped.
-    const resources size =
-        known ? job->spec.steps[task.step].size : holder.info.capacity;
+    const resources size = known ? job->spec.steps[task.step].size : holder.info.capacity;
     holder.used -= record.size;
     holder.used += size;
     record.size = size;
@@ -415,7 +412,8 @@
                 release(holder, task);
             break;
         case run_phase::starting:
-            if (record.answered ? reflected : now - record.ordered_at > limits.answer_limit)
+            if (record.answered ? reflected
+                                : now - record.ordered_at > limits.answer_limit)
             {
                 log.info("cell", "start unsettled",
                          {{"job", task.job.value()}, {"worker", holder.info.id.value()}});
@@ -516,9 +514,9 @@
     }
     if (result.outcome == order_outcome::unanswered)
     {
-        self.log.info("cell", "start not answered",
-                      {{"job", result.run.task.job.value()},
-                       {"worker", result.worker.value()}});
+        self.log.info(
+            "cell", "start not answered",
+            {{"job", result.run.task.job.value()}, {"worker", result.worker.value()}});
         return;
     }
     self.start_failed(holder, result, now);
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -80,7 +80,8 @@
     for (const worker_info& info : cell.workers())
         if (!present.contains(info.id))
             cell.remove_worker(info.id, now);
-    std::erase_if(routes, [this, &present](const std::pair<const worker_id, worker_route>& entry)
+    std::erase_if(routes,
+                  [this, &present](const std::pair<const worker_id, worker_route>& entry)
                   {
                       if (present.contains(entry.first))
                           return false;
@@ -121,18 +122,19 @@
     {
         if (!route.agent.empty())
             continue;
-        const auto least = std::ranges::min_element(
-            load, {}, [](const std::pair<const instance_id, double>& entry)
-            { return entry.second; });
+        const auto least =
+            std::ranges::min_element(load, {},
+                                     [](const std::pair<const instance_id, double>& entry)
+                                     { return entry.second; });
         assign(id, route, least->first);
         least->second += 1.0 / agents.at(route.agent).share;
     }
     // A new agent takes over from the one with most workers, one for each round.
     const auto [least, most] = std::ranges::minmax_element(
-        load, {}, [](const std::pair<const instance_id, double>& entry)
-        { return entry.second; });
-    const double step = 1.0 / agents.at(least->first).share +
-                        1.0 / agents.at(most->first).share;
+        load, {},
+        [](const std::pair<const instance_id, double>& entry) { return entry.second; });
+    const double step =
+        1.0 / agents.at(least->first).share + 1.0 / agents.at(most->first).share;
     if (most->second - least->second <= step)
         return;
     for (auto& [id, route] : routes)
@@ -198,8 +200,7 @@
 boot_time owner::implementation::submission_time(const job_spec& job) const
 {
     // The wall clocks of hosts differ by seconds at worst, so that the age is bounded.
-    const std::int64_t now_ms =
-        parts.loop.clock().wall_now().time_since_epoch().count();
+    const std::int64_t now_ms = parts.loop.clock().wall_now().time_since_epoch().count();
     const std::chrono::milliseconds age(
         std::clamp<std::int64_t>(now_ms - job.submitted_ms, 0, most_age.count()));
     return parts.loop.clock().now() - age;
@@ -397,9 +398,8 @@
     }
     const boot_time now = parts.loop.clock().now();
     parts.metrics.add("hawthornbeam_orders_not_taken_total", {});
-    parts.log.warning(
-        "owner", "orders not taken",
-        {{"agent", id.value()}, {"reason", answer.error().message}});
+    parts.log.warning("owner", "orders not taken",
+                      {{"agent", id.value()}, {"reason", answer.error().message}});
     if (answer.error().code != error_code::outcome_unknown)
         for (const auto& [worker, run] : starts)
             refuse_start(worker, run, now);
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -34,7 +34,8 @@
                          self->parts.log.warning("owner", "stored jobs not read",
                                                  {{"reason", answer.error().message}});
                          self->store_timer = self->parts.loop.after(
-                             store_retry, [implementation = self.get()] { implementation->load(); });
+                             store_retry,
+                             [implementation = self.get()] { implementation->load(); });
                      });
 }
 
@@ -74,8 +75,9 @@
     {
         result<job_record> record = decode_job(item.value);
         if (!record)
-            return parts.log.error("owner", "stored job cannot be read",
-                                   {{"key", item.key}, {"reason", record.error().message}});
+            return parts.log.error(
+                "owner", "stored job cannot be read",
+                {{"key", item.key}, {"reason", record.error().message}});
         const job_key id{std::string(key.substr(job_prefix.size()))};
         if (record.value().job)
         {
@@ -90,13 +92,15 @@
         return;
     }
     if (key.starts_with(cancel_prefix))
-        return cancels.emplace_back(std::string(key.substr(cancel_prefix.size()))), void();
+        return cancels.emplace_back(std::string(key.substr(cancel_prefix.size()))),
+               void();
     if (key.starts_with(ends_prefix))
     {
         result<std::vector<stored_end>> stored = decode_ends(item.value);
         if (!stored)
-            return parts.log.error("owner", "stored ends cannot be read",
-                                   {{"key", item.key}, {"reason", stored.error().message}});
+            return parts.log.error(
+                "owner", "stored ends cannot be read",
+                {{"key", item.key}, {"reason", stored.error().message}});
         for (const stored_end& end : stored.value())
         {
             ends_records[item.key].insert(end.run.task.job);
@@ -215,16 +219,15 @@
     change.expect.push_back({std::string(owner_key), kv_revision(token.value())});
     if (!batch.ends.empty())
         change.puts.push_back({batch_key, encode(batch.ends), lease_id()});
-    const std::int64_t now_ms =
-        parts.loop.clock().wall_now().time_since_epoch().count();
+    const std::int64_t now_ms = parts.loop.clock().wall_now().time_since_epoch().count();
     std::size_t states = 0;
     for (const auto& [job, state] : batch.final_jobs)
     {
         if (++states > most_final_states)
             break;
-        change.puts.push_back(
-            {job_store_key(job), encode(job_record{state, std::nullopt, now_ms}),
-             lease_id()});
+        change.puts.push_back({job_store_key(job),
+                               encode(job_record{state, std::nullopt, now_ms}),
+                               lease_id()});
     }
     workers_in_batch = workers_changed;
     if (workers_changed)
@@ -267,15 +270,14 @@
 {
     storing = true;
     store_transaction sent = change;
-    parts.store.commit(
-        std::move(sent),
-        [weak = weak_from_this(), change = std::move(change)](
-            const result<store_commit>& answer)
-        {
-            const std::shared_ptr<implementation> self = weak.lock();
-            if (self)
-                self->take_commit(change, answer);
-        });
+    parts.store.commit(std::move(sent),
+                       [weak = weak_from_this(),
+                        change = std::move(change)](const result<store_commit>& answer)
+                       {
+                           const std::shared_ptr<implementation> self = weak.lock();
+                           if (self)
+                               self->take_commit(change, answer);
+                       });
 }
 
 void owner::implementation::take_commit(const store_transaction& change,
@@ -329,7 +331,8 @@
                              batch.final_jobs.begin() +
                                  static_cast<std::ptrdiff_t>(states));
     batch.final_jobs.erase(batch.final_jobs.begin(),
-                           batch.final_jobs.begin() + static_cast<std::ptrdiff_t>(states));
+                           batch.final_jobs.begin() +
+                               static_cast<std::ptrdiff_t>(states));
     const boot_time now = parts.loop.clock().now();
     for (const auto& [job, state] : stored.final_jobs)
     {
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -60,8 +60,8 @@
         info.service != policy_of(job).service || candidate.quarantined_until > now ||
         now - candidate.contact_at > limits.answer_limit * 2)
         return false;
-    if (!spec.label.empty() && std::ranges::find(info.labels, spec.label) ==
-                                   info.labels.end())
+    if (!spec.label.empty() &&
+        std::ranges::find(info.labels, spec.label) == info.labels.end())
         return false;
     return spec.size.fits_in(info.capacity);
 }
@@ -186,28 +186,28 @@
     status.last_run = run;
     ++step.occupied;
     note_started(job, now);
-    metrics.add("hawthornbeam_starts_ordered_total",
-                {{"queue", job.spec.queue.value()}});
+    metrics.add("hawthornbeam_starts_ordered_total", {{"queue", job.spec.queue.value()}});
     start_order order;
     order.worker = target.info.id;
     order.address = target.info.address;
     order.run = {task, run};
     order.payload = job.spec.payload;
     const duration since = now - target.clock_at + limits.start_deadline;
-    order.deadline = worker_time(
-        target.clock.value() +
-        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+    order.deadline =
+        worker_time(target.clock.value() +
+                    std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
     order.saved = status.saved;
     const auto permitted = step.good.find(target.info.id);
     if (permitted != step.good.end())
         order.permission = permitted->second.proof;
-    log.info("cell", "start ordered",
-             {{"job", task.job.value()},
-              {"step", std::uint64_t{task.step}},
-              {"task", std::uint64_t{task.index}},
-              {"run", std::uint64_t{run.value()}},
-              {"worker", target.info.id.value()},
-              {"free_millicores", (target.info.capacity - target.used).processors.value()}});
+    log.info(
+        "cell", "start ordered",
+        {{"job", task.job.value()},
+         {"step", std::uint64_t{task.step}},
+         {"task", std::uint64_t{task.index}},
+         {"run", std::uint64_t{run.value()}},
+         {"worker", target.info.id.value()},
+         {"free_millicores", (target.info.capacity - target.used).processors.value()}});
     pass.out.starts.push_back(std::move(order));
 }
 
@@ -255,8 +255,7 @@
     for (std::uint32_t index = 0; index < targets.size(); ++index)
     {
         status.tasks[index].saved = saved;
-        start(job, task_ref{job.spec.id, step, index}, run.next(), *targets[index],
-              pass);
+        start(job, task_ref{job.spec.id, step, index}, run.next(), *targets[index], pass);
     }
     return true;
 }
@@ -279,8 +278,8 @@
             continue;
         const resources& capacity = candidate.info.capacity;
         slots += fits(spec.size, capacity);
-        candidates.emplace_back(
-            (candidate.used.processors - capacity.processors).value(), id);
+        candidates.emplace_back((candidate.used.processors - capacity.processors).value(),
+                                id);
     }
     // Workers held back for a gang that they can never hold would be wasted.
     if (slots < static_cast<std::int64_t>(spec.count))
@@ -303,10 +302,10 @@
 {
     const advice_policy& advice = *policy_of(job).advice;
     const duration cost = advice.decide + advice.each * usual_question;
-    const std::int64_t most =
-        cost <= duration::zero() ? most_waiting_steps
-                                 : std::clamp(advice.valid * agents_assumed / cost,
-                                              least_waiting_steps, most_waiting_steps);
+    const std::int64_t most = cost <= duration::zero()
+                                  ? most_waiting_steps
+                                  : std::clamp(advice.valid * agents_assumed / cost,
+                                               least_waiting_steps, most_waiting_steps);
     return ++pass.waiting_with_advice[job.spec.queue] <= static_cast<std::uint64_t>(most);
 }
 
--- a/lib/cell/receiver.cpp
+++ b/lib/cell/receiver.cpp
@@ -17,8 +17,8 @@
 /// Each job needs an expectation and a put.
 constexpr std::size_t most_jobs_in_transaction = most_transaction_entries / 2;
 constexpr std::size_t most_transactions_open = 4;
-/// A write whose outcome is unknown is repeated until then. Callers wait 3 s, and one that
-/// gets no verdict in half of that can still try another host.
+/// A write whose outcome is unknown is repeated until then. Callers wait 3 s, and one
+/// that gets no verdict in half of that can still try another host.
 constexpr duration settle_limit = std::chrono::milliseconds(1400);
 constexpr duration settle_pause = std::chrono::milliseconds(100);
 /// Queries that arrive within this time go to the owner together.
@@ -101,13 +101,14 @@
             sent.push_back(next);
         }
         ++transactions_open;
-        parts.store.commit(std::move(change),
-                           [weak = weak_from_this(), sent](const result<store_commit>& answer)
-                           {
-                               const std::shared_ptr<implementation> self = weak.lock();
-                               if (self)
-                                   self->take_commit(sent, answer);
-                           });
+        parts.store.commit(
+            std::move(change),
+            [weak = weak_from_this(), sent](const result<store_commit>& answer)
+            {
+                const std::shared_ptr<implementation> self = weak.lock();
+                if (self)
+                    self->take_commit(sent, answer);
+            });
     }
 }
 
@@ -196,46 +197,46 @@
 void receiver::implementation::read_before_cancel(const cancellation& wanted,
                                                   submit_done done)
 {
-    parts.store.read(
-        job_store_key(wanted.job),
-        [weak = weak_from_this(), wanted,
-         done = std::move(done)](const result<std::optional<store_item>>& answer)
-        {
-            const std::shared_ptr<implementation> self = weak.lock();
-            if (!self)
-                return;
-            if (!answer)
-                return self->cancel_failed(wanted, true, done);
-            if (!answer.value())
-                return done(verdict::not_found);
-            const result<job_record> record = decode_job(answer.value()->value);
-            if (record && is_final(record.value().state))
-                return done(verdict::done);
-            self->write_cancel(wanted, done);
-        });
+    parts.store.read(job_store_key(wanted.job),
+                     [weak = weak_from_this(), wanted, done = std::move(done)](
+                         const result<std::optional<store_item>>& answer)
+                     {
+                         const std::shared_ptr<implementation> self = weak.lock();
+                         if (!self)
+                             return;
+                         if (!answer)
+                             return self->cancel_failed(wanted, true, done);
+                         if (!answer.value())
+                             return done(verdict::not_found);
+                         const result<job_record> record =
+                             decode_job(answer.value()->value);
+                         if (record && is_final(record.value().state))
+                             return done(verdict::done);
+                         self->write_cancel(wanted, done);
+                     });
 }
 
 void receiver::implementation::write_cancel(const cancellation& wanted, submit_done done)
 {
     store_transaction change;
     change.puts.push_back({cancel_store_key(wanted.job), "", lease_id()});
-    parts.store.commit(
-        std::move(change),
-        [weak = weak_from_this(), wanted,
-         done = std::move(done)](const result<store_commit>& answer)
-        {
-            const std::shared_ptr<implementation> self = weak.lock();
-            if (!self)
-                return;
-            if (answer && answer.value().committed)
-            {
-                self->parts.cancelled(wanted.job);
-                return done(verdict::done);
-            }
-            const bool nothing_done =
-                answer || answer.error().code != error_code::outcome_unknown;
-            self->cancel_failed(wanted, nothing_done, done);
-        });
+    parts.store.commit(std::move(change),
+                       [weak = weak_from_this(), wanted,
+                        done = std::move(done)](const result<store_commit>& answer)
+                       {
+                           const std::shared_ptr<implementation> self = weak.lock();
+                           if (!self)
+                               return;
+                           if (answer && answer.value().committed)
+                           {
+                               self->parts.cancelled(wanted.job);
+                               return done(verdict::done);
+                           }
+                           const bool nothing_done =
+                               answer ||
+                               answer.error().code != error_code::outcome_unknown;
+                           self->cancel_failed(wanted, nothing_done, done);
+                       });
 }
 
 void receiver::implementation::cancel_failed(cancellation wanted, bool nothing_done,
@@ -277,46 +278,44 @@
     jobs.reserve(asking.size());
     for (const auto& [job, waiting] : asking)
         jobs.push_back(job);
-    parts.ask_owner(
-        std::move(jobs),
-        [weak = weak_from_this(), asking = std::move(asking)](
-            const result<std::vector<std::pair<job_key, job_state>>>& answer)
-        {
-            const std::shared_ptr<implementation> self = weak.lock();
-            if (!self)
-                return;
-            std::map<job_key, job_state> found;
-            if (answer)
-                found.insert(answer.value().begin(), answer.value().end());
-            for (const auto& [job, waiting] : asking)
-            {
-                const auto state = found.find(job);
-                for (const std::function<void(query_answer)>& done : waiting)
-                    if (state != found.end())
-                        done({verdict::done, state->second});
-                    else
-                        self->read_state(job, done);
-            }
-        });
+    parts.ask_owner(std::move(jobs),
+                    [weak = weak_from_this(), asking = std::move(asking)](
+                        const result<std::vector<std::pair<job_key, job_state>>>& answer)
+                    {
+                        const std::shared_ptr<implementation> self = weak.lock();
+                        if (!self)
+                            return;
+                        std::map<job_key, job_state> found;
+                        if (answer)
+                            found.insert(answer.value().begin(), answer.value().end());
+                        for (const auto& [job, waiting] : asking)
+                        {
+                            const auto state = found.find(job);
+                            for (const std::function<void(query_answer)>& done : waiting)
+                                if (state != found.end())
+                                    done({verdict::done, state->second});
+                                else
+                                    self->read_state(job, done);
+                        }
+                    });
 }
 
 void receiver::implementation::read_state(const job_key& job,
                                           std::function<void(query_answer)> done)
 {
-    parts.store.read(job_store_key(job),
-                     [done = std::move(done)](
-                         const result<std::optional<store_item>>& answer)
-                     {
-                         if (!answer)
-                             return done({verdict::refused, job_state::queued});
-                         if (!answer.value())
-                             return done({verdict::not_found, job_state::queued});
-                         const result<job_record> record =
-                             decode_job(answer.value()->value);
-                         if (!record)
-                             return done({verdict::unknown, job_state::queued});
-                         done({verdict::done, record.value().state});
-                     });
+    parts.store.read(
+        job_store_key(job),
+        [done = std::move(done)](const result<std::optional<store_item>>& answer)
+        {
+            if (!answer)
+                return done({verdict::refused, job_state::queued});
+            if (!answer.value())
+                return done({verdict::not_found, job_state::queued});
+            const result<job_record> record = decode_job(answer.value()->value);
+            if (!record)
+                return done({verdict::unknown, job_state::queued});
+            done({verdict::done, record.value().state});
+        });
 }
 
 receiver::receiver(receiver_parts parts)
--- a/lib/cli/command.cpp
+++ b/lib/cli/command.cpp
@@ -26,6 +26,9 @@
     const char* example;
 };
 
+/// Log files of one command: more than the hosts of a deployment.
+constexpr std::size_t most_log_files = 1000;
+
 const std::vector<std::string> common_flags{"instances", "token_file", "output",
                                             "timeout"};
 
@@ -174,6 +177,15 @@
          explain_job,
          "say what a waiting job waits for",
          "hawthornctl explain 0123456789abcdef0123456789abcdef"},
+        {{"logs"},
+         "JOB [FILE...]",
+         1,
+         1 + most_log_files,
+         {},
+         logs_of_job,
+         "lines of all hosts' logs that name a job, by time; reads standard input "
+         "without files",
+         "hawthornctl logs 0123456789abcdef front-*.log"},
         {{"report", "record"},
          "",
          0,
--- a/lib/cli/context.hpp
+++ b/lib/cli/context.hpp
@@ -95,6 +95,7 @@
 exit_code workers_undrain(command_context& context);
 exit_code list_instances(command_context& context);
 exit_code explain_job(command_context& context);
+exit_code logs_of_job(command_context& context);
 exit_code report_record(command_context& context);
 exit_code report_burn(command_context& context);
 
--- /dev/null
+++ b/lib/cli/log_commands.cpp
@@ -0,0 +1,92 @@
+/// \file
+/// Commands that read the logs of daemons.
+#include "context.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <istream>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <sstream>
+
+namespace hawthornbeam
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Fields that each line has; all others are shown as details.
+constexpr std::array usual_fields{"time",     "level",   "component",
+                                  "instance", "message", "job"};
+
+/// Text before the first brace, such as a host's name from a collector, is passed over.
+json parse_line(const std::string& line)
+{
+    const std::size_t begin = line.find('{');
+    if (begin == std::string::npos)
+        return json();
+    return json::parse(line.substr(begin), nullptr, false);
+}
+
+std::string details_of(const json& line)
+{
+    std::string details;
+    for (const auto& [name, value] : line.items())
+        if (std::ranges::find(usual_fields, name) == usual_fields.end())
+            details += fmt::format("{}{}={}", details.empty() ? "" : " ", name,
+                                   plain_text(value));
+    return details;
+}
+
+void collect(std::istream& input, const std::string& id, std::vector<json>& found)
+{
+    std::string text;
+    while (std::getline(input, text))
+    {
+        json line = parse_line(text);
+        if (line.is_object() && text_member(line, "job") == id)
+            found.push_back(std::move(line));
+    }
+}
+
+} // namespace
+
+exit_code logs_of_job(command_context& context)
+{
+    const std::string& id = context.operands().front();
+    std::vector<json> found;
+    for (std::size_t index = 1; index < context.operands().size(); ++index)
+    {
+        const result<std::string> text = read_file(context.operands()[index]);
+        if (!text)
+            return context.fail(exit_code::usage, text.error().message);
+        std::istringstream input(text.value());
+        collect(input, id, found);
+    }
+    if (context.operands().size() == 1)
+        collect(context.environment().in, id, found);
+    if (found.empty())
+        return context.fail(exit_code::refused,
+                            fmt::format("no line names the job {}", id));
+    // Times are UTC in one format, so that they sort as text.
+    std::ranges::stable_sort(found, {}, [](const json& line)
+                             { return text_member(line, "time"); });
+    json body{{"lines", json::array()}};
+    for (json& line : found)
+    {
+        line["details"] = details_of(line);
+        body["lines"].push_back(std::move(line));
+    }
+    context.print(body, "lines",
+                  {{"TIME", "/time"},
+                   {"INSTANCE", "/instance"},
+                   {"COMPONENT", "/component"},
+                   {"MESSAGE", "/message"},
+                   {"DETAILS", "/details"}});
+    return exit_code::done;
+}
+
+} // namespace hawthornbeam
--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -226,8 +226,8 @@
                   [now](const std::pair<const std::string, boot_time>& host)
                   { return host.second <= now; });
     suspected_until_[call->host] =
-        now + (use_ == connection_use::kept ? kept_suspicion_time
-                                            : duration(most_idle_time));
+        now +
+        (use_ == connection_use::kept ? kept_suspicion_time : duration(most_idle_time));
     // Ends the call inside libsoup, which closes its connection.
     g_cancellable_cancel(call->cancellable);
     const error_code code =
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -59,8 +59,10 @@
 template <class Archive>
 void serialize(Archive& archive, step_spec& value)
 {
-    auto& [count, size, estimate, gang, same_rack, checkpoints, speculative, persistent, label, data_rack, per_worker, after] = value;
-    members(archive, count, size, estimate, gang, same_rack, checkpoints, speculative, persistent, label, data_rack, per_worker, after);
+    auto& [count, size, estimate, gang, same_rack, checkpoints, speculative, persistent,
+           label, data_rack, per_worker, after] = value;
+    members(archive, count, size, estimate, gang, same_rack, checkpoints, speculative,
+            persistent, label, data_rack, per_worker, after);
 }
 
 template <class Archive>
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -118,8 +118,15 @@
         }
         network_ = std::move(opened).value();
         cell::node_parts parts{
-            loop_,   store_,  runners_,     registry_,
-            *network_, random_, log_, metrics_, options.self,
+            loop_,
+            store_,
+            runners_,
+            registry_,
+            *network_,
+            random_,
+            log_,
+            metrics_,
+            options.self,
             cell::endpoint(fmt::format("{}:{}", settings_.ip, network_->port())),
             static_cast<std::uint32_t>(settings_.processor_share * 1000),
             cell::scheduler_limits()};
@@ -143,7 +150,8 @@
     ingress_ = std::move(opened).value();
     node_->start();
     configuration_.start();
-    log_.info("process", "started", {{"share", static_cast<int>(settings_.processor_share * 1000)}});
+    log_.info("process", "started",
+              {{"share", static_cast<int>(settings_.processor_share * 1000)}});
     return true;
 }
 
@@ -154,8 +162,8 @@
     stopping_ = true;
     log_.info("process", "stopping", {});
     ingress_->drain();
-    stop_at_ = loop_.clock().now() + std::chrono::duration_cast<duration>(
-                                         settings_.stop_grace * serving_share);
+    stop_at_ = loop_.clock().now() +
+               std::chrono::duration_cast<duration>(settings_.stop_grace * serving_share);
     node_->leave([this] { log_.info("process", "handed over", {}); });
     finish_timer_ = loop_.every(answer_period, [this] { finish(); });
 }
@@ -193,7 +201,8 @@
     }
     const adapter::read_settings_result read = adapter::read_settings(*text, file);
     for (const finding& fault : read.faults)
-        log.warning("process", "changed settings are faulty", {{"finding", fault.text()}});
+        log.warning("process", "changed settings are faulty",
+                    {{"finding", fault.text()}});
     log.info("process", "settings read again",
              {{"findings", std::uint64_t{read.faults.size()}}});
     return G_SOURCE_CONTINUE;
@@ -218,18 +227,19 @@
         return exit_usage;
     if (absl::GetFlag(FLAGS_check))
         return exit_done;
-    const std::optional<log_level> level = parse_log_level(absl::GetFlag(FLAGS_log_level));
+    const std::optional<log_level> level =
+        parse_log_level(absl::GetFlag(FLAGS_log_level));
     if (!level)
     {
-        fmt::print(stderr, "hawthornbeamd: --log_level is debug, info, warning or error\n");
+        fmt::print(stderr,
+                   "hawthornbeamd: --log_level is debug, info, warning or error\n");
         return exit_usage;
     }
     std::signal(SIGPIPE, SIG_IGN);
     glib_event_loop loop;
     bounded_log lines(loop.clock(), STDOUT_FILENO);
     const logger log(loop.clock(), read.settings->host_name, *level, lines);
-    const timer_handle flushing =
-        loop.every(flush_period, [&lines] { lines.flush(); });
+    const timer_handle flushing = loop.every(flush_period, [&lines] { lines.flush(); });
     const std::uint64_t seed =
         static_cast<std::uint64_t>(loop.clock().wall_now().time_since_epoch().count()) ^
         (static_cast<std::uint64_t>(getpid()) << 32U) ^
--- a/unittests/adapter/adapter_test.cpp
+++ b/unittests/adapter/adapter_test.cpp
@@ -167,8 +167,9 @@
     std::set<std::string> places;
     for (const finding& fault : faults)
         places.insert(fault.place);
-    const std::set<std::string> expected{"/spec",         "/times",         "/steps/0/count",
-                                         "/steps/1/cpu",  "/steps/1/after", "/steps/2/fills"};
+    const std::set<std::string> expected{"/spec",          "/times",
+                                         "/steps/0/count", "/steps/1/cpu",
+                                         "/steps/1/after", "/steps/2/fills"};
     EXPECT_EQ(places, expected);
 }
 
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -62,18 +62,17 @@
 void memory_store::answer(const callback<T>& done, std::function<T()> work)
 {
     const store_condition met = condition;
-    later(
-        met == store_condition::losing_answers ? lost_after : call_time,
-        [this, done, work, met]
-        {
-            state_.expire();
-            if (met == store_condition::refusing)
-                return done(make_error(error_code::unavailable, "refused"));
-            T outcome = work();
-            if (met == store_condition::losing_answers)
-                return done(make_error(error_code::outcome_unknown, "answer lost"));
-            done(std::move(outcome));
-        });
+    later(met == store_condition::losing_answers ? lost_after : call_time,
+          [this, done, work, met]
+          {
+              state_.expire();
+              if (met == store_condition::refusing)
+                  return done(make_error(error_code::unavailable, "refused"));
+              T outcome = work();
+              if (met == store_condition::losing_answers)
+                  return done(make_error(error_code::outcome_unknown, "answer lost"));
+              done(std::move(outcome));
+          });
 }
 
 void memory_store::read(const std::string& key, callback<std::optional<store_item>> done)
@@ -111,22 +110,21 @@
 void memory_store::poll(const std::string& prefix, kv_revision after, boot_time until,
                         const callback<store_changes>& done)
 {
-    later(
-        poll_period,
-        [this, prefix, after, until, done]
-        {
-            if (condition != store_condition::well)
-                return done(make_error(error_code::unavailable, "refused"));
-            state_.expire();
-            store_changes changes;
-            for (const store_event& event : state_.history)
-                if (event.item.revision > after && event.item.key.starts_with(prefix))
-                    changes.events.push_back(event);
-            changes.at = kv_revision(state_.revision);
-            if (changes.events.empty() && state_.loop.clock().now() < until)
-                return poll(prefix, after, until, done);
-            done(std::move(changes));
-        });
+    later(poll_period,
+          [this, prefix, after, until, done]
+          {
+              if (condition != store_condition::well)
+                  return done(make_error(error_code::unavailable, "refused"));
+              state_.expire();
+              store_changes changes;
+              for (const store_event& event : state_.history)
+                  if (event.item.revision > after && event.item.key.starts_with(prefix))
+                      changes.events.push_back(event);
+              changes.at = kv_revision(state_.revision);
+              if (changes.events.empty() && state_.loop.clock().now() < until)
+                  return poll(prefix, after, until, done);
+              done(std::move(changes));
+          });
 }
 
 store_commit memory_store::apply(const store_transaction& change)
@@ -167,19 +165,20 @@
 
 void memory_store::commit(store_transaction change, callback<store_commit> done)
 {
-    answer<store_commit>(done, [this, change = std::move(change)]
-                         { return apply(change); });
+    answer<store_commit>(done,
+                         [this, change = std::move(change)] { return apply(change); });
 }
 
 void memory_store::grant(duration life, callback<lease_id> done)
 {
-    answer<lease_id>(done,
-                     [this, life]
-                     {
-                         const lease_id granted(++state_.last_lease);
-                         state_.leases[granted] = {state_.loop.clock().now() + life, life};
-                         return granted;
-                     });
+    answer<lease_id>(
+        done,
+        [this, life]
+        {
+            const lease_id granted(++state_.last_lease);
+            state_.leases[granted] = {state_.loop.clock().now() + life, life};
+            return granted;
+        });
 }
 
 void memory_store::renew(lease_id lease, callback<bool> done)
@@ -190,7 +189,8 @@
                      const auto found = state_.leases.find(lease);
                      if (found == state_.leases.end())
                          return false;
-                     found->second.first = state_.loop.clock().now() + found->second.second;
+                     found->second.first =
+                         state_.loop.clock().now() + found->second.second;
                      return true;
                  });
 }
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -21,8 +21,7 @@
 class listed_workers final : public worker_directory
 {
 public:
-    void
-    start(std::function<void(const std::vector<worker_info>&)> handler) override
+    void start(std::function<void(const std::vector<worker_info>&)> handler) override
     {
         changed = std::move(handler);
         changed(workers);
@@ -126,8 +125,7 @@
     std::vector<fence_token> superseded;
     std::unique_ptr<owner> cell = std::make_unique<owner>(
         owner_parts{loop, store, directory, log, metrics, scheduler_limits(),
-                    instance_id("self"),
-                    std::chrono::minutes(5),
+                    instance_id("self"), std::chrono::minutes(5),
                     [this](const endpoint& agent, wire::cell_orders message,
                            const std::function<void(result<fence_token>)>& done)
                     {
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -101,8 +101,8 @@
     look.worker = worker_id("w0");
     look.began = observation{1, 1};
     look.life = workers.info("w0").life;
-    look.ended.push_back({end_number(1), {first_task("a"), run_number(1)}, run_end::done,
-                          checkpoint()});
+    look.ended.push_back(
+        {end_number(1), {first_task("a"), run_number(1)}, run_end::done, checkpoint()});
     successor.observe(look, workers.clock.now());
     EXPECT_EQ(successor.take_changes().ends.size(), 1U);
     successor.add_job(spec, true, workers.clock.now());
@@ -364,8 +364,8 @@
     fleet workers(1);
     workers.add_queue("q", 0, 3, 1.5, milliseconds(250));
     for (int number = 0; number < 4; ++number)
-        workers.submit(fleet::job("old" + std::to_string(number), "q", 1, 8,
-                                  milliseconds(800)));
+        workers.submit(
+            fleet::job("old" + std::to_string(number), "q", 1, 8, milliseconds(800)));
     workers.advance(seconds(1));
     workers.look_at_all();
     workers.submit(fleet::job("new", "q", 1, 8, milliseconds(800)));
--- a/unittests/wire/aggregate.hpp
+++ b/unittests/wire/aggregate.hpp
@@ -117,6 +117,23 @@
     return 8;
 }
 
+inline std::uint64_t last_of(cell::job_state)
+{
+    return 4;
+}
+inline std::uint64_t last_of(cell::run_end)
+{
+    return 5;
+}
+inline std::uint64_t last_of(cell::order_outcome)
+{
+    return 10;
+}
+inline std::uint64_t last_of(cell::verdict)
+{
+    return 3;
+}
+
 template <class T>
 void fill(random_source& random, T& value);
 inline void fill(random_source& random, std::string& text)
