Keep the older instances building beside cells

The packages of partitions and slices did not build since the messages of cells were added; only the daemon and the new tests had been built. Their test class is renamed because the namespace has the name cell now.

--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -35,7 +35,7 @@
         std::vector<measured_point> points;
         for (const std::size_t workers : {54, 162, 486})
         {
-            cell measured(sizes(instances, workers));
+            test_cluster measured(sizes(instances, workers));
             measured.start();
             const cell_totals cost = run(measured, instances, measured_seconds);
             points.push_back({static_cast<double>(workers),
@@ -73,7 +73,7 @@
     std::vector<measured_point> size;
     for (const std::size_t rows : {4, 83, 332})
     {
-        cell measured(sizes(instances, 54));
+        test_cluster measured(sizes(instances, 54));
         measured.start();
         install_rows(measured, rows, true);
         const cell_totals cost = run(measured, instances, measured_seconds);
@@ -96,7 +96,7 @@
     std::vector<measured_point> processor;
     for (const std::size_t instances : {9, 18, 27, 54})
     {
-        cell measured(sizes(instances, 54));
+        test_cluster measured(sizes(instances, 54));
         measured.start();
         install_rows(measured, 83, true);
         const double count = static_cast<double>(instances);
@@ -114,7 +114,7 @@
     {
         std::vector<instance_id> members;
         for (std::size_t index = 0; index < count; ++index)
-            members.push_back(cell::name(index));
+            members.push_back(test_cluster::name(index));
         constexpr int slices = 5000;
         const std::clock_t begin = std::clock();
         std::size_t found = 0;
@@ -131,7 +131,7 @@
 }
 
 /// Submits \p tasks idempotent tasks in jobs of 100 and lets them start or queue.
-void fill(cell& measured, std::size_t instances, std::size_t tasks, int run_ms)
+void fill(test_cluster& measured, std::size_t instances, std::size_t tasks, int run_ms)
 {
     for (std::size_t first = 0; first < tasks; first += 100)
     {
@@ -154,7 +154,7 @@
     std::vector<measured_point> bytes;
     for (const std::size_t tasks : counts)
     {
-        cell measured(sizes(instances, workers));
+        test_cluster measured(sizes(instances, workers));
         measured.start();
         const std::size_t before = mallinfo2().uordblks;
         fill(measured, instances, tasks, 3600000);
@@ -172,7 +172,8 @@
 }
 
 /// Synchronous requests of 50 ms at \p rate a second, spread over the instances.
-void send_requests(cell& measured, std::size_t instances, int rate, int duration_seconds)
+void send_requests(test_cluster& measured, std::size_t instances, int rate,
+                   int duration_seconds)
 {
     for (int number = 0; number < rate * duration_seconds; ++number)
     {
@@ -182,7 +183,8 @@
     }
 }
 
-void send_jobs(cell& measured, std::size_t instances, int rate, int duration_seconds)
+void send_jobs(test_cluster& measured, std::size_t instances, int rate,
+               int duration_seconds)
 {
     for (int number = 0; number < rate * duration_seconds; ++number)
     {
@@ -194,7 +196,7 @@
 }
 
 void measure_load(const char* title, const std::vector<int>& rates,
-                  void (*send)(cell&, std::size_t, int, int))
+                  void (*send)(test_cluster&, std::size_t, int, int))
 {
     constexpr std::size_t instances = 9;
     constexpr int load_seconds = 10;
@@ -205,7 +207,7 @@
     std::vector<measured_point> journal;
     for (const int rate : rates)
     {
-        cell measured(sizes(instances, 54));
+        test_cluster measured(sizes(instances, 54));
         measured.start();
         const std::vector<std::size_t> all = first_instances(instances);
         const cell_totals begin = totals_of(measured, all);
@@ -236,7 +238,7 @@
     std::vector<measured_point> bytes;
     for (const std::size_t instances : {3, 9, 27})
     {
-        cell measured(sizes(instances, 54));
+        test_cluster measured(sizes(instances, 54));
         measured.start();
         install_rows(measured, 83, true);
         const double count = static_cast<double>(instances);
@@ -308,7 +310,7 @@
     print_fit("s until all have it, worst of 5", times);
 }
 
-std::set<worker_id> workers_owned_by(cell& measured, const instance_id& owner)
+std::set<worker_id> workers_owned_by(test_cluster& measured, const instance_id& owner)
 {
     std::map<worker_id, std::string> owners;
     for (const standins::history_entry& entry : measured.workers().history())
@@ -333,13 +335,13 @@
 takeover measure_death(std::size_t instances, std::size_t workers, std::size_t tasks)
 {
     constexpr int after_seconds = 10;
-    cell measured(sizes(instances, workers));
+    test_cluster measured(sizes(instances, workers));
     measured.start();
     fill(measured, instances, tasks, 3600000);
     std::size_t victim = instances;
     std::set<worker_id> lost;
     while (lost.empty())
-        lost = workers_owned_by(measured, cell::name(--victim));
+        lost = workers_owned_by(measured, test_cluster::name(--victim));
     takeover found;
     found.lost_workers = static_cast<double>(lost.size());
     for (const standins::history_entry& entry : measured.workers().history())
@@ -406,11 +408,11 @@
 {
     constexpr std::size_t instances = 9;
     print_header("First start by the new owner after a death, under 100 requests/s, by "
-                 "tasks running in the cell");
+                 "tasks running in the test_cluster");
     std::vector<measured_point> first;
     for (const std::size_t tasks : {0, 1000, 3000, 6000})
     {
-        cell measured(sizes(instances, 72));
+        test_cluster measured(sizes(instances, 72));
         measured.start();
         fill(measured, instances, tasks, 3600000);
         std::size_t victim = 0;
@@ -418,7 +420,7 @@
         for (std::size_t index = instances; index-- > 1 && lost.empty();)
         {
             victim = index;
-            lost = workers_owned_by(measured, cell::name(index));
+            lost = workers_owned_by(measured, test_cluster::name(index));
         }
         measured.kill(victim);
         const boot_time killed = measured.now();
@@ -463,7 +465,7 @@
 {
     const std::string part = argc > 1 ? argv[1] : "";
     // The stand-ins' processes are forked before anything uses GLib.
-    if (part != "cell")
+    if (part != "test_cluster")
         hawthornbeam::measure_http();
     if (part != "http")
         hawthornbeam::measure_cells();
--- a/benchmarks/capacity_cell.hpp
+++ b/benchmarks/capacity_cell.hpp
@@ -26,7 +26,8 @@
     std::map<kv_cause, double> kv;
 };
 
-inline cell_totals totals_of(cell& measured, const std::vector<std::size_t>& instances)
+inline cell_totals totals_of(test_cluster& measured,
+                             const std::vector<std::size_t>& instances)
 {
     cell_totals sum;
     sum.processor = static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
@@ -45,8 +46,8 @@
     add(measured.network().replies(), status_reply_index);
     for (const std::size_t index : instances)
     {
-        sum.gossip_bytes +=
-            static_cast<double>(measured.network().datagram_bytes(cell::name(index)));
+        sum.gossip_bytes += static_cast<double>(
+            measured.network().datagram_bytes(test_cluster::name(index)));
         for (const kv_cause cause :
              {kv_cause::table, kv_cause::journal, kv_cause::claim, kv_cause::recovery})
             sum.kv[cause] += static_cast<double>(measured.kv(index).calls(cause));
@@ -94,7 +95,8 @@
     return options;
 }
 
-inline cell_totals run(cell& measured, std::size_t instances, int duration_seconds)
+inline cell_totals run(test_cluster& measured, std::size_t instances,
+                       int duration_seconds)
 {
     const std::vector<std::size_t> all = first_instances(instances);
     const cell_totals begin = totals_of(measured, all);
@@ -103,7 +105,7 @@
 }
 
 /// Processor seconds a second: the least of three runs, as other programs disturb them.
-inline double least_processor(cell& measured, std::size_t instances)
+inline double least_processor(test_cluster& measured, std::size_t instances)
 {
     double least = run(measured, instances, measured_seconds).processor;
     for (int repeat = 0; repeat < 2; ++repeat)
@@ -111,7 +113,7 @@
     return least / measured_seconds;
 }
 
-inline void install_rows(cell& measured, std::size_t count, bool wait)
+inline void install_rows(test_cluster& measured, std::size_t count, bool wait)
 {
     std::vector<table_row> rows = measured.table(0).current().rows;
     for (std::size_t index = rows.size(); index < count; ++index)
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -38,7 +38,7 @@
 /// Milliseconds on the steady clock of a worker.
 using worker_time = strong_number<struct worker_time_tag, std::int64_t>;
 /// Number of an end in the list of a worker's life, from 1.
-using end_number = strong_number<struct end_tag, std::uint64_t>;
+using end_number = strong_number<struct ended_number_tag, std::uint64_t>;
 
 /// Names a task of a job.
 struct task_ref
--- a/lib/cli/log_commands.cpp
+++ b/lib/cli/log_commands.cpp
@@ -72,8 +72,8 @@
         return context.fail(exit_code::refused,
                             fmt::format("no line names the job {}", id));
     // Times are UTC in one format, so that they sort as text.
-    std::ranges::stable_sort(found, {}, [](const json& line)
-                             { return text_member(line, "time"); });
+    std::ranges::stable_sort(found, {},
+                             [](const json& line) { return text_member(line, "time"); });
     json body{{"lines", json::array()}};
     for (json& line : found)
     {
--- a/lib/instance/implementation.hpp
+++ b/lib/instance/implementation.hpp
@@ -65,6 +65,13 @@
             const answer_callback& answer);
     void on(const instance_id&, const wire::drain_request& message,
             const answer_callback& answer);
+    /// Messages of cells are for other instances than those of partitions and slices.
+    template <class CellMessage>
+    void on(const instance_id&, const CellMessage&, const answer_callback& answer)
+    {
+        answer(wire::failure_reply{error_code::invalid_input,
+                                   "this instance takes no messages of cells"});
+    }
     void on(const instance_id&, const wire::explain_request& message,
             const answer_callback& answer);
 
--- a/unittests/instance/cell.cpp
+++ b/unittests/instance/cell.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-cell::cell(cell_options settings)
+test_cluster::test_cluster(cell_options settings)
     : options_(settings), network_(loop_, settings.seed),
       store_(std::make_shared<standins::fake_kv_store>()), workers_(loop_),
       hosts_(loop_, milliseconds(500))
@@ -47,24 +47,24 @@
     add_workers();
 }
 
-cell::~cell()
+test_cluster::~test_cluster()
 {
     for (std::size_t index = 0; index < nodes_.size(); ++index)
         if (nodes_[index])
             kill(index);
 }
 
-instance_id cell::name(std::size_t index)
+instance_id test_cluster::name(std::size_t index)
 {
     return instance_id(fmt::format("entry-{}", index + 1));
 }
 
-worker_address cell::address(std::size_t worker)
+worker_address test_cluster::address(std::size_t worker)
 {
     return worker_address(fmt::format("10.1.0.{}:1", worker + 1));
 }
 
-void cell::add_workers()
+void test_cluster::add_workers()
 {
     for (std::size_t index = 0; index < options_.workers; ++index)
     {
@@ -85,7 +85,7 @@
     hosts_.state().show_all();
 }
 
-void cell::start_instance(std::size_t index)
+void test_cluster::start_instance(std::size_t index)
 {
     nodes_[index] = std::make_unique<node>();
     node& fresh = *nodes_[index];
@@ -133,7 +133,7 @@
     fresh.scheduler->start();
 }
 
-void cell::start()
+void test_cluster::start()
 {
     for (std::size_t index = 0; index < nodes_.size(); ++index)
         start_instance(index);
@@ -152,7 +152,7 @@
     advance(seconds(3));
 }
 
-void cell::install_table()
+void test_cluster::install_table()
 {
     table_row request_row = make_row("p/request", workload::request, 0);
     request_row.guaranteed = 0.2;
@@ -162,12 +162,12 @@
                      table_version(), "ops", [](const edit_outcome&) {});
 }
 
-void cell::advance(duration step)
+void test_cluster::advance(duration step)
 {
     loop_.advance(step);
 }
 
-bool cell::advance_until(duration limit, const std::function<bool()>& done)
+bool test_cluster::advance_until(duration limit, const std::function<bool()>& done)
 {
     const boot_time end = now() + limit;
     while (now() < end)
@@ -179,7 +179,7 @@
     return done();
 }
 
-void cell::kill(std::size_t index)
+void test_cluster::kill(std::size_t index)
 {
     network_.kill(name(index));
     const std::unique_ptr<node> dead = std::move(nodes_[index]);
@@ -190,28 +190,28 @@
     dead->channel.reset();
 }
 
-void cell::pause(std::size_t index)
+void test_cluster::pause(std::size_t index)
 {
     network_.pause(name(index));
 }
 
-void cell::resume(std::size_t index)
+void test_cluster::resume(std::size_t index)
 {
     network_.resume(name(index));
 }
 
-void cell::leave(std::size_t index)
+void test_cluster::leave(std::size_t index)
 {
     node& leaving = *nodes_.at(index);
     leaving.scheduler->leave([&leaving] { leaving.left = true; });
 }
 
-bool cell::has_left(std::size_t index) const
+bool test_cluster::has_left(std::size_t index) const
 {
     return nodes_.at(index)->left;
 }
 
-void cell::kill_worker(std::size_t index)
+void test_cluster::kill_worker(std::size_t index)
 {
     workers_.worker(address(index)).state().kill();
     workers_.faults(address(index)).unreachable = true;
@@ -219,7 +219,7 @@
     hosts_.state().remove(id);
 }
 
-void cell::isolate(std::size_t index, bool from_workers, bool from_kv)
+void test_cluster::isolate(std::size_t index, bool from_workers, bool from_kv)
 {
     for (std::size_t other = 0; other < nodes_.size(); ++other)
         if (other != index)
@@ -230,7 +230,7 @@
     kv(index).faults().is_cut = from_kv;
 }
 
-void cell::heal()
+void test_cluster::heal()
 {
     network_.heal_all();
     for (const std::unique_ptr<node>& one : nodes_)
@@ -242,14 +242,16 @@
     }
 }
 
-void cell::set_kv_faults(const std::function<void(standins::fake_kv_faults&)>& change)
+void test_cluster::set_kv_faults(
+    const std::function<void(standins::fake_kv_faults&)>& change)
 {
     for (const std::unique_ptr<node>& one : nodes_)
         if (one)
             change(one->kv->faults());
 }
 
-wire::job_spec cell::request(const std::string& id, int run_ms, int deadline_ms) const
+wire::job_spec test_cluster::request(const std::string& id, int run_ms,
+                                     int deadline_ms) const
 {
     wire::job_spec spec = job("p/request", id, 1, run_ms, false);
     spec.synchronous = true;
@@ -257,8 +259,8 @@
     return spec;
 }
 
-wire::job_spec cell::job(const std::string& row, const std::string& id,
-                         std::uint32_t tasks, int run_ms, bool idempotent) const
+wire::job_spec test_cluster::job(const std::string& row, const std::string& id,
+                                 std::uint32_t tasks, int run_ms, bool idempotent) const
 {
     wire::job_spec spec;
     spec.row = row_id(row);
@@ -273,7 +275,7 @@
     return spec;
 }
 
-call_record& cell::submit(std::size_t index, wire::job_spec job)
+call_record& test_cluster::submit(std::size_t index, wire::job_spec job)
 {
     calls_.emplace_back();
     call_record& record = calls_.back();
@@ -292,7 +294,7 @@
     return record;
 }
 
-result<wire::job_status> cell::query(std::size_t index, const job_id& id)
+result<wire::job_status> test_cluster::query(std::size_t index, const job_id& id)
 {
     const std::shared_ptr<std::optional<result<wire::job_status>>> answer =
         std::make_shared<std::optional<result<wire::job_status>>>();
@@ -304,13 +306,13 @@
     return **answer;
 }
 
-bool cell::is_done(std::size_t index, const job_id& id)
+bool test_cluster::is_done(std::size_t index, const job_id& id)
 {
     const result<wire::job_status> found = query(index, id);
     return found && found.value().verdict == wire::job_verdict::done;
 }
 
-std::size_t cell::starts_of(const job_id& id) const
+std::size_t test_cluster::starts_of(const job_id& id) const
 {
     std::size_t starts = 0;
     for (const standins::history_entry& entry : workers_.history())
@@ -319,7 +321,7 @@
     return starts;
 }
 
-boot_time cell::first_start_after(boot_time since) const
+boot_time test_cluster::first_start_after(boot_time since) const
 {
     for (const standins::history_entry& entry : workers_.history())
         if (entry.event == "start" && entry.at > since)
@@ -327,7 +329,7 @@
     return boot_time::max();
 }
 
-standins::recorded_history cell::recorded() const
+standins::recorded_history test_cluster::recorded() const
 {
     standins::recorded_history history;
     std::map<worker_id, std::map<task_id, resources>> running;
@@ -366,7 +368,7 @@
     return history;
 }
 
-std::vector<std::string> cell::violations() const
+std::vector<std::string> test_cluster::violations() const
 {
     std::vector<std::string> found;
     for (const standins::violation& one : standins::check_invariants(recorded()))
--- a/unittests/instance/cell.hpp
+++ b/unittests/instance/cell.hpp
@@ -44,13 +44,13 @@
 };
 
 /// A cell with its clock. Everything is deterministic for a seed.
-class cell
+class test_cluster
 {
 public:
-    explicit cell(cell_options settings = {});
-    ~cell();
-    cell(const cell&) = delete;
-    cell& operator=(const cell&) = delete;
+    explicit test_cluster(cell_options settings = {});
+    ~test_cluster();
+    test_cluster(const test_cluster&) = delete;
+    test_cluster& operator=(const test_cluster&) = delete;
 
     /// Starts all instances, installs the table and waits
     /// until every instance is ready. Rows: "p/request", "p/batch", "h/gang",
--- a/unittests/instance/cell_test.cpp
+++ b/unittests/instance/cell_test.cpp
@@ -15,7 +15,7 @@
 // Guards against a request whose answer is lost or late between the instances.
 TEST(cell_test, synchronous_request_is_answered_through_any_instance)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     for (std::size_t index = 0; index < 3; ++index)
     {
@@ -33,7 +33,7 @@
 // Guards against a repeated submission that runs the work a second time.
 TEST(cell_test, repeated_submission_runs_once)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     call_record& first = cluster.submit(0, cluster.request("same"));
     call_record& second = cluster.submit(1, cluster.request("same"));
@@ -51,7 +51,7 @@
 // Guards against queued tasks that are lost on the way or never finish.
 TEST(cell_test, queued_batch_runs_to_the_end)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     call_record& call = cluster.submit(0, cluster.job("p/batch", "b", 500, 300, true));
     ASSERT_TRUE(cluster.advance_until(seconds(2), [&] { return call.answered; }));
@@ -65,7 +65,7 @@
 // Guards against a gang that starts in part.
 TEST(cell_test, gang_starts_all_at_once)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     call_record& call = cluster.submit(0, cluster.job("h/gang", "g", 12, 500, true));
     ASSERT_TRUE(cluster.advance_until(seconds(10),
@@ -81,7 +81,7 @@
 // Guards against cancelled tasks that still start or run on.
 TEST(cell_test, cancellation_stops_waiting_and_running_tasks)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     call_record& call = cluster.submit(0, cluster.job("p/batch", "b", 200, 60000, true));
     cluster.advance(seconds(2));
@@ -115,7 +115,7 @@
 TEST_P(refusal_test, is_refused_at_once)
 {
     const refused_job& given = GetParam();
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     wire::job_spec spec = cluster.job(given.row, "x", given.tasks, 10, true);
     spec.size.processors = millicores(given.cores * 1000);
@@ -139,7 +139,7 @@
 // Guards against a queue that grows beyond its limit instead of refusing.
 TEST(cell_test, full_queue_refuses_with_a_retry_hint)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     call_record& first =
         cluster.submit(0, cluster.job("p/batch", "a", 9900, 60000, true));
@@ -160,7 +160,7 @@
 // Guards against an instance that keeps the old split after a change.
 TEST(cell_test, table_change_is_in_force_everywhere)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     std::vector<table_row> rows = cluster.table(1).current().rows;
     rows.front().weight = 3;
@@ -184,7 +184,7 @@
 // Guards against new work on a worker that is leaving.
 TEST(cell_test, leaving_worker_gets_no_new_work)
 {
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     for (std::size_t index = 0; index < 3; ++index)
         cluster.hosts().state().set_leaving(
--- a/unittests/instance/failure_test.cpp
+++ b/unittests/instance/failure_test.cpp
@@ -18,69 +18,71 @@
 struct failure
 {
     const char* name;
-    void (*begin)(cell&);
-    void (*end)(cell&);
+    void (*begin)(test_cluster&);
+    void (*end)(test_cluster&);
     int lasts_ms;
 };
 
-void nothing(cell&) {}
+void nothing(test_cluster&) {}
 
-void restart_first(cell& cluster)
+void restart_first(test_cluster& cluster)
 {
     cluster.start_instance(0);
 }
 
 const std::array<failure, 14> failures{{
-    {"instance_dies", [](cell& c) { c.kill(0); }, restart_first, 8000},
-    {"instance_dies_and_returns_at_once", [](cell& c) { c.kill(0); }, restart_first, 100},
-    {"instance_pauses_briefly", [](cell& c) { c.pause(0); }, [](cell& c) { c.resume(0); },
-     1000},
-    {"instance_pauses_beyond_suspicion", [](cell& c) { c.pause(0); },
-     [](cell& c) { c.resume(0); }, 3500},
-    {"instance_pauses_beyond_its_leases", [](cell& c) { c.pause(0); },
-     [](cell& c) { c.resume(0); }, 20000},
-    {"instance_cut_from_others", [](cell& c) { c.isolate(0, false, false); },
-     [](cell& c) { c.heal(); }, 15000},
-    {"instance_cut_from_everything", [](cell& c) { c.isolate(0, true, true); },
-     [](cell& c) { c.heal(); }, 15000},
-    {"kv_down", [](cell& c) { c.store().is_down = true; },
-     [](cell& c) { c.store().is_down = false; }, 20000},
+    {"instance_dies", [](test_cluster& c) { c.kill(0); }, restart_first, 8000},
+    {"instance_dies_and_returns_at_once", [](test_cluster& c) { c.kill(0); },
+     restart_first, 100},
+    {"instance_pauses_briefly", [](test_cluster& c) { c.pause(0); },
+     [](test_cluster& c) { c.resume(0); }, 1000},
+    {"instance_pauses_beyond_suspicion", [](test_cluster& c) { c.pause(0); },
+     [](test_cluster& c) { c.resume(0); }, 3500},
+    {"instance_pauses_beyond_its_leases", [](test_cluster& c) { c.pause(0); },
+     [](test_cluster& c) { c.resume(0); }, 20000},
+    {"instance_cut_from_others", [](test_cluster& c) { c.isolate(0, false, false); },
+     [](test_cluster& c) { c.heal(); }, 15000},
+    {"instance_cut_from_everything", [](test_cluster& c) { c.isolate(0, true, true); },
+     [](test_cluster& c) { c.heal(); }, 15000},
+    {"kv_down", [](test_cluster& c) { c.store().is_down = true; },
+     [](test_cluster& c) { c.store().is_down = false; }, 20000},
     {"kv_answers_lost",
-     [](cell& c) {
+     [](test_cluster& c) {
          c.set_kv_faults([](standins::fake_kv_faults& faults)
                          { faults.lost_answers = 5; });
      },
      nothing, 1000},
     {"kv_slow",
-     [](cell& c)
+     [](test_cluster& c)
      {
          c.set_kv_faults([](standins::fake_kv_faults& faults)
                          { faults.latency = milliseconds(1500); });
      },
-     [](cell& c)
+     [](test_cluster& c)
      {
          c.set_kv_faults([](standins::fake_kv_faults& faults)
                          { faults.latency = duration(); });
      },
      10000},
-    {"worker_dies", [](cell& c) { c.kill_worker(0); }, nothing, 1000},
+    {"worker_dies", [](test_cluster& c) { c.kill_worker(0); }, nothing, 1000},
     {"worker_answers_lost",
-     [](cell& c) { c.workers().faults(cell::address(0)).lose_answers = 3; }, nothing,
-     1000},
+     [](test_cluster& c)
+     { c.workers().faults(test_cluster::address(0)).lose_answers = 3; },
+     nothing, 1000},
     {"lease_lapses",
-     [](cell& c)
+     [](test_cluster& c)
      {
          for (std::size_t worker = 0; worker < 6; ++worker)
-             c.workers().worker(cell::address(worker)).state().lapse_lease();
+             c.workers().worker(test_cluster::address(worker)).state().lapse_lease();
      },
      nothing, 1000},
     {"connection_goes_silent",
-     [](cell& c)
+     [](test_cluster& c)
      {
          for (std::size_t other = 1; other < 3; ++other)
          {
-             c.network().silence(cell::name(0), cell::name(other));
-             c.network().silence(cell::name(other), cell::name(0));
+             c.network().silence(test_cluster::name(0), test_cluster::name(other));
+             c.network().silence(test_cluster::name(other), test_cluster::name(0));
          }
      },
      nothing, 1000},
@@ -90,7 +92,7 @@
 class mixed_load
 {
 public:
-    explicit mixed_load(cell& cluster) : cluster_(cluster) {}
+    explicit mixed_load(test_cluster& cluster) : cluster_(cluster) {}
 
     void submit_queued()
     {
@@ -111,13 +113,13 @@
     const std::vector<call_record*>& requests() const { return requests_; }
 
 private:
-    cell& cluster_;
+    test_cluster& cluster_;
     std::vector<call_record*> queued_;
     std::vector<call_record*> requests_;
     std::size_t next_ = 0;
 };
 
-void run_for(cell& cluster, mixed_load& load, duration time)
+void run_for(test_cluster& cluster, mixed_load& load, duration time)
 {
     const boot_time end = cluster.now() + time;
     while (cluster.now() < end)
@@ -128,7 +130,7 @@
 }
 
 /// Every accepted job ends, and every caller has its final answer.
-void expect_all_settled(cell& cluster, const mixed_load& load)
+void expect_all_settled(test_cluster& cluster, const mixed_load& load)
 {
     EXPECT_TRUE(cluster.advance_until(seconds(120),
                                       [&]
@@ -165,7 +167,7 @@
 TEST_P(failure_test, keeps_the_invariants)
 {
     const failure& given = GetParam();
-    cell cluster;
+    test_cluster cluster;
     cluster.start();
     mixed_load load(cluster);
     load.submit_queued();
@@ -197,7 +199,7 @@
         fmt::format("{} then {} after {} ms", first.name, second.name, gap.count()));
     cell_options options;
     options.seed = GetParam();
-    cell cluster(options);
+    test_cluster cluster(options);
     cluster.start();
     mixed_load load(cluster);
     load.submit_queued();
