Shorten takeovers: the leaving owner says so, one listing shows both claims

Ruled out: a contended claim (one instance claimed, no conflict). The list of workers is now read beside the stored jobs.

--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -53,6 +53,8 @@
     void superseded(fence_token higher);
     /// A message of the owner arrived, so nobody needs to claim for a moment.
     void heard_owner();
+    /// The owner hands the cell over: nobody needs to wait for it.
+    void owner_leaves();
 
     bool is_owner() const;
     fence_token token() const;
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -331,6 +331,7 @@
     cell::agent_orders orders;
     std::vector<cell_job_state> ended; ///< Final states that were stored.
     std::vector<cell::queue_depth> depths;
+    bool leaving = false; ///< The owner hands the cell over.
 };
 struct cell_orders_reply
 {
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -55,7 +55,6 @@
     void claim_soon();
     void begin_claim();
     void take_lease(result<lease_id> answer);
-    void take_last_claim(result<std::optional<store_item>> answer);
     void take_commit(result<store_commit> answer);
     void gain(kv_revision revision);
     void step_down(const char* reason);
@@ -76,9 +75,11 @@
     bool claiming = false;
     lease_id lease;
     kv_revision last_claim;    ///< Revision of the latest claim, when it was this one's.
+    kv_revision last_seen;     ///< Revision of the latest claim of any instance.
     kv_revision expected_last; ///< What the claim under way expects.
     kv_revision seen;          ///< Where the watch continues.
     std::optional<boot_time> heard_at;
+    bool owner_left = false;      ///< The owner has said that it hands the cell over.
     boot_time claim_not_before{}; ///< After a resignation others come first.
     timer_handle retry_timer;
     timer_handle claim_timer;
@@ -101,8 +102,13 @@
     if (!answer)
         return retry_read();
     seen = answer.value().at;
-    const std::vector<store_item>& items = answer.value().items;
-    see(items.empty() ? std::nullopt : std::optional<store_item>(items.front()));
+    std::optional<store_item> held;
+    for (const store_item& item : answer.value().items)
+        if (item.key == owner_key)
+            held = item;
+        else if (item.key == last_claim_key)
+            last_seen = std::max(last_seen, item.revision);
+    see(held);
     watch_claim();
 }
 
@@ -118,6 +124,8 @@
         return retry_read();
     for (const store_event& event : answer.value().events)
     {
+        if (event.item.key == last_claim_key && !event.removed)
+            last_seen = std::max(last_seen, event.item.revision);
         if (event.item.key != owner_key)
             continue;
         see(event.removed ? std::nullopt : std::optional<store_item>(event.item));
@@ -173,7 +181,7 @@
     if (!owning)
         delay = duration(static_cast<std::int64_t>(
             random.unit() * static_cast<double>(claim_spread.count())));
-    if (!owning && heard_at && now - *heard_at < owner_grace)
+    if (!owning && !owner_left && heard_at && now - *heard_at < owner_grace)
         delay += owner_grace - (now - *heard_at);
     delay = std::max(delay, claim_not_before - now);
     claim_timer = loop.after(delay, [this] { begin_claim(); });
@@ -195,17 +203,7 @@
         return;
     }
     lease = answer.value();
-    store.read(std::string(last_claim_key), guarded(&implementation::take_last_claim));
-}
-
-void claim::implementation::take_last_claim(result<std::optional<store_item>> answer)
-{
-    if (!answer)
-    {
-        claiming = false;
-        return;
-    }
-    expected_last = answer.value() ? answer.value()->revision : kv_revision();
+    expected_last = last_seen;
     const std::string value = encode(owner_record{self.instance, self.address});
     store_transaction change;
     change.expect = {{std::string(owner_key), kv_revision()},
@@ -236,6 +234,7 @@
         step_down("another instance owned the cell meanwhile");
     owning = true;
     last_claim = revision;
+    last_seen = std::max(last_seen, revision);
     seen = std::max(seen, revision);
     current = owner_identity{self.instance, self.address, fence_token(revision.value())};
     log.info("claim", "cell claimed",
@@ -319,8 +318,15 @@
     }
 }
 
+void claim::owner_leaves()
+{
+    implementation_->heard_at.reset();
+    implementation_->owner_left = true;
+}
+
 void claim::heard_owner()
 {
+    implementation_->owner_left = false;
     implementation_->heard_at = implementation_->loop.clock().now();
 }
 
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -241,7 +241,10 @@
     agent.carry_out(message.token, message.orders);
     if (message.token == agent.token())
     {
-        claim.heard_owner();
+        if (message.leaving)
+            claim.owner_leaves();
+        else
+            claim.heard_owner();
         for (const wire::cell_job_state& job : message.ended)
             receiver.note_ended(job.job, job.state);
         if (!message.depths.empty())
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -34,6 +34,14 @@
 
 void owner::implementation::begin()
 {
+    parts.directory.start(
+        [this](const std::vector<worker_info>& listed)
+        {
+            if (loaded)
+                take_workers(listed);
+            else
+                early_workers = listed;
+        });
     decision_timer = parts.loop.every(decision_period, [this] { decide(); });
     broadcast_timer = parts.loop.every(broadcast_period, [this] { broadcast(); });
     load_timer = parts.loop.every(reload_period, [this] { follow(); });
@@ -371,6 +379,7 @@
         return;
     wire::cell_orders message;
     message.token = token;
+    message.leaving = stopping;
     message.orders = std::move(orders);
     message.ended = std::move(ended);
     message.depths = std::move(depths);
@@ -498,6 +507,7 @@
 {
     implementation& self = *implementation_;
     self.stopping = true;
+    self.broadcast();
     self.handover_until = self.parts.loop.clock().now() + limit;
     self.handover_done = std::move(done);
     self.handover_timer =
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -87,6 +87,8 @@
     fence_token token;
     scheduler cell;
     bool loaded = false;
+    /// Workers that were listed before the stored jobs were read.
+    std::optional<std::vector<worker_info>> early_workers;
     bool stopping = false;
     std::map<instance_id, agent_state> agents;
     std::map<worker_id, worker_route> routes;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -58,10 +58,11 @@
                         {"items", std::uint64_t{listing.items.size()}}});
     // Workers are looked at only now: ends and runs of jobs that are not known yet could
     // not be told from foreign ones.
-    if (!loaded)
-        parts.directory.start([this](const std::vector<worker_info>& listed)
-                              { take_workers(listed); });
+    const bool first = !loaded;
     loaded = true;
+    if (first && early_workers)
+        take_workers(*early_workers);
+    early_workers.reset();
     store_soon();
     decide_soon();
 }
--- a/lib/cell/stored_form.hpp
+++ b/lib/cell/stored_form.hpp
@@ -18,8 +18,9 @@
 inline constexpr std::string_view cell_prefix = "cell/";
 /// The owner's claim; removed with its lease.
 inline constexpr std::string_view owner_key = "cell/owner";
-/// The latest claim, kept after its lease has ended.
-inline constexpr std::string_view last_claim_key = "cell/last-claim";
+/// The latest claim, kept after its lease has ended. It begins with the owner's key, so
+/// that one listing shows both.
+inline constexpr std::string_view last_claim_key = "cell/owner-last";
 /// Ids of the workers on which tasks may run.
 inline constexpr std::string_view workers_key = "cell/workers";
 inline constexpr std::string_view job_prefix = "cell/job/";
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -340,8 +340,8 @@
 template <class Archive>
 void serialize(Archive& archive, cell_orders& value)
 {
-    auto& [token, owner, orders, ended, depths] = value;
-    fields(archive, token, owner, orders, ended, depths);
+    auto& [token, owner, orders, ended, depths, leaving] = value;
+    fields(archive, token, owner, orders, ended, depths, leaving);
 }
 
 template <class Archive>
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -137,6 +137,18 @@
     EXPECT_EQ(owners(), 1);
 }
 
+// Instances that have just heard the owner would else leave it time to claim again.
+TEST_F(claim_test, passes_on_at_once_when_the_owner_said_that_it_leaves)
+{
+    start();
+    claimant& successor = other();
+    successor.claimed.heard_owner();
+    successor.claimed.owner_leaves();
+    owner().claimed.release();
+    loop.advance(milliseconds(300));
+    EXPECT_TRUE(successor.claimed.is_owner());
+}
+
 TEST_F(claim_test, passes_on_when_the_owner_resigns)
 {
     start();
