Resign when the store answers only others

Ruled out: a store that was away for all (other instances' watches were answered). Agents report whether the store answers them. Tests play the cut.

--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -48,7 +48,7 @@
     void release();
     /// Gives the claim up for others to take; claims again when none of them has done so
     /// within \p pause.
-    void resign(duration pause);
+    void resign(duration pause, const char* reason);
     /// A worker or an instance has shown a higher token: the role ends at once.
     void superseded(fence_token higher);
     /// A message of the owner arrived, so nobody needs to claim for a moment.
@@ -57,6 +57,8 @@
     void owner_leaves();
 
     bool is_owner() const;
+    /// How long the store has answered nothing.
+    duration store_silence() const;
     fence_token token() const;
     const std::optional<owner_identity>& owner() const;
 
--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -61,6 +61,8 @@
 
     /// Takes a report of an agent; the sender is one from now on.
     void take_report(const instance_id& from, wire::cell_report report);
+    /// True when the store answers another instance that was heard lately.
+    bool others_reach_store() const;
     /// Another instance that was heard lately.
     std::optional<endpoint> some_agent() const;
     /// States of the known ones of \p jobs. Empty until the stored jobs were read.
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -309,6 +309,7 @@
     cell::endpoint address;  ///< Where the sender takes orders.
     std::uint32_t share = 0; ///< Processor share of the sender's host, in thousandths.
     bool leaving = false;
+    bool store_answers = false; ///< The store has answered the sender lately.
     cell::agent_report report;
     std::vector<accepted_job> accepted;
     std::vector<cell::job_key> cancelled;
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -79,6 +79,7 @@
     kv_revision expected_last; ///< What the claim under way expects.
     kv_revision seen;          ///< Where the watch continues.
     std::optional<boot_time> heard_at;
+    boot_time answered_at{};      ///< Last answer of the store.
     bool owner_left = false;      ///< The owner has said that it hands the cell over.
     boot_time claim_not_before{}; ///< After a resignation others come first.
     timer_handle retry_timer;
@@ -101,6 +102,7 @@
 {
     if (!answer)
         return retry_read();
+    answered_at = loop.clock().now();
     seen = answer.value().at;
     std::optional<store_item> held;
     for (const store_item& item : answer.value().items)
@@ -122,6 +124,7 @@
 {
     if (!answer || answer.value().history_lost)
         return retry_read();
+    answered_at = loop.clock().now();
     for (const store_event& event : answer.value().events)
     {
         if (event.item.key == last_claim_key && !event.removed)
@@ -271,6 +274,8 @@
 
 void claim::implementation::take_renewal(result<bool> answer)
 {
+    if (answer)
+        answered_at = loop.clock().now();
     if (!owning || !answer || answer.value())
         return;
     // The lease ended while the store or this instance was away.
@@ -300,13 +305,13 @@
         implementation_->give_up("planned stop");
 }
 
-void claim::resign(duration pause)
+void claim::resign(duration pause, const char* reason)
 {
     implementation& self = *implementation_;
     if (!self.owning)
         return;
     self.claim_not_before = self.loop.clock().now() + pause;
-    self.give_up("no other instance is heard");
+    self.give_up(reason);
 }
 
 void claim::superseded(fence_token higher)
@@ -330,6 +335,11 @@
     implementation_->heard_at = implementation_->loop.clock().now();
 }
 
+duration claim::store_silence() const
+{
+    return implementation_->loop.clock().now() - implementation_->answered_at;
+}
+
 bool claim::is_owner() const
 {
     return implementation_->owning;
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -28,6 +28,13 @@
 /// it still reaches the store. The others get so long to claim the cell.
 constexpr duration alone_limit = std::chrono::milliseconds(2000);
 constexpr duration resignation_pause = std::chrono::milliseconds(1500);
+/// An owner whose calls the store does not answer for so long, while it answers others,
+/// is cut off from it. Its renewals may still arrive, so that the lease does not end.
+constexpr duration store_silence_limit = std::chrono::milliseconds(2500);
+/// The store counts as answering when it did so within this time; every instance calls it
+/// once a second.
+constexpr duration store_answer_age = std::chrono::milliseconds(1500);
+constexpr duration cut_off_pause = std::chrono::milliseconds(4000);
 
 } // namespace
 
@@ -40,7 +47,7 @@
                const std::function<void(wire::reply)>& answer);
     wire::reply take_orders(const wire::cell_orders& message);
     void gain(fence_token token, bool continued);
-    void resign_when_alone();
+    void resign_when_cut_off();
     void report(fence_token known, agent_report observed);
     void send_orders(const endpoint& target, wire::cell_orders message,
                      std::function<void(result<fence_token>)> done);
@@ -142,13 +149,16 @@
     report(agent.token(), agent_report());
 }
 
-void node::implementation::resign_when_alone()
+void node::implementation::resign_when_cut_off()
 {
+    if (owned && claim.store_silence() > store_silence_limit &&
+        owned->others_reach_store())
+        return claim.resign(cut_off_pause, "the store answers only others");
     if (!claim.is_owner() || !others_heard ||
         parts.loop.clock().now() - *others_heard < alone_limit)
         return;
     others_heard.reset();
-    claim.resign(resignation_pause);
+    claim.resign(resignation_pause, "no other instance is heard");
 }
 
 void node::implementation::report(fence_token known, agent_report observed)
@@ -161,6 +171,7 @@
     message.address = parts.address;
     message.share = parts.share;
     message.leaving = leaving;
+    message.store_answers = claim.store_silence() < store_answer_age;
     message.report = std::move(observed);
     const std::vector<unreported_job> jobs = std::exchange(accepted, {});
     for (const unreported_job& job : jobs)
@@ -364,7 +375,7 @@
                               [&self]
                               {
                                   self.report(self.agent.token(), agent_report());
-                                  self.resign_when_alone();
+                                  self.resign_when_cut_off();
                               });
     self.claim.start();
 }
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -187,6 +187,7 @@
     sender.broken = false;
     const bool leaves = report.leaving && !sender.leaving;
     sender.leaving = report.leaving;
+    sender.store_answers = report.store_answers;
     for (wire::accepted_job& accepted : report.accepted)
     {
         const job_key id = accepted.job.id;
@@ -474,6 +475,19 @@
     implementation_->take_report(from, std::move(report));
 }
 
+bool owner::others_reach_store() const
+{
+    const boot_time now = implementation_->parts.loop.clock().now();
+    return std::ranges::any_of(
+        implementation_->agents,
+        [this, now](const std::pair<const instance_id, agent_state>& entry)
+        {
+            return entry.first != implementation_->parts.self &&
+                   entry.second.store_answers &&
+                   now - entry.second.heard_at <= agent_silence;
+        });
+}
+
 std::optional<endpoint> owner::some_agent() const
 {
     const boot_time now = implementation_->parts.loop.clock().now();
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -22,6 +22,7 @@
     double share = 1; ///< Of a processor.
     boot_time heard_at{};
     bool leaving = false;
+    bool store_answers = false;
     bool broken = false; ///< Orders did not reach it.
     duration advice_backlog{};
     std::map<std::pair<job_key, std::uint32_t>, duration> asked;
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -319,8 +319,10 @@
 template <class Archive>
 void serialize(Archive& archive, cell_report& value)
 {
-    auto& [token, address, share, leaving, report, accepted, cancelled] = value;
-    fields(archive, token, address, share, leaving, report, accepted, cancelled);
+    auto& [token, address, share, leaving, store_answers, report, accepted, cancelled] =
+        value;
+    fields(archive, token, address, share, leaving, store_answers, report, accepted,
+           cancelled);
 }
 
 template <class Archive>
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -149,11 +149,28 @@
     EXPECT_TRUE(successor.claimed.is_owner());
 }
 
+// A cut in one direction: the store carries out all calls of the owner, renewals too, and
+// its answers are lost, so that the lease never ends.
+TEST_F(claim_test, passes_on_when_an_owner_resigns_to_which_no_answer_comes)
+{
+    start();
+    claimant& successor = other();
+    claimant& former = owner();
+    former.store.condition = store_condition::losing_answers;
+    loop.advance(seconds(5));
+    EXPECT_TRUE(former.claimed.is_owner());
+    EXPECT_GT(former.claimed.store_silence(), seconds(4));
+    EXPECT_LT(successor.claimed.store_silence(), milliseconds(1500));
+    former.claimed.resign(seconds(4), "test");
+    loop.advance(milliseconds(1500));
+    EXPECT_TRUE(successor.claimed.is_owner());
+}
+
 TEST_F(claim_test, passes_on_when_the_owner_resigns)
 {
     start();
     claimant& successor = other();
-    owner().claimed.resign(seconds(1));
+    owner().claimed.resign(seconds(1), "test");
     loop.advance(milliseconds(500));
     EXPECT_TRUE(successor.claimed.is_owner());
     EXPECT_EQ(owners(), 1);
@@ -164,7 +181,7 @@
     first.claimed.start();
     loop.advance(seconds(1));
     ASSERT_TRUE(first.claimed.is_owner());
-    first.claimed.resign(seconds(1));
+    first.claimed.resign(seconds(1), "test");
     loop.advance(milliseconds(500));
     EXPECT_FALSE(first.claimed.is_owner());
     loop.advance(seconds(2));
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -211,6 +211,19 @@
     EXPECT_EQ(acknowledged(), end_number());
 }
 
+TEST_F(owner_test, knows_whether_the_store_answers_others)
+{
+    start();
+    EXPECT_FALSE(cell->others_reach_store());
+    wire::cell_report message;
+    message.address = endpoint("b");
+    message.store_answers = true;
+    cell->take_report(instance_id("b"), message);
+    EXPECT_TRUE(cell->others_reach_store());
+    loop.advance(seconds(3));
+    EXPECT_FALSE(cell->others_reach_store());
+}
+
 TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
 {
     start();
