Split workers and agents out of the large files of package cell

Also removes what nothing used: a callback for a missing claim, the end of an agent's looks, two settings. One rule says when an agent can be given work.

--- a/include/hawthornbeam/cell/agent.hpp
+++ b/include/hawthornbeam/cell/agent.hpp
@@ -30,8 +30,6 @@
     void carry_out(fence_token token, const agent_orders& orders);
     /// The highest token of an owner so far.
     fence_token token() const;
-    /// Ends all looks.
-    void stop();
 
 private:
     class implementation;
--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -42,8 +42,6 @@
         send;
     /// A higher token was seen.
     std::function<void(fence_token)> superseded;
-    /// The claim is no longer in the store.
-    std::function<void()> claim_missing;
 };
 
 /// The owner of a cell under one claim. A claim without a break changes the token and
--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -305,9 +305,4 @@
     return implementation_->token;
 }
 
-void agent::stop()
-{
-    implementation_->workers.clear();
-}
-
 } // namespace hawthornbeam::cell
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -139,8 +139,7 @@
                                    if (self)
                                        self->claim.superseded(higher);
                                });
-                       },
-                       [] {}};
+                       }};
     parts.metrics.add("hawthornbeam_takeovers_total", {});
     owned.reset();
     owned = std::make_unique<owner>(wanted, token);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -11,18 +11,9 @@
 namespace
 {
 
-/// Ends of a worker that are looked at to find one that fails what it starts.
-constexpr std::size_t health_window = 8;
-/// So many of them must have failed, of more than one job.
-constexpr std::size_t failures_to_quarantine = 3;
-constexpr duration first_quarantine = std::chrono::seconds(2);
-/// Doublings of the quarantine: at most 16 s.
-constexpr std::uint32_t most_doublings = 3;
 /// A gang that lost a member is placed again after this pause, so that the stops of the
 /// others are usually listed by then.
 constexpr duration gang_pause = std::chrono::milliseconds(50);
-/// A look that was on its way when a lease was computed may still extend it.
-constexpr duration lease_slack = std::chrono::milliseconds(500);
 /// A run of an unknown job is stopped after this time. The owner reads jobs that it was
 /// not told of once a second.
 constexpr duration unknown_job_limit = std::chrono::milliseconds(3000);
@@ -40,59 +31,6 @@
     return found->second;
 }
 
-void scheduler::update_worker(const worker_info& worker, boot_time now)
-{
-    worker_status& status = implementation_->worker(worker.id, now);
-    if (status.described && worker.draining && !status.info.draining)
-        implementation_->log.info("cell", "worker is draining",
-                                  {{"worker", worker.id.value()}});
-    status.info = worker;
-    status.described = true;
-}
-
-void scheduler::remove_worker(const worker_id& worker, boot_time now)
-{
-    const auto found = implementation_->workers.find(worker);
-    if (found == implementation_->workers.end() || !found->second.described)
-        return;
-    implementation_->log.info(
-        "cell", "worker is gone",
-        {{"worker", worker.value()}, {"runs", std::uint64_t{found->second.runs.size()}}});
-    found->second.described = false;
-    if (!found->second.looked && !implementation_->unsettled.contains(worker))
-        implementation_->unsettled[worker] = now;
-}
-
-void scheduler::expect_workers(const std::vector<worker_id>& workers, boot_time now)
-{
-    for (const worker_id& id : workers)
-    {
-        implementation_->worker(id, now);
-        implementation_->unsettled.emplace(id, now);
-    }
-}
-
-std::vector<worker_info> scheduler::workers() const
-{
-    std::vector<worker_info> listed;
-    listed.reserve(implementation_->workers.size());
-    for (const auto& [id, status] : implementation_->workers)
-        listed.push_back(status.info);
-    return listed;
-}
-
-void scheduler::allow_worker(const worker_id& worker)
-{
-    const auto found = implementation_->workers.find(worker);
-    if (found != implementation_->workers.end())
-        found->second.allowed = true;
-}
-
-bool scheduler::is_settled() const
-{
-    return implementation_->unsettled.empty();
-}
-
 void scheduler::implementation::release(worker_status& holder, const task_ref& task)
 {
     const auto found = holder.runs.find(task);
@@ -163,35 +101,6 @@
         lose_run(holder, task, why);
 }
 
-bool scheduler::implementation::lease_has_ended(const worker_status& holder,
-                                                boot_time now) const
-{
-    const duration silent = now - holder.contact_at;
-    const duration longest = limits.most_lease + limits.start_deadline + lease_slack;
-    return silent >
-           longest + std::chrono::duration_cast<duration>(limits.clock_drift * longest);
-}
-
-void scheduler::implementation::expire_workers(boot_time now)
-{
-    for (auto position = workers.begin(); position != workers.end();)
-    {
-        worker_status& holder = position->second;
-        if (!lease_has_ended(holder, now))
-        {
-            ++position;
-            continue;
-        }
-        unsettled.erase(position->first);
-        lose_runs(holder, "lease ended");
-        holder.looked = false;
-        if (holder.described)
-            ++position;
-        else
-            position = workers.erase(position);
-    }
-}
-
 void scheduler::implementation::repeat_stops(boot_time now)
 {
     for (auto& [id, holder] : workers)
@@ -230,33 +139,6 @@
     }
 }
 
-void scheduler::implementation::note_health(worker_status& holder, const job_key& job,
-                                            bool failed, boot_time now)
-{
-    holder.recent_ends.emplace_back(job, failed);
-    if (holder.recent_ends.size() > health_window)
-        holder.recent_ends.pop_front();
-    std::set<job_key> jobs_failed;
-    std::size_t failures = 0;
-    for (const auto& [ended, bad] : holder.recent_ends)
-        if (bad)
-        {
-            ++failures;
-            jobs_failed.insert(ended);
-        }
-    if (failures < failures_to_quarantine || jobs_failed.size() < 2 ||
-        2 * failures < holder.recent_ends.size())
-        return;
-    holder.quarantined_until =
-        now + first_quarantine * (1U << std::min(holder.quarantines, most_doublings));
-    ++holder.quarantines;
-    metrics.add("hawthornbeam_quarantines_total", {});
-    holder.recent_ends.clear();
-    log.warning("cell", "worker quarantined",
-                {{"worker", holder.info.id.value()},
-                 {"times", std::uint64_t{holder.quarantines}}});
-}
-
 void scheduler::implementation::take_end(worker_status& holder, const ended_task& end,
                                          boot_time now)
 {
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -16,17 +16,6 @@
 constexpr duration decision_period = std::chrono::milliseconds(100);
 /// Each agent hears from the owner at least this often, also without orders.
 constexpr duration broadcast_period = std::chrono::milliseconds(400);
-/// An agent that was not heard for this long has its workers taken away.
-constexpr duration agent_silence = std::chrono::milliseconds(1500);
-/// With so many other agents the owner's own host is left to its decisions.
-constexpr std::size_t agents_to_spare_owner = 3;
-/// Questions to the advice service that may wait at one agent, in answering time. The
-/// service answers each host's questions in turn, so that long questions would hold up
-/// short ones: one agent of four takes only the short ones.
-constexpr duration most_advice_backlog = std::chrono::milliseconds(1200);
-constexpr duration most_short_backlog = std::chrono::milliseconds(150);
-constexpr duration short_question = std::chrono::milliseconds(30);
-constexpr std::size_t agents_for_short_questions = 4;
 /// Age of a job that a takeover found is not taken for higher.
 constexpr std::chrono::milliseconds most_age = std::chrono::minutes(2);
 
@@ -61,126 +50,11 @@
                                   });
 }
 
-agent_state& owner::implementation::agent_of(const instance_id& id)
-{
-    return agents[id];
-}
-
-void owner::implementation::take_workers(const std::vector<worker_info>& listed)
-{
-    const boot_time now = parts.loop.clock().now();
-    std::set<worker_id> present;
-    for (const worker_info& info : listed)
-    {
-        present.insert(info.id);
-        cell.update_worker(info, now);
-        worker_route& route = routes[info.id];
-        if (route.address != info.address)
-        {
-            route.address = info.address;
-            route.agent = instance_id();
-        }
-        if (stored_workers.contains(info.id))
-            cell.allow_worker(info.id);
-        else if (wanted_workers.insert(info.id).second)
-            workers_changed = true;
-    }
-    for (const worker_info& info : cell.workers())
-        if (!present.contains(info.id))
-            cell.remove_worker(info.id, now);
-    std::erase_if(routes,
-                  [this, &present](const std::pair<const worker_id, worker_route>& entry)
-                  {
-                      if (present.contains(entry.first))
-                          return false;
-                      if (!entry.second.agent.empty())
-                          outbox[entry.second.agent].assignments.push_back(
-                              {entry.first, entry.second.address, 0, false});
-                      return true;
-                  });
-    assign_workers();
-    store_soon();
-    decide_soon();
-}
-
-void owner::implementation::assign_workers()
-{
-    const boot_time now = parts.loop.clock().now();
-    std::map<instance_id, double> load;
-    std::size_t others = 0;
-    for (const auto& [id, state] : agents)
-        if (now - state.heard_at <= agent_silence && !state.leaving && !state.broken)
-        {
-            load[id] = 0;
-            others += id == parts.self ? 0U : 1U;
-        }
-    if (others >= agents_to_spare_owner)
-        load.erase(parts.self);
-    if (load.empty())
-        return;
-    for (auto& [id, route] : routes)
-    {
-        const auto serving = load.find(route.agent);
-        if (serving == load.end())
-            route.agent = instance_id();
-        else
-            serving->second += 1.0 / agents.at(route.agent).share;
-    }
-    for (auto& [id, route] : routes)
-    {
-        if (!route.agent.empty())
-            continue;
-        const auto least =
-            std::ranges::min_element(load, {},
-                                     [](const std::pair<const instance_id, double>& entry)
-                                     { return entry.second; });
-        assign(id, route, least->first);
-        least->second += 1.0 / agents.at(route.agent).share;
-    }
-    // A new agent takes over from the one with most workers, one for each round.
-    const auto [least, most] = std::ranges::minmax_element(
-        load, {},
-        [](const std::pair<const instance_id, double>& entry) { return entry.second; });
-    const double step =
-        1.0 / agents.at(least->first).share + 1.0 / agents.at(most->first).share;
-    if (most->second - least->second <= step)
-        return;
-    for (auto& [id, route] : routes)
-        if (route.agent == most->first)
-        {
-            outbox[route.agent].assignments.push_back({id, route.address, 0, false});
-            assign(id, route, least->first);
-            return decide_soon();
-        }
-}
-
-void owner::implementation::assign(const worker_id& id, worker_route& route,
-                                   const instance_id& agent)
-{
-    route.agent = agent;
-    route.assignment = ++last_assignment;
-    outbox[agent].assignments.push_back({id, route.address, route.assignment, true});
-}
-
-order_result owner::implementation::ordered_by_looks(order_result result)
-{
-    const auto route = routes.find(result.worker);
-    if (route == routes.end() || route->second.agent.empty() ||
-        result.seen.assignment == route->second.assignment)
-        return result;
-    // The answer of a former agent has no order with the looks of the present one. A new
-    // assignment makes it begin looks that surely show the effect of the answer.
-    assign(result.worker, route->second, route->second.agent);
-    result.seen = observation{route->second.assignment, 0};
-    return result;
-}
-
 void owner::implementation::take_report(const instance_id& from, wire::cell_report report)
 {
     const boot_time now = parts.loop.clock().now();
-    agent_state& sender = agent_of(from);
-    const bool usable = sender.heard_at != boot_time() && !sender.broken &&
-                        now - sender.heard_at <= agent_silence;
+    agent_state& sender = agents[from];
+    const bool usable = sender.is_usable(now);
     sender.address = report.address;
     sender.share = std::max(report.share, 1U) / 1000.0;
     sender.heard_at = now;
@@ -232,7 +106,7 @@
         if (route != routes.end() && look.began.assignment == route->second.assignment)
             cell.observe(look, now);
     }
-    agent_state& sender = agent_of(from);
+    agent_state& sender = agents[from];
     for (const advice_result& result : report.advice)
     {
         const auto cost = sender.asked.find({result.job, result.step});
@@ -253,20 +127,6 @@
     store_soon();
 }
 
-void owner::implementation::move_worker(const worker_id& id, worker_route& route)
-{
-    const boot_time now = parts.loop.clock().now();
-    std::vector<instance_id> others;
-    for (const auto& [agent, state] : agents)
-        if (agent != route.agent && agent != parts.self && !state.leaving &&
-            !state.broken && now - state.heard_at <= agent_silence)
-            others.push_back(agent);
-    if (others.empty())
-        return;
-    outbox[route.agent].assignments.push_back({id, route.address, 0, false});
-    assign(id, route, others[last_assignment % others.size()]);
-}
-
 void owner::implementation::decide()
 {
     if (!loaded || stopping)
@@ -303,41 +163,6 @@
     cell.observe(result, now);
 }
 
-void owner::implementation::route_advice(advice_order order, boot_time now)
-{
-    std::vector<instance_id> usable;
-    for (const auto& [id, state] : agents)
-        if (!state.leaving && !state.broken && now - state.heard_at <= agent_silence)
-            usable.push_back(id);
-    const duration cost = cell.advice_cost(order);
-    const bool is_short = cost <= short_question;
-    const std::size_t reserved = usable.size() / agents_for_short_questions;
-    instance_id best;
-    duration least = is_short && reserved > 0 ? most_short_backlog : most_advice_backlog;
-    // Short questions overflow to the others when the reserved agents are busy.
-    for (std::size_t place = 0; place < usable.size(); ++place)
-    {
-        const duration backlog = agents.at(usable[place]).advice_backlog;
-        if ((is_short || place >= reserved) && backlog < least)
-        {
-            least = backlog;
-            best = usable[place];
-        }
-    }
-    if (best.empty())
-    {
-        advice_result refused;
-        refused.job = order.job;
-        refused.step = order.step;
-        refused.asked = order.workers;
-        return cell.observe(refused, now);
-    }
-    agent_state& chosen = agents.at(best);
-    chosen.advice_backlog += cost;
-    chosen.asked[{order.job, order.step}] = cost;
-    outbox[best].advice.push_back(std::move(order));
-}
-
 void owner::implementation::send_orders()
 {
     std::map<instance_id, agent_orders> sending;
@@ -366,7 +191,7 @@
     std::map<instance_id, agent_orders> sending;
     sending.swap(outbox);
     for (const auto& [id, state] : agents)
-        if (now - state.heard_at <= agent_silence)
+        if (state.is_heard(now))
             send_to(id, std::move(sending[id]), newly_ended, depths);
     newly_ended.clear();
 }
@@ -475,33 +300,6 @@
     implementation_->take_report(from, std::move(report));
 }
 
-bool owner::others_reach_store() const
-{
-    const boot_time now = implementation_->parts.loop.clock().now();
-    return std::ranges::any_of(
-        implementation_->agents,
-        [this, now](const std::pair<const instance_id, agent_state>& entry)
-        {
-            return entry.first != implementation_->parts.self &&
-                   entry.second.store_answers &&
-                   now - entry.second.heard_at <= agent_silence;
-        });
-}
-
-std::optional<endpoint> owner::some_agent() const
-{
-    const boot_time now = implementation_->parts.loop.clock().now();
-    std::vector<endpoint> usable;
-    for (const auto& [id, state] : implementation_->agents)
-        if (id != implementation_->parts.self && !state.leaving && !state.broken &&
-            now - state.heard_at <= agent_silence)
-            usable.push_back(state.address);
-    if (usable.empty())
-        return std::nullopt;
-    return usable[static_cast<std::size_t>(now.time_since_epoch().count()) %
-                  usable.size()];
-}
-
 std::optional<std::vector<wire::cell_job_state>>
 owner::states(const std::vector<job_key>& jobs) const
 {
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -16,8 +16,18 @@
 /// cancels of receivers that died after they had stored them.
 inline constexpr duration reload_period = std::chrono::milliseconds(1000);
 
+/// An agent that was not heard for this long has its workers taken away.
+inline constexpr duration agent_silence = std::chrono::milliseconds(1500);
+
 struct agent_state
 {
+    bool is_heard(boot_time now) const
+    {
+        return heard_at != boot_time() && now - heard_at <= agent_silence;
+    }
+    /// True when it can be given workers and questions.
+    bool is_usable(boot_time now) const { return is_heard(now) && !leaving && !broken; }
+
     endpoint address;
     double share = 1; ///< Of a processor.
     boot_time heard_at{};
@@ -49,7 +59,6 @@
     void decide();
     void take_report(const instance_id& from, wire::cell_report report);
     void observe(const instance_id& from, const agent_report& report, boot_time now);
-    agent_state& agent_of(const instance_id& id);
     void take_workers(const std::vector<worker_info>& listed);
     void assign_workers();
     void assign(const worker_id& id, worker_route& route, const instance_id& agent);
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -294,11 +294,9 @@
             for (const store_item& item : answer.value().conflicts)
                 if (item.key == owner_key && item.revision > kv_revision(token.value()))
                     return parts.superseded(fence_token(item.revision.value()));
-        if (answer)
-            parts.claim_missing();
-        else
-            parts.log.warning("owner", "changes not stored",
-                              {{"reason", answer.error().message}});
+        parts.log.warning("owner", "changes not stored",
+                          {{"reason", answer ? "the claim is not in the store"
+                                             : answer.error().message}});
         // The same values are written again, so a write that did take effect is harmless.
         store_due = true;
         store_timer = parts.loop.after(store_retry,
