Remove dead and repeated logic from package cell

Read through as a newcomer; behaviour stays as it was. A planned stop always waited its whole time, so the check for open writes around it was dead and its description wrong. The mark that the owner has left follows from when it was heard; the expected workers need no times. One function each finds a task, collects orders for a worker, stops the runs of a step, tells the lateness of a step and the time of an answer of the advice service. A step's key is built once for a decision instead of for each task that is placed.

--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -66,9 +66,9 @@
     /// States of the known ones of \p jobs. Empty until the stored jobs were read.
     std::optional<std::vector<wire::cell_job_state>>
     states(const std::vector<job_key>& jobs) const;
-    /// Stops new starts and calls \p done when the orders that are under way are
-    /// answered and stored, or after \p limit.
-    void hand_over(duration limit, std::function<void()> done);
+    /// Stops new starts and calls \p done after \p wait, in which answers to the orders
+    /// that are under way still arrive and are stored.
+    void hand_over(duration wait, std::function<void()> done);
 
 private:
     class implementation;
--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -79,7 +79,7 @@
     /// Adds a worker or updates its description.
     void update_worker(const worker_info& worker, boot_time now);
     /// The worker's entry is gone; it may still run what its lease allows.
-    void remove_worker(const worker_id& worker, boot_time now);
+    void remove_worker(const worker_id& worker);
     /// Workers that a former owner may have used; inherited tasks wait for a look at
     /// them or for the end of every lease that they can have.
     void expect_workers(const std::vector<worker_id>& workers, boot_time now);
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -125,6 +125,9 @@
     duration decide{}; ///< Time of an answer.
     duration each{};   ///< And for each worker that is asked about.
     duration valid{};  ///< Life of a ticket.
+
+    /// Time of an answer about \p workers workers.
+    duration answer_time(std::int64_t workers) const { return decide + each * workers; }
 };
 
 /// A queue as the operators configured it.
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -140,13 +140,15 @@
 
     // Jobs (jobs.cpp).
     job_status* find_job(const job_key& job);
+    /// The task, or nullptr when \p job, which may be nullptr, has no such task.
+    static task_status* find_task(job_status* job, const task_ref& task);
     const queue_policy& policy_of(const job_status& job) const;
     step_key key_of(const job_status& job, std::uint32_t step) const;
     bool is_ready(const job_status& job, std::uint32_t step) const;
     void open_ready_steps(const job_status& job);
     void finish_job(job_status& job, job_state state);
     void note_started(job_status& job, boot_time now);
-    void stop_runs(const job_status& job);
+    void stop_runs(const job_status& job, std::uint32_t step);
     void task_done(job_status& job, const task_ref& task);
     void step_done(job_status& job, std::uint32_t step);
     void task_failed(job_status& job, const task_ref& task, const worker_id& worker);
@@ -181,12 +183,14 @@
     bool can_run(const worker_status& candidate, const job_status& job,
                  std::uint32_t step, boot_time now) const;
     void set_due(job_status& job);
+    static int lateness_of(const job_status& job, std::uint32_t step, boot_time now);
     void age_jobs(boot_time now);
     void place_step(const step_key& key, decision_pass& pass);
-    bool place_task(job_status& job, const task_ref& task, decision_pass& pass);
-    bool place_gang(job_status& job, std::uint32_t step, decision_pass& pass);
-    void reserve_workers(const job_status& job, std::uint32_t step, decision_pass& pass);
-    worker_status* choose(const job_status& job, std::uint32_t step,
+    bool place_task(job_status& job, const step_key& key, std::uint32_t index,
+                    decision_pass& pass);
+    bool place_gang(job_status& job, const step_key& key, decision_pass& pass);
+    void reserve_workers(const job_status& job, const step_key& key, decision_pass& pass);
+    worker_status* choose(const job_status& job, const step_key& key,
                           const decision_pass& pass,
                           const std::map<worker_id, resources>& taken,
                           const std::map<worker_id, std::uint32_t>& placed,
@@ -203,7 +207,7 @@
     std::unordered_map<job_key, job_status> jobs;
     std::map<worker_id, worker_status> workers;
     std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
-    std::map<worker_id, boot_time> unsettled; ///< Expected workers, and since when.
+    std::set<worker_id> unsettled; ///< Expected workers that were not looked at yet.
     /// Ends of jobs that a receiver stored and of which this owner has not heard.
     std::map<job_key, std::vector<std::pair<worker_id, ended_task>>> early_ends;
     pending_changes changes;
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -78,10 +78,9 @@
     kv_revision last_seen;     ///< Revision of the latest claim of any instance.
     kv_revision expected_last; ///< What the claim under way expects.
     kv_revision seen;          ///< Where the watch continues.
-    std::optional<boot_time> heard_at;
-    boot_time answered_at{};      ///< Last answer of the store.
-    bool owner_left = false;      ///< The owner has said that it hands the cell over.
-    boot_time claim_not_before{}; ///< After a resignation others come first.
+    std::optional<boot_time> heard_at; ///< The owner; empty once it has left.
+    boot_time answered_at{};           ///< Last answer of the store.
+    boot_time claim_not_before{};      ///< After a resignation others come first.
     timer_handle retry_timer;
     timer_handle claim_timer;
     timer_handle renewal_timer;
@@ -184,7 +183,7 @@
     if (!owning)
         delay = duration(static_cast<std::int64_t>(
             random.unit() * static_cast<double>(claim_spread.count())));
-    if (!owning && !owner_left && heard_at && now - *heard_at < owner_grace)
+    if (!owning && heard_at && now - *heard_at < owner_grace)
         delay += owner_grace - (now - *heard_at);
     delay = std::max(delay, claim_not_before - now);
     claim_timer = loop.after(delay, [this] { begin_claim(); });
@@ -326,12 +325,10 @@
 void claim::owner_leaves()
 {
     implementation_->heard_at.reset();
-    implementation_->owner_left = true;
 }
 
 void claim::heard_owner()
 {
-    implementation_->owner_left = false;
     implementation_->heard_at = implementation_->loop.clock().now();
 }
 
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -54,6 +54,14 @@
     return found == jobs.end() ? nullptr : &found->second;
 }
 
+task_status* scheduler::implementation::find_task(job_status* job, const task_ref& task)
+{
+    if (job == nullptr || task.step >= job->steps.size() ||
+        task.index >= job->steps[task.step].tasks.size())
+        return nullptr;
+    return &job->steps[task.step].tasks[task.index];
+}
+
 const queue_policy& scheduler::implementation::policy_of(const job_status& job) const
 {
     // A job whose queue was removed is finished under the policy of no queue.
@@ -117,10 +125,13 @@
     ++self.open_job_count;
     self.set_due(placed->second);
     self.open_ready_steps(placed->second);
-    const auto early = self.early_ends.extract(id);
-    if (early)
-        for (const auto& [holder, end] : early.mapped())
-            self.take_early_end(holder, end);
+    const auto early = self.early_ends.find(id);
+    if (early == self.early_ends.end())
+        return true;
+    const std::vector<std::pair<worker_id, ended_task>> ends = std::move(early->second);
+    self.early_ends.erase(early);
+    for (const auto& [holder, end] : ends)
+        self.take_early_end(holder, end);
     return true;
 }
 
@@ -206,7 +217,8 @@
     // Ends of a job whose final state is stored in the same batch are not needed.
     std::erase_if(changes.ends, [&job](const stored_end& end)
                   { return end.run.task.job == job.spec.id; });
-    stop_runs(job);
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+        stop_runs(job, step);
 }
 
 void scheduler::implementation::note_started(job_status& job, boot_time now)
@@ -218,15 +230,12 @@
     job.state = job_state::running;
 }
 
-void scheduler::implementation::stop_runs(const job_status& job)
+void scheduler::implementation::stop_runs(const job_status& job, std::uint32_t step)
 {
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
-        for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index)
-        {
-            const worker_id& holder = job.steps[step].tasks[index].on;
-            if (!holder.empty())
-                order_stop(holder, task_ref{job.spec.id, step, index});
-        }
+    const std::vector<task_status>& tasks = job.steps[step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+        if (!tasks[index].on.empty())
+            order_stop(tasks[index].on, task_ref{job.spec.id, step, index});
 }
 
 std::uint32_t scheduler::implementation::waiting_tasks(const step_status& step) const
@@ -293,12 +302,8 @@
 {
     implementation& self = *implementation_;
     job_status* job = self.find_job(end.run.task.job);
-    if (job == nullptr || is_final(job->state) ||
-        end.run.task.step >= job->steps.size() ||
-        end.run.task.index >= job->steps[end.run.task.step].tasks.size())
-        return;
-    task_status& task = job->steps[end.run.task.step].tasks[end.run.task.index];
-    if (!count_run(task, end.run.run))
+    task_status* task = implementation::find_task(job, end.run.task);
+    if (task == nullptr || is_final(job->state) || !count_run(*task, end.run.run))
         return;
     job->started = true;
     job->state = job_state::running;
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -23,7 +23,7 @@
 /// A count of waiting jobs is shown for so long.
 constexpr duration most_depth_age = std::chrono::milliseconds(1800);
 /// A planned stop waits so long for what is under way.
-constexpr duration handover_limit = std::chrono::milliseconds(600);
+constexpr duration handover_wait = std::chrono::milliseconds(600);
 /// An owner that hears no other instance for so long is probably cut off from them, while
 /// it still reaches the store. The others get so long to claim the cell.
 constexpr duration alone_limit = std::chrono::milliseconds(2000);
@@ -410,7 +410,7 @@
         self.report(self.agent.token(), agent_report());
         return done();
     }
-    self.owned->hand_over(handover_limit,
+    self.owned->hand_over(handover_wait,
                           [&self, done = std::move(done)]
                           {
                               self.parts.loop.post(
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -39,12 +39,11 @@
     holder.used -= found->second.size;
     holder.runs.erase(found);
     job_status* job = find_job(task.job);
-    if (job == nullptr || task.step >= job->steps.size())
+    task_status* status = find_task(job, task);
+    if (status == nullptr || status->on != holder.info.id)
         return;
     step_status& step = job->steps[task.step];
-    if (step.tasks[task.index].on != holder.info.id)
-        return;
-    step.tasks[task.index].on = worker_id();
+    status->on = worker_id();
     --step.occupied;
     if (!is_final(job->state) && step.remaining > 0)
         open_steps.insert(key_of(*job, task.step));
@@ -68,12 +67,7 @@
     if (!job.spec.steps[step].gang)
         return;
     job.steps[step].not_before = now + gang_pause;
-    for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index)
-    {
-        const worker_id holder = job.steps[step].tasks[index].on;
-        if (!holder.empty())
-            order_stop(holder, task_ref{job.spec.id, step, index});
-    }
+    stop_runs(job, step);
 }
 
 void scheduler::implementation::lose_run(worker_status& holder, const task_ref& task,
@@ -154,18 +148,15 @@
             changes.ends.push_back({end.run, end.how});
         return;
     }
-    if (task.step >= job->steps.size() ||
-        task.index >= job->steps[task.step].tasks.size())
-        return;
-    count_end(holder, *job, end, now);
+    if (find_task(job, task) != nullptr)
+        count_end(holder, *job, end, now);
 }
 
 void scheduler::implementation::count_end(worker_status& holder, job_status& job,
                                           const ended_task& end, boot_time now)
 {
     const task_ref& task = end.run.task;
-    step_status& step = job.steps[task.step];
-    task_status& status = step.tasks[task.index];
+    task_status& status = job.steps[task.step].tasks[task.index];
     if (!count_run(status, end.run.run))
         return;
     if (!end.saved.empty())
@@ -211,8 +202,7 @@
     if (!added && shown.run.run < record.run)
         return;
     job_status* job = find_job(task.job);
-    const bool known = job != nullptr && task.step < job->steps.size() &&
-                       task.index < job->steps[task.step].tasks.size();
+    task_status* status = find_task(job, task);
     if (added)
     {
         record.run = shown.run.run;
@@ -220,7 +210,8 @@
     }
     // The size of a run of an unknown job is not known either, so the worker counts as
     // full until the job is known or the run is stopped.
-    const resources size = known ? job->spec.steps[task.step].size : holder.info.capacity;
+    const resources size =
+        status != nullptr ? job->spec.steps[task.step].size : holder.info.capacity;
     holder.used -= record.size;
     holder.used += size;
     record.size = size;
@@ -235,17 +226,16 @@
         record.percent = shown.percent;
         record.progressed_at = now;
     }
-    if (!known)
+    if (status == nullptr)
     {
         if (job != nullptr || now - record.ordered_at > unknown_job_limit)
             order_stop(holder.info.id, task);
         return;
     }
-    task_status& status = job->steps[task.step].tasks[task.index];
-    status.last_run = std::max(status.last_run, shown.run.run);
+    status->last_run = std::max(status->last_run, shown.run.run);
     if (!shown.saved.empty())
-        status.saved = shown.saved;
-    if (is_final(job->state) || status.done)
+        status->saved = shown.saved;
+    if (is_final(job->state) || status->done)
         return order_stop(holder.info.id, task);
     adopt_run(holder, record, *job, task);
 }
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -16,6 +16,8 @@
 constexpr duration decision_period = std::chrono::milliseconds(100);
 /// Each agent hears from the owner at least this often, also without orders.
 constexpr duration broadcast_period = std::chrono::milliseconds(400);
+/// An agent that was not heard for this long is forgotten.
+constexpr duration agent_memory = 10 * agent_silence;
 /// Age of a job that a takeover found is not taken for higher.
 constexpr std::chrono::milliseconds most_age = std::chrono::minutes(2);
 
@@ -135,17 +137,17 @@
     decisions decided = cell.decide(now);
     for (start_order& order : decided.starts)
     {
-        const auto route = routes.find(order.worker);
-        if (route != routes.end() && !route->second.agent.empty())
-            outbox[route->second.agent].starts.push_back(std::move(order));
+        agent_orders* const orders = orders_for(order.worker);
+        if (orders != nullptr)
+            orders->starts.push_back(std::move(order));
         else
             refuse_start(order.worker, order.run, now);
     }
     for (const stop_order& order : decided.stops)
     {
-        const auto route = routes.find(order.worker);
-        if (route != routes.end() && !route->second.agent.empty())
-            outbox[route->second.agent].stops.push_back(order);
+        agent_orders* const orders = orders_for(order.worker);
+        if (orders != nullptr)
+            orders->stops.push_back(order);
     }
     for (advice_order& order : decided.advice)
         route_advice(std::move(order), now);
@@ -176,7 +178,7 @@
 {
     const boot_time now = parts.loop.clock().now();
     std::erase_if(agents, [now](const std::pair<const instance_id, agent_state>& entry)
-                  { return now - entry.second.heard_at > 10 * agent_silence; });
+                  { return now - entry.second.heard_at > agent_memory; });
     assign_workers();
     if (!loaded)
         return;
@@ -247,21 +249,6 @@
     decide_soon();
 }
 
-void owner::implementation::check_handover()
-{
-    if (!handover_done)
-        return;
-    if (!storing && (changes_wait() || parts.loop.clock().now() < handover_until))
-    {
-        store_soon();
-        handover_timer = parts.loop.after(decision_period, [this] { check_handover(); });
-        if (parts.loop.clock().now() < handover_until)
-            return;
-    }
-    const std::function<void()> done = std::exchange(handover_done, nullptr);
-    done();
-}
-
 owner::owner(const owner_parts& parts, fence_token token)
     : implementation_(std::make_shared<implementation>(parts, token))
 {
@@ -315,15 +302,12 @@
     return found;
 }
 
-void owner::hand_over(duration limit, std::function<void()> done)
+void owner::hand_over(duration wait, std::function<void()> done)
 {
     implementation& self = *implementation_;
     self.stopping = true;
     self.broadcast();
-    self.handover_until = self.parts.loop.clock().now() + limit;
-    self.handover_done = std::move(done);
-    self.handover_timer =
-        self.parts.loop.after(limit, [&self] { self.check_handover(); });
+    self.handover_timer = self.parts.loop.after(wait, std::move(done));
 }
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -43,7 +43,7 @@
     }
     for (const worker_info& info : cell.workers())
         if (!present.contains(info.id))
-            cell.remove_worker(info.id, now);
+            cell.remove_worker(info.id);
     std::erase_if(routes,
                   [this, &present](const std::pair<const worker_id, worker_route>& entry)
                   {
@@ -110,6 +110,14 @@
         }
 }
 
+agent_orders* owner::implementation::orders_for(const worker_id& worker)
+{
+    const auto route = routes.find(worker);
+    if (route == routes.end() || route->second.agent.empty())
+        return nullptr;
+    return &outbox[route->second.agent];
+}
+
 void owner::implementation::assign(const worker_id& id, worker_route& route,
                                    const instance_id& agent)
 {
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -61,6 +61,8 @@
     void observe(const instance_id& from, const agent_report& report, boot_time now);
     void take_workers(const std::vector<worker_info>& listed);
     void assign_workers();
+    /// Orders that go to the agent of a worker next; nullptr when it has none.
+    agent_orders* orders_for(const worker_id& worker);
     void assign(const worker_id& id, worker_route& route, const instance_id& agent);
     order_result ordered_by_looks(order_result result);
     void move_worker(const worker_id& id, worker_route& route);
@@ -75,7 +77,6 @@
     void take_answer(const instance_id& id,
                      const std::vector<std::pair<worker_id, run_ref>>& starts,
                      const result<fence_token>& answer);
-    void check_handover();
 
     // Reading and writing of the store (owner_store.cpp).
     void load();
@@ -87,7 +88,6 @@
     void take_changes(const result<store_changes>& answer);
     void store_soon();
     void store_now();
-    bool changes_wait() const;
     void commit(store_transaction change);
     void take_commit(const store_transaction& change, const result<store_commit>& answer);
     void finish_batch();
@@ -106,8 +106,6 @@
     std::map<instance_id, agent_orders> outbox;
     std::vector<wire::cell_job_state> newly_ended;
     std::set<job_key> cancelled_early; ///< Cancels that came before their jobs.
-    std::function<void()> handover_done;
-    boot_time handover_until{};
 
     // What is being stored.
     bool storing = false;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -188,11 +188,6 @@
         decide_soon();
 }
 
-bool owner::implementation::changes_wait() const
-{
-    return storing || !batch.empty();
-}
-
 void owner::implementation::store_soon()
 {
     if (store_due || storing || !loaded)
@@ -353,9 +348,9 @@
     {
         for (const acknowledge_order& order : batch.covered)
         {
-            const auto route = routes.find(order.worker);
-            if (route != routes.end() && !route->second.agent.empty())
-                outbox[route->second.agent].acknowledgements.push_back(order);
+            agent_orders* const orders = orders_for(order.worker);
+            if (orders != nullptr)
+                orders->acknowledgements.push_back(order);
         }
         batch = pending_changes();
     }
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -77,7 +77,7 @@
         for (const std::uint32_t earlier : step.after)
             before = std::max(before, chains[earlier]);
         if (policy.advice)
-            before += policy.advice->decide + policy.advice->each * usual_question;
+            before += policy.advice->answer_time(usual_question);
         chains.push_back(before + step.estimate);
         longest = std::max(longest, chains.back());
     }
@@ -87,6 +87,14 @@
     job.worthless = job.submitted + late_objectives * objective;
 }
 
+int scheduler::implementation::lateness_of(const job_status& job, std::uint32_t step,
+                                           boot_time now)
+{
+    // A step that cannot end in time any more counts as late already.
+    const boot_time end = now + job.spec.steps[step].estimate;
+    return end > job.worthless ? 2 : end > job.due ? 1 : 0;
+}
+
 void scheduler::implementation::age_jobs(boot_time now)
 {
     if (now - aged_at < age_period)
@@ -96,39 +104,33 @@
     for (const step_key& key : open_steps)
     {
         const job_status* job = find_job(key.job);
-        if (job == nullptr || is_final(job->state))
-            continue;
-        // A step that cannot end in time any more counts as late already.
-        const boot_time end = now + job->spec.steps[key.step].estimate;
-        const int lateness = end > job->worthless ? 2 : end > job->due ? 1 : 0;
-        if (lateness > job->lateness)
+        if (job != nullptr && !is_final(job->state) &&
+            lateness_of(*job, key.step, now) > job->lateness)
             changed.push_back(key);
     }
     for (const step_key& key : changed)
     {
         job_status* job = find_job(key.job);
-        const boot_time end = now + job->spec.steps[key.step].estimate;
         for (std::uint32_t step = 0; step < job->steps.size(); ++step)
             open_steps.erase(key_of(*job, step));
-        job->lateness = end > job->worthless ? 2 : 1;
+        job->lateness = lateness_of(*job, key.step, now);
         open_ready_steps(*job);
     }
 }
 
 worker_status* scheduler::implementation::choose(
-    const job_status& job, std::uint32_t step, const decision_pass& pass,
+    const job_status& job, const step_key& key, const decision_pass& pass,
     const std::map<worker_id, resources>& taken,
     const std::map<worker_id, std::uint32_t>& placed, const worker_id& avoid)
 {
-    const step_spec& spec = job.spec.steps[step];
-    const step_status& status = job.steps[step];
+    const step_spec& spec = job.spec.steps[key.step];
+    const step_status& status = job.steps[key.step];
     const bool needs_ticket = policy_of(job).advice.has_value();
-    const step_key key = key_of(job, step);
     worker_status* best = nullptr;
     std::int64_t best_score = 0;
     for (auto& [id, candidate] : workers)
     {
-        if (!can_run(candidate, job, step, pass.now))
+        if (!can_run(candidate, job, key.step, pass.now))
             continue;
         const auto held = pass.reserved.find(id);
         if (held != pass.reserved.end() && held->second < key)
@@ -211,27 +213,28 @@
     pass.out.starts.push_back(std::move(order));
 }
 
-bool scheduler::implementation::place_task(job_status& job, const task_ref& task,
-                                           decision_pass& pass)
+bool scheduler::implementation::place_task(job_status& job, const step_key& key,
+                                           std::uint32_t index, decision_pass& pass)
 {
-    const step_status& step = job.steps[task.step];
+    const step_status& step = job.steps[key.step];
     std::map<worker_id, std::uint32_t> placed;
-    if (job.spec.steps[task.step].per_worker > 0)
+    if (job.spec.steps[key.step].per_worker > 0)
         for (const task_status& other : step.tasks)
             if (!other.on.empty())
                 ++placed[other.on];
-    const task_status& status = step.tasks[task.index];
-    worker_status* target = choose(job, task.step, pass, {}, placed, status.failed_on);
+    const task_status& status = step.tasks[index];
+    worker_status* target = choose(job, key, pass, {}, placed, status.failed_on);
     if (target == nullptr)
         return false;
-    start(job, task, status.last_run.next(), *target, pass);
+    start(job, task_ref{job.spec.id, key.step, index}, status.last_run.next(), *target,
+          pass);
     return true;
 }
 
-bool scheduler::implementation::place_gang(job_status& job, std::uint32_t step,
+bool scheduler::implementation::place_gang(job_status& job, const step_key& key,
                                            decision_pass& pass)
 {
-    step_status& status = job.steps[step];
+    step_status& status = job.steps[key.step];
     // Members of one run carry the same number and the same saved state.
     if (status.occupied > 0 || status.not_before > pass.now)
         return true;
@@ -242,11 +245,11 @@
     checkpoint saved;
     for (const task_status& member : status.tasks)
     {
-        worker_status* target = choose(job, step, pass, taken, placed, member.failed_on);
+        worker_status* target = choose(job, key, pass, taken, placed, member.failed_on);
         if (target == nullptr)
             return false;
         targets.push_back(target);
-        taken[target->info.id] += job.spec.steps[step].size;
+        taken[target->info.id] += job.spec.steps[key.step].size;
         ++placed[target->info.id];
         run = std::max(run, member.last_run);
         if (!member.saved.empty())
@@ -255,25 +258,25 @@
     for (std::uint32_t index = 0; index < targets.size(); ++index)
     {
         status.tasks[index].saved = saved;
-        start(job, task_ref{job.spec.id, step, index}, run.next(), *targets[index], pass);
+        start(job, task_ref{job.spec.id, key.step, index}, run.next(), *targets[index],
+              pass);
     }
     return true;
 }
 
-void scheduler::implementation::reserve_workers(const job_status& job, std::uint32_t step,
-                                                decision_pass& pass)
+void scheduler::implementation::reserve_workers(const job_status& job,
+                                                const step_key& key, decision_pass& pass)
 {
     if (pass.reserved_gangs >= most_reserved_gangs)
         return;
-    const step_spec& spec = job.spec.steps[step];
-    const step_status& status = job.steps[step];
+    const step_spec& spec = job.spec.steps[key.step];
+    const step_status& status = job.steps[key.step];
     const bool needs_ticket = policy_of(job).advice.has_value();
-    const step_key key = key_of(job, step);
     std::vector<std::pair<std::int64_t, worker_id>> candidates;
     std::int64_t slots = 0;
     for (const auto& [id, candidate] : workers)
     {
-        if (!can_run(candidate, job, step, pass.now) || pass.reserved.contains(id) ||
+        if (!can_run(candidate, job, key.step, pass.now) || pass.reserved.contains(id) ||
             (needs_ticket && !status.good.contains(id)))
             continue;
         const resources& capacity = candidate.info.capacity;
@@ -301,7 +304,7 @@
 bool scheduler::implementation::may_ask(const job_status& job, decision_pass& pass) const
 {
     const advice_policy& advice = *policy_of(job).advice;
-    const duration cost = advice.decide + advice.each * usual_question;
+    const duration cost = advice.answer_time(usual_question);
     const std::int64_t most = cost <= duration::zero()
                                   ? most_waiting_steps
                                   : std::clamp(advice.valid * agents_assumed / cost,
@@ -396,8 +399,8 @@
         return;
     if (job->spec.steps[step].gang)
     {
-        if (!place_gang(*job, step, pass))
-            reserve_workers(*job, step, pass);
+        if (!place_gang(*job, key, pass))
+            reserve_workers(*job, key, pass);
     }
     else
         for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
@@ -405,7 +408,7 @@
             const task_status& task = status.tasks[index];
             if (task.done || !task.on.empty())
                 continue;
-            if (!place_task(*job, task_ref{job->spec.id, step, index}, pass))
+            if (!place_task(*job, key, index, pass))
                 break;
         }
     if (waiting_tasks(status) == 0)
@@ -419,8 +422,8 @@
     const job_status* job = implementation_->find_job(order.job);
     if (job == nullptr || !implementation_->policy_of(*job).advice)
         return duration::zero();
-    const advice_policy& policy = *implementation_->policy_of(*job).advice;
-    return policy.decide + policy.each * static_cast<std::int64_t>(order.workers.size());
+    return implementation_->policy_of(*job).advice->answer_time(
+        static_cast<std::int64_t>(order.workers.size()));
 }
 
 decisions scheduler::decide(boot_time now)
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -31,7 +31,7 @@
     status.described = true;
 }
 
-void scheduler::remove_worker(const worker_id& worker, boot_time now)
+void scheduler::remove_worker(const worker_id& worker)
 {
     const auto found = implementation_->workers.find(worker);
     if (found == implementation_->workers.end() || !found->second.described)
@@ -40,8 +40,8 @@
         "cell", "worker is gone",
         {{"worker", worker.value()}, {"runs", std::uint64_t{found->second.runs.size()}}});
     found->second.described = false;
-    if (!found->second.looked && !implementation_->unsettled.contains(worker))
-        implementation_->unsettled[worker] = now;
+    if (!found->second.looked)
+        implementation_->unsettled.insert(worker);
 }
 
 void scheduler::expect_workers(const std::vector<worker_id>& workers, boot_time now)
@@ -49,7 +49,7 @@
     for (const worker_id& id : workers)
     {
         implementation_->worker(id, now);
-        implementation_->unsettled.emplace(id, now);
+        implementation_->unsettled.insert(id);
     }
 }
 
