--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -37,6 +37,8 @@
 constexpr unsigned connections_per_host = 8;
 /// A leaving process goes on answering for this share of its grace time.
 constexpr double serving_share = 0.5;
+/// And up to this share while requests are open.
+constexpr double longest_serving_share = 0.8;
 /// Log lines that a slow reader did not take are offered again this often.
 constexpr duration flush_period = std::chrono::milliseconds(1000);
 constexpr duration answer_period = std::chrono::milliseconds(50);
@@ -173,8 +175,9 @@
     const boot_time now = loop_.clock().now();
     if (now < stop_at_)
         return;
-    const boot_time latest = stop_at_ + std::chrono::duration_cast<duration>(
-                                            settings_.stop_grace * (0.8 - serving_share));
+    const boot_time latest =
+        stop_at_ + std::chrono::duration_cast<duration>(
+                       settings_.stop_grace * (longest_serving_share - serving_share));
     if (ingress_->open_requests() > 0 && now < latest)
         return;
     log_.info("process", "stopped", {});
@@ -187,16 +190,24 @@
     return G_SOURCE_CONTINUE;
 }
 
+/// The file that the flag or else the environment names; empty when neither does.
+std::string settings_file()
+{
+    const std::string named = absl::GetFlag(FLAGS_settings);
+    const char* variable = std::getenv("HAWTHORNBEAM_CONFIG");
+    return named.empty() && variable != nullptr ? std::string(variable) : named;
+}
+
 /// Addresses and limits of a process do not change while it runs, so a changed file is
 /// only checked.
 gboolean on_reload(gpointer data)
 {
     const logger& log = *static_cast<const logger*>(data);
-    const char* file = std::getenv("HAWTHORNBEAM_CONFIG");
-    const std::optional<std::string> text = read_text_file(file == nullptr ? "" : file);
+    const std::string file = settings_file();
+    const std::optional<std::string> text = read_text_file(file);
     if (!text)
     {
-        log.warning("process", "settings not read again", {});
+        log.warning("process", "settings not read again", {{"file", file}});
         return G_SOURCE_CONTINUE;
     }
     const adapter::read_settings_result read = adapter::read_settings(*text, file);
@@ -210,10 +221,7 @@
 
 int run()
 {
-    std::string file = absl::GetFlag(FLAGS_settings);
-    const char* variable = std::getenv("HAWTHORNBEAM_CONFIG");
-    if (file.empty() && variable != nullptr)
-        file = variable;
+    const std::string file = settings_file();
     const std::optional<std::string> text = read_text_file(file);
     if (!text)
     {
