--- /dev/null
+++ b/lib/cell/prefix_follower.cpp
@@ -0,0 +1,117 @@
+/// \file
+/// Implements the follower of a prefix.
+#include "hawthornbeam/cell/prefix_follower.hpp"
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Pause after a call that failed; the store is often back within a second.
+constexpr duration retry_pause = std::chrono::milliseconds(150);
+
+} // namespace
+
+class prefix_follower::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(event_loop& given_loop, cell_store& given_store,
+                   std::string given_prefix, const times& given_waits,
+                   events given_handlers)
+        : loop(given_loop), store(given_store), prefix(std::move(given_prefix)),
+          waits(given_waits), handlers(std::move(given_handlers))
+    {
+    }
+
+    void list();
+    void take_listing(const result<store_listing>& answer);
+    void watch();
+    void watch_after(duration pause);
+    void take_changes(const result<store_changes>& answer);
+
+    event_loop& loop;
+    cell_store& store;
+    std::string prefix;
+    times waits;
+    events handlers;
+    kv_revision seen; ///< Where the next watch continues.
+    timer_handle next_call;
+};
+
+void prefix_follower::implementation::list()
+{
+    store.list(prefix,
+               [weak = weak_from_this()](const result<store_listing>& answer)
+               {
+                   const std::shared_ptr<implementation> self = weak.lock();
+                   if (self)
+                       self->take_listing(answer);
+               });
+}
+
+void prefix_follower::implementation::take_listing(const result<store_listing>& answer)
+{
+    if (!answer)
+    {
+        next_call = loop.after(retry_pause, [this] { list(); });
+        return;
+    }
+    seen = answer.value().at;
+    handlers.listed(answer.value());
+    watch_after(waits.pause);
+}
+
+void prefix_follower::implementation::watch()
+{
+    store.watch(prefix, seen, waits.wait,
+                [weak = weak_from_this()](const result<store_changes>& answer)
+                {
+                    const std::shared_ptr<implementation> self = weak.lock();
+                    if (self)
+                        self->take_changes(answer);
+                });
+}
+
+void prefix_follower::implementation::watch_after(duration pause)
+{
+    if (pause <= duration::zero())
+        return watch();
+    next_call = loop.after(pause, [this] { watch(); });
+}
+
+void prefix_follower::implementation::take_changes(const result<store_changes>& answer)
+{
+    if (!answer)
+        return watch_after(retry_pause);
+    if (answer.value().history_lost)
+        return list();
+    // The store may end a waiting watch early and without the changes that it has missed,
+    // so that a quiet answer does not move the position.
+    if (!answer.value().events.empty())
+        seen = std::max(seen, answer.value().at);
+    handlers.changed(answer.value().events);
+    watch_after(waits.pause);
+}
+
+prefix_follower::prefix_follower(event_loop& loop, cell_store& store, std::string prefix,
+                                 const times& waits, events handlers)
+    : implementation_(std::make_shared<implementation>(loop, store, std::move(prefix),
+                                                       waits, std::move(handlers)))
+{
+}
+
+prefix_follower::~prefix_follower() = default;
+
+void prefix_follower::start()
+{
+    implementation_->list();
+}
+
+void prefix_follower::skip_to(kv_revision revision)
+{
+    implementation_->seen = std::max(implementation_->seen, revision);
+}
+
+} // namespace hawthornbeam::cell
--- a/unittests/adapter/adapter_test.cpp
+++ b/unittests/adapter/adapter_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/job_document.hpp"
 #include "platform/runner_registry.hpp"
 #include "platform/settings.hpp"
+#include "unittests/cell/memory_store.hpp"
 
 #include <gtest/gtest.h>
 #include <set>
@@ -106,6 +107,83 @@
                                          R"({"version":-1,"routes":[]})",
                                          R"({"version":1,"routes":[{"name":"r"}]})"));
 
+/// How the store treats a follower of the configuration.
+class configuration_follower_test : public testing::TestWithParam<cell::store_condition>
+{
+protected:
+    void write(int version, const std::string& prefix)
+    {
+        ++state.revision;
+        state.put("op/config",
+                  R"({"version":)" + std::to_string(version) +
+                      R"(,"routes":[{"name":"r","host":"h","prefix":")" + prefix +
+                      R"(","service":"s"}]})",
+                  cell::lease_id());
+    }
+
+    manual_event_loop loop;
+    logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
+    cell::memory_store_state state{loop};
+    cell::memory_store store{state};
+    std::vector<std::uint64_t> versions;
+    configuration_follower follower{loop, store, log, [this](const configuration& taken) {
+                                        versions.push_back(taken.version);
+                                    }};
+};
+
+// A version has to be in force within 2 s, also when the store cuts watches.
+TEST_P(configuration_follower_test, has_a_version_in_force_within_two_seconds)
+{
+    write(5, "/old/");
+    follower.start();
+    loop.advance(std::chrono::milliseconds(300));
+    ASSERT_NE(follower.current(), nullptr);
+    store.condition = GetParam();
+    write(9, "/new/");
+    loop.advance(std::chrono::milliseconds(300));
+    store.condition = cell::store_condition::well;
+    loop.advance(std::chrono::milliseconds(1700));
+    EXPECT_EQ(follower.current()->version, 9U);
+    EXPECT_NE(follower.current()->find("h", "/new/1"), nullptr);
+    EXPECT_EQ(follower.current()->find("h", "/old/1"), nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(conditions, configuration_follower_test,
+                         testing::Values(cell::store_condition::well,
+                                         cell::store_condition::cutting_watches,
+                                         cell::store_condition::refusing,
+                                         cell::store_condition::losing_answers));
+
+TEST_F(configuration_follower_test, never_steps_back)
+{
+    write(5, "/a/");
+    follower.start();
+    loop.advance(std::chrono::milliseconds(300));
+    write(9, "/b/");
+    loop.advance(std::chrono::seconds(1));
+    write(7, "/c/");
+    loop.advance(std::chrono::seconds(1));
+    state.forget_history();
+    write(8, "/d/");
+    loop.advance(std::chrono::seconds(3));
+    EXPECT_EQ(versions, (std::vector<std::uint64_t>{5, 9}));
+}
+
+// A version that cannot be read leaves the one in force untouched.
+TEST_F(configuration_follower_test, keeps_its_version_when_the_next_cannot_be_read)
+{
+    write(5, "/a/");
+    follower.start();
+    loop.advance(std::chrono::milliseconds(300));
+    ++state.revision;
+    state.put("op/config", R"({"version":"nine"})", cell::lease_id());
+    loop.advance(std::chrono::seconds(2));
+    EXPECT_EQ(follower.current()->version, 5U);
+    write(10, "/b/");
+    loop.advance(std::chrono::seconds(2));
+    EXPECT_EQ(follower.current()->version, 10U);
+}
+
 TEST(runner_entry_test, is_read_with_rack_and_life)
 {
     const std::optional<cell::worker_info> read =
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -92,6 +92,7 @@
     answer<store_listing>(done,
                           [this, prefix]
                           {
+                              ++state_.lists;
                               store_listing listed;
                               for (const auto& [key, item] : state_.items)
                                   if (key.starts_with(prefix))
@@ -104,25 +105,31 @@
 void memory_store::watch(const std::string& prefix, kv_revision after, duration wait,
                          callback<store_changes> done)
 {
-    poll(prefix, after, state_.loop.clock().now() + wait, done);
+    poll(prefix, after, state_.loop.clock().now() + wait, false, done);
 }
 
 void memory_store::poll(const std::string& prefix, kv_revision after, boot_time until,
-                        const callback<store_changes>& done)
+                        bool waiting, const callback<store_changes>& done)
 {
     later(poll_period,
-          [this, prefix, after, until, done]
+          [this, prefix, after, until, waiting, done]
           {
-              if (condition != store_condition::well)
+              if (condition != store_condition::well &&
+                  condition != store_condition::cutting_watches)
                   return done(make_error(error_code::unavailable, "refused"));
               state_.expire();
               store_changes changes;
+              changes.history_lost = after.value() < state_.forgotten;
+              if (changes.history_lost)
+                  return done(std::move(changes));
               for (const store_event& event : state_.history)
                   if (event.item.revision > after && event.item.key.starts_with(prefix))
                       changes.events.push_back(event);
               changes.at = kv_revision(state_.revision);
+              if (waiting && condition == store_condition::cutting_watches)
+                  changes.events.clear();
               if (changes.events.empty() && state_.loop.clock().now() < until)
-                  return poll(prefix, after, until, done);
+                  return poll(prefix, after, until, true, done);
               done(std::move(changes));
           });
 }
--- a/unittests/cell/memory_store.hpp
+++ b/unittests/cell/memory_store.hpp
@@ -15,8 +15,9 @@
 enum class store_condition
 {
     well,
-    refusing,      ///< Answers that it has done nothing.
-    losing_answers ///< Does what it is asked and does not answer.
+    refusing,        ///< Answers that it has done nothing.
+    cutting_watches, ///< Ends waiting watches without the changes that came meanwhile.
+    losing_answers   ///< Does what it is asked and does not answer.
 };
 
 /// What all clients of the store share.
@@ -27,6 +28,8 @@
     void expire();
     void put(const std::string& key, std::string value, lease_id lease);
     void remove(const std::string& key);
+    /// Drops the changes so far; watches that continue from before have to list.
+    void forget_history() { forgotten = revision; }
 
     event_loop& loop;
     std::map<std::string, store_item> items;
@@ -34,6 +37,8 @@
     std::map<lease_id, std::pair<boot_time, duration>> leases;
     std::vector<store_event> history;
     std::uint64_t revision = 1;
+    std::uint64_t forgotten = 0; ///< Changes up to it are no longer available.
+    std::size_t lists = 0;
     std::uint64_t last_lease = 0;
     std::size_t commits = 0;
 };
@@ -59,7 +64,7 @@
     template <class T>
     void answer(const callback<T>& done, std::function<T()> work);
     store_commit apply(const store_transaction& change);
-    void poll(const std::string& prefix, kv_revision after, boot_time until,
+    void poll(const std::string& prefix, kv_revision after, boot_time until, bool waiting,
               const callback<store_changes>& done);
 
     memory_store_state& state_;
--- /dev/null
+++ b/unittests/cell/prefix_follower_test.cpp
@@ -0,0 +1,117 @@
+/// \file
+/// Tests of following the keys of a prefix.
+#include "hawthornbeam/cell/prefix_follower.hpp"
+
+#include "memory_store.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What happens to the store between two changes.
+struct disturbance
+{
+    std::string name;
+    store_condition condition = store_condition::well;
+    bool forgets_history = false;
+};
+
+void PrintTo(const disturbance& value, std::ostream* out)
+{
+    *out << value.name;
+}
+
+class prefix_follower_test : public testing::TestWithParam<disturbance>
+{
+protected:
+    void put(const std::string& key, const std::string& value)
+    {
+        ++state.revision;
+        state.put(key, value, lease_id());
+    }
+    void see(const store_item& item) { values[item.key] = item.value; }
+
+    manual_event_loop loop;
+    memory_store_state state{loop};
+    memory_store store{state};
+    std::map<std::string, std::string> values;
+    std::vector<std::string> changes; ///< Values in the order of their arrival.
+    prefix_follower follower{
+        loop,
+        store,
+        "a/",
+        {milliseconds(1000), duration::zero()},
+        {[this](const store_listing& listing)
+         {
+             values.clear();
+             for (const store_item& item : listing.items)
+                 see(item);
+         },
+         [this](const std::vector<store_event>& events)
+         {
+             for (const store_event& event : events)
+             {
+                 see(event.item);
+                 changes.push_back(event.item.value);
+             }
+         }}};
+};
+
+TEST_P(prefix_follower_test, sees_a_change_within_two_seconds)
+{
+    put("a/1", "old");
+    put("b/1", "other");
+    follower.start();
+    loop.advance(milliseconds(500));
+    ASSERT_EQ(values.at("a/1"), "old");
+    store.condition = GetParam().condition;
+    put("a/1", "new");
+    if (GetParam().forgets_history)
+        state.forget_history();
+    loop.advance(milliseconds(1200));
+    store.condition = store_condition::well;
+    loop.advance(milliseconds(800));
+    EXPECT_EQ(values.at("a/1"), "new");
+    EXPECT_FALSE(values.contains("b/1"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    disturbances, prefix_follower_test,
+    testing::Values(disturbance{"none"},
+                    disturbance{"cut watches", store_condition::cutting_watches},
+                    disturbance{"refused calls", store_condition::refusing},
+                    disturbance{"lost answers", store_condition::losing_answers},
+                    disturbance{"lost history", store_condition::well, true},
+                    disturbance{"refused calls, lost history", store_condition::refusing,
+                                true}),
+    [](const testing::TestParamInfo<disturbance>& each)
+    {
+        std::string name = each.param.name;
+        std::erase(name, ',');
+        std::ranges::replace(name, ' ', '_');
+        return name;
+    });
+
+// Every call to the store has a price, also when nothing changes.
+TEST_F(prefix_follower_test, lists_once_when_nothing_is_lost)
+{
+    follower.start();
+    loop.advance(seconds(30));
+    put("a/1", "1");
+    put("a/1", "2");
+    loop.advance(seconds(2));
+    EXPECT_EQ(state.lists, 1U);
+    EXPECT_EQ(changes, (std::vector<std::string>{"1", "2"}));
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
