Take a cell over at once from an owner that is gone or turned away

Requests at hosts that the store did not answer were held for 1.4 s and got no verdict.

- A claim is replaced by its revision when the owner's process has surely ended (another process listens at its address) or when it says that it has resigned.
- An owner resigns 0.7 s after its last answer when another instance had one.
- While calls to the store fail, nothing is written: jobs go straight to another instance or are refused at once; Retry-After grows with the outage.

Ruled out: a shorter lease (the store allows 1 s, but pauses of hosts would change the owner), and forwarding each call of a host that is turned away (more messages; a takeover costs 0.3 s once it begins).

--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -51,14 +51,18 @@
     void resign(duration pause, const char* reason);
     /// A worker or an instance has shown a higher token: the role ends at once.
     void superseded(fence_token higher);
-    /// A message of the owner arrived, so nobody needs to claim for a moment.
-    void heard_owner();
+    /// A message of an owner arrived, so nobody needs to claim for a moment. An owner
+    /// with a higher token than any seen is one of which the store has not told this
+    /// instance.
+    void heard_owner(const owner_identity& sender);
     /// The owner hands the cell over: nobody needs to wait for it.
     void owner_leaves();
+    /// The owner with \p token acts no more: its process has ended or it has resigned.
+    /// Its claim is replaced without waiting for the end of its lease. When it acts after
+    /// all, it learns of the higher token from the store and from workers.
+    void owner_is_gone(fence_token token, const char* reason);
 
     bool is_owner() const;
-    /// How long the store has answered nothing.
-    duration store_silence() const;
     fence_token token() const;
     const std::optional<owner_identity>& owner() const;
 
--- a/include/hawthornbeam/cell/node.hpp
+++ b/include/hawthornbeam/cell/node.hpp
@@ -44,6 +44,8 @@
     /// Jobs of \p queue that wait, as the owner counted them; empty when the count is too
     /// old.
     std::optional<std::uint64_t> waiting(const queue_name& queue) const;
+    /// When a caller that was refused should come back.
+    std::chrono::seconds retry_after() const;
     /// Hands over what this instance owns, then calls \p done.
     void leave(std::function<void()> done);
 
--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -59,9 +59,11 @@
 
     /// Takes a report of an agent; the sender is one from now on.
     void take_report(const instance_id& from, wire::cell_report report);
-    /// True when the store answers another instance that was heard lately.
-    bool others_reach_store() const;
-    /// Another instance that was heard lately.
+    /// True when the store has answered another instance after \p time.
+    bool store_answered_another(boot_time time) const;
+    /// Tells the agents that the cell may be claimed at once.
+    void resign();
+    /// Another instance that was heard lately, if possible one that the store answers.
     std::optional<endpoint> some_agent() const;
     /// States of the known ones of \p jobs. Empty until the stored jobs were read.
     std::optional<std::vector<wire::cell_job_state>>
--- a/include/hawthornbeam/cell/receiver.hpp
+++ b/include/hawthornbeam/cell/receiver.hpp
@@ -26,6 +26,8 @@
     event_loop& loop;
     cell_store& store;
     const logger& log;
+    /// True when a write would probably have no answer.
+    std::function<bool()> store_fails;
     /// A job was stored at this revision.
     std::function<void(const job_spec&, kv_revision)> accepted;
     std::function<void(const job_key&)> cancelled;
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -309,7 +309,7 @@
     cell::endpoint address;  ///< Where the sender takes orders.
     std::uint32_t share = 0; ///< Processor share of the sender's host, in thousandths.
     bool leaving = false;
-    bool store_answers = false; ///< The store has answered the sender lately.
+    std::uint32_t store_silence_ms = 0; ///< Since the store last answered the sender.
     cell::agent_report report;
     std::vector<accepted_job> accepted;
     std::vector<cell::job_key> cancelled;
@@ -317,6 +317,7 @@
 struct cell_report_reply
 {
     bool is_owner = false; ///< False: nothing was taken.
+    instance_id instance;  ///< Who answers at this address.
 };
 /// A job and its state.
 struct cell_job_state
@@ -333,6 +334,8 @@
     std::vector<cell_job_state> ended; ///< Final states that were stored.
     std::vector<cell::queue_depth> depths;
     bool leaving = false; ///< The owner hands the cell over.
+    bool resigned =
+        false; ///< The owner has given the cell up; any instance may claim it.
 };
 struct cell_orders_reply
 {
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -2,6 +2,7 @@
 /// Implements the claim of a cell.
 #include "hawthornbeam/cell/claim.hpp"
 
+#include "hawthornbeam/cell/prefix_follower.hpp"
 #include "stored_form.hpp"
 
 namespace hawthornbeam::cell
@@ -14,9 +15,8 @@
 /// 1 s at least.
 constexpr duration claim_life = std::chrono::milliseconds(2000);
 constexpr duration renewal_period = std::chrono::milliseconds(500);
-/// How long a watch of the claim waits, and the pause after a failed one.
+/// How long a watch of the claim waits. Its answers also show that the store is reached.
 constexpr duration watch_wait = std::chrono::milliseconds(1000);
-constexpr duration retry_pause = std::chrono::milliseconds(150);
 /// Without a claim, instances claim at different times within this span.
 constexpr duration claim_spread = std::chrono::milliseconds(80);
 /// While messages of an owner arrive, others let it claim again by itself for this long.
@@ -46,12 +46,16 @@
         };
     }
 
-    void read_claim();
-    void take_claim(result<store_listing> answer);
-    void watch_claim();
-    void take_changes(result<store_changes> answer);
-    void retry_read();
+    void follow();
+    void take_listing(const store_listing& listing);
+    void take_changes(const std::vector<store_event>& events);
     void see(const std::optional<store_item>& item);
+    void take_owner(const owner_identity& shown);
+    void owner_is_gone(fence_token token, const char* reason);
+    bool may_replace() const
+    {
+        return !owning && current && gone != fence_token() && gone == current->token;
+    }
     void claim_soon();
     void begin_claim();
     void take_lease(result<lease_id> answer);
@@ -77,54 +81,40 @@
     kv_revision last_claim;    ///< Revision of the latest claim, when it was this one's.
     kv_revision last_seen;     ///< Revision of the latest claim of any instance.
     kv_revision expected_last; ///< What the claim under way expects.
-    kv_revision seen;          ///< Where the watch continues.
+    bool is_free = false;      ///< The store showed no claim last.
+    fence_token gone;          ///< An owner that acts no more, though its claim stands.
+    std::optional<prefix_follower> follower;
     std::optional<boot_time> heard_at; ///< The owner; empty once it has left.
-    boot_time answered_at{};           ///< Last answer of the store.
     boot_time claim_not_before{};      ///< After a resignation others come first.
-    timer_handle retry_timer;
     timer_handle claim_timer;
     timer_handle renewal_timer;
 };
 
-void claim::implementation::read_claim()
+void claim::implementation::follow()
 {
-    // A listing names the store's revision also when the key is absent.
-    store.list(std::string(owner_key), guarded(&implementation::take_claim));
+    follower.emplace(loop, store, std::string(owner_key),
+                     prefix_follower::times{watch_wait, duration::zero()},
+                     prefix_follower::events{
+                         [this](const store_listing& listing) { take_listing(listing); },
+                         [this](const std::vector<store_event>& changes)
+                         { take_changes(changes); }});
+    follower->start();
 }
 
-void claim::implementation::retry_read()
+void claim::implementation::take_listing(const store_listing& listing)
 {
-    retry_timer = loop.after(retry_pause, [this] { read_claim(); });
-}
-
-void claim::implementation::take_claim(result<store_listing> answer)
-{
-    if (!answer)
-        return retry_read();
-    answered_at = loop.clock().now();
-    seen = answer.value().at;
     std::optional<store_item> held;
-    for (const store_item& item : answer.value().items)
+    for (const store_item& item : listing.items)
         if (item.key == owner_key)
             held = item;
         else if (item.key == last_claim_key)
             last_seen = std::max(last_seen, item.revision);
     see(held);
-    watch_claim();
 }
 
-void claim::implementation::watch_claim()
+void claim::implementation::take_changes(const std::vector<store_event>& changes)
 {
-    store.watch(std::string(owner_key), seen, watch_wait,
-                guarded(&implementation::take_changes));
-}
-
-void claim::implementation::take_changes(result<store_changes> answer)
-{
-    if (!answer || answer.value().history_lost)
-        return retry_read();
-    answered_at = loop.clock().now();
-    for (const store_event& event : answer.value().events)
+    for (const store_event& event : changes)
     {
         if (event.item.key == last_claim_key && !event.removed)
             last_seen = std::max(last_seen, event.item.revision);
@@ -132,44 +122,55 @@
             continue;
         see(event.removed ? std::nullopt : std::optional<store_item>(event.item));
     }
-    seen = std::max(seen, answer.value().at);
-    // A quiet watch proves nothing after the store lost its watches, so that the claim is
-    // read again each time.
-    if (answer.value().events.empty())
-        return read_claim();
-    watch_claim();
+    // An earlier attempt to claim may have failed.
+    if ((is_free || may_replace()) && !claiming)
+        claim_soon();
 }
 
 void claim::implementation::see(const std::optional<store_item>& item)
 {
-    if (item)
+    is_free = !item;
+    if (!item)
     {
-        seen = std::max(seen, item->revision);
-        const result<owner_record> record = decode_owner(item->value);
-        if (!record)
-            return log.error("claim", "claim cannot be read",
-                             {{"reason", record.error().message}});
-        const fence_token token(item->revision.value());
-        if (current && current->token >= token)
-            return;
-        const bool own = record.value().instance == self.instance;
-        if (own && !owning)
-            return gain(item->revision);
-        if (own)
-            return;
-        current = owner_identity{record.value().instance, record.value().address, token};
-        claim_timer.reset();
-        if (owning)
-            step_down("another instance has claimed the cell");
-        log.info("claim", "owner seen",
-                 {{"owner", current->instance.value()}, {"token", token.value()}});
-        return handlers.changed(current);
-    }
-    if (current && !owning)
-    {
-        current.reset();
-        handlers.changed(current);
+        if (!claiming)
+            claim_soon();
+        return;
     }
+    const result<owner_record> record = decode_owner(item->value);
+    if (!record)
+        return log.error("claim", "claim cannot be read",
+                         {{"reason", record.error().message}});
+    const fence_token token(item->revision.value());
+    if (current && current->token >= token)
+        return;
+    if (record.value().instance != self.instance)
+        return take_owner({record.value().instance, record.value().address, token});
+    if (!owning)
+        gain(item->revision);
+}
+
+void claim::implementation::take_owner(const owner_identity& shown)
+{
+    current = shown;
+    claim_timer.reset();
+    if (owning)
+        step_down("another instance has claimed the cell");
+    log.info("claim", "owner seen",
+             {{"owner", current->instance.value()}, {"token", current->token.value()}});
+    handlers.changed(current);
+    // Two processes cannot listen at one address, so the owner is a former process of
+    // this host.
+    if (current && current->address == self.address)
+        owner_is_gone(current->token, "a former process of this host");
+}
+
+void claim::implementation::owner_is_gone(fence_token token, const char* reason)
+{
+    if (owning || !current || current->token != token || gone == token)
+        return;
+    log.info("claim", "owner gone", {{"token", token.value()}, {"reason", reason}});
+    gone = token;
+    heard_at.reset();
     if (!claiming)
         claim_soon();
 }
@@ -191,7 +192,7 @@
 
 void claim::implementation::begin_claim()
 {
-    if (released || claiming || (current && !owning))
+    if (released || claiming || !(owning || is_free || may_replace()))
         return;
     claiming = true;
     store.grant(claim_life, guarded(&implementation::take_lease));
@@ -206,9 +207,11 @@
     }
     lease = answer.value();
     expected_last = last_seen;
+    const kv_revision replaced =
+        may_replace() && !is_free ? kv_revision(current->token.value()) : kv_revision();
     const std::string value = encode(owner_record{self.instance, self.address});
     store_transaction change;
-    change.expect = {{std::string(owner_key), kv_revision()},
+    change.expect = {{std::string(owner_key), replaced},
                      {std::string(last_claim_key), expected_last}};
     change.puts = {{std::string(owner_key), value, lease},
                    {std::string(last_claim_key), value, lease_id()}};
@@ -237,7 +240,8 @@
     owning = true;
     last_claim = revision;
     last_seen = std::max(last_seen, revision);
-    seen = std::max(seen, revision);
+    is_free = false;
+    follower->skip_to(revision);
     current = owner_identity{self.instance, self.address, fence_token(revision.value())};
     log.info("claim", "cell claimed",
              {{"token", revision.value()}, {"continued", continued ? 1 : 0}});
@@ -273,8 +277,6 @@
 
 void claim::implementation::take_renewal(result<bool> answer)
 {
-    if (answer)
-        answered_at = loop.clock().now();
     if (!owning || !answer || answer.value())
         return;
     // The lease ended while the store or this instance was away.
@@ -294,7 +296,7 @@
 
 void claim::start()
 {
-    implementation_->read_claim();
+    implementation_->follow();
 }
 
 void claim::release()
@@ -327,14 +329,21 @@
     implementation_->heard_at.reset();
 }
 
-void claim::heard_owner()
+void claim::heard_owner(const owner_identity& sender)
 {
-    implementation_->heard_at = implementation_->loop.clock().now();
+    implementation& self = *implementation_;
+    if (!self.current || self.current->token < sender.token)
+    {
+        self.is_free = false;
+        self.take_owner(sender);
+    }
+    else if (self.gone != sender.token)
+        self.heard_at = self.loop.clock().now();
 }
 
-duration claim::store_silence() const
+void claim::owner_is_gone(fence_token token, const char* reason)
 {
-    return implementation_->loop.clock().now() - implementation_->answered_at;
+    implementation_->owner_is_gone(token, reason);
 }
 
 bool claim::is_owner() const
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -4,6 +4,8 @@
 
 #include "hawthornbeam/cell/agent.hpp"
 #include "hawthornbeam/cell/claim.hpp"
+#include "hawthornbeam/cell/observed_store.hpp"
+#include "hawthornbeam/cell/retry_time.hpp"
 
 #include <map>
 
@@ -28,12 +30,9 @@
 /// it still reaches the store. The others get so long to claim the cell.
 constexpr duration alone_limit = std::chrono::milliseconds(2000);
 constexpr duration resignation_pause = std::chrono::milliseconds(1500);
-/// An owner whose calls the store does not answer for so long, while it answers others,
-/// is cut off from it. Its renewals may still arrive, so that the lease does not end.
-constexpr duration store_silence_limit = std::chrono::milliseconds(2500);
-/// The store counts as answering when it did so within this time; every instance calls it
-/// once a second.
-constexpr duration store_answer_age = std::chrono::milliseconds(1500);
+/// An owner that the store has not answered for so long when it answered another instance
+/// is cut off from it. Longer than the time between two calls of an owner without work.
+constexpr duration cut_off_limit = std::chrono::milliseconds(700);
 constexpr duration cut_off_pause = std::chrono::milliseconds(4000);
 
 } // namespace
@@ -45,7 +44,7 @@
 
     void serve(const instance_id& from, wire::request message,
                const std::function<void(wire::reply)>& answer);
-    wire::reply take_orders(const wire::cell_orders& message);
+    wire::reply take_orders(const instance_id& from, const wire::cell_orders& message);
     void gain(fence_token token, bool continued);
     void resign_when_cut_off();
     void report(fence_token known, agent_report observed);
@@ -67,6 +66,7 @@
                       const std::vector<job_key>& cancels, bool offered);
 
     node_parts parts;
+    observed_store store;
     cell::claim claim;
     cell::agent agent;
     cell::receiver receiver;
@@ -84,8 +84,8 @@
 };
 
 node::implementation::implementation(const node_parts& given)
-    : parts(given),
-      claim(given.loop, given.store, given.random, given.log,
+    : parts(given), store(given.loop, given.store),
+      claim(given.loop, store, given.random, given.log,
             owner_identity{given.self, given.address, fence_token()},
             {[this](fence_token token, bool continued) { gain(token, continued); },
              [this] { owned.reset(); },
@@ -95,7 +95,7 @@
             [this](fence_token token, agent_report observed)
             { report(token, std::move(observed)); }),
       receiver(
-          {given.loop, given.store, given.log,
+          {given.loop, store, given.log, [this] { return store.is_failing(); },
            [this](const job_spec& job, kv_revision stored)
            {
                accepted.push_back({job, stored, false});
@@ -118,7 +118,7 @@
     if (continued && owned)
         return owned->change_token(token);
     owner_parts wanted{parts.loop,
-                       parts.store,
+                       store,
                        parts.directory,
                        parts.log,
                        parts.metrics,
@@ -150,9 +150,13 @@
 
 void node::implementation::resign_when_cut_off()
 {
-    if (owned && claim.store_silence() > store_silence_limit &&
-        owned->others_reach_store())
+    const boot_time answered = parts.loop.clock().now() - store.silence();
+    if (owned && store.is_failing() &&
+        owned->store_answered_another(answered + cut_off_limit))
+    {
+        owned->resign();
         return claim.resign(cut_off_pause, "the store answers only others");
+    }
     if (!claim.is_owner() || !others_heard ||
         parts.loop.clock().now() - *others_heard < alone_limit)
         return;
@@ -170,7 +174,8 @@
     message.address = parts.address;
     message.share = parts.share;
     message.leaving = leaving;
-    message.store_answers = claim.store_silence() < store_answer_age;
+    message.store_silence_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(store.silence()).count());
     message.report = std::move(observed);
     const std::vector<unreported_job> jobs = std::exchange(accepted, {});
     for (const unreported_job& job : jobs)
@@ -187,8 +192,8 @@
     }
     parts.network.call(
         wire::peer_address(target->address.value()), message, report_timeout,
-        [weak = weak_from_this(), jobs,
-         cancels = message.cancelled](const result<wire::reply>& answer)
+        [weak = weak_from_this(), jobs, cancels = message.cancelled,
+         addressed = *target](const result<wire::reply>& answer)
         {
             const std::shared_ptr<implementation> self = weak.lock();
             if (!self)
@@ -197,8 +202,12 @@
                 answer ? std::get_if<wire::cell_report_reply>(&answer.value()) : nullptr;
             const bool offered =
                 !answer && answer.error().code == error_code::outcome_unknown;
-            if (taken == nullptr || !taken->is_owner)
-                self->report_again(jobs, cancels, offered);
+            if (taken != nullptr && taken->is_owner)
+                return;
+            self->report_again(jobs, cancels, offered);
+            if (taken != nullptr && taken->instance != addressed.instance)
+                self->claim.owner_is_gone(addressed.token,
+                                          "another process answers at its address");
         });
 }
 
@@ -227,7 +236,7 @@
                 const std::shared_ptr<implementation> self = weak.lock();
                 if (!self)
                     return;
-                self->take_orders(message);
+                self->take_orders(self->parts.self, message);
                 done(self->agent.token());
             });
         return;
@@ -246,15 +255,18 @@
         });
 }
 
-wire::reply node::implementation::take_orders(const wire::cell_orders& message)
+wire::reply node::implementation::take_orders(const instance_id& from,
+                                              const wire::cell_orders& message)
 {
     agent.carry_out(message.token, message.orders);
     if (message.token == agent.token())
     {
-        if (message.leaving)
+        if (message.resigned)
+            claim.owner_is_gone(message.token, "it has resigned");
+        else if (message.leaving)
             claim.owner_leaves();
-        else
-            claim.heard_owner();
+        else if (from != parts.self)
+            claim.heard_owner({from, message.owner, message.token});
         for (const wire::cell_job_state& job : message.ended)
             receiver.note_ended(job.job, job.state);
         if (!message.depths.empty())
@@ -336,10 +348,10 @@
         const bool is_owner = owned != nullptr && claim.is_owner();
         if (is_owner)
             owned->take_report(from, std::move(*report_message));
-        return answer(wire::cell_report_reply{is_owner});
+        return answer(wire::cell_report_reply{is_owner, parts.self});
     }
     if (const wire::cell_orders* orders = std::get_if<wire::cell_orders>(&message))
-        return answer(take_orders(*orders));
+        return answer(take_orders(from, *orders));
     if (wire::cell_relay* relayed = std::get_if<wire::cell_relay>(&message))
         return receiver.take_relayed(std::move(relayed->change), [answer](verdict outcome)
                                      { answer(wire::cell_relay_reply{outcome}); });
@@ -400,6 +412,13 @@
     return found == self.depths.end() ? 0 : found->second;
 }
 
+std::chrono::seconds node::retry_after() const
+{
+    const implementation& self = *implementation_;
+    return retry_time(self.store.is_failing() ? self.store.silence() : duration::zero(),
+                      self.parts.random.unit());
+}
+
 void node::leave(std::function<void()> done)
 {
     implementation& self = *implementation_;
--- /dev/null
+++ b/lib/cell/observed_store.cpp
@@ -0,0 +1,91 @@
+/// \file
+/// Implements the store that notes whether it answers.
+#include "hawthornbeam/cell/observed_store.hpp"
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Failed calls in a row, and the time without an answer, after which the store counts as
+/// failing. Single lost answers are followed by an answer within this time, since the
+/// watches of an instance are repeated every 150 ms.
+constexpr std::uint32_t failures_in_a_row = 2;
+constexpr duration failing_silence = std::chrono::milliseconds(400);
+
+} // namespace
+
+struct observed_store::observation
+{
+    boot_time answered_at{};
+    std::uint32_t failures = 0; ///< Since the last answer.
+};
+
+observed_store::observed_store(event_loop& loop, cell_store& store)
+    : loop_(loop), store_(store), seen_(std::make_shared<observation>())
+{
+    seen_->answered_at = loop.clock().now();
+}
+
+observed_store::~observed_store() = default;
+
+template <class T>
+cell_store::callback<T> observed_store::noting(callback<T> done)
+{
+    return [&clock = loop_.clock(), seen = seen_, done = std::move(done)](result<T> answer)
+    {
+        if (answer)
+        {
+            seen->answered_at = clock.now();
+            seen->failures = 0;
+        }
+        else
+            ++seen->failures;
+        done(std::move(answer));
+    };
+}
+
+void observed_store::read(const std::string& key,
+                          callback<std::optional<store_item>> done)
+{
+    store_.read(key, noting(std::move(done)));
+}
+
+void observed_store::list(const std::string& prefix, callback<store_listing> done)
+{
+    store_.list(prefix, noting(std::move(done)));
+}
+
+void observed_store::watch(const std::string& prefix, kv_revision after, duration wait,
+                           callback<store_changes> done)
+{
+    store_.watch(prefix, after, wait, noting(std::move(done)));
+}
+
+void observed_store::commit(store_transaction change, callback<store_commit> done)
+{
+    store_.commit(std::move(change), noting(std::move(done)));
+}
+
+void observed_store::grant(duration life, callback<lease_id> done)
+{
+    store_.grant(life, noting(std::move(done)));
+}
+
+void observed_store::renew(lease_id lease, callback<bool> done)
+{
+    store_.renew(lease, noting(std::move(done)));
+}
+
+duration observed_store::silence() const
+{
+    return loop_.clock().now() - seen_->answered_at;
+}
+
+bool observed_store::is_failing() const
+{
+    return seen_->failures >= failures_in_a_row && silence() >= failing_silence;
+}
+
+} // namespace hawthornbeam::cell
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -63,7 +63,7 @@
     sender.broken = false;
     const bool leaves = report.leaving && !sender.leaving;
     sender.leaving = report.leaving;
-    sender.store_answers = report.store_answers;
+    sender.store_answered_at = now - std::chrono::milliseconds(report.store_silence_ms);
     for (wire::accepted_job& accepted : report.accepted)
     {
         const job_key id = accepted.job.id;
@@ -208,6 +208,7 @@
     wire::cell_orders message;
     message.token = token;
     message.leaving = stopping;
+    message.resigned = resigned;
     message.orders = std::move(orders);
     message.ended = std::move(ended);
     message.depths = std::move(depths);
@@ -276,6 +277,16 @@
     self.send_orders();
 }
 
+void owner::resign()
+{
+    implementation& self = *implementation_;
+    self.resigned = true;
+    const boot_time now = self.parts.loop.clock().now();
+    for (const auto& [id, agent] : self.agents)
+        if (id != self.parts.self && agent.is_heard(now))
+            self.send_to(id, {}, {}, {});
+}
+
 void owner::configure(const std::vector<queue_policy>& queues)
 {
     implementation_->cell.configure(queues);
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -20,6 +20,10 @@
 constexpr duration short_question = std::chrono::milliseconds(30);
 constexpr std::size_t agents_for_short_questions = 4;
 
+/// The store counts as answering an agent when it did so within this time; every instance
+/// calls it once a second.
+constexpr duration store_answer_age = std::chrono::milliseconds(1500);
+
 } // namespace
 
 void owner::implementation::take_workers(const std::vector<worker_info>& listed)
@@ -187,15 +191,14 @@
     outbox[best].advice.push_back(std::move(order));
 }
 
-bool owner::others_reach_store() const
+bool owner::store_answered_another(boot_time time) const
 {
-    const boot_time now = implementation_->parts.loop.clock().now();
     return std::ranges::any_of(
         implementation_->agents,
-        [this, now](const std::pair<const instance_id, agent_state>& entry)
+        [this, time](const std::pair<const instance_id, agent_state>& entry)
         {
             return entry.first != implementation_->parts.self &&
-                   entry.second.store_answers && entry.second.is_heard(now);
+                   entry.second.store_answered_at > time;
         });
 }
 
@@ -203,9 +206,13 @@
 {
     const boot_time now = implementation_->parts.loop.clock().now();
     std::vector<endpoint> usable;
+    std::vector<endpoint> served; ///< By the store.
     for (const auto& [id, state] : implementation_->agents)
         if (id != implementation_->parts.self && state.is_usable(now))
-            usable.push_back(state.address);
+            (now - state.store_answered_at < store_answer_age ? served : usable)
+                .push_back(state.address);
+    if (!served.empty())
+        usable.swap(served);
     if (usable.empty())
         return std::nullopt;
     return usable[static_cast<std::size_t>(now.time_since_epoch().count()) %
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -32,8 +32,8 @@
     double share = 1; ///< Of a processor.
     boot_time heard_at{};
     bool leaving = false;
-    bool store_answers = false;
-    bool broken = false; ///< Orders did not reach it.
+    boot_time store_answered_at{}; ///< When the store answered it last.
+    bool broken = false;           ///< Orders did not reach it.
     duration advice_backlog{};
     std::map<std::pair<job_key, std::uint32_t>, duration> asked;
 };
@@ -100,6 +100,7 @@
     /// Workers that were listed before the stored jobs were read.
     std::optional<std::vector<worker_info>> early_workers;
     bool stopping = false;
+    bool resigned = false;
     std::map<instance_id, agent_state> agents;
     std::map<worker_id, worker_route> routes;
     std::uint64_t last_assignment = 0;
--- a/lib/cell/receiver.cpp
+++ b/lib/cell/receiver.cpp
@@ -336,6 +336,13 @@
     added->relayed = relayed;
     added->waiting.push_back(std::move(done));
     open[added->job.id] = added;
+    if (parts.store_fails())
+    {
+        // Nothing is written here, so that a refusal can be given at once and is true.
+        if (relayed)
+            return finish(added, verdict::refused);
+        return relay(added);
+    }
     queued.push_back(added);
     store_submissions();
 }
--- /dev/null
+++ b/lib/cell/retry_time.cpp
@@ -0,0 +1,30 @@
+/// \file
+/// Implements the time after which callers come back.
+#include "hawthornbeam/cell/retry_time.hpp"
+
+#include <algorithm>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds least_wait{1};
+/// Callers should find a store that is back after a long outage within a few seconds.
+constexpr std::chrono::seconds most_wait{4};
+/// Part of the wait by which callers are spread.
+constexpr double spread_share = 0.5;
+
+} // namespace
+
+std::chrono::seconds retry_time(duration outage, double spread)
+{
+    const double expected =
+        std::chrono::duration<double>(least_wait + outage).count() *
+        (1 - spread_share / 2 + spread_share * spread);
+    const std::chrono::seconds wait(static_cast<std::int64_t>(expected + 0.5));
+    return std::clamp(wait, least_wait, most_wait);
+}
+
+} // namespace hawthornbeam::cell
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -319,17 +319,17 @@
 template <class Archive>
 void serialize(Archive& archive, cell_report& value)
 {
-    auto& [token, address, share, leaving, store_answers, report, accepted, cancelled] =
-        value;
-    fields(archive, token, address, share, leaving, store_answers, report, accepted,
+    auto& [token, address, share, leaving, store_silence_ms, report, accepted,
+           cancelled] = value;
+    fields(archive, token, address, share, leaving, store_silence_ms, report, accepted,
            cancelled);
 }
 
 template <class Archive>
 void serialize(Archive& archive, cell_report_reply& value)
 {
-    auto& [is_owner] = value;
-    fields(archive, is_owner);
+    auto& [is_owner, instance] = value;
+    fields(archive, is_owner, instance);
 }
 
 template <class Archive>
@@ -342,8 +342,8 @@
 template <class Archive>
 void serialize(Archive& archive, cell_orders& value)
 {
-    auto& [token, owner, orders, ended, depths, leaving] = value;
-    fields(archive, token, owner, orders, ended, depths, leaving);
+    auto& [token, owner, orders, ended, depths, leaving, resigned] = value;
+    fields(archive, token, owner, orders, ended, depths, leaving, resigned);
 }
 
 template <class Archive>
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -2,6 +2,7 @@
 /// Tests of the claim of a cell.
 #include "hawthornbeam/cell/claim.hpp"
 
+#include "hawthornbeam/cell/observed_store.hpp"
 #include "memory_store.hpp"
 
 #include <gtest/gtest.h>
@@ -19,10 +20,12 @@
 struct claimant
 {
     claimant(manual_event_loop& loop, memory_store_state& state, const logger& log,
-             const std::string& name)
-        : store(state), random(std::hash<std::string>{}(name)),
-          claimed(loop, store, random, log,
-                  owner_identity{instance_id(name), endpoint(name + ":1"), fence_token()},
+             const std::string& name, const std::string& address = "")
+        : store(state), observed(loop, store), random(std::hash<std::string>{}(name)),
+          claimed(loop, observed, random, log,
+                  owner_identity{instance_id(name),
+                                 endpoint((address.empty() ? name : address) + ":1"),
+                                 fence_token()},
                   {[this](fence_token token, bool was_continued)
                    {
                        gained.push_back(token);
@@ -33,6 +36,7 @@
     }
 
     memory_store store;
+    observed_store observed;
     random_source random;
     std::vector<fence_token> gained;
     std::vector<bool> continued;
@@ -102,7 +106,7 @@
     for (int round = 0; round < 10; ++round)
     {
         loop.advance(milliseconds(500));
-        other().claimed.heard_owner();
+        other().claimed.heard_owner(*other().claimed.owner());
     }
     EXPECT_TRUE(former.claimed.is_owner());
     first.store.condition = store_condition::well;
@@ -142,7 +146,7 @@
 {
     start();
     claimant& successor = other();
-    successor.claimed.heard_owner();
+    successor.claimed.heard_owner(*successor.claimed.owner());
     successor.claimed.owner_leaves();
     owner().claimed.release();
     loop.advance(milliseconds(300));
@@ -159,8 +163,8 @@
     former.store.condition = store_condition::losing_answers;
     loop.advance(seconds(5));
     EXPECT_TRUE(former.claimed.is_owner());
-    EXPECT_GT(former.claimed.store_silence(), seconds(4));
-    EXPECT_LT(successor.claimed.store_silence(), milliseconds(1500));
+    EXPECT_GT(former.observed.silence(), seconds(4));
+    EXPECT_LT(successor.observed.silence(), milliseconds(1500));
     former.claimed.resign(seconds(4), "test");
     loop.advance(milliseconds(1500));
     EXPECT_TRUE(successor.claimed.is_owner());
@@ -201,6 +205,110 @@
               owner().claimed.token().value());
 }
 
+// A process that has ended cannot renew its claim, which would else stand for 2 s.
+TEST_F(claim_test, is_replaced_at_once_by_the_next_process_of_the_same_host)
+{
+    first.claimed.start();
+    loop.advance(seconds(1));
+    ASSERT_TRUE(first.claimed.is_owner());
+    const fence_token token = first.claimed.token();
+    first.store.condition = store_condition::refusing;
+    claimant restarted(loop, state, log, "restarted", "first");
+    restarted.claimed.start();
+    loop.advance(milliseconds(200));
+    EXPECT_TRUE(restarted.claimed.is_owner());
+    EXPECT_GT(restarted.claimed.token(), token);
+    EXPECT_FALSE(restarted.continued.back());
+}
+
+TEST_F(claim_test, is_replaced_at_once_when_its_owner_is_gone)
+{
+    start();
+    claimant& former = owner();
+    claimant& successor = other();
+    successor.claimed.heard_owner(*successor.claimed.owner());
+    successor.claimed.owner_is_gone(former.claimed.token(), "test");
+    loop.advance(milliseconds(200));
+    EXPECT_TRUE(successor.claimed.is_owner());
+    // The former owner lives after all, and sees that it was replaced.
+    EXPECT_FALSE(former.claimed.is_owner());
+    EXPECT_EQ(former.lost, 1);
+}
+
+// Word that an owner has gone may arrive after another one has claimed the cell.
+TEST_F(claim_test, is_kept_when_only_an_earlier_owner_is_gone)
+{
+    start();
+    claimant& former = owner();
+    claimant& successor = other();
+    const fence_token earlier = former.claimed.token();
+    former.claimed.resign(seconds(1), "test");
+    loop.advance(milliseconds(500));
+    ASSERT_TRUE(successor.claimed.is_owner());
+    former.claimed.owner_is_gone(earlier, "test");
+    loop.advance(seconds(3));
+    EXPECT_TRUE(successor.claimed.is_owner());
+    EXPECT_EQ(successor.gained.size(), 1U);
+}
+
+// The store serves other instances, so only messages of the new owner tell this one.
+TEST_F(claim_test, is_known_from_messages_while_the_store_turns_this_host_away)
+{
+    start();
+    claimant& cut_off = other();
+    cut_off.store.condition = store_condition::refusing;
+    const owner_identity successor{instance_id("third"), endpoint("third:1"),
+                                   fence_token(owner().claimed.token().value() + 10)};
+    cut_off.claimed.heard_owner(successor);
+    EXPECT_EQ(cut_off.claimed.owner()->address, successor.address);
+    EXPECT_EQ(cut_off.claimed.token(), successor.token);
+    // The store's word on the former owner, when it returns, is older.
+    cut_off.store.condition = store_condition::well;
+    loop.advance(seconds(2));
+    EXPECT_EQ(cut_off.claimed.token(), successor.token);
+}
+
+// A lapsed lease does not end an owner that the others still hear; their reports keep it
+// informed until it has claimed again.
+TEST_F(claim_test, keeps_the_owner_known_while_it_is_heard_after_its_lease_has_ended)
+{
+    start();
+    claimant& former = owner();
+    claimant& listener = other();
+    former.store.condition = store_condition::refusing;
+    for (int round = 0; round < 8; ++round)
+    {
+        loop.advance(milliseconds(500));
+        listener.claimed.heard_owner(*listener.claimed.owner());
+        ASSERT_TRUE(listener.claimed.owner());
+        EXPECT_EQ(listener.claimed.token(), former.claimed.token());
+    }
+}
+
+// The store may cut a waiting watch without the change that ended the claim.
+TEST_F(claim_test, passes_on_when_the_watch_missed_the_end_of_the_claim)
+{
+    start();
+    claimant& successor = other();
+    successor.store.condition = store_condition::cutting_watches;
+    owner().claimed.release();
+    loop.advance(milliseconds(2500));
+    EXPECT_TRUE(successor.claimed.is_owner());
+}
+
+// Nothing in the store changes after a failed attempt, so no event starts the next one.
+TEST_F(claim_test, is_tried_again_after_a_failed_attempt)
+{
+    first.claimed.start();
+    loop.advance(milliseconds(5));
+    first.store.condition = store_condition::refusing;
+    loop.advance(milliseconds(500));
+    EXPECT_FALSE(first.claimed.is_owner());
+    first.store.condition = store_condition::well;
+    loop.advance(milliseconds(1500));
+    EXPECT_TRUE(first.claimed.is_owner());
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
--- /dev/null
+++ b/unittests/cell/observed_store_test.cpp
@@ -0,0 +1,61 @@
+/// \file
+/// Tests of noting whether the store answers.
+#include "hawthornbeam/cell/observed_store.hpp"
+
+#include "memory_store.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+class observed_store_test : public testing::Test
+{
+protected:
+    void call(int times)
+    {
+        for (int each = 0; each < times; ++each)
+            store.read("a", [](const result<std::optional<store_item>>&) {});
+        loop.advance(milliseconds(20));
+    }
+
+    manual_event_loop loop;
+    memory_store_state state{loop};
+    memory_store inner{state};
+    observed_store store{loop, inner};
+};
+
+// Callers must not be refused for a single lost answer.
+TEST_F(observed_store_test, needs_failures_and_silence_to_fail)
+{
+    call(1);
+    EXPECT_LT(store.silence(), milliseconds(50));
+    inner.condition = store_condition::refusing;
+    call(5);
+    EXPECT_FALSE(store.is_failing());
+    loop.advance(milliseconds(500));
+    EXPECT_TRUE(store.is_failing());
+    inner.condition = store_condition::well;
+    call(1);
+    EXPECT_FALSE(store.is_failing());
+}
+
+// An instance without calls has heard nothing either.
+TEST_F(observed_store_test, does_not_fail_for_silence_alone)
+{
+    loop.advance(milliseconds(5000));
+    inner.condition = store_condition::refusing;
+    call(1);
+    EXPECT_FALSE(store.is_failing());
+    call(1);
+    EXPECT_TRUE(store.is_failing());
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -3,6 +3,7 @@
 #include "hawthornbeam/cell/owner.hpp"
 
 #include "fleet.hpp"
+#include "lib/cell/stored_form.hpp"
 #include "memory_store.hpp"
 
 #include <gtest/gtest.h>
@@ -211,17 +212,47 @@
     EXPECT_EQ(acknowledged(), end_number());
 }
 
-TEST_F(owner_test, knows_whether_the_store_answers_others)
+TEST_F(owner_test, knows_when_the_store_answered_others)
 {
     start();
-    EXPECT_FALSE(cell->others_reach_store());
+    loop.advance(seconds(1));
+    const boot_time now = loop.clock().now();
     wire::cell_report message;
     message.address = endpoint("b");
-    message.store_answers = true;
+    message.store_silence_ms = 400;
     cell->take_report(instance_id("b"), message);
-    EXPECT_TRUE(cell->others_reach_store());
-    loop.advance(seconds(3));
-    EXPECT_FALSE(cell->others_reach_store());
+    EXPECT_TRUE(cell->store_answered_another(now - milliseconds(500)));
+    EXPECT_FALSE(cell->store_answered_another(now - milliseconds(300)));
+}
+
+TEST_F(owner_test, tells_its_agents_that_it_has_resigned)
+{
+    start();
+    sent.clear();
+    cell->resign();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].first, endpoint("a"));
+    EXPECT_TRUE(sent[0].second.resigned);
+}
+
+// A receiver that dies after it has stored a job cannot report it, and the owner's next
+// read of changes may find that the store has dropped them.
+TEST_F(owner_test, finds_a_job_of_a_dead_receiver_after_the_store_dropped_its_changes)
+{
+    start();
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(200));
+    ++state.revision;
+    job_record record;
+    record.job = fleet::job("orphan", "q", 1, 1);
+    state.put("cell/job/orphan", encode(record), lease_id());
+    state.forget_history();
+    report("a", with(look({assignment(), 2})));
+    loop.advance(milliseconds(700));
+    report("a", with(look({assignment(), 3})));
+    loop.advance(milliseconds(700));
+    ASSERT_EQ(starts().size(), 1U);
+    EXPECT_EQ(starts()[0].run.task.job, job_key("orphan"));
 }
 
 TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
--- a/unittests/cell/receiver_test.cpp
+++ b/unittests/cell/receiver_test.cpp
@@ -3,6 +3,7 @@
 #include "hawthornbeam/cell/receiver.hpp"
 
 #include "fleet.hpp"
+#include "hawthornbeam/cell/observed_store.hpp"
 #include "memory_store.hpp"
 
 #include <gtest/gtest.h>
@@ -22,8 +23,9 @@
     receiver_parts parts()
     {
         return {loop,
-                store,
+                observed,
                 log,
+                [this] { return observed.is_failing(); },
                 [this](const job_spec& job, kv_revision) { accepted.push_back(job.id); },
                 [this](const job_key& job) { cancelled.push_back(job); },
                 [this](const std::vector<job_key>&,
@@ -62,6 +64,7 @@
     logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
     memory_store_state state{loop};
     memory_store store{state};
+    observed_store observed{loop, store};
     std::vector<job_key> accepted;
     std::vector<job_key> cancelled;
     std::vector<std::pair<job_key, job_state>> owner_states;
@@ -124,8 +127,8 @@
 {
     memory_store served(state);
     receiver_parts others = parts();
-    receiver helper({loop, served, log, others.accepted, others.cancelled,
-                     others.ask_owner, others.relay});
+    receiver helper({loop, served, log, [] { return false; }, others.accepted,
+                     others.cancelled, others.ask_owner, others.relay});
     other = &helper;
     store.condition = store_condition::refusing;
     EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
@@ -138,6 +141,53 @@
     EXPECT_EQ(submit("b", milliseconds(50)), verdict::refused);
 }
 
+class unanswering_store_test : public receiver_test,
+                               public testing::WithParamInterface<store_condition>
+{
+protected:
+    void fail()
+    {
+        store.condition = GetParam();
+        for (int call = 0; call < 3; ++call)
+            observed.read("a", [](const result<std::optional<store_item>>&) {});
+        loop.advance(milliseconds(1500));
+        ASSERT_TRUE(observed.is_failing());
+    }
+};
+
+// Callers would else be held for 1.4 s each and get no verdict, though it is known that
+// nothing can be stored.
+TEST_P(unanswering_store_test, makes_refusals_immediate_and_true)
+{
+    fail();
+    const std::size_t before = state.commits;
+    EXPECT_EQ(submit("a", milliseconds(20)), verdict::refused);
+    EXPECT_EQ(state.commits, before);
+    store.condition = store_condition::well;
+    loop.advance(seconds(10));
+    EXPECT_FALSE(state.items.contains("cell/job/a"));
+    EXPECT_EQ(submit("b", milliseconds(50)), verdict::refused);
+    observed.read("a", [](const result<std::optional<store_item>>&) {});
+    loop.advance(milliseconds(50));
+    EXPECT_EQ(submit("b", milliseconds(50)), verdict::done);
+}
+
+TEST_P(unanswering_store_test, sends_jobs_straight_to_an_instance_that_is_served)
+{
+    memory_store served(state);
+    receiver_parts others = parts();
+    receiver helper({loop, served, log, [] { return false; }, others.accepted,
+                     others.cancelled, others.ask_owner, others.relay});
+    other = &helper;
+    fail();
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    EXPECT_TRUE(state.items.contains("cell/job/a"));
+}
+
+INSTANTIATE_TEST_SUITE_P(conditions, unanswering_store_test,
+                         testing::Values(store_condition::refusing,
+                                         store_condition::losing_answers));
+
 TEST_F(receiver_test, settles_a_lost_answer_by_storing_again)
 {
     store.condition = store_condition::losing_answers;
--- /dev/null
+++ b/unittests/cell/retry_time_test.cpp
@@ -0,0 +1,64 @@
+/// \file
+/// Tests of the time after which refused callers come back.
+#include "hawthornbeam/cell/retry_time.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// An outage, and the attempts that a caller may make.
+struct outage
+{
+    seconds lasts;
+    int attempts;
+};
+
+class retry_time_test : public testing::TestWithParam<outage>
+{
+};
+
+// With a fixed wait of 1 s a caller with five attempts uses them up in an outage of 5 s.
+TEST_P(retry_time_test, lets_callers_outlast_the_outage)
+{
+    for (const double spread : {0.0, 0.5, 1.0})
+        for (duration first = milliseconds(400); first < GetParam().lasts;
+             first += milliseconds(300))
+        {
+            duration at = first;
+            int attempts = 1;
+            for (; attempts < GetParam().attempts && at < GetParam().lasts; ++attempts)
+                at += retry_time(at, spread);
+            EXPECT_GE(at, GetParam().lasts) << "first attempt at " << first.count();
+            // The wait beyond the outage is bounded too.
+            EXPECT_LE(at, GetParam().lasts + seconds(4));
+        }
+}
+
+INSTANTIATE_TEST_SUITE_P(outages, retry_time_test,
+                         testing::Values(outage{seconds(2), 5}, outage{seconds(5), 5},
+                                         outage{seconds(9), 5}));
+
+TEST(retry_time_spread_test, keeps_callers_from_returning_together)
+{
+    std::set<seconds> waits;
+    for (int caller = 0; caller <= 10; ++caller)
+        waits.insert(retry_time(seconds(3), caller / 10.0));
+    EXPECT_GE(waits.size(), 2U);
+}
+
+TEST(retry_time_spread_test, is_short_without_an_outage)
+{
+    EXPECT_EQ(retry_time(duration::zero(), 1.0), seconds(1));
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
