Tell hosts that the store turns away who owns the cell

Each answer to a report or query now names the owner that the sender knows, the owner's broadcast names instances that the store answers, and a host that is turned away and has no owner asks one of them.

Ruled out: relaying to any known agent (the former owner alone knows agents), and waiting for the store (8 s).

--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -14,14 +14,6 @@
 namespace hawthornbeam::cell
 {
 
-/// Who owns the cell, and with which token.
-struct owner_identity
-{
-    instance_id instance;
-    endpoint address;
-    fence_token token;
-};
-
 /// The claim is a key with a lease. Its revision is the fencing token, so each claim has
 /// a higher token than all earlier ones. While the store is away the owner keeps its
 /// role: nobody can claim, and workers refuse lower tokens.
@@ -51,10 +43,11 @@
     void resign(duration pause, const char* reason);
     /// A worker or an instance has shown a higher token: the role ends at once.
     void superseded(fence_token higher);
-    /// A message of an owner arrived, so nobody needs to claim for a moment. An owner
-    /// with a higher token than any seen is one of which the store has not told this
-    /// instance.
+    /// A message of an owner arrived, so nobody needs to claim for a moment.
     void heard_owner(const owner_identity& sender);
+    /// Another instance knows this owner. The store may not have told of it, since it
+    /// does not serve this host.
+    void told_of_owner(const owner_identity& known);
     /// The owner hands the cell over: nobody needs to wait for it.
     void owner_leaves();
     /// The owner with \p token acts no more: its process has ended or it has resigned.
--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -63,8 +63,8 @@
     bool store_answered_another(boot_time time) const;
     /// Tells the agents that the cell may be claimed at once.
     void resign();
-    /// Another instance that was heard lately, if possible one that the store answers.
-    std::optional<endpoint> some_agent() const;
+    /// Other instances that were heard lately, if possible such that the store answers.
+    std::vector<endpoint> agents() const;
     /// States of the known ones of \p jobs. Empty until the stored jobs were read.
     std::optional<std::vector<wire::cell_job_state>>
     states(const std::vector<job_key>& jobs) const;
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -40,6 +40,14 @@
 /// Number of an end in the list of a worker's life, from 1.
 using end_number = strong_number<struct ended_number_tag, std::uint64_t>;
 
+/// Who owns the cell, and with which token.
+struct owner_identity
+{
+    instance_id instance;
+    endpoint address;
+    fence_token token;
+};
+
 /// Names a task of a job.
 struct task_ref
 {
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -316,8 +316,9 @@
 };
 struct cell_report_reply
 {
-    bool is_owner = false; ///< False: nothing was taken.
-    instance_id instance;  ///< Who answers at this address.
+    bool is_owner = false;      ///< False: nothing was taken.
+    instance_id instance;       ///< Who answers at this address.
+    cell::owner_identity owner; ///< As the sender knows it; token 0: none.
 };
 /// A job and its state.
 struct cell_job_state
@@ -333,9 +334,9 @@
     cell::agent_orders orders;
     std::vector<cell_job_state> ended; ///< Final states that were stored.
     std::vector<cell::queue_depth> depths;
-    bool leaving = false; ///< The owner hands the cell over.
-    bool resigned =
-        false; ///< The owner has given the cell up; any instance may claim it.
+    bool leaving = false;  ///< The owner hands the cell over.
+    bool resigned = false; ///< The cell was given up; any instance may claim it.
+    std::vector<cell::endpoint> peers; ///< Some instances that the store answers.
 };
 struct cell_orders_reply
 {
@@ -350,6 +351,7 @@
 {
     bool is_owner = false; ///< False: the states are not known here.
     std::vector<cell_job_state> found;
+    cell::owner_identity owner; ///< As the sender knows it; token 0: none.
 };
 /// Asks another instance to store what the sender could not.
 struct cell_relay
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -331,16 +331,22 @@
 
 void claim::heard_owner(const owner_identity& sender)
 {
+    told_of_owner(sender);
     implementation& self = *implementation_;
-    if (!self.current || self.current->token < sender.token)
-    {
-        self.is_free = false;
-        self.take_owner(sender);
-    }
-    else if (self.gone != sender.token)
+    if (self.gone != sender.token)
         self.heard_at = self.loop.clock().now();
 }
 
+void claim::told_of_owner(const owner_identity& known)
+{
+    implementation& self = *implementation_;
+    if (known.token == fence_token() ||
+        (self.current && self.current->token >= known.token))
+        return;
+    self.is_free = false;
+    self.take_owner(known);
+}
+
 void claim::owner_is_gone(fence_token token, const char* reason)
 {
     implementation_->owner_is_gone(token, reason);
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -47,6 +47,13 @@
     wire::reply take_orders(const instance_id& from, const wire::cell_orders& message);
     void gain(fence_token token, bool continued);
     void resign_when_cut_off();
+    /// A host that the store turns away asks others who owns the cell.
+    void ask_for_owner();
+    std::optional<endpoint> some_peer();
+    owner_identity known_owner() const
+    {
+        return claim.owner().value_or(owner_identity());
+    }
     void report(fence_token known, agent_report observed);
     void send_orders(const endpoint& target, wire::cell_orders message,
                      std::function<void(result<fence_token>)> done);
@@ -76,6 +83,8 @@
     std::vector<job_key> cancelled;
     std::map<queue_name, std::uint64_t> depths;
     boot_time depths_at{};
+    std::vector<endpoint> peers; ///< Instances that the store answered lately.
+    bool owner_answers = false;  ///< The owner has taken the last report.
     bool leaving = false;
     /// When another instance was heard last; empty when none was since the last
     /// resignation.
@@ -148,12 +157,38 @@
     report(agent.token(), agent_report());
 }
 
+std::optional<endpoint> node::implementation::some_peer()
+{
+    if (peers.empty())
+        return std::nullopt;
+    return peers[parts.random.below(peers.size())];
+}
+
+void node::implementation::ask_for_owner()
+{
+    const std::optional<endpoint> asked = some_peer();
+    if (claim.is_owner() || owner_answers || !store.is_failing() || !asked)
+        return;
+    parts.network.call(
+        wire::peer_address(asked->value()), wire::cell_query{}, query_timeout,
+        [weak = weak_from_this()](const result<wire::reply>& answer)
+        {
+            const std::shared_ptr<implementation> self = weak.lock();
+            const wire::cell_query_reply* told =
+                answer ? std::get_if<wire::cell_query_reply>(&answer.value()) : nullptr;
+            if (self && told != nullptr)
+                self->claim.told_of_owner(told->owner);
+        });
+}
+
 void node::implementation::resign_when_cut_off()
 {
     const boot_time answered = parts.loop.clock().now() - store.silence();
     if (owned && store.is_failing() &&
         owned->store_answered_another(answered + cut_off_limit))
     {
+        peers = owned->agents();
+        owner_answers = false;
         owned->resign();
         return claim.resign(cut_off_pause, "the store answers only others");
     }
@@ -202,10 +237,14 @@
                 answer ? std::get_if<wire::cell_report_reply>(&answer.value()) : nullptr;
             const bool offered =
                 !answer && answer.error().code == error_code::outcome_unknown;
-            if (taken != nullptr && taken->is_owner)
+            self->owner_answers = taken != nullptr && taken->is_owner;
+            if (self->owner_answers)
                 return;
             self->report_again(jobs, cancels, offered);
-            if (taken != nullptr && taken->instance != addressed.instance)
+            if (taken == nullptr)
+                return;
+            self->claim.told_of_owner(taken->owner);
+            if (taken->instance != addressed.instance)
                 self->claim.owner_is_gone(addressed.token,
                                           "another process answers at its address");
         });
@@ -269,6 +308,8 @@
             claim.heard_owner({from, message.owner, message.token});
         for (const wire::cell_job_state& job : message.ended)
             receiver.note_ended(job.job, job.state);
+        if (!message.peers.empty())
+            peers = message.peers;
         if (!message.depths.empty())
         {
             depths_at = parts.loop.clock().now();
@@ -322,7 +363,11 @@
     // The owner needs the store itself; an owner that is turned away asks an agent.
     std::optional<endpoint> target;
     if (claim.is_owner())
-        target = owned ? owned->some_agent() : std::nullopt;
+    {
+        if (owned)
+            peers = owned->agents();
+        target = some_peer();
+    }
     else if (claim.owner())
         target = claim.owner()->address;
     if (!target)
@@ -348,7 +393,7 @@
         const bool is_owner = owned != nullptr && claim.is_owner();
         if (is_owner)
             owned->take_report(from, std::move(*report_message));
-        return answer(wire::cell_report_reply{is_owner, parts.self});
+        return answer(wire::cell_report_reply{is_owner, parts.self, known_owner()});
     }
     if (const wire::cell_orders* orders = std::get_if<wire::cell_orders>(&message))
         return answer(take_orders(from, *orders));
@@ -361,6 +406,7 @@
         const std::optional<std::vector<wire::cell_job_state>> found =
             owned ? owned->states(query->jobs) : std::nullopt;
         reply.is_owner = found.has_value();
+        reply.owner = known_owner();
         if (found)
             reply.found = *found;
         return answer(reply);
@@ -387,6 +433,7 @@
                               {
                                   self.report(self.agent.token(), agent_report());
                                   self.resign_when_cut_off();
+                                  self.ask_for_owner();
                               });
     self.claim.start();
 }
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -179,8 +179,13 @@
     std::map<instance_id, agent_orders> sending;
     sending.swap(outbox);
     for (auto& [id, orders] : sending)
-        if (!orders.empty())
-            send_to(id, std::move(orders), {}, {});
+    {
+        if (orders.empty())
+            continue;
+        wire::cell_orders message;
+        message.orders = std::move(orders);
+        send_to(id, std::move(message));
+    }
 }
 
 void owner::implementation::broadcast()
@@ -199,28 +204,31 @@
         parts.metrics.set_gauge("hawthornbeam_waiting_jobs",
                                 {{"queue", depth.queue.value()}},
                                 static_cast<double>(depth.waiting));
+    const std::vector<endpoint> peers = served_agents();
     std::map<instance_id, agent_orders> sending;
     sending.swap(outbox);
     for (const auto& [id, state] : agents)
-        if (state.is_heard(now))
-            send_to(id, std::move(sending[id]), newly_ended, depths);
+    {
+        if (!state.is_heard(now))
+            continue;
+        wire::cell_orders message;
+        message.orders = std::move(sending[id]);
+        message.ended = newly_ended;
+        message.depths = depths;
+        message.peers = peers;
+        send_to(id, std::move(message));
+    }
     newly_ended.clear();
 }
 
-void owner::implementation::send_to(const instance_id& id, agent_orders orders,
-                                    std::vector<wire::cell_job_state> ended,
-                                    std::vector<queue_depth> depths)
+void owner::implementation::send_to(const instance_id& id, wire::cell_orders message)
 {
     const auto found = agents.find(id);
     if (found == agents.end())
         return;
-    wire::cell_orders message;
     message.token = token;
     message.leaving = stopping;
     message.resigned = resigned;
-    message.orders = std::move(orders);
-    message.ended = std::move(ended);
-    message.depths = std::move(depths);
     std::vector<std::pair<worker_id, run_ref>> starts;
     for (const start_order& order : message.orders.starts)
         starts.emplace_back(order.worker, order.run);
@@ -293,7 +301,7 @@
     const boot_time now = self.parts.loop.clock().now();
     for (const auto& [id, agent] : self.agents)
         if (id != self.parts.self && agent.is_heard(now))
-            self.send_to(id, {}, {}, {});
+            self.send_to(id, wire::cell_orders());
 }
 
 void owner::configure(const std::vector<queue_policy>& queues)
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -23,6 +23,8 @@
 /// The store counts as answering an agent when it did so within this time; every instance
 /// calls it once a second.
 constexpr duration store_answer_age = std::chrono::milliseconds(1500);
+/// Instances that agents are told of: enough that one is up after a failure.
+constexpr std::size_t most_peers = 8;
 
 } // namespace
 
@@ -202,21 +204,27 @@
         });
 }
 
-std::optional<endpoint> owner::some_agent() const
+std::vector<endpoint> owner::implementation::served_agents() const
+{
+    const boot_time now = parts.loop.clock().now();
+    std::vector<endpoint> served;
+    for (const auto& [id, state] : agents)
+        if (id != parts.self && state.is_usable(now) && served.size() < most_peers &&
+            now - state.store_answered_at < store_answer_age)
+            served.push_back(state.address);
+    return served;
+}
+
+std::vector<endpoint> owner::agents() const
 {
     const boot_time now = implementation_->parts.loop.clock().now();
-    std::vector<endpoint> usable;
-    std::vector<endpoint> served; ///< By the store.
+    std::vector<endpoint> usable = implementation_->served_agents();
+    if (!usable.empty())
+        return usable;
     for (const auto& [id, state] : implementation_->agents)
         if (id != implementation_->parts.self && state.is_usable(now))
-            (now - state.store_answered_at < store_answer_age ? served : usable)
-                .push_back(state.address);
-    if (!served.empty())
-        usable.swap(served);
-    if (usable.empty())
-        return std::nullopt;
-    return usable[static_cast<std::size_t>(now.time_since_epoch().count()) %
-                  usable.size()];
+            usable.push_back(state.address);
+    return usable;
 }
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -72,9 +72,8 @@
     void route_advice(advice_order order, boot_time now);
     void send_orders();
     void broadcast();
-    void send_to(const instance_id& id, agent_orders orders,
-                 std::vector<wire::cell_job_state> ended,
-                 std::vector<queue_depth> depths);
+    void send_to(const instance_id& id, wire::cell_orders message);
+    std::vector<endpoint> served_agents() const;
     void take_answer(const instance_id& id,
                      const std::vector<std::pair<worker_id, run_ref>>& starts,
                      const result<fence_token>& answer);
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -42,6 +42,13 @@
     (member(archive, values), ...);
 }
 
+template <class Archive>
+void serialize(Archive& archive, owner_identity& value)
+{
+    auto& [instance, address, token] = value;
+    members(archive, instance, address, token);
+}
+
 template <class Archive>
 void serialize(Archive& archive, task_ref& value)
 {
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -328,8 +328,8 @@
 template <class Archive>
 void serialize(Archive& archive, cell_report_reply& value)
 {
-    auto& [is_owner, instance] = value;
-    fields(archive, is_owner, instance);
+    auto& [is_owner, instance, owner] = value;
+    fields(archive, is_owner, instance, owner);
 }
 
 template <class Archive>
@@ -342,8 +342,8 @@
 template <class Archive>
 void serialize(Archive& archive, cell_orders& value)
 {
-    auto& [token, owner, orders, ended, depths, leaving, resigned] = value;
-    fields(archive, token, owner, orders, ended, depths, leaving, resigned);
+    auto& [token, owner, orders, ended, depths, leaving, resigned, peers] = value;
+    fields(archive, token, owner, orders, ended, depths, leaving, resigned, peers);
 }
 
 template <class Archive>
@@ -363,8 +363,8 @@
 template <class Archive>
 void serialize(Archive& archive, cell_query_reply& value)
 {
-    auto& [is_owner, found] = value;
-    fields(archive, is_owner, found);
+    auto& [is_owner, found, owner] = value;
+    fields(archive, is_owner, found, owner);
 }
 
 template <class Archive>
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -314,6 +314,25 @@
         at(milliseconds(random_.below(8000)), [this, job] { query(job); });
 }
 
+void cell_simulation::turn_away(std::size_t number, bool away)
+{
+    hosts_[number]->store.condition =
+        away ? store_condition::refusing : store_condition::well;
+}
+
+verdict cell_simulation::submit_at(std::size_t number, duration patience)
+{
+    const job_spec job = make_job();
+    history_.submitted[job.id] = job;
+    // The answer may come after the caller has gone.
+    const std::shared_ptr<std::optional<verdict>> told =
+        std::make_shared<std::optional<verdict>>();
+    hosts_[number]->instance->requests().submit(job,
+                                                [told](verdict given) { *told = given; });
+    loop_.advance(patience);
+    return told->value_or(verdict::unknown);
+}
+
 void cell_simulation::cancel(const job_key& job)
 {
     host& chosen = *hosts_[any_host()];
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -50,6 +50,16 @@
     /// Submits jobs for \p busy, with the given failures, and then lets all jobs end.
     void run(duration busy, const std::vector<cell_failure>& failures);
 
+    // For scripted histories.
+    void advance(duration step) { loop_.advance(step); }
+    std::size_t hosts() const { return hosts_.size(); }
+    /// The host that owns the cell.
+    std::size_t owner() const;
+    /// The store refuses calls of this host, or serves it again.
+    void turn_away(std::size_t number, bool away);
+    /// The first answer to a job that is submitted at this host, within \p patience.
+    verdict submit_at(std::size_t number, duration patience);
+
     const standins::cell_history& history() const { return history_; }
     /// Jobs that callers know to be accepted.
     std::size_t accepted() const;
@@ -60,7 +70,6 @@
 
     void start_host(std::size_t number);
     void kill_host(std::size_t number, duration pause);
-    std::size_t owner() const;
     std::size_t any_host();
     void fail(cell_failure what);
     void heal_store(std::size_t number, duration after);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -56,6 +56,22 @@
     expect_no_broken_rule(played);
 }
 
+// Callers of a failure domain whose hosts are all turned away have no other host to try.
+TEST(turned_away_test, hosts_follow_a_change_of_the_owner)
+{
+    cell_simulation played(1);
+    played.advance(seconds(4));
+    const std::size_t former = played.owner();
+    const std::size_t other = (former + 1) % played.hosts();
+    played.turn_away(former, true);
+    played.turn_away(other, true);
+    played.advance(seconds(4));
+    EXPECT_NE(played.owner(), former);
+    for (const std::size_t host : {former, other})
+        EXPECT_EQ(played.submit_at(host, std::chrono::milliseconds(200)), verdict::done)
+            << "host " << host;
+}
+
 /// More seeds by hand: HAWTHORNBEAM_SEEDS=1000 build/unittests/cell_tests.
 std::uint64_t seeds()
 {
