--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -24,8 +24,9 @@
 constexpr duration relay_timeout = std::chrono::milliseconds(1100);
 /// A count of waiting jobs is shown for so long.
 constexpr duration most_depth_age = std::chrono::milliseconds(1800);
-/// A planned stop waits so long for what is under way.
-constexpr duration handover_wait = std::chrono::milliseconds(600);
+/// A planned stop waits so long for the answers to starts that are under way, so that no
+/// gang is left with a part of its members.
+constexpr duration handover_wait = std::chrono::milliseconds(150);
 /// An owner that hears no other instance for so long is probably cut off from them, while
 /// it still reaches the store. The others get so long to claim the cell.
 constexpr duration alone_limit = std::chrono::milliseconds(2000);
@@ -46,6 +47,8 @@
                const std::function<void(wire::reply)>& answer);
     wire::reply take_orders(const instance_id& from, const wire::cell_orders& message);
     void gain(fence_token token, bool continued);
+    /// Logs when the store was lost or is back.
+    void note_store_state();
     void resign_when_cut_off();
     /// A host that the store turns away asks others who owns the cell.
     void ask_for_owner();
@@ -85,6 +88,7 @@
     boot_time depths_at{};
     std::vector<endpoint> peers; ///< Instances that the store answered lately.
     bool owner_answers = false;  ///< The owner has taken the last report.
+    bool store_missed = false;   ///< The store was last noted as failing.
     bool leaving = false;
     /// When another instance was heard last; empty when none was since the last
     /// resignation.
@@ -181,6 +185,20 @@
         });
 }
 
+void node::implementation::note_store_state()
+{
+    if (store.is_failing() == store_missed)
+        return;
+    store_missed = !store_missed;
+    const std::int64_t silence_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(store.silence()).count();
+    if (store_missed)
+        parts.log.warning("node", "store does not answer", {{"silence_ms", silence_ms}});
+    else
+        parts.log.info("node", "store answers again", {});
+    parts.metrics.set_gauge("hawthornbeam_store_answers", {}, store_missed ? 0 : 1);
+}
+
 void node::implementation::resign_when_cut_off()
 {
     const boot_time answered = parts.loop.clock().now() - store.silence();
@@ -432,6 +450,7 @@
                               [&self]
                               {
                                   self.report(self.agent.token(), agent_report());
+                                  self.note_store_state();
                                   self.resign_when_cut_off();
                                   self.ask_for_owner();
                               });
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -27,9 +27,11 @@
 constexpr duration quiet_time = seconds(45);
 
 /// HAWTHORNBEAM_TRACE=1 prints what the instances log, to trace a seed.
-bool is_traced()
+std::function<void(const std::string&)> traced_lines()
 {
-    return std::getenv("HAWTHORNBEAM_TRACE") != nullptr;
+    if (std::getenv("HAWTHORNBEAM_TRACE") == nullptr)
+        return nullptr;
+    return [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); };
 }
 
 } // namespace
@@ -38,17 +40,17 @@
 {
     host(std::uint64_t seed, event_loop& base, standins::memory_network& network,
          memory_store_state& shared, simulated_workers& workers, std::size_t number,
-         std::uint64_t life)
+         std::uint64_t life, const std::function<void(const std::string&)>& lines)
         : id("h" + std::to_string(number) + "." + std::to_string(life)),
           address("h" + std::to_string(number) + ":1"), loop(network.loop_of(id)),
           store(shared, loop), port(base, loop, workers), directory(loop, workers),
           peers(network.make_peers(id, wire::peer_address(address.value()))),
           random(seed * 1000 + number * 100 + life),
-          log(loop.clock(), id.value(), is_traced() ? log_level::info : log_level::error,
-              [](const std::string& line)
+          log(loop.clock(), id.value(), lines ? log_level::info : log_level::error,
+              [lines](const std::string& line)
               {
-                  if (is_traced())
-                      std::fprintf(stderr, "%s\n", line.c_str());
+                  if (lines)
+                      lines(line);
               }),
           instance(std::make_unique<node>(node_parts{loop, store, port, directory, *peers,
                                                      random, log, metrics, id, address,
@@ -80,7 +82,14 @@
 };
 
 cell_simulation::cell_simulation(std::uint64_t seed)
-    : random_(seed), network_(loop_, seed), workers_(loop_, seed + 1, history_)
+    : cell_simulation(seed, traced_lines())
+{
+}
+
+cell_simulation::cell_simulation(std::uint64_t seed,
+                                 std::function<void(const std::string&)> lines)
+    : lines_(std::move(lines)), random_(seed), network_(loop_, seed),
+      workers_(loop_, seed + 1, history_)
 {
     queue_policy queue;
     queue.name = queue_name("q");
@@ -103,7 +112,7 @@
     const std::uint64_t life = hosts_[number] ? hosts_[number]->life + 1 : 1;
     hosts_[number].reset();
     hosts_[number] = std::make_unique<host>(random_.next(), loop_, network_, store_,
-                                            workers_, number, life);
+                                            workers_, number, life, lines_);
     hosts_[number]->life = life;
     hosts_[number]->instance->configure({history_.queues.begin()->second});
     hosts_[number]->instance->start();
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -45,6 +45,8 @@
 {
 public:
     explicit cell_simulation(std::uint64_t seed);
+    /// Passes what the instances log to \p lines.
+    cell_simulation(std::uint64_t seed, std::function<void(const std::string&)> lines);
     ~cell_simulation();
 
     /// Submits jobs for \p busy, with the given failures, and then lets all jobs end.
@@ -84,6 +86,7 @@
     void at(duration delay, std::function<void()> action);
 
     manual_event_loop loop_;
+    std::function<void(const std::string&)> lines_; ///< Empty when nobody reads them.
     random_source random_;
     standins::cell_history history_;
     standins::memory_network network_;
