Drop workers that left from the list that a takeover waits for

Cause: a new owner holds inherited tasks back until it has looked at every worker of cell/workers, or until the longest lease of those it cannot reach has ended, 8.2 s. Workers were never taken from that list.

The list now loses a worker once its entry and its longest lease have ended. While at it: a worker that came while the list was being written counted as written when the answer arrived, 30 ms too early; a crash in between would have let its successor repeat a start.

Both tests fail without the change. A line tells when inherited tasks are released, after which wait and for which worker.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -186,6 +186,8 @@
                      boot_time now);
     bool lease_has_ended(const worker_status& holder, boot_time now) const;
     void expire_workers(boot_time now);
+    /// The worker can have no run that was not seen.
+    void settle(const worker_id& id, boot_time now);
     void repeat_stops(boot_time now);
     void move_stalled(boot_time now);
 
@@ -218,6 +220,7 @@
     std::map<worker_id, worker_status> workers;
     std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
     std::set<worker_id> unsettled; ///< Expected workers that were not looked at yet.
+    boot_time expected_at{};       ///< When they were expected.
     /// Ends of jobs that a receiver stored and of which this owner has not heard.
     std::map<job_key, std::vector<std::pair<worker_id, ended_task>>> early_ends;
     pending_changes changes;
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -376,7 +376,7 @@
     holder.clock = look.clock;
     holder.clock_at = now;
     holder.contact_at = now;
-    self.unsettled.erase(look.worker);
+    self.settle(look.worker, now);
     for (const ended_task& end : look.ended)
     {
         if (end.number <= holder.processed)
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -196,6 +196,7 @@
     assign_workers();
     if (!loaded)
         return;
+    drop_ended_workers();
     const std::vector<queue_depth> depths = cell.depths();
     parts.metrics.set_gauge("hawthornbeam_open_jobs", {},
                             static_cast<double>(cell.open_jobs()));
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -65,6 +65,23 @@
     decide_soon();
 }
 
+void owner::implementation::drop_ended_workers()
+{
+    // The scheduler forgets a worker once its entry and its longest lease have ended.
+    // A successor would wait for its lease again.
+    std::set<worker_id> known;
+    for (const worker_info& info : cell.workers())
+        known.insert(info.id);
+    const std::size_t dropped = std::erase_if(
+        wanted_workers, [&known](const worker_id& id) { return !known.contains(id); });
+    if (dropped == 0)
+        return;
+    std::erase_if(stored_workers,
+                  [this](const worker_id& id) { return !wanted_workers.contains(id); });
+    workers_changed = true;
+    store_soon();
+}
+
 void owner::implementation::assign_workers()
 {
     const boot_time now = parts.loop.clock().now();
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -61,6 +61,7 @@
     void add_accepted(wire::accepted_job accepted);
     void observe(const instance_id& from, const agent_report& report, boot_time now);
     void take_workers(const std::vector<worker_info>& listed);
+    void drop_ended_workers();
     void assign_workers();
     /// Orders that go to the agent of a worker next; nullptr when it has none.
     agent_orders* orders_for(const worker_id& worker);
@@ -122,7 +123,8 @@
     std::set<worker_id> stored_workers;
     std::set<worker_id> wanted_workers;
     bool workers_changed = false;
-    bool workers_in_batch = false;
+    /// The workers that the write under way names.
+    std::optional<std::set<worker_id>> workers_in_batch;
     kv_revision followed; ///< Revision up to which changes were read.
     bool following = false;
 
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -227,9 +227,10 @@
                                encode(job_record{state, std::nullopt, now_ms}),
                                lease_id()});
     }
-    workers_in_batch = workers_changed;
+    workers_in_batch.reset();
     if (workers_changed)
     {
+        workers_in_batch = wanted_workers;
         change.puts.push_back(
             {std::string(workers_key),
              encode(std::vector<worker_id>(wanted_workers.begin(), wanted_workers.end())),
@@ -284,7 +285,7 @@
     storing = false;
     if (!answer || !answer.value().committed)
     {
-        workers_changed = workers_changed || workers_in_batch;
+        workers_changed = workers_changed || workers_in_batch.has_value();
         for (const std::string& key : change.removals)
             outdated.push_back(key);
         if (answer)
@@ -306,7 +307,11 @@
     }
     if (workers_in_batch)
     {
-        stored_workers = wanted_workers;
+        // Workers that have come since then wait for the next write.
+        stored_workers.clear();
+        std::ranges::set_intersection(
+            *workers_in_batch, wanted_workers,
+            std::inserter(stored_workers, stored_workers.end()));
         for (const worker_id& id : stored_workers)
             cell.allow_worker(id);
     }
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -46,6 +46,7 @@
 
 void scheduler::expect_workers(const std::vector<worker_id>& workers, boot_time now)
 {
+    implementation_->expected_at = now;
     for (const worker_id& id : workers)
     {
         implementation_->worker(id, now);
@@ -83,6 +84,16 @@
            longest + std::chrono::duration_cast<duration>(limits.clock_drift * longest);
 }
 
+void scheduler::implementation::settle(const worker_id& id, boot_time now)
+{
+    if (unsettled.erase(id) == 0 || !unsettled.empty())
+        return;
+    const std::chrono::milliseconds waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - expected_at);
+    log.info("cell", "workers settled",
+             {{"waited_ms", std::int64_t{waited.count()}}, {"last", id.value()}});
+}
+
 void scheduler::implementation::expire_workers(boot_time now)
 {
     for (auto position = workers.begin(); position != workers.end();)
@@ -93,7 +104,7 @@
             ++position;
             continue;
         }
-        unsettled.erase(position->first);
+        settle(position->first, now);
         lose_runs(holder, "lease ended");
         holder.looked = false;
         if (holder.described)
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -110,6 +110,12 @@
                 last = std::max(last, order.last);
         return last;
     }
+    std::set<worker_id> stored_workers() const
+    {
+        const result<std::vector<worker_id>> stored =
+            decode_workers(state.items.at("cell/workers").value);
+        return {stored.value().begin(), stored.value().end()};
+    }
     void submit(const std::string& id)
     {
         report("a", {}, {{fleet::job(id, "q", 1, 1), true}});
@@ -229,6 +235,54 @@
     EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::done);
 }
 
+// A successor waits for the longest lease of each stored worker that it cannot look at,
+// 8 s, also when the worker left long ago.
+TEST_F(owner_test, drops_workers_from_the_store_once_they_have_surely_ended)
+{
+    start();
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(500));
+    ASSERT_EQ(stored_workers().size(), 1U);
+    directory.changed({});
+    loop.advance(seconds(5));
+    EXPECT_EQ(stored_workers().size(), 1U);
+    loop.advance(seconds(5));
+    EXPECT_TRUE(stored_workers().empty());
+    // It returns, and is used once it is stored again.
+    directory.changed(directory.workers);
+    loop.advance(milliseconds(500));
+    EXPECT_EQ(stored_workers().size(), 1U);
+}
+
+// A start on a worker of which no successor knows would be repeated by it.
+TEST_F(owner_test, uses_no_worker_that_came_while_the_list_was_being_written)
+{
+    start();
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(500));
+    std::vector<worker_info> listed = directory.workers;
+    listed.push_back(listed[0]);
+    listed.back().id = worker_id("w2");
+    directory.changed(listed);
+    // The write of "w2" is sent after 30 ms and answered 4 ms later.
+    loop.advance(milliseconds(31));
+    listed.push_back(listed[0]);
+    listed.back().id = worker_id("w3");
+    listed.back().capacity = resources{millicores(16000), byte_count(0), {}};
+    directory.changed(listed);
+    report("a", {}, {{fleet::job("a", "q", 1, 12), true}});
+    for (int step = 0; step < 300 && starts().empty(); ++step)
+    {
+        worker_look seen = look({assignment(), 1});
+        seen.worker = worker_id("w3");
+        report("a", with(seen));
+        loop.advance(milliseconds(1));
+    }
+    ASSERT_EQ(starts().size(), 1U);
+    EXPECT_EQ(starts()[0].worker, worker_id("w3"));
+    EXPECT_TRUE(stored_workers().contains(worker_id("w3")));
+}
+
 TEST_F(owner_test, knows_when_the_store_answered_others)
 {
     start();
