Acknowledge ends only to the life of a worker that was just seen

The worker crashed, restarted under its id, ran a task of the new life to its end, and then got the agent's next look with the highest number that had been acknowledged in the former life. It forgot the end, which nobody had seen, and the task ran again.

A look now carries an acknowledgement once, and only within 1 s of an answer and without a failed look in between, so that the life cannot have changed. The numbers of looks and ends stay the same.

Also: a worker that leaves without runs is dropped from cell/workers at once instead of after 8.2 s; only the owner whose token it has seen could start something there.

--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -21,6 +21,9 @@
 /// With ends that are not stored yet, a look returns at once; the next one waits for
 /// their acknowledgement or so long.
 constexpr duration acknowledgement_wait = std::chrono::milliseconds(500);
+/// Ends are acknowledged only so soon after an answer. Later, or after a failed look, the
+/// worker may have restarted under its id, and would forget the ends of its new life.
+constexpr duration acknowledgement_age = std::chrono::milliseconds(1000);
 /// Answers are collected for this long before they are reported.
 constexpr duration report_delay = std::chrono::milliseconds(20);
 /// Looks without an answer after which a worker is reported as unreachable.
@@ -32,8 +35,9 @@
     endpoint address;
     std::uint64_t assignment = 0;
     worker_life life;
-    end_number acknowledged;
-    end_number listed; ///< Highest end that a look returned.
+    end_number acknowledged; ///< By the owner.
+    end_number forgotten;    ///< By the worker.
+    end_number listed;       ///< Highest end that a look returned.
     worker_time clock;
     boot_time clock_at{};
     std::uint32_t failures = 0;
@@ -58,7 +62,7 @@
     void acknowledge(const acknowledge_order& order);
     void look(const worker_id& id);
     void look_after(const worker_id& id, duration delay);
-    void take_look(const worker_id& id, std::uint64_t assignment, look_answer answer);
+    void take_look(const worker_id& id, end_number acknowledged, look_answer answer);
     void start(const start_order& order);
     void stop_run(const stop_order& order);
     void ask(const advice_order& order);
@@ -128,7 +132,9 @@
     call.worker = id;
     call.address = worker.address;
     call.token = token;
-    call.acknowledged = worker.acknowledged;
+    if (worker.acknowledged > worker.forgotten && worker.failures == 0 &&
+        worker.look_began - worker.clock_at <= acknowledgement_age)
+        call.acknowledged = worker.acknowledged;
     if (worker.clock_at != boot_time())
     {
         const duration since = worker.look_began - worker.clock_at + most_lease;
@@ -139,17 +145,18 @@
     }
     const observation began{worker.assignment, events};
     port.look(call,
-              [weak = weak_from_this(), id, began](look_answer answer)
+              [weak = weak_from_this(), id, began,
+               acknowledged = call.acknowledged](look_answer answer)
               {
                   const std::shared_ptr<implementation> self = weak.lock();
                   if (!self)
                       return;
                   answer.look.began = began;
-                  self->take_look(id, began.assignment, std::move(answer));
+                  self->take_look(id, acknowledged, std::move(answer));
               });
 }
 
-void agent::implementation::take_look(const worker_id& id, std::uint64_t assignment,
+void agent::implementation::take_look(const worker_id& id, end_number acknowledged,
                                       look_answer answer)
 {
     const auto found = workers.find(id);
@@ -157,7 +164,7 @@
         return;
     assigned_worker& worker = found->second;
     worker.looking = false;
-    if (worker.assignment != assignment)
+    if (worker.assignment != answer.look.began.assignment)
         return look_after(id, duration::zero());
     if (answer.outcome != order_outcome::accepted)
     {
@@ -183,8 +190,11 @@
     {
         worker.life = look.life;
         worker.acknowledged = end_number();
+        worker.forgotten = end_number();
         worker.listed = end_number();
     }
+    else
+        worker.forgotten = std::max(worker.forgotten, acknowledged);
     const bool first = worker.clock_at == boot_time();
     worker.clock = look.clock;
     worker.clock_at = loop.clock().now();
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -16,6 +16,9 @@
 /// A worker that fails what it runs is left alone for so long at first.
 inline constexpr duration first_quarantine = std::chrono::seconds(2);
 
+/// Orders without an answer may be carried out this much later.
+inline constexpr duration late_order_limit = std::chrono::milliseconds(12000);
+
 /// What is known of a run that was sent to a worker.
 enum class run_phase : std::uint8_t
 {
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -19,8 +19,6 @@
 constexpr duration unknown_job_limit = std::chrono::milliseconds(3000);
 /// Progress of a run that has done its work.
 constexpr std::uint32_t whole_percent = 100;
-/// Orders without an answer may be carried out this much later.
-constexpr duration late_order_limit = std::chrono::milliseconds(12000);
 /// Starts of a worker that are remembered for it; more are given up only when nothing
 /// reaches the worker, which is then left alone.
 constexpr std::size_t most_abandoned = 256;
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -99,7 +99,12 @@
     for (auto position = workers.begin(); position != workers.end();)
     {
         worker_status& holder = position->second;
-        if (!lease_has_ended(holder, now))
+        std::erase_if(holder.abandoned, [now](const abandoned_start& each)
+                      { return now - each.at > late_order_limit; });
+        // Only this owner can start anything on a worker that has seen its token.
+        const bool has_left = !holder.described && holder.looked && holder.runs.empty() &&
+                              holder.abandoned.empty();
+        if (!has_left && !lease_has_ended(holder, now))
         {
             ++position;
             continue;
