--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -47,8 +47,8 @@
         looking.carry_out(fence_token(1), orders);
         loop.advance(milliseconds(1));
     }
-    /// Answers the look under way with the ends up to \p last, and waits for the next one;
-    /// returns the call that was answered.
+    /// Answers the look under way with the ends up to \p last, and waits for the next
+    /// one; returns the call that was answered.
     look_call answer(std::int64_t life, std::uint64_t last)
     {
         look_answer given;
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -79,6 +79,10 @@
     return wanted == nullptr ? 60 : std::strtoull(wanted, nullptr, 10);
 }
 
+// Seeds that failed once; docs/recovery.md names the faults.
+INSTANTIATE_TEST_SUITE_P(found, failures_test,
+                         testing::Values(307, 523, 643, 1189, 1477));
+
 INSTANTIATE_TEST_SUITE_P(seeds, failures_test,
                          testing::Range(std::uint64_t{1}, seeds() + 1));
 
