Log when an owner learns of a cancel, and when it decides late

New events: 'cancel learned' with its source and whether the job was known, 'decisions are late', and the duration of 'stored jobs read', which is now also logged when a loaded owner reads again. New histogram: hawthornbeam_decision_delay_seconds.

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -20,6 +20,9 @@
 constexpr duration agent_memory = 10 * agent_silence;
 /// Age of a job that a takeover found is not taken for higher.
 constexpr std::chrono::milliseconds most_age = std::chrono::minutes(2);
+/// A periodic decision that is this late shows that the host cannot keep up: half of the
+/// time after which agents are taken for lost.
+constexpr duration late_decision = agent_silence / 2;
 
 } // namespace
 
@@ -33,12 +36,30 @@
             else
                 early_workers = listed;
         });
-    decision_timer = parts.loop.every(decision_period, [this] { decide(); });
+    ticked_at = parts.loop.clock().now();
+    decision_timer = parts.loop.every(decision_period,
+                                      [this]
+                                      {
+                                          note_lateness();
+                                          decide();
+                                      });
     broadcast_timer = parts.loop.every(broadcast_period, [this] { broadcast(); });
     load_timer = parts.loop.every(reload_period, [this] { follow(); });
     load();
 }
 
+void owner::implementation::note_lateness()
+{
+    const boot_time now = parts.loop.clock().now();
+    const duration late = now - std::exchange(ticked_at, now) - decision_period;
+    parts.metrics.observe("hawthornbeam_decision_delay_seconds", {},
+                          std::max(late, duration::zero()));
+    if (late > late_decision)
+        parts.log.warning(
+            "owner", "decisions are late",
+            {{"late_ms", std::int64_t{late / std::chrono::milliseconds(1)}}});
+}
+
 void owner::implementation::decide_soon()
 {
     if (decision_due)
@@ -73,8 +94,7 @@
             early_accepted.push_back(std::move(accepted));
     }
     for (const job_key& job : report.cancelled)
-        if (!cell.cancel(job))
-            cancelled_early.insert(job);
+        cancel(job, "report");
     if (report.token == token)
         observe(from, report.report, now);
     if (!usable || leaves)
@@ -91,6 +111,19 @@
         cell.cancel(id);
 }
 
+void owner::implementation::cancel(const job_key& job, const char* source)
+{
+    const std::optional<job_state> state = cell.state(job);
+    const bool is_new = state ? !is_final(*state) : cancelled_early.insert(job).second;
+    if (!is_new)
+        return;
+    parts.log.info(
+        "owner", "cancel learned",
+        {{"job", job.value()}, {"source", source}, {"job_known", state ? 1 : 0}});
+    if (state)
+        cell.cancel(job);
+}
+
 boot_time owner::implementation::submission_time(const job_spec& job) const
 {
     // The wall clocks of hosts differ by seconds at worst, so that the age is bounded.
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -55,10 +55,13 @@
     }
 
     void begin();
+    void note_lateness();
     void decide_soon();
     void decide();
     void take_report(const instance_id& from, wire::cell_report report);
     void add_accepted(wire::accepted_job accepted);
+    /// Cancels a job, or notes the cancel until the job is known. \p source is logged.
+    void cancel(const job_key& job, const char* source);
     void observe(const instance_id& from, const agent_report& report, boot_time now);
     void take_workers(const std::vector<worker_info>& listed);
     void drop_ended_workers();
@@ -81,6 +84,7 @@
 
     // Reading and writing of the store (owner_store.cpp).
     void load();
+    void read_stored_jobs();
     void take_listing(const store_listing& listing);
     void take_item(const store_item& item, std::vector<stored_end>& ends,
                    std::vector<job_key>& cancels);
@@ -98,6 +102,7 @@
     fence_token token;
     scheduler cell;
     bool loaded = false;
+    boot_time load_began{};
     /// Workers that were listed before the stored jobs were read.
     std::optional<std::vector<worker_info>> early_workers;
     /// Jobs that were reported before.
@@ -128,6 +133,7 @@
     kv_revision followed; ///< Revision up to which changes were read.
     bool following = false;
 
+    boot_time ticked_at{}; ///< Of the decision timer.
     bool decision_due = false;
     bool store_due = false;
     timer_handle soon_timer;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -22,6 +22,12 @@
 } // namespace
 
 void owner::implementation::load()
+{
+    load_began = parts.loop.clock().now();
+    read_stored_jobs();
+}
+
+void owner::implementation::read_stored_jobs()
 {
     parts.store.list(std::string(cell_prefix),
                      [weak = weak_from_this()](const result<store_listing>& answer)
@@ -34,8 +40,8 @@
                          self->parts.log.warning("owner", "stored jobs not read",
                                                  {{"reason", answer.error().message}});
                          self->store_timer = self->parts.loop.after(
-                             store_retry,
-                             [implementation = self.get()] { implementation->load(); });
+                             store_retry, [implementation = self.get()]
+                             { implementation->read_stored_jobs(); });
                      });
 }
 
@@ -48,14 +54,15 @@
     for (const stored_end& end : ends)
         cell.restore_end(end);
     for (const job_key& job : cancels)
-        if (!cell.cancel(job))
-            cancelled_early.insert(job);
+        cancel(job, "stored");
     followed = std::max(followed, listing.at);
     remove_ends_of_ended_jobs();
-    if (!loaded)
-        parts.log.info("owner", "stored jobs read",
-                       {{"open", std::uint64_t{cell.open_jobs()}},
-                        {"items", std::uint64_t{listing.items.size()}}});
+    const duration took = parts.loop.clock().now() - load_began;
+    parts.log.info("owner", "stored jobs read",
+                   {{"open", std::uint64_t{cell.open_jobs()}},
+                    {"items", std::uint64_t{listing.items.size()}},
+                    {"took_ms", std::int64_t{took / std::chrono::milliseconds(1)}},
+                    {"first", loaded ? 0 : 1}});
     // Workers are looked at only now: ends and runs of jobs that are not known yet could
     // not be told from foreign ones.
     const bool first = !loaded;
@@ -182,8 +189,7 @@
         if (key.starts_with(cancel_prefix) || key.starts_with(job_prefix))
             take_item(event.item, ends, cancels);
         for (const job_key& job : cancels)
-            if (!cell.cancel(job))
-                cancelled_early.insert(job);
+            cancel(job, "change");
     }
     followed = std::max(followed, answer.value().at);
     if (!answer.value().events.empty())
