Simulate hosts of unequal size; a failing test for starts after a cancel

Tasks start 7.5 s after their job's cancel was confirmed; the cancel had come while the next owner, a small host, was reading the stored jobs.

It now has small hosts with slow pages, listings in pages, and cells with more work than room.

--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t host_count = 4;
 constexpr std::size_t worker_count = 6;
 constexpr std::int64_t cores_of_worker = 8;
+/// Shares of a processor, in thousandths.
+constexpr std::uint32_t large_share = 500;
+constexpr std::uint32_t small_share = 120;
+/// A page of the largest size at 10 Mbit/s.
+constexpr duration slow_page = milliseconds(500);
 /// Callers wait so long for an answer, and try so often.
 constexpr duration caller_patience = seconds(3);
 constexpr int most_attempts = 6;
@@ -40,7 +45,8 @@
 {
     host(std::uint64_t seed, event_loop& base, standins::memory_network& network,
          memory_store_state& shared, simulated_workers& workers, std::size_t number,
-         std::uint64_t life, const std::function<void(const std::string&)>& lines)
+         std::uint64_t life, bool is_small,
+         const std::function<void(const std::string&)>& lines)
         : id("h" + std::to_string(number) + "." + std::to_string(life)),
           address("h" + std::to_string(number) + ":1"), loop(network.loop_of(id)),
           store(shared, loop), port(base, loop, workers), directory(loop, workers),
@@ -52,10 +58,12 @@
                   if (lines)
                       lines(line);
               }),
-          instance(std::make_unique<node>(node_parts{loop, store, port, directory, *peers,
-                                                     random, log, metrics, id, address,
-                                                     250, scheduler_limits()}))
+          instance(std::make_unique<node>(node_parts{
+              loop, store, port, directory, *peers, random, log, metrics, id, address,
+              is_small ? small_share : large_share, scheduler_limits()}))
     {
+        if (is_small)
+            store.page_time = slow_page;
     }
 
     instance_id id;
@@ -82,15 +90,27 @@
 };
 
 cell_simulation::cell_simulation(std::uint64_t seed)
-    : cell_simulation(seed, traced_lines())
+    : cell_simulation(seed, cell_shape(), traced_lines())
+{
+}
+
+cell_simulation::cell_simulation(std::uint64_t seed, const cell_shape& shape)
+    : cell_simulation(seed, shape, traced_lines())
 {
 }
 
 cell_simulation::cell_simulation(std::uint64_t seed,
                                  std::function<void(const std::string&)> lines)
-    : lines_(std::move(lines)), random_(seed), network_(loop_, seed),
+    : cell_simulation(seed, cell_shape(), std::move(lines))
+{
+}
+
+cell_simulation::cell_simulation(std::uint64_t seed, const cell_shape& shape,
+                                 std::function<void(const std::string&)> lines)
+    : shape_(shape), lines_(std::move(lines)), random_(seed), network_(loop_, seed),
       workers_(loop_, seed + 1, history_)
 {
+    store_.page_items = shape.page_items;
     queue_policy queue;
     queue.name = queue_name("q");
     queue.service = service_name("pool");
@@ -111,13 +131,25 @@
 {
     const std::uint64_t life = hosts_[number] ? hosts_[number]->life + 1 : 1;
     hosts_[number].reset();
-    hosts_[number] = std::make_unique<host>(random_.next(), loop_, network_, store_,
-                                            workers_, number, life, lines_);
+    hosts_[number] =
+        std::make_unique<host>(random_.next(), loop_, network_, store_, workers_, number,
+                               life, is_small(number), lines_);
     hosts_[number]->life = life;
     hosts_[number]->instance->configure({history_.queues.begin()->second});
     hosts_[number]->instance->start();
 }
 
+bool cell_simulation::is_small(std::size_t number) const
+{
+    return number + shape_.small_hosts >= host_count;
+}
+
+void cell_simulation::kill_owner(duration pause)
+{
+    disturb();
+    kill_host(owner(), pause);
+}
+
 void cell_simulation::kill_host(std::size_t number, duration pause)
 {
     host& killed = *hosts_[number];
@@ -317,7 +349,7 @@
            });
     }
     const job_key job = asked->job.id;
-    if (random_.below(8) == 0)
+    if (random_.below(shape_.jobs_for_each_cancel) == 0)
         at(milliseconds(random_.below(3000)), [this, job] { cancel(job); });
     for (int times = 0; times < 3; ++times)
         at(milliseconds(random_.below(8000)), [this, job] { query(job); });
@@ -404,7 +436,8 @@
         std::chrono::duration_cast<milliseconds>(busy).count());
     for (const cell_failure each : failures)
         at(milliseconds(random_.below(span)), [this, each] { fail(each); });
-    for (std::uint64_t job = 0; job < span / 400; ++job)
+    const std::uint64_t jobs = static_cast<std::uint64_t>(busy / shape_.submit_period);
+    for (std::uint64_t job = 0; job < jobs; ++job)
         at(milliseconds(random_.below(span)),
            [this]
            {
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -40,13 +40,29 @@
 
 inline constexpr std::size_t cell_failures = 19;
 
+/// What a simulated cell is like.
+struct cell_shape
+{
+    /// The last hosts have a quarter of the others' processor and a slow link.
+    std::size_t small_hosts = 0;
+    /// Mean time between two jobs.
+    duration submit_period = std::chrono::milliseconds(400);
+    /// One of so many accepted jobs is cancelled.
+    std::uint64_t jobs_for_each_cancel = 8;
+    /// Records that the store returns at once.
+    std::size_t page_items = 500;
+};
+
 /// Runs one seeded history.
 class cell_simulation
 {
 public:
     explicit cell_simulation(std::uint64_t seed);
+    cell_simulation(std::uint64_t seed, const cell_shape& shape);
     /// Passes what the instances log to \p lines.
     cell_simulation(std::uint64_t seed, std::function<void(const std::string&)> lines);
+    cell_simulation(std::uint64_t seed, const cell_shape& shape,
+                    std::function<void(const std::string&)> lines);
     ~cell_simulation();
 
     /// Submits jobs for \p busy, with the given failures, and then lets all jobs end.
@@ -57,6 +73,9 @@
     std::size_t hosts() const { return hosts_.size(); }
     /// The host that owns the cell.
     std::size_t owner() const;
+    bool is_small(std::size_t number) const;
+    /// Ends the owner's process; a new one starts on its host after \p pause.
+    void kill_owner(duration pause);
     /// The store refuses calls of this host, or serves it again.
     void turn_away(std::size_t number, bool away);
     /// The first answer to a job that is submitted at this host, within \p patience.
@@ -85,6 +104,7 @@
     /// Like a timer that nobody needs to hold.
     void at(duration delay, std::function<void()> action);
 
+    cell_shape shape_;
     manual_event_loop loop_;
     std::function<void(const std::string&)> lines_; ///< Empty when nobody reads them.
     random_source random_;
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -56,6 +56,26 @@
     expect_no_broken_rule(played);
 }
 
+class unequal_hosts_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+/// One large host, and more work than the cell can do at once.
+constexpr cell_shape one_large_host{3, std::chrono::milliseconds(150), 2, 10};
+
+// Cancels that arrive while the next owner reads the stored jobs.
+TEST_P(unequal_hosts_test, start_no_cancelled_task_after_a_takeover)
+{
+    const std::uint64_t seed = GetParam();
+    random_source random(seed);
+    std::vector<cell_failure> failures{cell_failure::owner_killed};
+    for (std::size_t each = 0; each < seed % 3; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+    cell_simulation played(seed, one_large_host);
+    played.run(seconds(15), failures);
+    expect_no_broken_rule(played);
+}
+
 // Callers of a failure domain whose hosts are all turned away have no other host to try.
 TEST(turned_away_test, hosts_follow_a_change_of_the_owner)
 {
@@ -86,6 +106,8 @@
 INSTANTIATE_TEST_SUITE_P(seeds, failures_test,
                          testing::Range(std::uint64_t{1}, seeds() + 1));
 
+INSTANTIATE_TEST_SUITE_P(found, unequal_hosts_test, testing::Values(1, 5, 7));
+
 } // namespace
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -10,6 +10,9 @@
 constexpr duration call_time = std::chrono::milliseconds(4);
 constexpr duration lost_after = std::chrono::milliseconds(1000);
 constexpr duration poll_period = std::chrono::milliseconds(10);
+/// Calls are given up after it.
+constexpr duration page_timeout = std::chrono::milliseconds(1200);
+constexpr duration watch_timeout = std::chrono::milliseconds(700);
 } // namespace
 
 void memory_store_state::expire()
@@ -89,17 +92,47 @@
 
 void memory_store::list(const std::string& prefix, callback<store_listing> done)
 {
-    answer<store_listing>(done,
-                          [this, prefix]
-                          {
-                              ++state_.lists;
-                              store_listing listed;
-                              for (const auto& [key, item] : state_.items)
-                                  if (key.starts_with(prefix))
-                                      listed.items.push_back(item);
-                              listed.at = kv_revision(state_.revision);
-                              return listed;
-                          });
+    ++state_.lists;
+    list_page(prefix, "", std::make_shared<store_listing>(), std::move(done));
+}
+
+void memory_store::list_page(const std::string& prefix, const std::string& after,
+                             std::shared_ptr<store_listing> listed,
+                             callback<store_listing> done)
+{
+    if (page_time > page_timeout)
+        return later(page_timeout, [done]
+                     { done(make_error(error_code::outcome_unknown, "no answer")); });
+    const std::function<bool()> read_page = [this, prefix, after, listed]
+    {
+        if (listed->at == kv_revision())
+            listed->at = kv_revision(state_.revision);
+        std::size_t read = 0;
+        for (auto item = after.empty() ? state_.items.lower_bound(prefix)
+                                       : state_.items.upper_bound(after);
+             item != state_.items.end() && item->first.starts_with(prefix); ++item)
+        {
+            if (read++ == state_.page_items)
+                return false;
+            listed->items.push_back(item->second);
+        }
+        return true;
+    };
+    const callback<bool> next =
+        [this, prefix, listed, done = std::move(done)](const result<bool>& is_last)
+    {
+        if (!is_last)
+            return done(is_last.error());
+        const std::function<void()> arrive =
+            [this, prefix, listed, done, last = is_last.value()]
+        {
+            if (last)
+                return done(*listed);
+            list_page(prefix, listed->items.back().key, listed, done);
+        };
+        later(page_time - call_time, arrive);
+    };
+    answer<bool>(next, read_page);
 }
 
 void memory_store::watch(const std::string& prefix, kv_revision after, duration wait,
@@ -130,7 +163,17 @@
                   changes.events.clear();
               if (changes.events.empty() && state_.loop.clock().now() < until)
                   return poll(prefix, after, until, true, done);
-              done(std::move(changes));
+              const duration transfer = page_time * changes.events.size() /
+                                        static_cast<std::int64_t>(state_.page_items);
+              if (transfer > watch_timeout)
+                  return later(watch_timeout,
+                               [done] {
+                                   done(make_error(error_code::outcome_unknown,
+                                                   "no answer in time"));
+                               });
+              if (transfer <= call_time)
+                  return done(std::move(changes));
+              later(transfer, [done, changes] { done(changes); });
           });
 }
 
--- a/unittests/cell/memory_store.hpp
+++ b/unittests/cell/memory_store.hpp
@@ -7,6 +7,7 @@
 #include "hawthornbeam/support/event_loop.hpp"
 
 #include <map>
+#include <memory>
 
 namespace hawthornbeam::cell
 {
@@ -38,6 +39,8 @@
     std::vector<store_event> history;
     std::uint64_t revision = 1;
     std::uint64_t forgotten = 0; ///< Changes up to it are no longer available.
+    /// Items of a page of a listing.
+    std::size_t page_items = 500;
     std::size_t lists = 0;
     std::uint64_t last_lease = 0;
     std::size_t commits = 0;
@@ -62,11 +65,15 @@
     void renew(lease_id lease, callback<bool> done) override;
 
     store_condition condition = store_condition::well;
+    /// How long a page of a listing, or so many changes, are on their way to this client.
+    duration page_time = std::chrono::milliseconds(4);
 
 private:
     void later(duration delay, std::function<void()> action);
     template <class T>
     void answer(const callback<T>& done, std::function<T()> work);
+    void list_page(const std::string& prefix, const std::string& after,
+                   std::shared_ptr<store_listing> listed, callback<store_listing> done);
     store_commit apply(const store_transaction& change);
     void poll(const std::string& prefix, kv_revision after, boot_time until, bool waiting,
               const callback<store_changes>& done);
