Apply a cancel that was learned before its job, however the job comes

Cause: an owner that learns of a cancel before it knows the job keeps the cancel until a receiver reports the job. A job that came from the store, by a takeover's listing or by a change, did not meet it. A listing reads its pages one after the other, cancels before jobs, so cancels confirmed meanwhile were in neither. Only the next read of changes found them, 1 s later, or never while that read failed.

All jobs now come in through owner::add_job, which applies the early cancel. Ruled out: a lost report (the cancel was reported, the owner noted it).

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -89,7 +89,7 @@
     {
         // The store may show that a former owner has ended the job.
         if (loaded)
-            add_accepted(std::move(accepted));
+            add_job(std::move(accepted.job), !accepted.is_new);
         else
             early_accepted.push_back(std::move(accepted));
     }
@@ -102,11 +102,11 @@
     decide_soon();
 }
 
-void owner::implementation::add_accepted(wire::accepted_job accepted)
+void owner::implementation::add_job(job_spec job, bool inherited)
 {
-    const job_key id = accepted.job.id;
-    const boot_time submitted = submission_time(accepted.job);
-    if (cell.add_job(std::move(accepted.job), !accepted.is_new, submitted) &&
+    const job_key id = job.id;
+    const boot_time submitted = submission_time(job);
+    if (cell.add_job(std::move(job), inherited, submitted) &&
         cancelled_early.erase(id) != 0)
         cell.cancel(id);
 }
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -59,7 +59,9 @@
     void decide_soon();
     void decide();
     void take_report(const instance_id& from, wire::cell_report report);
-    void add_accepted(wire::accepted_job accepted);
+    /// Every job comes in here, whether a receiver reported it or the store shows it, and
+    /// meets a cancel that was learned before it.
+    void add_job(job_spec job, bool inherited);
     /// Cancels a job, or notes the cancel until the job is known. \p source is logged.
     void cancel(const job_key& job, const char* source);
     void observe(const instance_id& from, const agent_report& report, boot_time now);
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -68,7 +68,7 @@
     const bool first = !loaded;
     loaded = true;
     for (wire::accepted_job& accepted : std::exchange(early_accepted, {}))
-        add_accepted(std::move(accepted));
+        add_job(std::move(accepted.job), !accepted.is_new);
     if (first && early_workers)
         take_workers(*early_workers);
     early_workers.reset();
@@ -90,10 +90,7 @@
                 {{"key", item.key}, {"reason", record.error().message}});
         const job_key id{std::string(key.substr(job_prefix.size()))};
         if (record.value().job)
-        {
-            const boot_time submitted = submission_time(*record.value().job);
-            cell.add_job(std::move(*record.value().job), true, submitted);
-        }
+            add_job(std::move(*record.value().job), true);
         else if (!cell.state(id))
         {
             cell.restore_final(id, record.value().state);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -108,6 +108,9 @@
 
 INSTANTIATE_TEST_SUITE_P(found, unequal_hosts_test, testing::Values(1, 5, 7));
 
+INSTANTIATE_TEST_SUITE_P(seeds, unequal_hosts_test,
+                         testing::Range(std::uint64_t{1}, seeds() + 1));
+
 } // namespace
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -48,13 +48,17 @@
         state.revision = first_token;
         state.put("cell/owner", "", lease_id());
     }
-    void start()
+    void configure()
     {
         queue_policy queue;
         queue.name = queue_name("q");
         queue.service = service_name("pool");
         queue.attempts = 3;
         cell->configure({queue});
+    }
+    void start()
+    {
+        configure();
         cell->start();
         report("a");
         loop.advance(milliseconds(200));
@@ -235,6 +239,27 @@
     EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::done);
 }
 
+// A listing reads cancels before jobs, so it can miss the cancel of a job that it shows.
+TEST_F(owner_test, starts_no_job_whose_cancel_was_reported_before_the_job_was_read)
+{
+    job_record record;
+    record.job = fleet::job("a", "q", 1, 1);
+    state.put("cell/job/a", encode(record), lease_id());
+    state.put("cell/workers", encode(std::vector<worker_id>{worker_id("w")}), lease_id());
+    configure();
+    cell->start();
+    wire::cell_report cancelling;
+    cancelling.token = fence_token(first_token);
+    cancelling.address = endpoint("a");
+    cancelling.cancelled = {job_key("a")};
+    cell->take_report(instance_id("a"), cancelling);
+    loop.advance(milliseconds(200));
+    report("a", with(look({assignment(), 1})));
+    loop.advance(seconds(1));
+    EXPECT_TRUE(starts().empty());
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
+}
+
 // A successor waits for the longest lease of each stored worker that it cannot look at,
 // 8 s, also when the worker left long ago.
 TEST_F(owner_test, drops_an_idle_worker_from_the_store_when_it_leaves)
