Let the largest hosts own a cell

Every host claimed with the same chance.

Owners now tell the largest processor share among the instances that the store answers, and a host claims up to 0.4 s later the smaller it is beside that. Hosts of equal size behave as before.

unequal_hosts_test.leave_the_cell_to_a_large_host, 63 cells with two losses of the owner: 21 failed before, none after.

--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -65,6 +65,9 @@
     void resign();
     /// Other instances that were heard lately, if possible such that the store answers.
     std::vector<endpoint> agents() const;
+    /// Of a processor, in thousandths, at the largest instance that the store answers; 0
+    /// when none was heard.
+    std::uint32_t largest_share() const;
     /// States of the known ones of \p jobs. Empty until the stored jobs were read.
     std::optional<std::vector<wire::cell_job_state>>
     states(const std::vector<job_key>& jobs) const;
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -337,6 +337,9 @@
     bool leaving = false;  ///< The owner hands the cell over.
     bool resigned = false; ///< The cell was given up; any instance may claim it.
     std::vector<cell::endpoint> peers; ///< Some instances that the store answers.
+    /// Of a processor, in thousandths, at the largest host that could own the cell; 0:
+    /// not told.
+    std::uint32_t largest_share = 0;
 };
 struct cell_orders_reply
 {
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -5,6 +5,8 @@
 #include "hawthornbeam/cell/prefix_follower.hpp"
 #include "stored_form.hpp"
 
+#include <cassert>
+
 namespace hawthornbeam::cell
 {
 
@@ -19,6 +21,9 @@
 constexpr duration watch_wait = std::chrono::milliseconds(1000);
 /// Without a claim, instances claim at different times within this span.
 constexpr duration claim_spread = std::chrono::milliseconds(80);
+/// The smallest of hosts claim this much later than the largest, which need a watch's
+/// answer, the spread and two calls to the store for it.
+constexpr duration small_host_pause = std::chrono::milliseconds(400);
 /// While messages of an owner arrive, others let it claim again by itself for this long.
 constexpr duration owner_grace = std::chrono::milliseconds(1200);
 
@@ -83,6 +88,7 @@
     kv_revision expected_last; ///< What the claim under way expects.
     bool is_free = false;      ///< The store showed no claim last.
     fence_token gone;          ///< An owner that acts no more, though its claim stands.
+    double relative_size = 1;  ///< Of this host, beside the largest one.
     std::optional<prefix_follower> follower;
     std::optional<boot_time> heard_at; ///< The owner; empty once it has left.
     boot_time claim_not_before{};      ///< After a resignation others come first.
@@ -184,6 +190,9 @@
     if (!owning)
         delay = duration(static_cast<std::int64_t>(
             random.unit() * static_cast<double>(claim_spread.count())));
+    if (!owning)
+        delay += std::chrono::duration_cast<duration>(small_host_pause *
+                                                      (1.0 - relative_size));
     if (!owning && heard_at && now - *heard_at < owner_grace)
         delay += owner_grace - (now - *heard_at);
     delay = std::max(delay, claim_not_before - now);
@@ -347,6 +356,13 @@
     self.take_owner(known);
 }
 
+void claim::rank(double relative_size)
+{
+    assert(relative_size > 0 && relative_size <= 1 &&
+           "sizes are compared with the largest");
+    implementation_->relative_size = relative_size;
+}
+
 void claim::owner_is_gone(fence_token token, const char* reason)
 {
     implementation_->owner_is_gone(token, reason);
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -229,6 +229,7 @@
     assign_workers();
     if (!loaded)
         return;
+    const std::uint32_t largest = largest_share();
     drop_ended_workers();
     const std::vector<queue_depth> depths = cell.depths();
     parts.metrics.set_gauge("hawthornbeam_open_jobs", {},
@@ -250,6 +251,7 @@
         message.ended = newly_ended;
         message.depths = depths;
         message.peers = peers;
+        message.largest_share = largest;
         send_to(id, std::move(message));
     }
     newly_ended.clear();
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -3,6 +3,7 @@
 #include "owner_state.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthornbeam::cell
 {
@@ -20,9 +21,6 @@
 constexpr duration short_question = std::chrono::milliseconds(30);
 constexpr std::size_t agents_for_short_questions = 4;
 
-/// The store counts as answering an agent when it did so within this time; every instance
-/// calls it once a second.
-constexpr duration store_answer_age = std::chrono::milliseconds(1500);
 /// Instances that agents are told of: enough that one is up after a failure.
 constexpr std::size_t most_peers = 8;
 
@@ -227,11 +225,26 @@
     std::vector<endpoint> served;
     for (const auto& [id, state] : agents)
         if (id != parts.self && state.is_usable(now) && served.size() < most_peers &&
-            now - state.store_answered_at < store_answer_age)
+            state.is_served(now))
             served.push_back(state.address);
     return served;
 }
 
+std::uint32_t owner::implementation::largest_share() const
+{
+    const boot_time now = parts.loop.clock().now();
+    double largest = 0;
+    for (const auto& [id, state] : agents)
+        if (state.is_usable(now) && state.is_served(now))
+            largest = std::max(largest, state.share);
+    return static_cast<std::uint32_t>(std::lround(largest * 1000));
+}
+
+std::uint32_t owner::largest_share() const
+{
+    return implementation_->largest_share();
+}
+
 std::vector<endpoint> owner::agents() const
 {
     const boot_time now = implementation_->parts.loop.clock().now();
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -19,6 +19,10 @@
 /// An agent that was not heard for this long has its workers taken away.
 inline constexpr duration agent_silence = std::chrono::milliseconds(1500);
 
+/// The store counts as answering an agent when it did so within this time; every instance
+/// calls it once a second.
+inline constexpr duration store_answer_age = std::chrono::milliseconds(1500);
+
 struct agent_state
 {
     bool is_heard(boot_time now) const
@@ -29,6 +33,11 @@
     bool is_usable(boot_time now) const { return is_heard(now) && !leaving && !broken; }
 
     endpoint address;
+    bool is_served(boot_time now) const
+    {
+        return now - store_answered_at < store_answer_age;
+    }
+
     double share = 1; ///< Of a processor.
     boot_time heard_at{};
     bool leaving = false;
@@ -80,6 +89,7 @@
     void broadcast();
     void send_to(const instance_id& id, wire::cell_orders message);
     std::vector<endpoint> served_agents() const;
+    std::uint32_t largest_share() const;
     void take_answer(const instance_id& id,
                      const std::vector<std::pair<worker_id, run_ref>>& starts,
                      const result<fence_token>& answer);
--- a/lib/wire/messages.cpp
+++ b/lib/wire/messages.cpp
@@ -342,8 +342,10 @@
 template <class Archive>
 void serialize(Archive& archive, cell_orders& value)
 {
-    auto& [token, owner, orders, ended, depths, leaving, resigned, peers] = value;
-    fields(archive, token, owner, orders, ended, depths, leaving, resigned, peers);
+    auto& [token, owner, orders, ended, depths, leaving, resigned, peers, largest_share] =
+        value;
+    fields(archive, token, owner, orders, ended, depths, leaving, resigned, peers,
+           largest_share);
 }
 
 template <class Archive>
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -76,6 +76,25 @@
     expect_no_broken_rule(played);
 }
 
+/// Two large hosts, so that one remains when the other is lost.
+constexpr cell_shape two_large_hosts{2, std::chrono::milliseconds(400), 8, 10};
+
+// A small host cannot keep up with a cell of workers for which the large ones suffice.
+TEST_P(unequal_hosts_test, leave_the_cell_to_a_large_host)
+{
+    cell_simulation played(GetParam(), two_large_hosts);
+    played.advance(seconds(4));
+    EXPECT_FALSE(played.is_small(played.owner())) << "after the start";
+    for (int loss = 0; loss < 2; ++loss)
+    {
+        played.kill_owner(seconds(6));
+        // The claim ends within 2.5 s.
+        played.advance(seconds(4));
+        EXPECT_FALSE(played.is_small(played.owner())) << "after loss " << loss;
+        played.advance(seconds(6));
+    }
+}
+
 // Callers of a failure domain whose hosts are all turned away have no other host to try.
 TEST(turned_away_test, hosts_follow_a_change_of_the_owner)
 {
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -180,6 +180,32 @@
     EXPECT_EQ(owners(), 1);
 }
 
+class ranked_claim_test : public testing::TestWithParam<std::string>
+{
+};
+
+// Either host would do; the smaller one falls behind with a full cell.
+TEST_P(ranked_claim_test, goes_to_the_larger_of_two_hosts)
+{
+    manual_event_loop loop;
+    const logger log(loop.clock(), "test", log_level::error, [](const std::string&) {});
+    memory_store_state state(loop);
+    claimant small(loop, state, log, "small" + GetParam());
+    claimant large(loop, state, log, "large" + GetParam());
+    small.claimed.rank(0.24);
+    small.claimed.start();
+    large.claimed.start();
+    loop.advance(seconds(1));
+    EXPECT_TRUE(large.claimed.is_owner());
+    EXPECT_FALSE(small.claimed.is_owner());
+    // Without the larger one the cell is not left alone.
+    large.claimed.release();
+    loop.advance(seconds(1));
+    EXPECT_TRUE(small.claimed.is_owner());
+}
+
+INSTANTIATE_TEST_SUITE_P(draws, ranked_claim_test, testing::Values("1", "2", "3", "4"));
+
 TEST_F(claim_test, is_taken_again_after_a_resignation_that_nobody_used)
 {
     first.claimed.start();
