Keep the timers for writing and for reading the store apart

An owner that had to read the stored jobs again, since the store had dropped its history, and whose read failed, replaced the timer of a write that was due. The write never came, and store_soon() took it for still due: no end and no final state was stored or acknowledged until the next takeover.

owner_test.stores_an_end_that_came_before_a_second_read_... fails without the change.

--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -150,6 +150,7 @@
     bool store_due = false;
     timer_handle soon_timer;
     timer_handle store_timer;
+    timer_handle read_timer;
     timer_handle decision_timer;
     timer_handle broadcast_timer;
     timer_handle load_timer;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -39,7 +39,7 @@
                              return self->take_listing(answer.value());
                          self->parts.log.warning("owner", "stored jobs not read",
                                                  {{"reason", answer.error().message}});
-                         self->store_timer = self->parts.loop.after(
+                         self->read_timer = self->parts.loop.after(
                              store_retry, [implementation = self.get()]
                              { implementation->read_stored_jobs(); });
                      });
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -76,6 +76,19 @@
     expect_no_broken_rule(played);
 }
 
+/// Nothing but hosts to which the store's answers are slow.
+constexpr cell_shape small_hosts_only{4, std::chrono::milliseconds(150), 2, 10};
+
+// Changes that come while the stored jobs are read make the first answer a large one.
+TEST_P(unequal_hosts_test, learn_all_changes_after_a_takeover)
+{
+    cell_simulation played(GetParam(), small_hosts_only);
+    played.run(seconds(15),
+               {cell_failure::owner_killed, cell_failure::store_loses_answers_of_all,
+                cell_failure::store_forgets_history});
+    expect_no_broken_rule(played);
+}
+
 /// Two large hosts, so that one remains when the other is lost.
 constexpr cell_shape two_large_hosts{2, std::chrono::milliseconds(400), 8, 10};
 
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -10,6 +10,8 @@
 constexpr duration call_time = std::chrono::milliseconds(4);
 constexpr duration lost_after = std::chrono::milliseconds(1000);
 constexpr duration poll_period = std::chrono::milliseconds(10);
+/// Of changes; the users' pages call it `retention-s`.
+constexpr duration retention = std::chrono::seconds(20);
 /// Calls are given up after it.
 constexpr duration page_timeout = std::chrono::milliseconds(1200);
 constexpr duration watch_timeout = std::chrono::milliseconds(700);
@@ -40,6 +42,7 @@
     items[key] = store_item{key, std::move(value), kv_revision(revision)};
     leases_of[key] = lease;
     history.push_back({items[key], false});
+    changed_at.push_back(loop.clock().now());
 }
 
 void memory_store_state::remove(const std::string& key)
@@ -48,6 +51,14 @@
         return;
     leases_of.erase(key);
     history.push_back({store_item{key, "", kv_revision(++revision)}, true});
+    changed_at.push_back(loop.clock().now());
+}
+
+void memory_store_state::drop_old_history()
+{
+    const boot_time oldest = loop.clock().now() - retention;
+    for (; dropped < history.size() && changed_at[dropped] < oldest; ++dropped)
+        forgotten = std::max(forgotten, history[dropped].item.revision.value());
 }
 
 void memory_store::later(duration delay, std::function<void()> action)
@@ -151,6 +162,7 @@
                   condition != store_condition::cutting_watches)
                   return done(make_error(error_code::unavailable, "refused"));
               state_.expire();
+              state_.drop_old_history();
               store_changes changes;
               changes.history_lost = after.value() < state_.forgotten;
               if (changes.history_lost)
@@ -165,8 +177,9 @@
                   return poll(prefix, after, until, true, done);
               const duration transfer = page_time * changes.events.size() /
                                         static_cast<std::int64_t>(state_.page_items);
-              if (transfer > watch_timeout)
-                  return later(watch_timeout,
+              const duration left = until + watch_timeout - state_.loop.clock().now();
+              if (transfer > left)
+                  return later(left,
                                [done] {
                                    done(make_error(error_code::outcome_unknown,
                                                    "no answer in time"));
--- a/unittests/cell/memory_store.hpp
+++ b/unittests/cell/memory_store.hpp
@@ -29,6 +29,8 @@
     void expire();
     void put(const std::string& key, std::string value, lease_id lease);
     void remove(const std::string& key);
+    /// Forgets changes that are older than the store keeps them.
+    void drop_old_history();
     /// Drops the changes so far; watches that continue from before have to list.
     void forget_history() { forgotten = revision; }
 
@@ -37,6 +39,8 @@
     std::map<std::string, lease_id> leases_of;
     std::map<lease_id, std::pair<boot_time, duration>> leases;
     std::vector<store_event> history;
+    std::vector<boot_time> changed_at; ///< Of each change of the history.
+    std::size_t dropped = 0;           ///< First changes of it that were dropped.
     std::uint64_t revision = 1;
     std::uint64_t forgotten = 0; ///< Changes up to it are no longer available.
     /// Items of a page of a listing.
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -120,6 +120,18 @@
             decode_workers(state.items.at("cell/workers").value);
         return {stored.value().begin(), stored.value().end()};
     }
+    void drop_history()
+    {
+        ++state.revision;
+        state.put("cell/other", "", lease_id());
+        state.forget_history();
+    }
+    void advance_to_next_read()
+    {
+        const std::size_t before = state.lists;
+        for (int step = 0; step < 2000 && state.lists == before; ++step)
+            loop.advance(milliseconds(1));
+    }
     void submit(const std::string& id)
     {
         report("a", {}, {{fleet::job(id, "q", 1, 1), true}});
@@ -367,6 +379,27 @@
     EXPECT_EQ(starts()[0].run.task.job, job_key("orphan"));
 }
 
+// The pause before the next attempt to read must not end the one before a write.
+TEST_F(owner_test, stores_an_end_that_came_before_a_second_read_of_the_jobs_failed)
+{
+    start();
+    submit("a");
+    report("a", with(look({assignment(), 1})));
+    loop.advance(milliseconds(200));
+    ASSERT_EQ(starts().size(), 1U);
+    drop_history();
+    store.page_time = seconds(2);
+    advance_to_next_read();
+    loop.advance(milliseconds(1190));
+    worker_look ended = look({assignment(), 2});
+    ended.ended.push_back({end_number(1), starts()[0].run, run_end::done, checkpoint()});
+    report("a", with(ended));
+    loop.advance(milliseconds(20));
+    store.page_time = milliseconds(4);
+    loop.advance(seconds(2));
+    EXPECT_EQ(acknowledged(), end_number(1));
+}
+
 TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
 {
     start();
