Read the stored jobs once at a time

After the store had dropped its history, the owner began another read of all stored jobs each second until one had ended. On a host that needs several seconds for one, up to 12 ran side by side, and changes, cancels among them, were not seen meanwhile.

owner_test.reads_the_stored_jobs_once_at_a_time fails without the change.

--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -114,6 +114,7 @@
     fence_token token;
     scheduler cell;
     bool loaded = false;
+    bool loading = false;
     boot_time load_began{};
     /// Workers that were listed before the stored jobs were read.
     std::optional<std::vector<worker_info>> early_workers;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -23,6 +23,7 @@
 
 void owner::implementation::load()
 {
+    loading = true;
     load_began = parts.loop.clock().now();
     read_stored_jobs();
 }
@@ -67,6 +68,7 @@
     // not be told from foreign ones.
     const bool first = !loaded;
     loaded = true;
+    loading = false;
     for (wire::accepted_job& accepted : std::exchange(early_accepted, {}))
         add_job(std::move(accepted.job), !accepted.is_new);
     if (first && early_workers)
@@ -154,7 +156,7 @@
 
 void owner::implementation::follow()
 {
-    if (!loaded || following)
+    if (loading || following)
         return;
     following = true;
     parts.store.watch(std::string(cell_prefix), followed, duration::zero(),
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -400,6 +400,22 @@
     EXPECT_EQ(acknowledged(), end_number(1));
 }
 
+// Reads that run side by side share a slow link, and none of them ends in time.
+TEST_F(owner_test, reads_the_stored_jobs_once_at_a_time)
+{
+    start();
+    for (int job = 0; job < 8; ++job)
+        state.put("cell/ends/1-" + std::to_string(job), encode(std::vector<stored_end>()),
+                  lease_id());
+    state.page_items = 2;
+    store.page_time = milliseconds(800);
+    drop_history();
+    advance_to_next_read();
+    const std::size_t reads = state.lists;
+    loop.advance(milliseconds(3500));
+    EXPECT_EQ(state.lists, reads);
+}
+
 TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
 {
     start();
