Move the position of the owner's reads only with answers that can be trusted

The owner moved the position from which it reads the store's changes with each answer, also with one that showed no change.

An answer without changes now moves the position only when it is 3 s old and nothing came since.

owner_test.finds_a_cancel_that_an_answer_of_the_store_left_out fails without the change; a quiet cell still reads the stored jobs once.

--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -103,6 +103,7 @@
     void remove_ends_of_ended_jobs();
     void follow();
     void take_changes(const result<store_changes>& answer);
+    void move_position(const store_changes& answer);
     void store_soon();
     void store_now();
     void commit(store_transaction change);
@@ -145,6 +146,8 @@
     std::optional<std::set<worker_id>> workers_in_batch;
     kv_revision followed; ///< Revision up to which changes were read.
     bool following = false;
+    /// Position and time of the first of the answers without changes that came last.
+    std::optional<std::pair<kv_revision, boot_time>> quiet_since;
 
     boot_time ticked_at{}; ///< Of the decision timer.
     bool decision_due = false;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -14,6 +14,9 @@
 constexpr duration store_delay = std::chrono::milliseconds(30);
 /// Pause after a write that failed.
 constexpr duration store_retry = std::chrono::milliseconds(250);
+/// Answers without changes move the position of the read only after this time: while the
+/// store compacts, watches may hear nothing for a second.
+constexpr duration quiet_confirmation = std::chrono::milliseconds(3000);
 /// Final states and removals of a transaction; the rest of the entries is for the claim,
 /// the ends and the workers.
 constexpr std::size_t most_final_states = 20;
@@ -190,11 +193,29 @@
         for (const job_key& job : cancels)
             cancel(job, "change");
     }
-    followed = std::max(followed, answer.value().at);
+    move_position(answer.value());
     if (!answer.value().events.empty())
         decide_soon();
 }
 
+void owner::implementation::move_position(const store_changes& answer)
+{
+    const boot_time now = parts.loop.clock().now();
+    if (!answer.events.empty())
+    {
+        followed = std::max(followed, answer.at);
+        quiet_since.reset();
+        return;
+    }
+    // Changes that the store leaves out come with a later answer, or their loss is told,
+    // as long as the position stays before them.
+    if (quiet_since && now - quiet_since->second < quiet_confirmation)
+        return;
+    if (quiet_since)
+        followed = std::max(followed, quiet_since->first);
+    quiet_since = {answer.at, now};
+}
+
 void owner::implementation::store_soon()
 {
     if (store_due || storing || !loaded)
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -159,7 +159,8 @@
           [this, prefix, after, until, waiting, done]
           {
               if (condition != store_condition::well &&
-                  condition != store_condition::cutting_watches)
+                  condition != store_condition::cutting_watches &&
+                  condition != store_condition::deaf_watches)
                   return done(make_error(error_code::unavailable, "refused"));
               state_.expire();
               state_.drop_old_history();
@@ -171,7 +172,8 @@
                   if (event.item.revision > after && event.item.key.starts_with(prefix))
                       changes.events.push_back(event);
               changes.at = kv_revision(state_.revision);
-              if (waiting && condition == store_condition::cutting_watches)
+              if (condition == store_condition::deaf_watches ||
+                  (waiting && condition == store_condition::cutting_watches))
                   changes.events.clear();
               if (changes.events.empty() && state_.loop.clock().now() < until)
                   return poll(prefix, after, until, true, done);
--- a/unittests/cell/memory_store.hpp
+++ b/unittests/cell/memory_store.hpp
@@ -18,6 +18,7 @@
     well,
     refusing,        ///< Answers that it has done nothing.
     cutting_watches, ///< Ends waiting watches without the changes that came meanwhile.
+    deaf_watches,    ///< Answers watches without the changes that they should show.
     losing_answers   ///< Does what it is asked and does not answer.
 };
 
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -416,6 +416,28 @@
     EXPECT_EQ(state.lists, reads);
 }
 
+// A store that is about to drop its history may hide changes from watches for a second.
+TEST_F(owner_test, finds_a_cancel_that_an_answer_of_the_store_left_out)
+{
+    start();
+    submit("a");
+    store.condition = store_condition::deaf_watches;
+    ++state.revision;
+    state.put("cell/cancel/a", "", lease_id());
+    loop.advance(milliseconds(1500));
+    store.condition = store_condition::well;
+    loop.advance(milliseconds(1500));
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
+}
+
+// Without changes to read, the position has to move on before the store drops it.
+TEST_F(owner_test, reads_the_stored_jobs_no_second_time_in_a_quiet_cell)
+{
+    start();
+    loop.advance(seconds(50));
+    EXPECT_EQ(state.lists, 1U);
+}
+
 TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
 {
     start();
