Start inherited jobs only when the changes since the listing were read

A cancel whose receiver died, or reported it to the former owner, is only in the store, maybe on a page that was read before. The owner decided 10 ms after the listing and read the changes up to 1 s later, or later still when that read failed.

The owner now reads the changes right after a listing and holds inherited jobs until they have arrived. Jobs accepted after its claim start at once as before.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -83,6 +83,8 @@
     /// Workers that a former owner may have used; inherited tasks wait for a look at
     /// them or for the end of every lease that they can have.
     void expect_workers(const std::vector<worker_id>& workers, boot_time now);
+    /// While held, inherited jobs start no tasks: their cancels may not be known yet.
+    void hold_inherited(bool held);
     /// Workers that are described or still may run something.
     std::vector<worker_info> workers() const;
     /// Tasks are started only on workers that the store names as used.
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -224,6 +224,7 @@
     std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
     std::set<worker_id> unsettled; ///< Expected workers that were not looked at yet.
     boot_time expected_at{};       ///< When they were expected.
+    bool inherited_held = false;
     /// Ends of jobs that a receiver stored and of which this owner has not heard.
     std::map<job_key, std::vector<std::pair<worker_id, ended_task>>> early_ends;
     pending_changes changes;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -72,6 +72,9 @@
     const bool first = !loaded;
     loaded = true;
     loading = false;
+    // The pages are no snapshot: a cancel may have come after the page that would show it.
+    cell.hold_inherited(true);
+    follow();
     for (wire::accepted_job& accepted : std::exchange(early_accepted, {}))
         add_job(std::move(accepted.job), !accepted.is_new);
     if (first && early_workers)
@@ -193,9 +196,9 @@
         for (const job_key& job : cancels)
             cancel(job, "change");
     }
+    cell.hold_inherited(false);
     move_position(answer.value());
-    if (!answer.value().events.empty())
-        decide_soon();
+    decide_soon();
 }
 
 void owner::implementation::move_position(const store_changes& answer)
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -398,7 +398,7 @@
         return;
     }
     step_status& status = job->steps[step];
-    if (job->inherited && !unsettled.empty())
+    if (job->inherited && (inherited_held || !unsettled.empty()))
         return;
     if (job->spec.steps[step].gang)
     {
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -54,6 +54,11 @@
     }
 }
 
+void scheduler::hold_inherited(bool held)
+{
+    implementation_->inherited_held = held;
+}
+
 std::vector<worker_info> scheduler::workers() const
 {
     std::vector<worker_info> listed;
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -438,6 +438,30 @@
     EXPECT_EQ(state.lists, 1U);
 }
 
+// The receiver of the cancel may have died or reported it to the former owner.
+TEST_F(owner_test, starts_no_job_whose_cancel_was_stored_while_the_jobs_were_read)
+{
+    job_record record;
+    record.job = fleet::job("a", "q", 1, 1);
+    state.put("cell/job/a", encode(record), lease_id());
+    state.put("cell/workers", encode(std::vector<worker_id>{worker_id("w")}), lease_id());
+    state.page_items = 1;
+    store.page_time = milliseconds(150);
+    configure();
+    cell->start();
+    // The key sorts before those of the second page.
+    loop.advance(milliseconds(200));
+    ++state.revision;
+    state.put("cell/cancel/a", "", lease_id());
+    for (int step = 0; step < 300; ++step)
+    {
+        report("a", with(look({assignment(), 1})));
+        loop.advance(milliseconds(10));
+    }
+    EXPECT_TRUE(starts().empty());
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
+}
+
 TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
 {
     start();
