Give a large answer to the owner's read of changes time to arrive

The time-out of 0.7 s ended it, and each further answer was larger. So a small owner saw no change until the store had dropped its history 20 s later.

The time for the answer is now separate from the wait for a change, and doubles up to 2.8 s with each answer that does not come.

owner_test.learns_changes_that_take_long_to_arrive fails without the change; owner_test, unequal_hosts_test and the tests of the adapter pass.

--- a/include/hawthornbeam/cell/observed_store.hpp
+++ b/include/hawthornbeam/cell/observed_store.hpp
@@ -21,7 +21,7 @@
 
     void read(const std::string& key, callback<std::optional<store_item>> done) override;
     void list(const std::string& prefix, callback<store_listing> done) override;
-    void watch(const std::string& prefix, kv_revision after, duration wait,
+    void watch(const std::string& prefix, kv_revision after, watch_times times,
                callback<store_changes> done) override;
     void commit(store_transaction change, callback<store_commit> done) override;
     void grant(duration life, callback<lease_id> done) override;
--- a/include/hawthornbeam/cell/store.hpp
+++ b/include/hawthornbeam/cell/store.hpp
@@ -73,6 +73,15 @@
     std::size_t size() const { return expect.size() + puts.size() + removals.size(); }
 };
 
+/// How long a watch may take.
+struct watch_times
+{
+    duration wait{}; ///< For a change to come.
+    /// For the answer to arrive after that. The usual one suffices for some changes; all
+    /// of several seconds need more on a slow link.
+    duration transfer = std::chrono::milliseconds(700);
+};
+
 /// What became of a transaction whose answer arrived.
 struct store_commit
 {
@@ -97,8 +106,8 @@
     virtual void read(const std::string& key,
                       callback<std::optional<store_item>> done) = 0;
     virtual void list(const std::string& prefix, callback<store_listing> done) = 0;
-    /// Waits up to \p wait for changes of keys with \p prefix after \p after.
-    virtual void watch(const std::string& prefix, kv_revision after, duration wait,
+    /// Waits for changes of keys with \p prefix after \p after.
+    virtual void watch(const std::string& prefix, kv_revision after, watch_times times,
                        callback<store_changes> done) = 0;
     virtual void commit(store_transaction change, callback<store_commit> done) = 0;
     virtual void grant(duration life, callback<lease_id> done) = 0;
--- a/lib/cell/observed_store.cpp
+++ b/lib/cell/observed_store.cpp
@@ -58,10 +58,10 @@
     store_.list(prefix, noting(std::move(done)));
 }
 
-void observed_store::watch(const std::string& prefix, kv_revision after, duration wait,
-                           callback<store_changes> done)
+void observed_store::watch(const std::string& prefix, kv_revision after,
+                           watch_times times, callback<store_changes> done)
 {
-    store_.watch(prefix, after, wait, noting(std::move(done)));
+    store_.watch(prefix, after, times, noting(std::move(done)));
 }
 
 void observed_store::commit(store_transaction change, callback<store_commit> done)
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -146,6 +146,7 @@
     std::optional<std::set<worker_id>> workers_in_batch;
     kv_revision followed; ///< Revision up to which changes were read.
     bool following = false;
+    duration follow_transfer = watch_times().transfer; ///< Time for the next answer.
     /// Position and time of the first of the answers without changes that came last.
     std::optional<std::pair<kv_revision, boot_time>> quiet_since;
 
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -14,6 +14,9 @@
 constexpr duration store_delay = std::chrono::milliseconds(30);
 /// Pause after a write that failed.
 constexpr duration store_retry = std::chrono::milliseconds(250);
+/// Longest time for an answer with changes to arrive. Nothing else is read meanwhile, and
+/// cancels must be known within 4 s.
+constexpr duration most_follow_transfer = std::chrono::milliseconds(2800);
 /// Answers without changes move the position of the read only after this time: while the
 /// store compacts, watches may hear nothing for a second.
 constexpr duration quiet_confirmation = std::chrono::milliseconds(3000);
@@ -72,7 +75,8 @@
     const bool first = !loaded;
     loaded = true;
     loading = false;
-    // The pages are no snapshot: a cancel may have come after the page that would show it.
+    // The pages are no snapshot: a cancel may have come after the page that would show
+    // it.
     cell.hold_inherited(true);
     follow();
     for (wire::accepted_job& accepted : std::exchange(early_accepted, {}))
@@ -165,7 +169,8 @@
     if (loading || following)
         return;
     following = true;
-    parts.store.watch(std::string(cell_prefix), followed, duration::zero(),
+    parts.store.watch(std::string(cell_prefix), followed,
+                      watch_times{duration::zero(), follow_transfer},
                       [weak = weak_from_this()](const result<store_changes>& answer)
                       {
                           const std::shared_ptr<implementation> self = weak.lock();
@@ -178,7 +183,13 @@
 {
     following = false;
     if (!answer)
+    {
+        // The answer holds all changes since the last one that arrived, so on a slow link
+        // it takes longer each time.
+        follow_transfer = std::min(2 * follow_transfer, most_follow_transfer);
         return;
+    }
+    follow_transfer = watch_times().transfer;
     if (answer.value().history_lost)
         return load();
     for (const store_event& event : answer.value().events)
--- a/lib/cell/prefix_follower.cpp
+++ b/lib/cell/prefix_follower.cpp
@@ -65,7 +65,7 @@
 
 void prefix_follower::implementation::watch()
 {
-    store.watch(prefix, seen, waits.wait,
+    store.watch(prefix, seen, watch_times{waits.wait},
                 [weak = weak_from_this()](const result<store_changes>& answer)
                 {
                     const std::shared_ptr<implementation> self = weak.lock();
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -14,7 +14,6 @@
 constexpr duration retention = std::chrono::seconds(20);
 /// Calls are given up after it.
 constexpr duration page_timeout = std::chrono::milliseconds(1200);
-constexpr duration watch_timeout = std::chrono::milliseconds(700);
 } // namespace
 
 void memory_store_state::expire()
@@ -146,17 +145,19 @@
     answer<bool>(next, read_page);
 }
 
-void memory_store::watch(const std::string& prefix, kv_revision after, duration wait,
+void memory_store::watch(const std::string& prefix, kv_revision after, watch_times times,
                          callback<store_changes> done)
 {
-    poll(prefix, after, state_.loop.clock().now() + wait, false, done);
+    poll(prefix, after, state_.loop.clock().now() + times.wait, times.transfer, false,
+         done);
 }
 
 void memory_store::poll(const std::string& prefix, kv_revision after, boot_time until,
-                        bool waiting, const callback<store_changes>& done)
+                        duration transfer_limit, bool waiting,
+                        const callback<store_changes>& done)
 {
     later(poll_period,
-          [this, prefix, after, until, waiting, done]
+          [this, prefix, after, until, transfer_limit, waiting, done]
           {
               if (condition != store_condition::well &&
                   condition != store_condition::cutting_watches &&
@@ -176,10 +177,10 @@
                   (waiting && condition == store_condition::cutting_watches))
                   changes.events.clear();
               if (changes.events.empty() && state_.loop.clock().now() < until)
-                  return poll(prefix, after, until, true, done);
+                  return poll(prefix, after, until, transfer_limit, true, done);
               const duration transfer = page_time * changes.events.size() /
                                         static_cast<std::int64_t>(state_.page_items);
-              const duration left = until + watch_timeout - state_.loop.clock().now();
+              const duration left = until + transfer_limit - state_.loop.clock().now();
               if (transfer > left)
                   return later(left,
                                [done] {
--- a/unittests/cell/memory_store.hpp
+++ b/unittests/cell/memory_store.hpp
@@ -63,7 +63,7 @@
 
     void read(const std::string& key, callback<std::optional<store_item>> done) override;
     void list(const std::string& prefix, callback<store_listing> done) override;
-    void watch(const std::string& prefix, kv_revision after, duration wait,
+    void watch(const std::string& prefix, kv_revision after, watch_times times,
                callback<store_changes> done) override;
     void commit(store_transaction change, callback<store_commit> done) override;
     void grant(duration life, callback<lease_id> done) override;
@@ -80,8 +80,8 @@
     void list_page(const std::string& prefix, const std::string& after,
                    std::shared_ptr<store_listing> listed, callback<store_listing> done);
     store_commit apply(const store_transaction& change);
-    void poll(const std::string& prefix, kv_revision after, boot_time until, bool waiting,
-              const callback<store_changes>& done);
+    void poll(const std::string& prefix, kv_revision after, boot_time until,
+              duration transfer_limit, bool waiting, const callback<store_changes>& done);
 
     memory_store_state& state_;
     event_loop& loop_;
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -462,6 +462,23 @@
     EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
 }
 
+// On a slow link the answer to a read of many changes comes after the usual time-out.
+TEST_F(owner_test, learns_changes_that_take_long_to_arrive)
+{
+    start();
+    state.page_items = 10;
+    store.page_time = milliseconds(400);
+    for (int job = 0; job < 30; ++job)
+    {
+        ++state.revision;
+        job_record record;
+        record.job = fleet::job("orphan" + std::to_string(job), "q", 1, 1);
+        state.put("cell/job/orphan" + std::to_string(job), encode(record), lease_id());
+    }
+    loop.advance(seconds(6));
+    EXPECT_EQ(cell->states({job_key("orphan0"), job_key("orphan29")})->size(), 2U);
+}
+
 TEST_F(owner_test, steps_down_when_a_worker_refuses_its_token)
 {
     start();
