Hand a cell over only while the store answers; tell sizes while loading

Review of the hand-over to larger hosts. A small owner could give its claim up at the start of an outage of the store, in which nobody can claim; it now needs an answer of the store within 0.6 s. An owner that was still reading the stored jobs told nobody the size of the largest host, nor that it hands over.

--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -51,8 +51,8 @@
     /// The owner hands the cell over: nobody needs to wait for it.
     void owner_leaves();
     /// How large this host is beside the largest one, above 0 and at most 1. Smaller
-    /// hosts claim later, since a cell may be more than they can keep up with.
-    void rank(double relative_size);
+    /// hosts claim later, since they may not keep up with a cell.
+    void set_relative_size(double relative_size);
     /// The owner with \p token acts no more: its process has ended or it has resigned.
     /// Its claim is replaced without waiting for the end of its lease. When it acts after
     /// all, it learns of the higher token from the store and from workers.
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -21,8 +21,8 @@
 constexpr duration watch_wait = std::chrono::milliseconds(1000);
 /// Without a claim, instances claim at different times within this span.
 constexpr duration claim_spread = std::chrono::milliseconds(80);
-/// The smallest of hosts claim this much later than the largest, which need a watch's
-/// answer, the spread and two calls to the store for it.
+/// How much later than the largest host the smallest ones claim: longer than the largest
+/// needs to see that the cell is free and to claim it.
 constexpr duration small_host_pause = std::chrono::milliseconds(400);
 /// While messages of an owner arrive, others let it claim again by itself for this long.
 constexpr duration owner_grace = std::chrono::milliseconds(1200);
@@ -356,7 +356,7 @@
     self.take_owner(known);
 }
 
-void claim::rank(double relative_size)
+void claim::set_relative_size(double relative_size)
 {
     assert(relative_size > 0 && relative_size <= 1 &&
            "sizes are compared with the largest");
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -35,12 +35,16 @@
 /// is cut off from it. Longer than the time between two calls of an owner without work.
 constexpr duration cut_off_limit = std::chrono::milliseconds(700);
 constexpr duration cut_off_pause = std::chrono::milliseconds(4000);
-/// An owner passes the cell on to a host with so many times its processor share.
+/// An owner hands the cell over to a host with so many times its processor share.
 constexpr std::uint32_t larger_factor = 2;
-/// After a claim, so that agents have reported; longer than two heartbeats.
-constexpr duration first_comparison = std::chrono::milliseconds(1200);
-/// Between two attempts to pass the cell on, since the larger host may not claim it.
-constexpr duration pass_pause = std::chrono::milliseconds(10000);
+/// From a claim to the first comparison with other hosts, so that they have reported:
+/// longer than two heartbeats.
+constexpr duration comparison_delay = std::chrono::milliseconds(1200);
+/// Between two hand-overs to a larger host, which may not claim the cell.
+constexpr duration hand_over_interval = std::chrono::milliseconds(10000);
+/// The owner keeps the cell when the store has not answered it for so long: without the
+/// store nobody could claim it.
+constexpr duration most_store_silence = std::chrono::milliseconds(600);
 
 } // namespace
 
@@ -56,7 +60,7 @@
     /// Logs when the store was lost or is back.
     void note_store_state();
     void resign_when_cut_off();
-    void pass_to_larger_host();
+    void hand_over_to_larger_host();
     /// A host that the store turns away asks others who owns the cell.
     void ask_for_owner();
     std::optional<endpoint> some_peer();
@@ -97,7 +101,7 @@
     bool owner_answers = false;  ///< The owner has taken the last report.
     bool store_missed = false;   ///< The store was last noted as failing.
     bool leaving = false;
-    boot_time pass_not_before{};
+    boot_time hand_over_not_before{};
     /// When another instance was heard last; empty when none was since the last
     /// resignation.
     std::optional<boot_time> others_heard;
@@ -162,8 +166,8 @@
                                });
                        }};
     parts.metrics.add("hawthornbeam_takeovers_total", {});
-    pass_not_before =
-        std::max(pass_not_before, parts.loop.clock().now() + first_comparison);
+    hand_over_not_before =
+        std::max(hand_over_not_before, parts.loop.clock().now() + comparison_delay);
     owned.reset();
     owned = std::make_unique<owner>(wanted, token);
     owned->configure(queues);
@@ -227,17 +231,18 @@
     claim.resign(resignation_pause, "no other instance is heard");
 }
 
-void node::implementation::pass_to_larger_host()
+void node::implementation::hand_over_to_larger_host()
 {
     const boot_time now = parts.loop.clock().now();
-    if (!owned || leaving || now < pass_not_before)
+    if (!owned || leaving || now < hand_over_not_before ||
+        store.silence() > most_store_silence)
         return;
     const std::uint32_t largest = owned->largest_share();
     if (largest < larger_factor * parts.share)
         return;
-    pass_not_before = now + pass_pause;
+    hand_over_not_before = now + hand_over_interval;
     parts.log.info(
-        "node", "cell passed on",
+        "node", "cell handed over",
         {{"share", std::uint64_t{parts.share}}, {"largest", std::uint64_t{largest}}});
     owned->hand_over(handover_wait,
                      [this]
@@ -362,7 +367,7 @@
         else if (from != parts.self)
             claim.heard_owner({from, message.owner, message.token});
         if (message.largest_share > 0)
-            claim.rank(
+            claim.set_relative_size(
                 std::min(1.0, static_cast<double>(parts.share) / message.largest_share));
         for (const wire::cell_job_state& job : message.ended)
             receiver.note_ended(job.job, job.state);
@@ -492,7 +497,7 @@
                                   self.report(self.agent.token(), agent_report());
                                   self.note_store_state();
                                   self.resign_when_cut_off();
-                                  self.pass_to_larger_host();
+                                  self.hand_over_to_larger_host();
                                   self.ask_for_owner();
                               });
     self.claim.start();
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -227,11 +227,13 @@
     std::erase_if(agents, [now](const std::pair<const instance_id, agent_state>& entry)
                   { return now - entry.second.heard_at > agent_memory; });
     assign_workers();
-    if (!loaded)
-        return;
     const std::uint32_t largest = largest_share();
-    drop_ended_workers();
-    const std::vector<queue_depth> depths = cell.depths();
+    std::vector<queue_depth> depths;
+    if (loaded)
+    {
+        drop_ended_workers();
+        depths = cell.depths();
+    }
     parts.metrics.set_gauge("hawthornbeam_open_jobs", {},
                             static_cast<double>(cell.open_jobs()));
     parts.metrics.set_gauge("hawthornbeam_settled", {}, cell.is_settled() ? 1 : 0);
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -33,6 +33,7 @@
     bool is_usable(boot_time now) const { return is_heard(now) && !leaving && !broken; }
 
     endpoint address;
+    /// True when the store answered it lately.
     bool is_served(boot_time now) const
     {
         return now - store_answered_at < store_answer_age;
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -189,6 +189,11 @@
     return 0;
 }
 
+bool cell_simulation::is_owned() const
+{
+    return store_.items.contains("cell/owner");
+}
+
 std::size_t cell_simulation::any_host()
 {
     return random_.below(hosts_.size());
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -71,8 +71,9 @@
     // For scripted histories.
     void advance(duration step) { loop_.advance(step); }
     std::size_t hosts() const { return hosts_.size(); }
-    /// The host that owns the cell.
+    /// The host that owns the cell; 0 when none does.
     std::size_t owner() const;
+    bool is_owned() const;
     bool is_small(std::size_t number) const;
     /// Ends the owner's process; a new one starts on its host after \p pause.
     void kill_owner(duration pause);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -97,14 +97,14 @@
 {
     cell_simulation played(GetParam(), two_large_hosts);
     played.advance(seconds(4));
-    EXPECT_FALSE(played.is_small(played.owner())) << "after the start";
-    for (int loss = 0; loss < 2; ++loss)
+    for (int loss = 0; loss < 3; ++loss)
     {
+        ASSERT_TRUE(played.is_owned()) << "after " << loss << " losses";
+        EXPECT_FALSE(played.is_small(played.owner())) << "after " << loss << " losses";
+        played.advance(seconds(6));
         played.kill_owner(seconds(6));
         // The claim ends within 2.5 s.
         played.advance(seconds(4));
-        EXPECT_FALSE(played.is_small(played.owner())) << "after loss " << loss;
-        played.advance(seconds(6));
     }
 }
 
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -192,7 +192,7 @@
     memory_store_state state(loop);
     claimant small(loop, state, log, "small" + GetParam());
     claimant large(loop, state, log, "large" + GetParam());
-    small.claimed.rank(0.24);
+    small.claimed.set_relative_size(0.24);
     small.claimed.start();
     large.claimed.start();
     loop.advance(seconds(1));
