Check that runs of cancelled jobs end in time

The checker judged only starts after a cancel. A run that goes on for more than cancel_ms and kill-grace-ms after the cancel was confirmed now breaks UNASKED too, unless a failure may have reached that moment. Late orders of workers are recorded apart from failures: a run that began late counts from contact-ms after its start.

Forged faults and excused runs are in cell_checker_test.

--- a/test/standins/cell_checker.cpp
+++ b/test/standins/cell_checker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <functional>
 #include <set>
 
 namespace hawthornbeam::standins
@@ -21,17 +22,22 @@
 using cell::task_ref;
 
 /// Bounds of the users' pages: `cancel_ms`, `drain-ms`, `gang-ms`, and the calm that
-/// rules with a bound need before the event, `contact-ms`.
+/// rules with a bound need before the event, `contact-ms`; `kill-grace-ms` of the
+/// simulated workers.
 constexpr duration cancel_bound = std::chrono::milliseconds(3000);
 constexpr duration drain_bound = std::chrono::milliseconds(2000);
 constexpr duration gang_wait = std::chrono::milliseconds(3000);
 constexpr duration calm_needed = std::chrono::milliseconds(3000);
+constexpr duration kill_grace = std::chrono::milliseconds(400);
+/// From the beginning of a failure to its end; the history does not pair them.
+constexpr duration longest_failure = std::chrono::milliseconds(7000);
 
 /// A run that is on a worker.
 struct present_run
 {
     worker_id worker;
     run_number run;
+    boot_time since{};
 };
 
 /// A run and where it was. Another life of the worker may begin a run of the same number
@@ -56,7 +62,11 @@
 class checker
 {
 public:
-    explicit checker(const cell_history& history) : history_(history) {}
+    explicit checker(const cell_history& history)
+        : history_(history), disturbances_(history.disturbances)
+    {
+        std::ranges::sort(disturbances_);
+    }
 
     std::vector<broken_rule> run()
     {
@@ -65,6 +75,9 @@
                 acknowledged_.push_back({event.worker, event.life, event.run});
         for (const run_event& event : history_.runs)
             take(event);
+        for (const auto& [ref, task] : tasks_)
+            for (const present_run& each : task.present)
+                check_stopped(ref, each, history_.ended_at);
         check_callers();
         check_states();
         return std::move(found_);
@@ -83,8 +96,19 @@
 
     bool is_calm(boot_time at, duration needed = calm_needed) const
     {
-        return std::ranges::none_of(history_.disturbances, [at, needed](boot_time each)
-                                    { return each <= at && at - each < needed; });
+        const std::function<bool(boot_time)> is_near = [at, needed](boot_time each)
+        { return each <= at && at - each < needed; };
+        return std::ranges::none_of(disturbances_, is_near) &&
+               std::ranges::none_of(history_.late_orders, is_near);
+    }
+
+    /// The first moment from \p at on that no failure can have reached.
+    boot_time next_undisturbed(boot_time at) const
+    {
+        for (const boot_time each : disturbances_)
+            if (each <= at)
+                at = std::max(at, each + longest_failure + calm_needed);
+        return at;
     }
 
     const step_spec* step_of(const task_ref& task) const
@@ -130,9 +154,15 @@
                 report("GANG", event.run.task, "a member was left alone");
             [[fallthrough]];
         case run_event::kind::lost:
-            std::erase_if(
-                task.present, [&event](const present_run& each)
-                { return each.worker == event.worker && each.run == event.run.run; });
+            std::erase_if(task.present,
+                          [this, &event](const present_run& each)
+                          {
+                              if (each.worker != event.worker ||
+                                  each.run != event.run.run)
+                                  return false;
+                              check_stopped(event.run.task, each, event.at);
+                              return true;
+                          });
             leave(event);
             return;
         case run_event::kind::acknowledged:
@@ -161,7 +191,7 @@
                    fmt::format("run {} on {} beside run {} on {}", event.run.run.value(),
                                event.worker.value(), task.present[0].run.value(),
                                task.present[0].worker.value()));
-        task.present.push_back({event.worker, event.run.run});
+        task.present.push_back({event.worker, event.run.run, event.at});
         check_order(ref, *step);
         check_place(event, *step, job);
         check_cancelled(event);
@@ -248,6 +278,28 @@
                 return report("UNASKED", event.run.task, "started after its cancel");
     }
 
+    /// Judges a run of a cancelled job that was on its worker until \p until.
+    void check_stopped(const task_ref& ref, const present_run& run, boot_time until)
+    {
+        boot_time cancelled = boot_time::max();
+        for (const caller_answer& answer : history_.answers)
+            if (answer.cancel && answer.job == ref.job &&
+                answer.told == cell::verdict::done)
+                cancelled = std::min(cancelled, answer.at);
+        if (cancelled == boot_time::max())
+            return;
+        boot_time due = cancelled + cancel_bound;
+        if (std::ranges::find(history_.late_orders, run.since) !=
+            history_.late_orders.end())
+            due = std::max(due, run.since + calm_needed);
+        due = next_undisturbed(due + kill_grace);
+        if (until > due)
+            report("UNASKED", ref,
+                   fmt::format("run {} on {} went on for {} ms after its cancel",
+                               run.run.value(), run.worker.value(),
+                               (until - cancelled) / std::chrono::milliseconds(1)));
+    }
+
     bool was_told(const job_key& job, bool cancel, cell::verdict told) const
     {
         return std::ranges::any_of(
@@ -357,6 +409,7 @@
     }
 
     const cell_history& history_;
+    std::vector<boot_time> disturbances_; ///< In order.
     std::vector<broken_rule> found_;
     std::map<task_ref, task_record> tasks_;
     std::map<worker_id, std::map<task_ref, resources>> held_;
--- a/test/standins/cell_checker.hpp
+++ b/test/standins/cell_checker.hpp
@@ -69,6 +69,9 @@
     /// When a failure was injected or ended; rules with a bound in time hold only without
     /// one shortly before.
     std::vector<boot_time> disturbances;
+    /// When a worker carried out an order late. Bounds in time that concern starts do not
+    /// hold shortly after it.
+    std::vector<boot_time> late_orders;
     boot_time ended_at{}; ///< When callers asked for the last time.
 };
 
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -363,7 +363,7 @@
 
 void simulated_workers::note_late_order()
 {
-    history_.disturbances.push_back(loop_.clock().now());
+    history_.late_orders.push_back(loop_.clock().now());
 }
 
 bool simulated_workers::is_cut_off(const worker_id& id) const
--- a/unittests/standins/cell_checker_test.cpp
+++ b/unittests/standins/cell_checker_test.cpp
@@ -114,6 +114,20 @@
                         added);
 }
 
+/// One run, which ends as stopped at \p end ms.
+std::vector<run_event> run_beside_cancel(int end)
+{
+    return {event(100, "w0", started, 0, 0, 1),
+            event(end, "w0", ended, 0, 0, 1, run_end::stopped)};
+}
+
+/// The job is cancelled at 100 ms, so that its runs have to end by 3,500 ms.
+void confirm_cancel(cell_history& history)
+{
+    history.answers.push_back({at(100), job_key("a"), true, verdict::done});
+    history.shown = {{at(30000), job_key("a"), true, job_state::cancelled}};
+}
+
 class cell_checker_test : public testing::TestWithParam<forgery>
 {
 };
@@ -210,6 +224,35 @@
          for (run_event& each : history.runs)
              each.at += seconds(4);
      }},
+    {"run_goes_on_after_cancel", "UNASKED",
+     [](cell_history& history)
+     {
+         history.runs = run_beside_cancel(3600);
+         confirm_cancel(history);
+     }},
+    {"run_never_ends_after_cancel", "UNASKED",
+     [](cell_history& history)
+     {
+         history.runs = run_beside_cancel(3600);
+         history.runs.pop_back();
+         history.ended_at = at(30000);
+         confirm_cancel(history);
+     }},
+    {"run_goes_on_long_after_a_failure", "UNASKED",
+     [](cell_history& history)
+     {
+         history.runs = run_beside_cancel(14000);
+         history.disturbances = {at(3500)};
+         confirm_cancel(history);
+     }},
+    {"late_run_goes_on_after_cancel", "UNASKED",
+     [](cell_history& history)
+     {
+         history.runs = run_beside_cancel(6600);
+         history.runs[0].at = at(3000);
+         history.late_orders = {at(3000)};
+         confirm_cancel(history);
+     }},
     {"refused_and_run", "REFUSED",
      [](cell_history& history)
      {
@@ -254,6 +297,38 @@
     EXPECT_TRUE(check_cell(history).empty());
 }
 
+TEST(sound_cell_checker_test, accepts_a_run_that_ends_in_time_after_its_cancel)
+{
+    cell_history history = sound_history();
+    history.runs = run_beside_cancel(3500);
+    confirm_cancel(history);
+    EXPECT_TRUE(check_cell(history).empty());
+}
+
+// A worker that was cut off is told of the cancel only after the failure.
+TEST(sound_cell_checker_test, excuses_a_run_beside_a_disturbance_after_its_cancel)
+{
+    for (const int disturbed : {0, 3500})
+    {
+        cell_history history = sound_history();
+        history.runs = run_beside_cancel(disturbed + 10000);
+        history.disturbances = {at(disturbed)};
+        confirm_cancel(history);
+        EXPECT_TRUE(check_cell(history).empty()) << disturbed;
+    }
+}
+
+// The owner learns of a run that began late only after its start.
+TEST(sound_cell_checker_test, counts_from_the_start_of_a_late_run)
+{
+    cell_history history = sound_history();
+    history.runs = run_beside_cancel(6400);
+    history.runs[0].at = at(3000);
+    history.late_orders = {at(3000)};
+    confirm_cancel(history);
+    EXPECT_TRUE(check_cell(history).empty());
+}
+
 } // namespace
 
 } // namespace hawthornbeam::standins
