Simulate long tasks whose jobs are cancelled

Tasks of the simulated cell lasted 2 s at most, so no run could outlast its cancel. unequal_hosts_test now also plays cells in which a third of the steps has tasks of 8 to 12 s, for half a minute. Other suites draw nothing more, and replay their histories.

--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -30,6 +30,8 @@
 /// All jobs end within it once the failures are over: the longest lease, a takeover, and
 /// the work of a full cell.
 constexpr duration quiet_time = seconds(45);
+/// More of it when tasks are long: three steps in a row, each with a failed run.
+constexpr duration long_quiet_time = seconds(90);
 
 /// HAWTHORNBEAM_TRACE=1 prints what the instances log, to trace a seed.
 std::function<void(const std::string&)> traced_lines()
@@ -303,6 +305,9 @@
             millicores(static_cast<std::int64_t>(500 + random_.below(3500)));
         step.size.memory = byte_count(1000);
         step.estimate = milliseconds(200 + random_.below(1500));
+        if (shape_.steps_for_each_long > 0 &&
+            random_.below(shape_.steps_for_each_long) == 0)
+            step.estimate = milliseconds(8000 + random_.below(4000));
         step.gang = step.count > 1 && random_.below(3) == 0;
         if (random_.below(4) == 0)
             step.per_worker = 2;
@@ -446,7 +451,8 @@
                history_.submitted[asked->job.id] = asked->job;
                submit(asked);
            });
-    loop_.advance(busy + quiet_time);
+    loop_.advance(busy + quiet_time +
+                  (shape_.steps_for_each_long > 0 ? long_quiet_time : duration::zero()));
     for (int round = 0; round < 3; ++round)
     {
         ask_for_unended();
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -51,6 +51,8 @@
     std::uint64_t jobs_for_each_cancel = 8;
     /// Records that the store returns at once.
     std::size_t page_items = 500;
+    /// One of so many steps has tasks of 8 to 12 s; none has when zero.
+    std::uint64_t steps_for_each_long = 0;
 };
 
 /// Runs one seeded history.
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -76,6 +76,22 @@
     expect_no_broken_rule(played);
 }
 
+/// Tasks that run for long enough to outlast their cancel.
+constexpr cell_shape long_tasks{3, std::chrono::milliseconds(600), 2, 10, 3};
+
+// Cancels whose tasks run on. Half a minute leaves room for cancels apart from failures.
+TEST_P(unequal_hosts_test, stop_cancelled_tasks_in_time)
+{
+    const std::uint64_t seed = GetParam();
+    random_source random(seed);
+    std::vector<cell_failure> failures;
+    for (std::size_t each = 0; each < 1 + seed % 2; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+    cell_simulation played(seed, long_tasks);
+    played.run(seconds(30), failures);
+    expect_no_broken_rule(played);
+}
+
 /// Two large hosts, so that one remains when the other is lost.
 constexpr cell_shape two_large_hosts{2, std::chrono::milliseconds(400), 8, 10};
 
