Stop an inherited gang that lacks a member

A new owner adopted the members of a gang that it found on workers, and waited for the rest. When a start of the former owner was refused or lost while the owner changed, its result reached nobody, so that the members that were there waited until gang-ms had passed, and ended alone (GANG). Once every worker was looked at, no old start can be carried out any more: the members are stopped and the gang begins anew.

A takeover that takes longer than gang-ms is still too late.

--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -238,6 +238,10 @@
                                            decision_pass& pass)
 {
     step_status& status = job.steps[key.step];
+    // A start of the former owner that was refused or lost was reported to nobody, and
+    // can no longer be carried out: the members that are there would wait in vain.
+    if (job.inherited && status.occupied > 0 && status.occupied < status.tasks.size())
+        break_gang(job, key.step, pass.now);
     // Members of one run carry the same number and the same saved state.
     if (status.occupied > 0 || status.not_before > pass.now)
         return true;
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -361,6 +361,42 @@
     EXPECT_EQ(numbers, std::set<run_number>{run_number(2)});
 }
 
+// A start that was refused or lost while the former owner resigned left a member waiting
+// for the others until its time was up.
+TEST(scheduler_test, stops_an_inherited_gang_that_lacks_a_member)
+{
+    fleet former(2);
+    former.add_queue("q", 0);
+    job_spec gang = fleet::job("a", "q", 2, 5);
+    gang.steps[0].gang = true;
+
+    scheduler successor{scheduler_limits(), former.log, former.metrics};
+    queue_policy queue;
+    queue.name = queue_name("q");
+    queue.service = service_name("pool");
+    successor.configure({queue});
+    successor.add_job(gang, true, former.clock.now());
+    successor.expect_workers({worker_id("w0"), worker_id("w1")}, former.clock.now());
+    for (const char* name : {"w0", "w1"})
+    {
+        successor.update_worker(former.info(name), former.clock.now());
+        successor.allow_worker(worker_id(name));
+    }
+    for (const char* name : {"w0", "w1"})
+    {
+        worker_look look;
+        look.worker = worker_id(name);
+        look.began = observation{1, 1};
+        look.life = former.info(name).life;
+        if (look.worker == worker_id("w0"))
+            look.running.push_back({{first_task("a"), run_number(1)}, checkpoint(), 0});
+        successor.observe(look, former.clock.now());
+        // The other member may be on the worker that was not looked at yet.
+        EXPECT_EQ(successor.decide(former.clock.now()).stops.size(),
+                  look.worker == worker_id("w0") ? 0U : 1U);
+    }
+}
+
 TEST(scheduler_test, fails_a_gang_after_its_attempts_whichever_member_failed)
 {
     fleet workers(2);
