Ask about other workers when an older gang holds the permitted ones

Room on workers that are held back for an older gang counted as room of the younger step, so that it neither started nor asked about more workers until its tickets ended.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -213,7 +213,7 @@
     void start(job_status& job, const task_ref& task, run_number run,
                worker_status& target, decision_pass& pass);
     bool may_ask(const job_status& job, decision_pass& pass) const;
-    void ask_advice(job_status& job, std::uint32_t step, decision_pass& pass);
+    void ask_advice(job_status& job, const step_key& key, decision_pass& pass);
 
     scheduler_limits limits;
     const logger& log;
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -318,10 +318,11 @@
     return ++pass.waiting_with_advice[job.spec.queue] <= static_cast<std::uint64_t>(most);
 }
 
-void scheduler::implementation::ask_advice(job_status& job, std::uint32_t step,
+void scheduler::implementation::ask_advice(job_status& job, const step_key& key,
                                            decision_pass& pass)
 {
     const boot_time now = pass.now;
+    const std::uint32_t step = key.step;
     step_status& status = job.steps[step];
     if (status.asking_since && now - *status.asking_since < advice_limit)
         return;
@@ -335,6 +336,9 @@
         if (!can_run(candidate, job, step, now))
             continue;
         std::int64_t room = fits(spec.size, candidate.info.capacity - candidate.used);
+        const auto held = pass.reserved.find(id);
+        if (held != pass.reserved.end() && held->second < key)
+            room = 0;
         if (spec.per_worker > 0)
             room = std::min<std::int64_t>(room, spec.per_worker);
         const auto permitted = status.good.find(id);
@@ -420,7 +424,7 @@
     if (waiting_tasks(status) == 0)
         open_steps.erase(key);
     else if (policy_of(*job).advice && may_ask(*job, pass))
-        ask_advice(*job, step, pass);
+        ask_advice(*job, key, pass);
 }
 
 duration scheduler::advice_cost(const advice_order& order) const
--- /dev/null
+++ b/unittests/cell/advice_test.cpp
@@ -0,0 +1,73 @@
+/// \file
+/// Tests which workers steps with an advice service ask about.
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+} // namespace
+
+// Guards against a gang that waits for workers which an older gang holds, while it has
+// tickets for no others and asks about none.
+TEST(advice_test, asks_about_other_workers_when_an_older_gang_holds_the_permitted)
+{
+    fleet workers(30);
+    queue_policy plain;
+    plain.name = queue_name("plain");
+    plain.service = service_name("pool");
+    queue_policy advised = plain;
+    advised.name = queue_name("advised");
+    advised.priority = 1;
+    advised.stretch = 10;
+    advised.objective = seconds(30);
+    advised.advice =
+        advice_policy{milliseconds(400), milliseconds(5), milliseconds(1500)};
+    workers.cell.configure({plain, advised});
+    job_spec older = fleet::job("older", "advised", 10, 8);
+    older.steps[0].gang = true;
+    workers.submit(older);
+    workers.advance(milliseconds(1));
+    job_spec younger = fleet::job("younger", "advised", 4, 8);
+    younger.steps[0].gang = true;
+    workers.submit(younger);
+    const decisions first = workers.decide();
+    ASSERT_EQ(first.advice.size(), 2U);
+    // One worker of the older gang is in use, so that it waits and holds the others.
+    workers.submit(fleet::job("busy", "plain", 1, 1));
+    const decisions busy = workers.decide();
+    ASSERT_EQ(busy.starts.size(), 1U);
+    const worker_id in_use = busy.starts[0].worker;
+    const std::vector<worker_id>& asked = first.advice[1].workers;
+    ASSERT_LT(asked.size(), 30U);
+    std::vector<std::pair<worker_id, ticket>> good{{in_use, ticket("t")}};
+    for (const worker_id& id : asked)
+        if (id != in_use && good.size() < 10)
+            good.emplace_back(id, ticket("t"));
+    for (const advice_order& order : first.advice)
+    {
+        advice_result result;
+        result.job = order.job;
+        result.step = order.step;
+        result.answered = true;
+        result.asked = order.workers;
+        result.good = good;
+        if (order.job == younger.id)
+            result.good = {good.begin() + 1, good.begin() + 5};
+        result.valid_ms = 1500;
+        workers.cell.observe(result, workers.clock.now());
+    }
+    const decisions next = workers.decide();
+    EXPECT_TRUE(next.starts.empty());
+    ASSERT_EQ(next.advice.size(), 1U);
+    EXPECT_EQ(next.advice[0].job, younger.id);
+}
+
+} // namespace hawthornbeam::cell
