Ask about different workers for steps that ask together

Workers of equal room were named in the order of their ids, so that all gangs asked about the same few, and each start took workers for which the others had tickets.

--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -328,9 +328,12 @@
         return;
     const step_spec& spec = job.spec.steps[step];
     const std::size_t waiting = waiting_tasks(status);
-    std::vector<std::pair<std::int64_t, worker_id>> unknown;
+    std::vector<std::tuple<std::int64_t, std::size_t, worker_id>> unknown;
     std::vector<std::pair<std::int64_t, worker_id>> renewable;
     std::int64_t permitted_room = 0;
+    // Workers of equal room are ordered differently for each job. Steps that ask at the
+    // same time would otherwise get tickets for the same workers and wait for each other.
+    const std::hash<std::string> mix;
     for (const auto& [id, candidate] : workers)
     {
         if (!can_run(candidate, job, step, now))
@@ -345,7 +348,7 @@
         if (permitted == status.good.end())
         {
             if (!status.asked.contains(id))
-                unknown.emplace_back(-room, id);
+                unknown.emplace_back(-room, mix(job.spec.id.value() + id.value()), id);
         }
         else if (permitted->second.until > now)
             permitted_room += room;
@@ -377,7 +380,7 @@
         const double wanted =
             2.0 * (static_cast<double>(waiting) - static_cast<double>(renewed_room));
         std::size_t named = 0;
-        for (const auto& [room, id] : unknown)
+        for (const auto& [room, order_of_job, id] : unknown)
         {
             if (named >= most_asked || (named >= least_asked && expected >= wanted) ||
                 (room == 0 && !first))
--- a/unittests/cell/advice_test.cpp
+++ b/unittests/cell/advice_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet.hpp"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace hawthornbeam::cell
 {
@@ -70,4 +71,31 @@
     EXPECT_EQ(next.advice[0].job, younger.id);
 }
 
+// Guards against steps that ask at the same time, all get tickets for the same few of
+// many equal workers and then wait for each other.
+TEST(advice_test, asks_about_different_workers_for_steps_that_ask_together)
+{
+    fleet workers(200);
+    queue_policy advised;
+    advised.name = queue_name("advised");
+    advised.service = service_name("pool");
+    advised.advice =
+        advice_policy{milliseconds(400), milliseconds(5), milliseconds(1500)};
+    workers.cell.configure({advised});
+    for (const char* id : {"a", "b"})
+    {
+        job_spec gang = fleet::job(id, "advised", 20, 8);
+        gang.steps[0].gang = true;
+        workers.submit(gang);
+    }
+    const decisions first = workers.decide();
+    ASSERT_EQ(first.advice.size(), 2U);
+    std::set<worker_id> both(first.advice[0].workers.begin(),
+                             first.advice[0].workers.end());
+    both.insert(first.advice[1].workers.begin(), first.advice[1].workers.end());
+    const std::size_t named =
+        first.advice[0].workers.size() + first.advice[1].workers.size();
+    EXPECT_GT(both.size(), named * 3 / 4);
+}
+
 } // namespace hawthornbeam::cell
