--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -92,6 +92,9 @@
     void observe(const order_result& result, boot_time now);
     void observe(const advice_result& result, boot_time now);
 
+    /// How many hosts can ask the advice service at the same time.
+    void set_asking_hosts(std::uint32_t hosts);
+
     /// Decides starts, stops and questions to the advice service.
     decisions decide(boot_time now);
 
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -19,6 +19,9 @@
 /// Orders without an answer may be carried out this much later.
 inline constexpr duration late_order_limit = std::chrono::milliseconds(12000);
 
+/// Limits on questions to the advice service assume at least so many hosts that ask.
+inline constexpr std::uint32_t least_asking_hosts = 6;
+
 /// What is known of a run that was sent to a worker.
 enum class run_phase : std::uint8_t
 {
@@ -230,6 +233,7 @@
     std::vector<stop_order> stops; ///< Ordered since the last decision.
     std::size_t open_job_count = 0;
     boot_time aged_at{};
+    std::uint32_t asking_hosts = least_asking_hosts;
 };
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -176,6 +176,7 @@
     if (!loaded || stopping)
         return send_orders();
     const boot_time now = parts.loop.clock().now();
+    cell.set_asking_hosts(hosts_for_long_questions(now));
     decisions decided = cell.decide(now);
     for (start_order& order : decided.starts)
     {
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -173,6 +173,14 @@
     assign(id, route, others[last_assignment % others.size()]);
 }
 
+std::uint32_t owner::implementation::hosts_for_long_questions(boot_time now) const
+{
+    const auto usable = std::ranges::count_if(agents, [now](const auto& entry)
+                                              { return entry.second.is_usable(now); });
+    const auto count = static_cast<std::uint32_t>(usable);
+    return count - count / static_cast<std::uint32_t>(agents_for_short_questions);
+}
+
 void owner::implementation::route_advice(advice_order order, boot_time now)
 {
     std::vector<instance_id> usable;
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -11,8 +11,11 @@
 namespace
 {
 
-/// Steps that one decision looks at, in order; the rest waits for the next one.
+/// Steps that one decision looks at, in order; the rest waits for the next one. Steps
+/// with advice, which only look at the workers they have tickets for, are counted for
+/// each host that can ask.
 constexpr std::size_t most_steps = 96;
+constexpr std::size_t most_advised_steps_each = 16;
 /// Workers that a first question to the advice service names.
 constexpr std::size_t least_asked = 8;
 constexpr std::size_t most_asked = 40;
@@ -23,10 +26,10 @@
 /// Gangs for which workers are held back at a time.
 constexpr std::uint32_t most_reserved_gangs = 3;
 /// Steps of a queue that may wait with tickets: so many answering times of the advice
-/// service fit into the life of a ticket, within these bounds.
+/// service fit into the life of a ticket on half of the asking hosts, within these
+/// bounds.
 constexpr std::int64_t least_waiting_steps = 3;
-constexpr std::int64_t most_waiting_steps = 16;
-constexpr std::int64_t agents_assumed = 3;
+constexpr double most_waiting_steps_each = 2.7;
 constexpr std::int64_t usual_question = 30;
 /// Callers get some of the worth up to this many times the objective.
 constexpr std::int64_t late_objectives = 3;
@@ -311,10 +314,13 @@
 {
     const advice_policy& advice = *policy_of(job).advice;
     const duration cost = advice.answer_time(usual_question);
-    const std::int64_t most = cost <= duration::zero()
-                                  ? most_waiting_steps
-                                  : std::clamp(advice.valid * agents_assumed / cost,
-                                               least_waiting_steps, most_waiting_steps);
+    const std::int64_t hosts = asking_hosts;
+    const std::int64_t bound = std::max<std::int64_t>(
+        least_waiting_steps, std::llround(most_waiting_steps_each * asking_hosts));
+    const std::int64_t most =
+        cost <= duration::zero()
+            ? bound
+            : std::clamp(advice.valid * hosts / (2 * cost), least_waiting_steps, bound);
     return ++pass.waiting_with_advice[job.spec.queue] <= static_cast<std::uint64_t>(most);
 }
 
@@ -439,6 +445,11 @@
         static_cast<std::int64_t>(order.workers.size()));
 }
 
+void scheduler::set_asking_hosts(std::uint32_t hosts)
+{
+    implementation_->asking_hosts = std::max(hosts, least_asking_hosts);
+}
+
 decisions scheduler::decide(boot_time now)
 {
     implementation& self = *implementation_;
@@ -449,10 +460,16 @@
     decision_pass pass;
     pass.now = now;
     std::vector<step_key> considered;
+    std::size_t without_advice = 0;
     for (const step_key& key : self.open_steps)
     {
-        if (considered.size() >= most_steps)
+        if (considered.size() >= most_advised_steps_each * self.asking_hosts)
             break;
+        // A step that needs no ticket is weighed against all workers.
+        const job_status* job = self.find_job(key.job);
+        if (job != nullptr && !self.policy_of(*job).advice &&
+            ++without_advice > most_steps)
+            continue;
         considered.push_back(key);
     }
     for (const step_key& key : considered)
