--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -11,8 +11,11 @@
 namespace
 {
 
-/// Steps that one decision looks at, in order; the rest waits for the next one.
+/// Steps that one decision looks at, in order; the rest waits for the next one. Steps
+/// with advice, which only look at the workers they have tickets for, are counted for
+/// each host that can ask.
 constexpr std::size_t most_steps = 96;
+constexpr std::size_t most_advised_steps_each = 16;
 /// Workers that a first question to the advice service names.
 constexpr std::size_t least_asked = 8;
 constexpr std::size_t most_asked = 40;
@@ -23,10 +26,10 @@
 /// Gangs for which workers are held back at a time.
 constexpr std::uint32_t most_reserved_gangs = 3;
 /// Steps of a queue that may wait with tickets: so many answering times of the advice
-/// service fit into the life of a ticket, within these bounds.
+/// service fit into the life of a ticket on half of the asking hosts, within these
+/// bounds.
 constexpr std::int64_t least_waiting_steps = 3;
-constexpr std::int64_t most_waiting_steps = 16;
-constexpr std::int64_t agents_assumed = 3;
+constexpr double most_waiting_steps_each = 2.7;
 constexpr std::int64_t usual_question = 30;
 /// Callers get some of the worth up to this many times the objective.
 constexpr std::int64_t late_objectives = 3;
@@ -125,33 +128,24 @@
 {
     const step_spec& spec = job.spec.steps[key.step];
     const step_status& status = job.steps[key.step];
-    const bool needs_ticket = policy_of(job).advice.has_value();
     worker_status* best = nullptr;
     std::int64_t best_score = 0;
-    for (auto& [id, candidate] : workers)
+    const auto weigh = [&](const worker_id& id, worker_status& candidate)
     {
-        if (!can_run(candidate, job, key.step, pass.now))
-            continue;
-        const auto held = pass.reserved.find(id);
-        if (held != pass.reserved.end() && held->second < key)
-            continue;
-        if (needs_ticket)
-        {
-            const auto permitted = status.good.find(id);
-            if (permitted == status.good.end() || permitted->second.until <= pass.now)
-                continue;
-        }
         resources room = candidate.info.capacity - candidate.used;
         const auto reserved = taken.find(id);
         if (reserved != taken.end())
             room -= reserved->second;
-        if (!spec.size.fits_in(room))
-            continue;
+        if (!spec.size.fits_in(room) || !can_run(candidate, job, key.step, pass.now))
+            return;
+        const auto held = pass.reserved.find(id);
+        if (held != pass.reserved.end() && held->second < key)
+            return;
         if (spec.per_worker > 0)
         {
             const auto on_worker = placed.find(id);
             if (on_worker != placed.end() && on_worker->second >= spec.per_worker)
-                continue;
+                return;
         }
         // The fullest worker that fits keeps large free blocks whole. Data of another
         // rack and a worker on which the task failed cost more than any packing.
@@ -167,7 +161,19 @@
             best = &candidate;
             best_score = score;
         }
+    };
+    if (policy_of(job).advice)
+    {
+        for (const auto& [id, permitted] : status.good)
+        {
+            const auto found = workers.find(id);
+            if (permitted.until > pass.now && found != workers.end())
+                weigh(id, found->second);
+        }
+        return best;
     }
+    for (auto& [id, candidate] : workers)
+        weigh(id, candidate);
     return best;
 }
 
@@ -283,8 +289,8 @@
     std::int64_t slots = 0;
     for (const auto& [id, candidate] : workers)
     {
-        if (!can_run(candidate, job, key.step, pass.now) || pass.reserved.contains(id) ||
-            (needs_ticket && !status.good.contains(id)))
+        if ((needs_ticket && !status.good.contains(id)) || pass.reserved.contains(id) ||
+            !can_run(candidate, job, key.step, pass.now))
             continue;
         const resources& capacity = candidate.info.capacity;
         slots += fits(spec.size, capacity);
@@ -312,37 +318,47 @@
 {
     const advice_policy& advice = *policy_of(job).advice;
     const duration cost = advice.answer_time(usual_question);
-    const std::int64_t most = cost <= duration::zero()
-                                  ? most_waiting_steps
-                                  : std::clamp(advice.valid * agents_assumed / cost,
-                                               least_waiting_steps, most_waiting_steps);
+    const std::int64_t hosts = asking_hosts;
+    const std::int64_t bound = std::max<std::int64_t>(
+        least_waiting_steps, std::llround(most_waiting_steps_each * asking_hosts));
+    const std::int64_t most =
+        cost <= duration::zero()
+            ? bound
+            : std::clamp(advice.valid * hosts / (2 * cost), least_waiting_steps, bound);
     return ++pass.waiting_with_advice[job.spec.queue] <= static_cast<std::uint64_t>(most);
 }
 
-void scheduler::implementation::ask_advice(job_status& job, std::uint32_t step,
+void scheduler::implementation::ask_advice(job_status& job, const step_key& key,
                                            decision_pass& pass)
 {
     const boot_time now = pass.now;
+    const std::uint32_t step = key.step;
     step_status& status = job.steps[step];
     if (status.asking_since && now - *status.asking_since < advice_limit)
         return;
     const step_spec& spec = job.spec.steps[step];
     const std::size_t waiting = waiting_tasks(status);
-    std::vector<std::pair<std::int64_t, worker_id>> unknown;
+    std::vector<std::tuple<std::int64_t, std::size_t, worker_id>> unknown;
     std::vector<std::pair<std::int64_t, worker_id>> renewable;
     std::int64_t permitted_room = 0;
+    // Workers of equal room are ordered differently for each job. Steps that ask at the
+    // same time would otherwise get tickets for the same workers and wait for each other.
+    const std::hash<std::string> mix;
     for (const auto& [id, candidate] : workers)
     {
         if (!can_run(candidate, job, step, now))
             continue;
         std::int64_t room = fits(spec.size, candidate.info.capacity - candidate.used);
+        const auto held = pass.reserved.find(id);
+        if (held != pass.reserved.end() && held->second < key)
+            room = 0;
         if (spec.per_worker > 0)
             room = std::min<std::int64_t>(room, spec.per_worker);
         const auto permitted = status.good.find(id);
         if (permitted == status.good.end())
         {
             if (!status.asked.contains(id))
-                unknown.emplace_back(-room, id);
+                unknown.emplace_back(-room, mix(job.spec.id.value() + id.value()), id);
         }
         else if (permitted->second.until > now)
             permitted_room += room;
@@ -374,7 +390,7 @@
         const double wanted =
             2.0 * (static_cast<double>(waiting) - static_cast<double>(renewed_room));
         std::size_t named = 0;
-        for (const auto& [room, id] : unknown)
+        for (const auto& [room, order_of_job, id] : unknown)
         {
             if (named >= most_asked || (named >= least_asked && expected >= wanted) ||
                 (room == 0 && !first))
@@ -421,7 +437,7 @@
     if (waiting_tasks(status) == 0)
         open_steps.erase(key);
     else if (policy_of(*job).advice && may_ask(*job, pass))
-        ask_advice(*job, step, pass);
+        ask_advice(*job, key, pass);
 }
 
 duration scheduler::advice_cost(const advice_order& order) const
@@ -433,6 +449,11 @@
         static_cast<std::int64_t>(order.workers.size()));
 }
 
+void scheduler::set_asking_hosts(std::uint32_t hosts)
+{
+    implementation_->asking_hosts = std::max(hosts, least_asking_hosts);
+}
+
 decisions scheduler::decide(boot_time now)
 {
     implementation& self = *implementation_;
@@ -443,10 +464,16 @@
     decision_pass pass;
     pass.now = now;
     std::vector<step_key> considered;
+    std::size_t without_advice = 0;
     for (const step_key& key : self.open_steps)
     {
-        if (considered.size() >= most_steps)
+        if (considered.size() >= most_advised_steps_each * self.asking_hosts)
             break;
+        // A step that needs no ticket is weighed against all workers.
+        const job_status* job = self.find_job(key.job);
+        if (job != nullptr && !self.policy_of(*job).advice &&
+            ++without_advice > most_steps)
+            continue;
         considered.push_back(key);
     }
     for (const step_key& key : considered)
