--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -175,9 +175,9 @@
 
 std::uint32_t owner::implementation::hosts_for_long_questions(boot_time now) const
 {
-    const auto usable = std::ranges::count_if(agents, [now](const auto& entry)
-                                              { return entry.second.is_usable(now); });
-    const auto count = static_cast<std::uint32_t>(usable);
+    const std::uint32_t count = static_cast<std::uint32_t>(std::ranges::count_if(
+        agents, [now](const std::pair<const instance_id, agent_state>& entry)
+        { return entry.second.is_usable(now); }));
     return count - count / static_cast<std::uint32_t>(agents_for_short_questions);
 }
 
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -85,6 +85,7 @@
     void move_worker(const worker_id& id, worker_route& route);
     boot_time submission_time(const job_spec& job) const;
     void refuse_start(const worker_id& worker, const run_ref& run, boot_time now);
+    /// Agents that may take long questions to the advice service.
     std::uint32_t hosts_for_long_questions(boot_time now) const;
     void route_advice(advice_order order, boot_time now);
     void send_orders();
--- a/unittests/cell/advice_load_test.cpp
+++ b/unittests/cell/advice_load_test.cpp
@@ -131,7 +131,7 @@
     {
         return static_cast<std::size_t>(std::ranges::count_if(
             submitted_,
-            [&](const auto& entry)
+            [&](const std::pair<const job_key, arrival>& entry)
             {
                 return entry.second.queue == queue && !started_.contains(entry.first) &&
                        fleet_.clock.now() - entry.second.at > age;
@@ -141,7 +141,8 @@
     std::size_t submitted(const std::string& queue) const
     {
         return static_cast<std::size_t>(std::ranges::count_if(
-            submitted_, [&](const auto& entry) { return entry.second.queue == queue; }));
+            submitted_, [&](const std::pair<const job_key, arrival>& entry)
+            { return entry.second.queue == queue; }));
     }
 
     /// The longest wait of a started job.
