--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -227,14 +227,14 @@
     std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
     std::set<worker_id> unsettled; ///< Expected workers that were not looked at yet.
     boot_time expected_at{};       ///< When they were expected.
-    bool inherited_held = false;
+    bool inherited_held = false;   ///< Their cancels may not be known yet.
     /// Ends of jobs that a receiver stored and of which this owner has not heard.
     std::map<job_key, std::vector<std::pair<worker_id, ended_task>>> early_ends;
     pending_changes changes;
     std::vector<stop_order> stops; ///< Ordered since the last decision.
     std::size_t open_job_count = 0;
     boot_time aged_at{};
-    std::uint32_t asking_hosts = least_asking_hosts;
+    std::uint32_t asking_hosts = least_asking_hosts; ///< That can ask for advice at once.
 };
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -32,13 +32,13 @@
     /// True when it can be given workers and questions.
     bool is_usable(boot_time now) const { return is_heard(now) && !leaving && !broken; }
 
-    endpoint address;
     /// True when the store answered it lately.
     bool is_served(boot_time now) const
     {
         return now - store_answered_at < store_answer_age;
     }
 
+    endpoint address;
     double share = 1; ///< Of a processor.
     boot_time heard_at{};
     bool leaving = false;
