Keep the task of a simulated run that ends with its worker's lease

Long tasks, which unequal_hosts_test.stop_cancelled_tasks_in_time plays, make runs outlast a lease. The fault is in the stand-in, not in the product. end_run now takes the task by value.

--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -236,7 +236,7 @@
                           });
 }
 
-void simulated_workers::end_run(simulated_worker& host, const task_ref& task, run_end how)
+void simulated_workers::end_run(simulated_worker& host, task_ref task, run_end how)
 {
     const auto found = host.runs.find(task);
     const run_number number = found->second.number;
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -94,7 +94,8 @@
     void extend_lease(simulated_worker& host, worker_time until);
     void begin_work(const task_ref& task);
     void work(simulated_worker& host, const task_ref& task);
-    void end_run(simulated_worker& host, const task_ref& task, run_end how);
+    /// Takes the task by value, since it may be a key of the run that it erases.
+    void end_run(simulated_worker& host, task_ref task, run_end how);
     void end_gang(const task_ref& member, run_number run, run_end how);
     look_answer answer(const simulated_worker& host) const;
     void answer_looks(simulated_worker& host);
