Decide nothing for a job before the policy of its queue is known

Cause: a host that had just started claimed the cell before it had read the configuration. Any host that starts while the store is slow can do so.

An instance claims the cell only after it was configured. A queue without a policy has unlimited attempts and no workers, so that nothing irrevocable is decided for its jobs; they are judged when the policy arrives. Queues that were removed from the configuration keep their policy: the owner stores the policies in cell/queues, from which its successor restores those that it lacks; at most 256 removed queues without open jobs are kept.

Ruled out: letting the claim wait for the configuration alone, since a job of a removed queue would still meet the default.

--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -37,7 +37,10 @@
           owner_identity self, events handlers);
     ~claim();
 
+    /// Follows the claims of all instances. This instance makes none before enable().
     void start();
+    /// Allows this instance to claim the cell from now on.
+    void enable();
     /// Removes the claim of this instance, if any, and does not claim again.
     void release();
     /// Removes the claim so that another instance can become the owner. If none has
--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -62,8 +62,14 @@
               metrics_registry& metrics);
     ~scheduler();
 
-    /// Sets the policies of the queues and sorts the waiting steps by them.
+    /// Sets the policies of the queues and sorts the waiting steps by them. Jobs of a
+    /// queue that is not listed any more keep its policy.
     void configure(const std::vector<queue_policy>& queues);
+    /// Adds the policies that a former owner knew, for jobs of queues that were removed
+    /// from the configuration before this owner read it.
+    void restore_queues(const std::vector<queue_policy>& queues);
+    /// Policies of the configured queues and of the latest removed ones.
+    std::vector<queue_policy> queues() const;
 
     /// Adds a job. Returns false when the job is known already. An inherited job may have
     /// runs that a former owner started, so its tasks wait until every worker that could
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -19,6 +19,9 @@
 /// A command without an answer may still be executed up to this long after it was sent.
 inline constexpr duration late_command_limit = std::chrono::milliseconds(12000);
 
+/// Number of removed queues whose policies are kept although they have no open jobs.
+inline constexpr std::size_t max_removed_queues = 256;
+
 /// Lower bound for the number of hosts that send requests to the advice service, used to
 /// limit the number of requests.
 inline constexpr std::uint32_t min_advice_hosts = 6;
@@ -171,6 +174,11 @@
     void task_done(job_status& job, const task_ref& task);
     void step_done(job_status& job, std::uint32_t step);
     void task_failed(job_status& job, const task_ref& task, const worker_id& worker);
+    /// Fails the job if a task or gang has used all of its attempts.
+    void fail_if_exhausted(job_status& job);
+    void set_policies(const std::vector<queue_policy>& given);
+    /// Drops the policies of the queues that were removed first and have no open jobs.
+    void drop_old_queues(const std::set<queue_name>& configured);
     std::uint32_t waiting_tasks(const step_status& step) const;
 
     // Runs and workers; defined in observe.cpp and workers.cpp.
@@ -252,6 +260,9 @@
     const logger& log;
     metrics_registry& metrics;
     std::map<queue_name, queue_policy> queues;
+    /// Queues that are not configured any more, the first removed one first. Jobs that
+    /// were accepted before the removal may still arrive.
+    std::deque<queue_name> removed_queues;
     std::unordered_map<job_key, job_status> jobs;
     std::map<worker_id, worker_status> workers;
     std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -83,6 +83,7 @@
 
     std::optional<owner_identity> current;
     bool owning = false;
+    bool enabled = false; ///< See enable().
     bool released = false;
     bool claiming = false;
     lease_id lease;
@@ -190,7 +191,7 @@
 
 void claim::implementation::schedule_claim()
 {
-    if (released || claiming)
+    if (!enabled || released || claiming)
         return;
     const boot_time now = loop.clock().now();
     duration delay = duration::zero();
@@ -315,6 +316,15 @@
     implementation_->follow();
 }
 
+void claim::enable()
+{
+    implementation& self = *implementation_;
+    if (std::exchange(self.enabled, true))
+        return;
+    if (self.is_free || self.may_replace())
+        self.schedule_claim();
+}
+
 void claim::release()
 {
     implementation_->released = true;
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <limits>
 
 namespace hawthornbeam::cell
 {
@@ -64,10 +65,17 @@
 
 const queue_policy& scheduler::implementation::policy_of(const job_status& job) const
 {
-    // A job whose queue was removed from the configuration gets a default policy.
-    static const queue_policy removed_queue;
+    // Nothing irrevocable is decided for a job whose queue is unknown: its tasks do not
+    // start, and it does not fail.
+    static const queue_policy unknown_queue = []
+    {
+        queue_policy policy;
+        policy.priority = std::numeric_limits<int>::max();
+        policy.attempts = std::numeric_limits<std::uint32_t>::max();
+        return policy;
+    }();
     const auto found = queues.find(job.spec.queue);
-    return found == queues.end() ? removed_queue : found->second;
+    return found == queues.end() ? unknown_queue : found->second;
 }
 
 step_key scheduler::implementation::key_of(const job_status& job,
@@ -93,16 +101,77 @@
 void scheduler::configure(const std::vector<queue_policy>& queues)
 {
     implementation& self = *implementation_;
+    std::set<queue_name> configured;
     for (const queue_policy& queue : queues)
-        self.queues[queue.name] = queue;
-    // The keys contain priorities and lateness, so the set is rebuilt.
-    self.open_steps.clear();
-    for (auto& [id, job] : self.jobs)
+        configured.insert(queue.name);
+    self.drop_old_queues(configured);
+    self.set_policies(queues);
+}
+
+void scheduler::implementation::drop_old_queues(const std::set<queue_name>& configured)
+{
+    std::erase_if(removed_queues, [&configured](const queue_name& name)
+                  { return configured.contains(name); });
+    for (const auto& [name, policy] : queues)
+        if (!configured.contains(name) &&
+            std::ranges::find(removed_queues, name) == removed_queues.end())
+            removed_queues.push_back(name);
+    if (removed_queues.size() <= max_removed_queues)
+        return;
+    std::set<queue_name> used;
+    for (const auto& [id, job] : jobs)
         if (!is_final(job.state))
-        {
-            self.set_due(job);
-            self.open_ready_steps(job);
-        }
+            used.insert(job.spec.queue);
+    std::size_t excess = removed_queues.size() - max_removed_queues;
+    std::erase_if(removed_queues,
+                  [this, &used, &excess](const queue_name& name)
+                  {
+                      if (excess == 0 || used.contains(name))
+                          return false;
+                      --excess;
+                      queues.erase(name);
+                      return true;
+                  });
+}
+
+void scheduler::implementation::set_policies(const std::vector<queue_policy>& given)
+{
+    std::set<queue_name> added;
+    for (const queue_policy& queue : given)
+        if (queues.insert_or_assign(queue.name, queue).second)
+            added.insert(queue.name);
+    // The keys contain priorities and lateness, so the set is rebuilt.
+    open_steps.clear();
+    for (auto& [id, job] : jobs)
+    {
+        if (is_final(job.state))
+            continue;
+        set_due(job);
+        open_ready_steps(job);
+        if (added.contains(job.spec.queue))
+            fail_if_exhausted(job);
+    }
+}
+
+void scheduler::restore_queues(const std::vector<queue_policy>& queues)
+{
+    std::vector<queue_policy> missing;
+    for (const queue_policy& queue : queues)
+        if (!implementation_->queues.contains(queue.name))
+            missing.push_back(queue);
+    if (missing.empty())
+        return;
+    implementation_->set_policies(missing);
+    for (const queue_policy& queue : missing)
+        implementation_->removed_queues.push_back(queue.name);
+}
+
+std::vector<queue_policy> scheduler::queues() const
+{
+    std::vector<queue_policy> listed;
+    for (const auto& [name, policy] : implementation_->queues)
+        listed.push_back(policy);
+    return listed;
 }
 
 bool scheduler::add_job(job_spec job, bool inherited, boot_time submitted)
@@ -282,21 +351,31 @@
 void scheduler::implementation::task_failed(job_status& job, const task_ref& task,
                                             const worker_id& worker)
 {
-    step_status& step = job.steps[task.step];
-    const step_spec& spec = job.spec.steps[task.step];
-    task_status& failed = step.tasks[task.index];
+    task_status& failed = job.steps[task.step].tasks[task.index];
     ++failed.failures;
     failed.failed_on = worker;
-    std::uint32_t failures = failed.failures;
-    if (spec.gang)
+    fail_if_exhausted(job);
+}
+
+void scheduler::implementation::fail_if_exhausted(job_status& job)
+{
+    if (is_final(job.state))
+        return;
+    const std::uint32_t attempts = policy_of(job).attempts;
+    for (std::uint32_t number = 0; number < job.steps.size(); ++number)
     {
+        const step_spec& spec = job.spec.steps[number];
         // Failures of all members count together, since a gang fails as a whole.
-        failures = 0;
-        for (const task_status& member : step.tasks)
-            failures += member.failures;
+        std::uint32_t total = 0;
+        std::uint32_t most = 0;
+        for (const task_status& task : job.steps[number].tasks)
+        {
+            total += task.failures;
+            most = std::max(most, task.failures);
+        }
+        if (!spec.persistent && total > 0 && (spec.gang ? total : most) >= attempts)
+            return finish_job(job, job_state::failed);
     }
-    if (!spec.persistent && !is_final(job.state) && failures >= policy_of(job).attempts)
-        finish_job(job, job_state::failed);
 }
 
 void scheduler::restore_end(const stored_end& end)
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -352,6 +352,8 @@
 void owner::configure(const std::vector<queue_policy>& queues)
 {
     implementation_->cell.configure(queues);
+    implementation_->queues_changed = true;
+    implementation_->schedule_store();
     implementation_->schedule_decision();
 }
 
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -156,6 +156,8 @@
     bool workers_changed = false;
     /// Workers in the write that is in flight, if it includes the list of workers.
     std::optional<std::set<worker_id>> workers_in_batch;
+    bool queues_changed = true;    ///< Since they were stored.
+    bool queues_in_batch = false;  ///< The write that is in flight includes the queues.
     kv_revision followed_revision; ///< Changes up to this revision have been read.
     bool following = false;
     /// Transfer timeout of the next watch.
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -128,6 +128,14 @@
         }
         return;
     }
+    if (key == queues_key)
+    {
+        result<std::vector<queue_policy>> known = decode_queues(item.value);
+        if (!known)
+            return parts.log.error("owner", "stored queues cannot be read",
+                                   {{"reason", known.error().message}});
+        return cell.restore_queues(known.value());
+    }
     if (key == workers_key)
     {
         result<std::vector<worker_id>> known = decode_workers(item.value);
@@ -277,6 +285,10 @@
                                lease_id()});
         workers_changed = false;
     }
+    queues_in_batch = std::exchange(queues_changed, false);
+    if (queues_in_batch)
+        change.puts.push_back(
+            {std::string(queues_key), encode(cell.queues()), lease_id()});
     add_removals(change);
     if (change.puts.empty() && change.removals.empty())
     {
@@ -327,6 +339,7 @@
     if (!answer || !answer.value().committed)
     {
         workers_changed = workers_changed || workers_in_batch.has_value();
+        queues_changed = queues_changed || queues_in_batch;
         for (const std::string& key : change.removals)
             keys_to_remove.push_back(key);
         if (answer)
--- a/lib/cell/stored_form.cpp
+++ b/lib/cell/stored_form.cpp
@@ -84,6 +84,10 @@
 {
     return encode_value(workers);
 }
+std::string encode(const std::vector<queue_policy>& queues)
+{
+    return encode_value(queues);
+}
 std::string encode(const owner_record& owner)
 {
     return encode_value(owner);
@@ -100,6 +104,10 @@
 {
     return decode_value<std::vector<worker_id>>(bytes);
 }
+result<std::vector<queue_policy>> decode_queues(std::string_view bytes)
+{
+    return decode_value<std::vector<queue_policy>>(bytes);
+}
 result<owner_record> decode_owner(std::string_view bytes)
 {
     return decode_value<owner_record>(bytes);
--- a/lib/cell/stored_form.hpp
+++ b/lib/cell/stored_form.hpp
@@ -23,6 +23,8 @@
 inline constexpr std::string_view last_claim_key = "cell/owner-last";
 /// Key of the ids of the workers on which tasks may run.
 inline constexpr std::string_view workers_key = "cell/workers";
+/// Key of the policies of the queues that the owner has been configured with.
+inline constexpr std::string_view queues_key = "cell/queues";
 inline constexpr std::string_view job_prefix = "cell/job/";
 inline constexpr std::string_view cancel_prefix = "cell/cancel/";
 inline constexpr std::string_view ends_prefix = "cell/ends/";
@@ -44,10 +46,12 @@
 std::string encode(const job_record& record);
 std::string encode(const std::vector<stored_end>& ends);
 std::string encode(const std::vector<worker_id>& workers);
+std::string encode(const std::vector<queue_policy>& queues);
 std::string encode(const owner_record& owner);
 result<job_record> decode_job(std::string_view bytes);
 result<std::vector<stored_end>> decode_ends(std::string_view bytes);
 result<std::vector<worker_id>> decode_workers(std::string_view bytes);
+result<std::vector<queue_policy>> decode_queues(std::string_view bytes);
 result<owner_record> decode_owner(std::string_view bytes);
 
 } // namespace hawthornbeam::cell
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -192,18 +192,39 @@
     members(archive, queue, waiting);
 }
 
+template <class Archive, class T>
+void optional_member(Archive& archive, std::optional<T>& value)
+{
+    bool present = value.has_value();
+    member(archive, present);
+    if (!present)
+        return value.reset();
+    if (!value)
+        value.emplace();
+    member(archive, *value);
+}
+
 template <class Archive>
 void serialize(Archive& archive, job_record& value)
 {
-    bool whole = value.job.has_value();
     member(archive, value.state);
     member(archive, value.changed_ms);
-    member(archive, whole);
-    if (!whole)
-        return value.job.reset();
-    if (!value.job)
-        value.job.emplace();
-    member(archive, *value.job);
+    optional_member(archive, value.job);
+}
+
+template <class Archive>
+void serialize(Archive& archive, advice_policy& value)
+{
+    auto& [decide, each, valid] = value;
+    members(archive, decide, each, valid);
+}
+
+template <class Archive>
+void serialize(Archive& archive, queue_policy& value)
+{
+    auto& [name, service, priority, attempts, stretch, objective, advice] = value;
+    members(archive, name, service, priority, attempts, stretch, objective);
+    optional_member(archive, advice);
 }
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -18,7 +18,8 @@
 struct claimant
 {
     claimant(manual_event_loop& loop, memory_store_state& state, const logger& log,
-             const std::string& name, const std::string& address = "")
+             const std::string& name, const std::string& address = "",
+             bool enabled = true)
         : store(state), observed(loop, store), random(std::hash<std::string>{}(name)),
           cell_claim(loop, observed, random, log,
                      owner_identity{instance_id(name),
@@ -32,6 +33,8 @@
                       [this] { ++lost_count; },
                       [](const std::optional<owner_identity>&) {}})
     {
+        if (enabled)
+            cell_claim.enable();
     }
 
     memory_store store;
@@ -121,6 +124,32 @@
     EXPECT_TRUE(former.continued.back());
 }
 
+// An owner without the policies of the queues would decide by defaults.
+TEST_F(claim_test, instance_claims_only_after_it_is_enabled)
+{
+    claimant starting(loop, state, log, "starting", "", false);
+    starting.cell_claim.start();
+    loop.advance(seconds(5));
+    EXPECT_FALSE(starting.cell_claim.is_owner());
+    starting.cell_claim.enable();
+    loop.advance(milliseconds(200));
+    EXPECT_TRUE(starting.cell_claim.is_owner());
+}
+
+TEST_F(claim_test, instance_that_is_not_enabled_does_not_replace_a_stopped_owner)
+{
+    start();
+    claimant starting(loop, state, log, "starting", "", false);
+    starting.cell_claim.start();
+    loop.advance(milliseconds(200));
+    starting.cell_claim.on_owner_stopped(owner().cell_claim.token(), "test");
+    loop.advance(seconds(1));
+    EXPECT_FALSE(starting.cell_claim.is_owner());
+    starting.cell_claim.enable();
+    loop.advance(milliseconds(200));
+    EXPECT_TRUE(starting.cell_claim.is_owner());
+}
+
 TEST_F(claim_test, claim_is_acquired_after_its_answer_was_lost)
 {
     first.store.condition = store_condition::losing_answers;
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -55,6 +55,21 @@
         queue.attempts = 3;
         cell->configure({queue});
     }
+    std::unique_ptr<owner> make_owner()
+    {
+        return std::make_unique<owner>(
+            owner_parts{loop, store, directory, log, metrics, scheduler_limits(),
+                        instance_id("self"), std::chrono::minutes(5),
+                        [this](const endpoint& agent, wire::cell_commands message,
+                               const std::function<void(result<fence_token>)>& done)
+                        {
+                            sent.emplace_back(agent, std::move(message));
+                            done(fence_token(first_token));
+                        },
+                        [this](fence_token higher)
+                        { superseding_tokens.push_back(higher); }},
+            fence_token(first_token));
+    }
     void start()
     {
         configure();
@@ -145,17 +160,7 @@
     manual_worker_directory directory;
     std::vector<std::pair<endpoint, wire::cell_commands>> sent;
     std::vector<fence_token> superseding_tokens;
-    std::unique_ptr<owner> cell = std::make_unique<owner>(
-        owner_parts{loop, store, directory, log, metrics, scheduler_limits(),
-                    instance_id("self"), std::chrono::minutes(5),
-                    [this](const endpoint& agent, wire::cell_commands message,
-                           const std::function<void(result<fence_token>)>& done)
-                    {
-                        sent.emplace_back(agent, std::move(message));
-                        done(fence_token(first_token));
-                    },
-                    [this](fence_token higher) { superseding_tokens.push_back(higher); }},
-        fence_token(first_token));
+    std::unique_ptr<owner> cell = make_owner();
 };
 
 TEST_F(owner_test, job_starts_only_on_a_polled_and_stored_worker)
@@ -274,6 +279,32 @@
     EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
 }
 
+// Guards against jobs that fail by a default policy because their queue was removed from
+// the configuration before the owner started.
+TEST_F(owner_test, job_of_a_removed_queue_keeps_the_policy_of_the_former_owner)
+{
+    start();
+    loop.advance(milliseconds(500));
+    ASSERT_TRUE(state.items.contains("cell/queues"));
+    job_record record;
+    record.job = fleet::job("a", "q", 1, 1);
+    state.put("cell/job/a", encode(record), lease_id());
+    state.put("cell/ends/1-1",
+              encode(std::vector<stored_end>{
+                  {{{job_key("a"), 0, 0}, run_number(1)}, run_end::failed}}),
+              lease_id());
+    cell.reset();
+    cell = make_owner();
+    cell->configure({});
+    cell->start();
+    report("a");
+    loop.advance(milliseconds(200));
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(200));
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::running);
+    EXPECT_EQ(sent_starts().size(), 1U);
+}
+
 // A new owner waits for the longest lease (8 s) of each stored worker that it cannot
 // poll, even if the worker left long ago.
 TEST_F(owner_test, idle_worker_is_removed_from_the_store_when_it_leaves)
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -71,6 +71,60 @@
     EXPECT_EQ(workers.cell.state(job_key("a")), job_state::failed);
 }
 
+/// Attempts in the configuration of a queue, and the expected state of its job, whose
+/// only task has failed once.
+class unknown_queue_test
+    : public testing::TestWithParam<std::pair<std::uint32_t, job_state>>
+{
+};
+
+// Guards against jobs that fail for good by a default number of attempts, because the
+// owner reads them before the configuration of their queue.
+TEST_P(unknown_queue_test, job_neither_fails_nor_starts_before_its_queue_is_known)
+{
+    fleet workers(1);
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    workers.cell.restore_end({{first_task("a"), run_number(1)}, run_end::failed});
+    EXPECT_TRUE(workers.decide().starts.empty());
+    EXPECT_TRUE(workers.store_changes().final_jobs.empty());
+    workers.add_queue("q", 0, GetParam().first);
+    workers.decide();
+    workers.store_changes();
+    EXPECT_EQ(workers.cell.state(job_key("a")), GetParam().second);
+}
+
+INSTANTIATE_TEST_SUITE_P(attempts, unknown_queue_test,
+                         testing::Values(std::pair(1U, job_state::failed),
+                                         std::pair(2U, job_state::running)));
+
+TEST(scheduler_test, jobs_of_a_removed_queue_keep_its_policy)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0, 2);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    workers.cell.configure({});
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+    workers.end_all(run_end::failed);
+    workers.poll_all();
+    EXPECT_TRUE(workers.store_changes().final_jobs.empty());
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+TEST(scheduler_test, policies_of_removed_queues_do_not_accumulate)
+{
+    fleet workers(1);
+    workers.add_queue("used", 0);
+    workers.submit(fleet::job("a", "used", 100, 1));
+    for (int number = 0; number < 1000; ++number)
+    {
+        queue_policy queue;
+        queue.name = queue_name("q" + std::to_string(number));
+        workers.cell.configure({queue});
+    }
+    EXPECT_LT(workers.cell.queues().size(), 300U);
+    EXPECT_FALSE(workers.decide().starts.empty());
+}
+
 TEST(scheduler_test, run_end_that_is_stored_and_listed_counts_once)
 {
     fleet workers(1);
