Let the owner's writes overlap, with enough connections and time-outs that follow the store

Hypothesis: with one transaction at a time a store that takes 0.4 s an answer stores 50 final states a second, while 75 jobs end.

Changed: change_writer keeps up to eight transactions open; ends are acknowledged to workers only in the order of their batches, and after a failure one transaction finds out whether the store is back. 32 connections to the store. The time-out of short calls is three times the slowest response of the last 2 to 4 s, between 0.6 and 1.2 s. Records of workers and queues are written by one transaction at a time, which expects their revisions: a write without an answer that the store executes seconds later can no longer put back an older list of workers, on which a successor would rely.

In the logs of the slow spell no write fails any more and a final state is stored after 0.4 s (one response; before: time-outs).

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -214,6 +214,17 @@
     cell.observe(result, now);
 }
 
+void owner::implementation::acknowledge(const std::vector<acknowledge_command>& covered)
+{
+    for (const acknowledge_command& command : covered)
+    {
+        agent_commands* const commands = commands_for(command.worker);
+        if (commands != nullptr)
+            commands->acknowledgements.push_back(command);
+    }
+    send_commands();
+}
+
 void owner::implementation::send_commands()
 {
     std::map<instance_id, agent_commands> sending;
@@ -331,6 +342,7 @@
 {
     implementation& self = *implementation_;
     self.token = token;
+    self.writer.set_token(token);
     // Agents drop all assignments of an earlier token, so every worker is assigned again.
     for (auto& [id, route] : self.routes)
         route.agent = instance_id();
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNBEAM_LIB_CELL_OWNER_STATE_HPP
 #define HAWTHORNBEAM_LIB_CELL_OWNER_STATE_HPP
 
+#include "change_writer.hpp"
 #include "hawthornbeam/cell/owner.hpp"
 #include "stored_form.hpp"
 
@@ -63,7 +64,12 @@
 {
 public:
     implementation(const owner_parts& given, fence_token claimed)
-        : parts(given), token(claimed), cell(given.limits, given.log, given.metrics)
+        : parts(given), token(claimed), cell(given.limits, given.log, given.metrics),
+          writer(given.loop, given.store, given.log, claimed,
+                 {[this](const change_batch& batch) { handle_stored(batch); },
+                  [this](const std::vector<acknowledge_command>& covered)
+                  { acknowledge(covered); },
+                  given.superseded})
     {
     }
 
@@ -94,6 +100,7 @@
     /// Number of agents that may take long advice requests.
     std::uint32_t hosts_for_long_advice(boot_time now) const;
     void route_advice(advice_command command, boot_time now);
+    void acknowledge(const std::vector<acknowledge_command>& covered);
     void send_commands();
     void broadcast();
     void send_to(const instance_id& id, wire::cell_commands message);
@@ -115,11 +122,14 @@
     void advance_position(const store_changes& answer);
     void schedule_store();
     void store_now();
-    void commit(store_transaction change);
-    void handle_commit(const store_transaction& change,
-                       const result<store_commit>& answer);
-    void finish_batch();
-    void add_removals(store_transaction& change);
+    void remove_expired_jobs();
+    void handle_stored(const change_batch& batch);
+    void record_stored_ends(const change_batch& batch);
+    /// Writes the records of workers and queues if they have changed.
+    void write_records();
+    void handle_records_conflict(const std::vector<store_item>& current);
+    void handle_records_commit(const std::optional<std::set<worker_id>>& written_workers,
+                               bool queues_written, const result<store_commit>& answer);
 
     owner_parts parts;
     fence_token token;
@@ -140,24 +150,22 @@
     std::vector<wire::cell_job_state> newly_ended;
     std::set<job_key> early_cancels; ///< Cancels that arrived before their jobs.
 
-    bool storing = false;
-    pending_changes batch; ///< Being written, or to be written again after a failure.
-    std::string batch_ends_key; ///< Store key of the run ends in the batch.
-    std::uint64_t last_batch_number = 0;
+    change_writer writer;
     /// Jobs without a stored final state, by the key of a record of run ends.
     std::map<std::string, std::set<job_key>> jobs_by_ends_key;
     /// Keys of the records with run ends of a job.
     std::map<job_key, std::set<std::string>> ends_keys_by_job;
-    std::vector<std::string> keys_to_remove; ///< From the store.
     /// Jobs with a stored final state and the time when it was stored or read.
     std::deque<std::pair<boot_time, job_key>> stored_final_jobs;
     std::set<worker_id> stored_workers;
     std::set<worker_id> workers_to_store;
     bool workers_changed = false;
-    /// Workers in the write that is in flight, if it includes the list of workers.
-    std::optional<std::set<worker_id>> workers_in_batch;
-    bool queues_changed = true;    ///< Since they were stored.
-    bool queues_in_batch = false;  ///< The write that is in flight includes the queues.
+    bool queues_changed = true; ///< Since they were stored.
+    bool writing_records = false;
+    bool records_retry_due = false; ///< The last write failed.
+    /// Revisions of the records of workers and queues; zero if there is no record.
+    kv_revision workers_revision;
+    kv_revision queues_revision;
     kv_revision followed_revision; ///< Changes up to this revision have been read.
     bool following = false;
     /// Transfer timeout of the next watch.
@@ -170,6 +178,7 @@
     bool store_due = false;
     timer_handle early_decision_timer;
     timer_handle store_timer;
+    timer_handle records_timer;
     timer_handle read_timer;
     timer_handle decision_timer;
     timer_handle broadcast_timer;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -20,10 +20,6 @@
 /// Answers without changes advance the followed revision only after this time: during a
 /// compaction of the store, watches may return no changes for a second.
 constexpr duration unchanged_confirmation = std::chrono::milliseconds(3000);
-/// Limits for the final states and removals in one transaction. The remaining entries are
-/// reserved for the claim, the run ends and the list of workers.
-constexpr std::size_t max_final_states = 20;
-constexpr std::size_t max_removals = 8;
 
 } // namespace
 
@@ -134,6 +130,7 @@
         if (!known)
             return parts.log.error("owner", "stored queues cannot be read",
                                    {{"reason", known.error().message}});
+        queues_revision = item.revision;
         return cell.restore_queues(known.value());
     }
     if (key == workers_key)
@@ -142,6 +139,7 @@
         if (!known)
             return parts.log.error("owner", "stored workers cannot be read",
                                    {{"reason", known.error().message}});
+        workers_revision = item.revision;
         cell.expect_workers(known.value(), parts.loop.clock().now());
         for (const worker_id& id : known.value())
         {
@@ -167,7 +165,7 @@
             ++record;
             continue;
         }
-        keys_to_remove.push_back(record->first);
+        writer.remove(record->first);
         record = jobs_by_ends_key.erase(record);
     }
 }
@@ -240,7 +238,7 @@
 
 void owner::implementation::schedule_store()
 {
-    if (store_due || storing || !loaded)
+    if (store_due || !loaded)
         return;
     store_due = true;
     store_timer = parts.loop.after(store_delay,
@@ -253,144 +251,41 @@
 
 void owner::implementation::store_now()
 {
-    if (storing)
-        return;
-    if (batch.empty())
-    {
-        batch = cell.take_changes();
-        if (!batch.ends.empty())
-            batch_ends_key = ends_store_key(token, ++last_batch_number);
-    }
-    store_transaction change;
-    change.expect.push_back({std::string(owner_key), kv_revision(token.value())});
-    if (!batch.ends.empty())
-        change.puts.push_back({batch_ends_key, encode(batch.ends), lease_id()});
-    const std::int64_t now_ms = parts.loop.clock().wall_now().time_since_epoch().count();
-    std::size_t states = 0;
-    for (const auto& [job, state] : batch.final_jobs)
-    {
-        if (++states > max_final_states)
-            break;
-        change.puts.push_back({job_store_key(job),
-                               encode(job_record{state, std::nullopt, now_ms}),
-                               lease_id()});
-    }
-    workers_in_batch.reset();
-    if (workers_changed)
-    {
-        workers_in_batch = workers_to_store;
-        change.puts.push_back({std::string(workers_key),
-                               encode(std::vector<worker_id>(workers_to_store.begin(),
-                                                             workers_to_store.end())),
-                               lease_id()});
-        workers_changed = false;
-    }
-    queues_in_batch = std::exchange(queues_changed, false);
-    if (queues_in_batch)
-        change.puts.push_back(
-            {std::string(queues_key), encode(cell.queues()), lease_id()});
-    add_removals(change);
-    if (change.puts.empty() && change.removals.empty())
-    {
-        // Run ends that need no record are acknowledged without a write.
-        if (!batch.empty())
-            finish_batch();
-        return;
-    }
-    commit(std::move(change));
+    remove_expired_jobs();
+    // Changes that cannot be sent yet stay in the scheduler, which drops run ends that a
+    // final state replaces.
+    if (writer.has_capacity())
+        writer.add(cell.take_changes());
+    writer.write();
+    write_records();
 }
 
-void owner::implementation::add_removals(store_transaction& change)
+void owner::implementation::remove_expired_jobs()
 {
     const boot_time now = parts.loop.clock().now();
     while (!stored_final_jobs.empty() &&
            now - stored_final_jobs.front().first > parts.ended_retention)
     {
-        keys_to_remove.push_back(job_store_key(stored_final_jobs.front().second));
-        keys_to_remove.push_back(cancel_store_key(stored_final_jobs.front().second));
-        cell.forget(stored_final_jobs.front().second);
+        const job_key& job = stored_final_jobs.front().second;
+        writer.remove(job_store_key(job));
+        writer.remove(cancel_store_key(job));
+        cell.forget(job);
         stored_final_jobs.pop_front();
     }
-    while (!keys_to_remove.empty() && change.removals.size() < max_removals)
-    {
-        change.removals.push_back(std::move(keys_to_remove.back()));
-        keys_to_remove.pop_back();
-    }
-}
-
-void owner::implementation::commit(store_transaction change)
-{
-    storing = true;
-    store_transaction sent = change;
-    parts.store.commit(std::move(sent),
-                       [weak = weak_from_this(),
-                        change = std::move(change)](const result<store_commit>& answer)
-                       {
-                           const std::shared_ptr<implementation> self = weak.lock();
-                           if (self)
-                               self->handle_commit(change, answer);
-                       });
-}
-
-void owner::implementation::handle_commit(const store_transaction& change,
-                                          const result<store_commit>& answer)
-{
-    storing = false;
-    if (!answer || !answer.value().committed)
-    {
-        workers_changed = workers_changed || workers_in_batch.has_value();
-        queues_changed = queues_changed || queues_in_batch;
-        for (const std::string& key : change.removals)
-            keys_to_remove.push_back(key);
-        if (answer)
-            for (const store_item& item : answer.value().conflicts)
-                if (item.key == owner_key && item.revision > kv_revision(token.value()))
-                    return parts.superseded(fence_token(item.revision.value()));
-        parts.log.warning("owner", "changes not stored",
-                          {{"reason", answer ? "the claim is not in the store"
-                                             : answer.error().message}});
-        // The retry writes the same values, so it is safe even if this write took effect.
-        store_due = true;
-        store_timer = parts.loop.after(store_retry,
-                                       [this]
-                                       {
-                                           store_due = false;
-                                           store_now();
-                                       });
-        return;
-    }
-    if (workers_in_batch)
-    {
-        // Workers that were added during the write are included in the next one.
-        stored_workers.clear();
-        std::ranges::set_intersection(
-            *workers_in_batch, workers_to_store,
-            std::inserter(stored_workers, stored_workers.end()));
-        for (const worker_id& id : stored_workers)
-            cell.allow_worker(id);
-    }
-    finish_batch();
 }
 
-void owner::implementation::finish_batch()
+void owner::implementation::handle_stored(const change_batch& batch)
 {
-    pending_changes stored;
-    stored.ends = std::exchange(batch.ends, {});
-    for (const stored_end& end : stored.ends)
-    {
-        jobs_by_ends_key[batch_ends_key].insert(end.run.task.job);
-        ends_keys_by_job[end.run.task.job].insert(batch_ends_key);
-    }
-    const std::size_t states = std::min(batch.final_jobs.size(), max_final_states);
-    stored.final_jobs.assign(batch.final_jobs.begin(),
-                             batch.final_jobs.begin() +
-                                 static_cast<std::ptrdiff_t>(states));
-    batch.final_jobs.erase(batch.final_jobs.begin(),
-                           batch.final_jobs.begin() +
-                               static_cast<std::ptrdiff_t>(states));
     const boot_time now = parts.loop.clock().now();
-    for (const auto& [job, state] : stored.final_jobs)
+    const duration waited = now - batch.added_at;
+    parts.metrics.observe("hawthornbeam_store_wait_seconds", {}, waited);
+    for (const auto& [job, state] : batch.changes.final_jobs)
     {
+        parts.log.info(
+            "owner", "final state stored",
+            {{"job", job.value()},
+             {"state", to_string(state)},
+             {"wait_ms", std::int64_t{waited / std::chrono::milliseconds(1)}}});
         stored_final_jobs.emplace_back(now, job);
         newly_ended.push_back({job, state});
         for (const std::string& record : ends_keys_by_job[job])
@@ -400,23 +295,123 @@
             if (!jobs.empty())
                 continue;
             jobs_by_ends_key.erase(record);
-            keys_to_remove.push_back(record);
+            writer.remove(record);
         }
         ends_keys_by_job.erase(job);
     }
-    cell.stored(stored, now);
-    if (batch.final_jobs.empty())
+    record_stored_ends(batch);
+    cell.stored(batch.changes, now);
+    schedule_store();
+}
+
+void owner::implementation::record_stored_ends(const change_batch& batch)
+{
+    if (batch.ends_key.empty())
+        return;
+    bool needed = false;
+    for (const stored_end& end : batch.changes.ends)
+    {
+        const job_key& job = end.run.task.job;
+        // The final state of the job may have been stored first.
+        const std::optional<job_state> state = cell.state(job);
+        if (state && is_final(*state))
+            continue;
+        jobs_by_ends_key[batch.ends_key].insert(job);
+        ends_keys_by_job[job].insert(batch.ends_key);
+        needed = true;
+    }
+    if (!needed)
+        writer.remove(batch.ends_key);
+}
+
+void owner::implementation::write_records()
+{
+    if (writing_records || records_retry_due || !(workers_changed || queues_changed))
+        return;
+    // A transaction without an answer may be executed after a later one. Its expectation
+    // of the records' revisions fails then.
+    store_transaction change;
+    change.expect.push_back({std::string(owner_key), kv_revision(token.value())});
+    if (workers_changed)
+    {
+        change.expect.push_back({std::string(workers_key), workers_revision});
+        change.puts.push_back({std::string(workers_key),
+                               encode(std::vector<worker_id>(workers_to_store.begin(),
+                                                             workers_to_store.end())),
+                               lease_id()});
+    }
+    if (queues_changed)
     {
-        for (const acknowledge_command& command : batch.covered)
+        change.expect.push_back({std::string(queues_key), queues_revision});
+        change.puts.push_back(
+            {std::string(queues_key), encode(cell.queues()), lease_id()});
+    }
+    writing_records = true;
+    parts.store.commit(
+        std::move(change),
+        [weak = weak_from_this(), written_workers = workers_to_store,
+         workers_written = std::exchange(workers_changed, false),
+         queues_written =
+             std::exchange(queues_changed, false)](const result<store_commit>& answer)
         {
-            agent_commands* const commands = commands_for(command.worker);
-            if (commands != nullptr)
-                commands->acknowledgements.push_back(command);
-        }
-        batch = pending_changes();
+            const std::shared_ptr<implementation> self = weak.lock();
+            if (self)
+                self->handle_records_commit(
+                    workers_written ? std::optional(written_workers) : std::nullopt,
+                    queues_written, answer);
+        });
+}
+
+void owner::implementation::handle_records_conflict(
+    const std::vector<store_item>& current)
+{
+    for (const store_item& item : current)
+    {
+        if (item.key == workers_key)
+            workers_revision = item.revision;
+        else if (item.key == queues_key)
+            queues_revision = item.revision;
+        else if (item.key == owner_key && item.revision > kv_revision(token.value()))
+            parts.superseded(fence_token(item.revision.value()));
     }
-    send_commands();
+}
+
+void owner::implementation::handle_records_commit(
+    const std::optional<std::set<worker_id>>& written_workers, bool queues_written,
+    const result<store_commit>& answer)
+{
+    writing_records = false;
+    if (!answer || !answer.value().committed)
+    {
+        workers_changed = workers_changed || written_workers.has_value();
+        queues_changed = queues_changed || queues_written;
+        if (answer)
+            handle_records_conflict(answer.value().conflicts);
+        parts.log.warning("owner", "records not stored",
+                          {{"reason", answer ? "the records or the claim have changed"
+                                             : answer.error().message}});
+        records_retry_due = true;
+        records_timer = parts.loop.after(store_retry,
+                                         [this]
+                                         {
+                                             records_retry_due = false;
+                                             write_records();
+                                         });
+        return;
+    }
+    if (queues_written)
+        queues_revision = answer.value().revision;
+    if (!written_workers)
+        return;
+    workers_revision = answer.value().revision;
+    // Workers that were added during the write are included in the next one.
+    stored_workers.clear();
+    std::ranges::set_intersection(*written_workers, workers_to_store,
+                                  std::inserter(stored_workers, stored_workers.end()));
+    for (const worker_id& id : stored_workers)
+        cell.allow_worker(id);
     schedule_store();
+    schedule_decision();
 }
 
 } // namespace hawthornbeam::cell
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -36,6 +36,9 @@
 constexpr int exit_usage = 2;
 /// Number of kept connections to one host. A runner serves 64 connections in all.
 constexpr unsigned connections_per_host = 8;
+/// Number of connections to the store. More than the watches, the writes of a receiver
+/// and those of an owner together, so that none waits for a connection.
+constexpr unsigned store_connections = 32;
 /// While stopping, the process serves requests for at least this fraction of its grace
 /// time.
 constexpr double min_serving_fraction = 0.5;
@@ -65,9 +68,9 @@
     process(glib_event_loop& loop, const logger& log,
             const adapter::process_settings& settings, std::uint64_t seed)
         : loop_(loop), log_(log), settings_(settings), random_(seed),
-          store_http_(loop, log, connections_per_host, connection_use::kept),
+          store_http_(loop, log, store_connections, connection_use::kept),
           runner_http_(loop, log, connections_per_host, connection_use::kept),
-          store_(store_http_, metrics_, settings.store_address),
+          store_(loop.clock(), store_http_, metrics_, settings.store_address),
           runners_(runner_http_, metrics_, settings.advice_address),
           registry_(loop, store_, log),
           configuration_(loop, store_, log,
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -4,6 +4,7 @@
 #include "lib/cell/stored_form.hpp"
 #include "memory_store.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace hawthornbeam::cell
@@ -32,6 +33,56 @@
     std::function<void(const std::vector<worker_info>&)> changed_handler;
 };
 
+/// A store that executes some transactions late: their callers get no answer.
+class late_store final : public cell_store
+{
+public:
+    explicit late_store(cell_store& store) : store_(store) {}
+
+    void read(const std::string& key, callback<std::optional<store_item>> done) override
+    {
+        store_.read(key, std::move(done));
+    }
+    void list(const std::string& prefix, callback<store_listing> done) override
+    {
+        store_.list(prefix, std::move(done));
+    }
+    void watch(const std::string& prefix, kv_revision after, watch_times times,
+               callback<store_changes> done) override
+    {
+        store_.watch(prefix, after, times, std::move(done));
+    }
+    void grant(duration ttl, callback<lease_id> done) override
+    {
+        store_.grant(ttl, std::move(done));
+    }
+    void renew(lease_id lease, callback<bool> done) override
+    {
+        store_.renew(lease, std::move(done));
+    }
+    void commit(store_transaction change, callback<store_commit> done) override
+    {
+        const bool is_late = std::ranges::any_of(change.puts, [this](const store_put& put)
+                                                 { return put.key == late_key; });
+        if (!is_late)
+            return store_.commit(std::move(change), std::move(done));
+        late.push_back(std::move(change));
+        done(make_error(error_code::outcome_unknown, "no answer"));
+    }
+    /// Executes the late transactions.
+    void execute_late()
+    {
+        for (store_transaction& change : std::exchange(late, {}))
+            store_.commit(std::move(change), [](const result<store_commit>&) {});
+    }
+
+    std::string late_key; ///< Transactions that put this key are late.
+    std::vector<store_transaction> late;
+
+private:
+    cell_store& store_;
+};
+
 class owner_test : public testing::Test
 {
 protected:
@@ -58,7 +109,7 @@
     std::unique_ptr<owner> make_owner()
     {
         return std::make_unique<owner>(
-            owner_parts{loop, store, directory, log, metrics, scheduler_limits(),
+            owner_parts{loop, observed, directory, log, metrics, scheduler_limits(),
                         instance_id("self"), std::chrono::minutes(5),
                         [this](const endpoint& agent, wire::cell_commands message,
                                const std::function<void(result<fence_token>)>& done)
@@ -157,6 +208,7 @@
     metrics_registry metrics;
     memory_store_state state{loop};
     memory_store store{state};
+    late_store observed{store};
     manual_worker_directory directory;
     std::vector<std::pair<endpoint, wire::cell_commands>> sent;
     std::vector<fence_token> superseding_tokens;
@@ -279,6 +331,71 @@
     EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
 }
 
+// Guards against starts on a worker that the record of workers does not name: a successor
+// would not wait for its lease.
+TEST_F(owner_test, late_write_does_not_remove_a_worker_from_the_store)
+{
+    start();
+    loop.advance(milliseconds(500));
+    worker_info second = directory.workers[0];
+    second.id = worker_id("w2");
+    observed.late_key = "cell/workers";
+    directory.changed_handler({directory.workers[0], second});
+    loop.advance(milliseconds(100));
+    ASSERT_EQ(observed.late.size(), 1U);
+    worker_info third = second;
+    third.id = worker_id("w3");
+    directory.workers.push_back(second);
+    directory.workers.push_back(third);
+    observed.late_key.clear();
+    directory.changed_handler(directory.workers);
+    loop.advance(seconds(1));
+    ASSERT_EQ(stored_workers().size(), 3U);
+    observed.execute_late();
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(stored_workers().size(), 3U);
+}
+
+// Guards against an owner that writes to a store without a pause while it is refused.
+TEST_F(owner_test, refused_records_are_written_again_after_a_pause)
+{
+    start();
+    loop.advance(milliseconds(500));
+    worker_info second = directory.workers[0];
+    second.id = worker_id("w2");
+    directory.workers.push_back(second);
+    observed.late_key = "cell/workers";
+    directory.changed_handler(directory.workers);
+    for (int round = 0; round < 100; ++round)
+    {
+        report("a");
+        loop.advance(milliseconds(10));
+    }
+    EXPECT_GE(observed.late.size(), 3U);
+    EXPECT_LE(observed.late.size(), 5U);
+}
+
+// The store may have executed a write whose answer was lost.
+TEST_F(owner_test, workers_are_stored_after_an_answer_was_lost)
+{
+    start();
+    loop.advance(milliseconds(500));
+    worker_info second = directory.workers[0];
+    second.id = worker_id("w2");
+    directory.workers.push_back(second);
+    observed.late_key = "cell/workers";
+    directory.changed_handler(directory.workers);
+    loop.advance(milliseconds(100));
+    observed.late_key.clear();
+    observed.execute_late();
+    worker_info third = second;
+    third.id = worker_id("w3");
+    directory.workers.push_back(third);
+    directory.changed_handler(directory.workers);
+    loop.advance(seconds(1));
+    EXPECT_EQ(stored_workers().size(), 3U);
+}
+
 // Guards against jobs that fail by a default policy because their queue was removed from
 // the configuration before the owner started.
 TEST_F(owner_test, job_of_a_removed_queue_keeps_the_policy_of_the_former_owner)
