--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -26,6 +26,12 @@
 /// limit the number of requests.
 inline constexpr std::uint32_t min_advice_hosts = 6;
 
+/// Typical number of workers in one request, used to estimate response times.
+inline constexpr std::int64_t typical_advice_workers = 30;
+
+/// Returns how many tasks of \p size fit into \p free_capacity.
+std::int64_t tasks_that_fit(const resources& size, const resources& free_capacity);
+
 /// Phase of a run on a worker.
 enum class run_phase : std::uint8_t
 {
@@ -225,7 +231,7 @@
     /// Stops runs without progress, so that their tasks start on another worker.
     void stop_stalled_runs(boot_time now);
 
-    // Placement; defined in place.cpp.
+    // Placement; defined in place.cpp, order.cpp, gangs.cpp and advice.cpp.
     bool can_run(const worker_status& candidate, const job_status& job,
                  std::uint32_t step, boot_time now) const;
     /// Computes `due` and `value_lost_at`.
--- /dev/null
+++ b/lib/cell/order.cpp
@@ -0,0 +1,72 @@
+/// \file
+/// Order of the waiting steps: objectives and lateness of jobs.
+#include "cell_state.hpp"
+
+#include <algorithm>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// A result keeps part of its value up to this many times the objective.
+constexpr std::int64_t value_loss_factor = 3;
+/// Interval between updates of the lateness of waiting jobs.
+constexpr duration lateness_update_period = std::chrono::milliseconds(50);
+
+} // namespace
+
+void scheduler::implementation::set_due(job_status& job)
+{
+    const queue_policy& policy = policy_of(job);
+    std::vector<duration> chains;
+    duration longest = duration::zero();
+    for (const step_spec& step : job.spec.steps)
+    {
+        duration before = duration::zero();
+        for (const std::uint32_t earlier : step.after)
+            before = std::max(before, chains[earlier]);
+        if (policy.advice)
+            before += policy.advice->answer_time(typical_advice_workers);
+        chains.push_back(before + step.estimate);
+        longest = std::max(longest, chains.back());
+    }
+    const duration objective =
+        policy.objective + std::chrono::duration_cast<duration>(longest * policy.stretch);
+    job.due = job.submitted + objective;
+    job.value_lost_at = job.submitted + value_loss_factor * objective;
+}
+
+int scheduler::implementation::lateness_of(const job_status& job, std::uint32_t step,
+                                           boot_time now)
+{
+    // A step counts as late as soon as it can no longer end in time.
+    const boot_time end = now + job.spec.steps[step].estimate;
+    return end > job.value_lost_at ? 2 : end > job.due ? 1 : 0;
+}
+
+void scheduler::implementation::update_lateness(boot_time now)
+{
+    if (now - lateness_updated_at < lateness_update_period)
+        return;
+    lateness_updated_at = now;
+    std::vector<step_key> changed;
+    for (const step_key& key : open_steps)
+    {
+        const job_status* job = find_job(key.job);
+        if (job != nullptr && !is_final(job->state) &&
+            lateness_of(*job, key.step, now) > job->lateness)
+            changed.push_back(key);
+    }
+    for (const step_key& key : changed)
+    {
+        job_status* job = find_job(key.job);
+        for (std::uint32_t step = 0; step < job->steps.size(); ++step)
+            open_steps.erase(key_of(*job, step));
+        job->lateness = lateness_of(*job, key.step, now);
+        open_ready_steps(*job);
+    }
+}
+
+} // namespace hawthornbeam::cell
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -3,7 +3,6 @@
 #include "cell_state.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace hawthornbeam::cell
 {
@@ -18,33 +17,9 @@
 /// send requests to the advice service.
 constexpr std::size_t max_steps = 96;
 constexpr std::size_t max_advised_steps_each = 16;
-/// Bounds for the number of workers without known advice in one request to the advice
-/// service.
-constexpr std::size_t min_asked = 8;
-constexpr std::size_t max_asked = 40;
-/// Fraction of the requested workers for which the advice service is assumed to issue a
-/// ticket.
-constexpr double expected_allowed_fraction = 0.35;
-/// Maximum number of workers whose expired tickets one request renews; a step with many
-/// waiting tasks may renew more.
-constexpr std::size_t max_renewed = 6;
-/// Maximum number of gangs with reserved workers.
-constexpr std::uint32_t max_reserved_gangs = 3;
-/// Bounds for the number of steps of a queue that may request advice. The number is how
-/// many requests half of the hosts can complete within the lifetime of a ticket. The
-/// upper bound is per host.
-constexpr std::int64_t min_waiting_steps = 3;
-constexpr double max_waiting_steps_each = 2.7;
-/// Typical number of workers in one request, used to estimate response times.
-constexpr std::int64_t typical_advice_workers = 30;
-/// A result keeps part of its value up to this many times the objective.
-constexpr std::int64_t value_loss_factor = 3;
-/// Interval between updates of the lateness of waiting jobs.
-constexpr duration lateness_update_period = std::chrono::milliseconds(50);
-/// A request to the advice service that got no answer is repeated after this time.
-constexpr duration advice_timeout = std::chrono::seconds(4);
 
-/// Returns how many tasks of \p size fit into \p free_capacity.
+} // namespace
+
 std::int64_t tasks_that_fit(const resources& size, const resources& free_capacity)
 {
     std::int64_t count = INT32_MAX;
@@ -59,8 +34,6 @@
     return std::max<std::int64_t>(count, 0);
 }
 
-} // namespace
-
 bool scheduler::implementation::can_run(const worker_status& candidate,
                                         const job_status& job, std::uint32_t step,
                                         boot_time now) const
@@ -78,58 +51,6 @@
     return spec.size.fits_in(info.capacity);
 }
 
-void scheduler::implementation::set_due(job_status& job)
-{
-    const queue_policy& policy = policy_of(job);
-    std::vector<duration> chains;
-    duration longest = duration::zero();
-    for (const step_spec& step : job.spec.steps)
-    {
-        duration before = duration::zero();
-        for (const std::uint32_t earlier : step.after)
-            before = std::max(before, chains[earlier]);
-        if (policy.advice)
-            before += policy.advice->answer_time(typical_advice_workers);
-        chains.push_back(before + step.estimate);
-        longest = std::max(longest, chains.back());
-    }
-    const duration objective =
-        policy.objective + std::chrono::duration_cast<duration>(longest * policy.stretch);
-    job.due = job.submitted + objective;
-    job.value_lost_at = job.submitted + value_loss_factor * objective;
-}
-
-int scheduler::implementation::lateness_of(const job_status& job, std::uint32_t step,
-                                           boot_time now)
-{
-    // A step counts as late as soon as it can no longer end in time.
-    const boot_time end = now + job.spec.steps[step].estimate;
-    return end > job.value_lost_at ? 2 : end > job.due ? 1 : 0;
-}
-
-void scheduler::implementation::update_lateness(boot_time now)
-{
-    if (now - lateness_updated_at < lateness_update_period)
-        return;
-    lateness_updated_at = now;
-    std::vector<step_key> changed;
-    for (const step_key& key : open_steps)
-    {
-        const job_status* job = find_job(key.job);
-        if (job != nullptr && !is_final(job->state) &&
-            lateness_of(*job, key.step, now) > job->lateness)
-            changed.push_back(key);
-    }
-    for (const step_key& key : changed)
-    {
-        job_status* job = find_job(key.job);
-        for (std::uint32_t step = 0; step < job->steps.size(); ++step)
-            open_steps.erase(key_of(*job, step));
-        job->lateness = lateness_of(*job, key.step, now);
-        open_ready_steps(*job);
-    }
-}
-
 worker_status* scheduler::implementation::choose_worker(
     const job_status& job, const step_key& key, const decision_pass& pass,
     const std::map<worker_id, resources>& assigned_capacity,
@@ -254,184 +175,6 @@
     return true;
 }
 
-bool scheduler::implementation::place_gang(job_status& job, const step_key& key,
-                                           decision_pass& pass)
-{
-    step_status& status = job.steps[key.step];
-    // When a start by the former owner was refused or lost, nobody received the result,
-    // and the start can no longer be executed. The members that do run would wait
-    // forever.
-    if (job.inherited && status.occupied > 0 && status.occupied < status.tasks.size())
-        restart_gang(job, key.step, pass.now);
-    // All members of a gang start with the same run number and the same saved state.
-    if (status.occupied > 0 || status.not_before > pass.now)
-        return true;
-    std::map<worker_id, resources> assigned_capacity;
-    std::map<worker_id, std::uint32_t> tasks_on_worker;
-    std::vector<worker_status*> targets;
-    run_number run;
-    checkpoint saved;
-    for (const task_status& member : status.tasks)
-    {
-        worker_status* target = choose_worker(job, key, pass, assigned_capacity,
-                                              tasks_on_worker, member.failed_on);
-        if (target == nullptr)
-            return false;
-        targets.push_back(target);
-        assigned_capacity[target->info.id] += job.spec.steps[key.step].size;
-        ++tasks_on_worker[target->info.id];
-        run = std::max(run, member.last_run);
-        if (!member.saved.empty())
-            saved = member.saved;
-    }
-    for (std::uint32_t index = 0; index < targets.size(); ++index)
-    {
-        status.tasks[index].saved = saved;
-        start(job, task_ref{job.spec.id, key.step, index}, run.next(), *targets[index],
-              pass);
-    }
-    return true;
-}
-
-void scheduler::implementation::reserve_workers(const job_status& job,
-                                                const step_key& key, decision_pass& pass)
-{
-    if (pass.reserved_gangs >= max_reserved_gangs)
-        return;
-    const step_spec& spec = job.spec.steps[key.step];
-    const step_status& status = job.steps[key.step];
-    const bool needs_ticket = policy_of(job).advice.has_value();
-    std::vector<std::pair<std::int64_t, worker_id>> candidates;
-    std::int64_t slots = 0;
-    for (const auto& [id, candidate] : workers)
-    {
-        if ((needs_ticket && !status.tickets.contains(id)) ||
-            pass.reserved.contains(id) || !can_run(candidate, job, key.step, pass.now))
-            continue;
-        const resources& capacity = candidate.info.capacity;
-        slots += tasks_that_fit(spec.size, capacity);
-        candidates.emplace_back((candidate.used.processors - capacity.processors).value(),
-                                id);
-    }
-    // Do not reserve workers for a gang that would not fit even if they were all idle.
-    if (slots < static_cast<std::int64_t>(spec.count))
-        return;
-    std::ranges::sort(candidates);
-    // Assume that half of each reserved worker becomes free while the gang waits.
-    std::int64_t expected = 0;
-    for (const auto& [negated_free, id] : candidates)
-    {
-        if (expected >= static_cast<std::int64_t>(spec.count))
-            break;
-        const std::int64_t capacity_slots =
-            tasks_that_fit(spec.size, workers.at(id).info.capacity);
-        expected += std::max<std::int64_t>(1, capacity_slots / 2);
-        pass.reserved.emplace(id, key);
-    }
-    ++pass.reserved_gangs;
-}
-
-bool scheduler::implementation::may_request_advice(const job_status& job,
-                                                   decision_pass& pass) const
-{
-    const advice_policy& advice = *policy_of(job).advice;
-    const duration answer_duration = advice.answer_time(typical_advice_workers);
-    const std::int64_t hosts = advice_hosts;
-    const std::int64_t bound = std::max<std::int64_t>(
-        min_waiting_steps, std::llround(max_waiting_steps_each * advice_hosts));
-    const std::int64_t max_requesting =
-        answer_duration <= duration::zero()
-            ? bound
-            : std::clamp(advice.valid * hosts / (2 * answer_duration), min_waiting_steps,
-                         bound);
-    return ++pass.waiting_with_advice[job.spec.queue] <=
-           static_cast<std::uint64_t>(max_requesting);
-}
-
-void scheduler::implementation::request_advice(job_status& job, const step_key& key,
-                                               decision_pass& pass)
-{
-    const boot_time now = pass.now;
-    const std::uint32_t step = key.step;
-    step_status& status = job.steps[step];
-    if (status.advice_requested_at && now - *status.advice_requested_at < advice_timeout)
-        return;
-    const step_spec& spec = job.spec.steps[step];
-    const std::size_t waiting = waiting_tasks(status);
-    std::vector<std::tuple<std::int64_t, std::size_t, worker_id>> unknown;
-    std::vector<std::pair<std::int64_t, worker_id>> renewable;
-    std::int64_t ticketed_slots = 0;
-    // Workers with equal free capacity are sorted by a hash that differs for each job.
-    // Otherwise, steps that send requests at the same time would get tickets for the same
-    // workers and wait for each other.
-    const std::hash<std::string> hash_string;
-    for (const auto& [id, candidate] : workers)
-    {
-        if (!can_run(candidate, job, step, now))
-            continue;
-        std::int64_t free_slots =
-            tasks_that_fit(spec.size, candidate.info.capacity - candidate.used);
-        const auto reservation = pass.reserved.find(id);
-        if (reservation != pass.reserved.end() && reservation->second < key)
-            free_slots = 0;
-        if (spec.per_worker > 0)
-            free_slots = std::min<std::int64_t>(free_slots, spec.per_worker);
-        const auto permitted = status.tickets.find(id);
-        if (permitted == status.tickets.end())
-        {
-            if (!status.asked.contains(id))
-                unknown.emplace_back(-free_slots,
-                                     hash_string(job.spec.id.value() + id.value()), id);
-        }
-        else if (permitted->second.until > now)
-            ticketed_slots += free_slots;
-        else if (free_slots > 0)
-            renewable.emplace_back(-free_slots, id);
-    }
-    if (ticketed_slots >= static_cast<std::int64_t>(waiting))
-        return;
-    std::ranges::sort(unknown);
-    std::ranges::sort(renewable);
-    advice_command command;
-    command.job = job.spec.id;
-    command.step = step;
-    std::int64_t renewed_slots = ticketed_slots;
-    for (const auto& [negated_slots, id] : renewable)
-    {
-        if (command.workers.size() >= max_renewed + waiting / 4 ||
-            renewed_slots >= static_cast<std::int64_t>(2 * waiting))
-            break;
-        command.workers.push_back(id);
-        renewed_slots -= negated_slots;
-    }
-    // Request advice about more workers only when the waiting tasks do not fit on those
-    // with valid or renewed tickets. Only the first request names workers without free
-    // capacity.
-    const bool first_request = status.asked.empty();
-    if (renewed_slots < static_cast<std::int64_t>(waiting))
-    {
-        double expected = 0;
-        const double needed =
-            2.0 * (static_cast<double>(waiting) - static_cast<double>(renewed_slots));
-        std::size_t added = 0;
-        for (const auto& [negated_slots, tie_breaker, id] : unknown)
-        {
-            if (added >= max_asked || (added >= min_asked && expected >= needed) ||
-                (negated_slots == 0 && !first_request))
-                break;
-            command.workers.push_back(id);
-            expected -= static_cast<double>(negated_slots) * expected_allowed_fraction;
-            ++added;
-        }
-    }
-    if (command.workers.empty())
-        return;
-    for (const worker_id& id : command.workers)
-        status.asked.insert(id);
-    status.advice_requested_at = now;
-    pass.out.advice.push_back(std::move(command));
-}
-
 void scheduler::implementation::place_step(const step_key& key, decision_pass& pass)
 {
     const std::uint32_t step = key.step;
@@ -464,20 +207,6 @@
         request_advice(*job, key, pass);
 }
 
-duration scheduler::advice_duration(const advice_command& command) const
-{
-    const job_status* job = implementation_->find_job(command.job);
-    if (job == nullptr || !implementation_->policy_of(*job).advice)
-        return duration::zero();
-    return implementation_->policy_of(*job).advice->answer_time(
-        static_cast<std::int64_t>(command.workers.size()));
-}
-
-void scheduler::set_advice_hosts(std::uint32_t hosts)
-{
-    implementation_->advice_hosts = std::max(hosts, min_advice_hosts);
-}
-
 decisions scheduler::decide(boot_time now)
 {
     implementation& self = *implementation_;
