Plan waiting gangs by the expected free capacity of their workers

Hypothesis: gangs of the most valuable kind wait for 3 to 16 s because at most three of them reserve whole workers, which idle meanwhile, and because their tickets (2.5 s) have run out when the workers are free, so that a request of 0.5 s follows.

Changed: each waiting gang gets a plan, the earliest time at which its workers have room for all members by the progress and estimates of what runs there. Capacity is held only from that time on and only as much as the members need; other tasks may use it before if they end in time even at twice their estimate. The held time does not slide, so that tasks cannot pass forever. Tickets are renewed so that they are valid at the planned start.

scheduler_test.workers_are_reserved_for_a_gang_under_a_flood_of_small_tasks: its clock stood still, so that the ends of running tasks never came nearer; it now advances by 250 ms a round, in which one of four tasks of a second ends on each worker, with the same number of rounds.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -26,6 +26,9 @@
 /// upper bound is per host.
 constexpr std::int64_t min_waiting_steps = 3;
 constexpr double max_waiting_steps_each = 2.7;
+/// The tickets of a planned gang are renewed so long before its start, and are valid for
+/// this long after it.
+constexpr duration renewal_lead = std::chrono::milliseconds(200);
 /// A request to the advice service that got no answer is repeated after this time.
 constexpr duration advice_timeout = std::chrono::seconds(4);
 
@@ -71,8 +74,7 @@
             continue;
         std::int64_t free_slots =
             tasks_that_fit(spec.size, candidate.info.capacity - candidate.used);
-        const auto reservation = pass.reserved.find(id);
-        if (reservation != pass.reserved.end() && reservation->second < key)
+        if (!keeps_holds(pass, id, spec.size, spec.estimate))
             free_slots = 0;
         if (spec.per_worker > 0)
             free_slots = std::min<std::int64_t>(free_slots, spec.per_worker);
@@ -92,23 +94,30 @@
         return;
     std::ranges::sort(unknown);
     std::ranges::sort(renewable);
-    advice_command command;
-    command.job = job.spec.id;
-    command.step = step;
+    const auto plan = pass.plans.find({key.job, step});
+    const bool is_planned = plan != pass.plans.end();
+    std::vector<worker_id> asked;
     std::int64_t renewed_slots = ticketed_slots;
-    for (const auto& [negated_slots, id] : renewable)
-    {
-        if (command.workers.size() >= max_renewed + waiting / 4 ||
-            renewed_slots >= static_cast<std::int64_t>(2 * waiting))
-            break;
-        command.workers.push_back(id);
-        renewed_slots -= negated_slots;
-    }
+    if (is_planned)
+        asked = tickets_to_renew(job, step, plan->second, now);
+    else
+        for (const auto& [negated_slots, id] : renewable)
+        {
+            if (asked.size() >= max_renewed + waiting / 4 ||
+                renewed_slots >= static_cast<std::int64_t>(2 * waiting))
+                break;
+            asked.push_back(id);
+            renewed_slots -= negated_slots;
+        }
     // Request advice about more workers only when the waiting tasks do not fit on those
-    // with valid or renewed tickets. Only the first request names workers without free
-    // capacity.
-    const bool first_request = status.asked.empty();
-    if (renewed_slots < static_cast<std::int64_t>(waiting))
+    // with valid or renewed tickets, or a planned gang would start earlier on free ones.
+    // Workers without free capacity are named by the first request, and for a gang that
+    // the workers with tickets cannot run.
+    const bool needs_more = is_planned
+                                ? plan->second.starts_at > now
+                                : renewed_slots < static_cast<std::int64_t>(waiting);
+    const bool names_full_workers = !is_planned && (status.asked.empty() || spec.gang);
+    if (needs_more)
     {
         double expected = 0;
         const double needed =
@@ -117,19 +126,42 @@
         for (const auto& [negated_slots, tie_breaker, id] : unknown)
         {
             if (added >= max_asked || (added >= min_asked && expected >= needed) ||
-                (negated_slots == 0 && !first_request))
+                (negated_slots == 0 && !names_full_workers))
                 break;
-            command.workers.push_back(id);
+            asked.push_back(id);
             expected -= static_cast<double>(negated_slots) * expected_allowed_fraction;
             ++added;
         }
     }
-    if (command.workers.empty())
+    send_advice_request(key, std::move(asked), pass);
+}
+
+std::vector<worker_id> scheduler::implementation::tickets_to_renew(const job_status& job,
+                                                                   std::uint32_t step,
+                                                                   const gang_plan& plan,
+                                                                   boot_time now) const
+{
+    const duration answer_time =
+        policy_of(job).advice->answer_time(std::ssize(plan.members));
+    if (plan.starts_at > now + answer_time + renewal_lead)
+        return {};
+    std::vector<worker_id> expiring;
+    for (const auto& [id, members] : plan.members)
+        if (job.steps[step].tickets.at(id).until <= plan.starts_at + renewal_lead)
+            expiring.push_back(id);
+    return expiring;
+}
+
+void scheduler::implementation::send_advice_request(const step_key& key,
+                                                    std::vector<worker_id> asked,
+                                                    decision_pass& pass)
+{
+    if (asked.empty())
         return;
-    for (const worker_id& id : command.workers)
-        status.asked.insert(id);
-    status.advice_requested_at = now;
-    pass.out.advice.push_back(std::move(command));
+    step_status& status = find_job(key.job)->steps[key.step];
+    status.asked.insert(asked.begin(), asked.end());
+    status.advice_requested_at = pass.now;
+    pass.out.advice.push_back({key.job, key.step, std::move(asked)});
 }
 
 duration scheduler::advice_duration(const advice_command& command) const
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNBEAM_LIB_CELL_CELL_STATE_HPP
 #define HAWTHORNBEAM_LIB_CELL_CELL_STATE_HPP
 
+#include "gang_plan.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
 
 #include <deque>
@@ -32,6 +33,9 @@
 /// Returns how many tasks of \p size fit into \p free_capacity.
 std::int64_t tasks_that_fit(const resources& size, const resources& free_capacity);
 
+/// Progress of a run that has completed its work.
+inline constexpr std::uint32_t complete_percent = 100;
+
 /// Phase of a run on a worker.
 enum class run_phase : std::uint8_t
 {
@@ -46,6 +50,7 @@
     run_phase phase = run_phase::starting;
     resources size;
     boot_time command_sent_at{}; ///< When the latest start or stop was sent.
+    bool started_here = false;   ///< Started by this owner, at command_sent_at.
     bool stop_answered = false;
     bool answered = false;
     event_position position; ///< Polls sent after it list the run if it exists.
@@ -83,6 +88,8 @@
     std::map<worker_id, permission> tickets;
     std::set<worker_id> asked; ///< Workers with known or requested advice.
     std::optional<boot_time> advice_requested_at;
+    /// First planned start of a waiting gang; capacity is held from then on.
+    std::optional<boot_time> held_from;
     boot_time not_before{}; ///< A gang that lost a member is placed after this.
 };
 
@@ -148,10 +155,11 @@
 {
     boot_time now{};
     decisions out;
-    /// Workers reserved for a waiting gang, with the step of the gang. Steps that sort
-    /// after it are not placed on them.
-    std::map<worker_id, step_key> reserved;
-    std::uint32_t reserved_gangs = 0;
+    /// Forecasts of the workers that waiting gangs may use, less the capacity held for
+    /// the gangs that sort before the current step.
+    std::map<worker_id, capacity_forecast> forecasts;
+    /// Plans of waiting gangs, by job and step.
+    std::map<std::pair<job_key, std::uint32_t>, gang_plan> plans;
     /// Number of waiting steps with advice that were counted so far, for each queue.
     std::map<queue_name, std::uint32_t> waiting_with_advice;
 };
@@ -243,8 +251,18 @@
     bool place_task(job_status& job, const step_key& key, std::uint32_t index,
                     decision_pass& pass);
     bool place_gang(job_status& job, const step_key& key, decision_pass& pass);
-    /// Reserves workers for a gang that does not fit now.
-    void reserve_workers(const job_status& job, const step_key& key, decision_pass& pass);
+    /// Plans a gang that does not fit now and holds capacity for it from the planned
+    /// start on.
+    void plan_waiting_gang(job_status& job, const step_key& key, decision_pass& pass);
+    capacity_forecast& forecast_of(const worker_status& worker, decision_pass& pass);
+    /// Expected end of a run, from its progress or else from the estimate of its step;
+    /// empty if its job is unknown.
+    std::optional<boot_time> expected_end(const task_ref& task, const run_record& run,
+                                          boot_time now) const;
+    /// Returns whether capacity of a worker that is free now may be used for \p run_time
+    /// without delaying the gangs that it is held for.
+    static bool keeps_holds(const decision_pass& pass, const worker_id& worker,
+                            const resources& size, duration run_time);
     /// Returns the best worker for a task of the step, or nullptr when none has enough
     /// free capacity. \p assigned_capacity is the capacity of each worker that this
     /// decision already assigns to the gang, \p tasks_on_worker the number of tasks of
@@ -261,6 +279,11 @@
     /// its limit of such steps.
     bool may_request_advice(const job_status& job, decision_pass& pass) const;
     void request_advice(job_status& job, const step_key& key, decision_pass& pass);
+    void send_advice_request(const step_key& key, std::vector<worker_id> asked,
+                             decision_pass& pass);
+    /// Workers whose tickets a planned gang has to renew by now.
+    std::vector<worker_id> tickets_to_renew(const job_status& job, std::uint32_t step,
+                                            const gang_plan& plan, boot_time now) const;
 
     scheduler_limits limits;
     const logger& log;
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -10,8 +10,18 @@
 namespace
 {
 
-/// Maximum number of gangs with reserved workers.
-constexpr std::uint32_t max_reserved_gangs = 3;
+/// Maximum number of gangs that one decision plans.
+constexpr std::size_t max_planned_gangs = 12;
+/// A run that should have ended by its progress or estimate ends after this time.
+constexpr duration overdue_run_time = std::chrono::milliseconds(100);
+/// A stopped run frees its capacity within this time.
+constexpr duration stop_time = std::chrono::milliseconds(400);
+/// A task may run on held capacity if it ends before the gang starts, even when it takes
+/// this many times its estimate.
+constexpr std::int64_t backfill_margin = 2;
+/// Progress from which the run time of a task is derived; before that, its estimate is
+/// used.
+constexpr std::uint32_t min_percent = 10;
 
 } // namespace
 
@@ -45,6 +55,7 @@
         if (!member.saved.empty())
             saved = member.saved;
     }
+    status.held_from.reset();
     for (std::uint32_t index = 0; index < targets.size(); ++index)
     {
         status.tasks[index].saved = saved;
@@ -54,42 +65,81 @@
     return true;
 }
 
-void scheduler::implementation::reserve_workers(const job_status& job,
-                                                const step_key& key, decision_pass& pass)
+std::optional<boot_time> scheduler::implementation::expected_end(const task_ref& task,
+                                                                 const run_record& run,
+                                                                 boot_time now) const
 {
-    if (pass.reserved_gangs >= max_reserved_gangs)
+    if (run.phase == run_phase::stopping)
+        return now + stop_time;
+    const auto job = jobs.find(task.job);
+    if (job == jobs.end() || task.step >= job->second.spec.steps.size())
+        return std::nullopt;
+    const step_spec& spec = job->second.spec.steps[task.step];
+    if (spec.persistent)
+        return std::nullopt;
+    boot_time end = run.command_sent_at + spec.estimate;
+    if (run.percent >= min_percent && run.started_here)
+        end = run.command_sent_at +
+              (run.progressed_at - run.command_sent_at) * complete_percent / run.percent;
+    return std::max(end, now + overdue_run_time);
+}
+
+capacity_forecast& scheduler::implementation::forecast_of(const worker_status& worker,
+                                                          decision_pass& pass)
+{
+    const auto [found, added] = pass.forecasts.try_emplace(
+        worker.info.id, pass.now, worker.info.capacity - worker.used);
+    if (added)
+        for (const auto& [task, run] : worker.runs)
+        {
+            const std::optional<boot_time> end = expected_end(task, run, pass.now);
+            if (end)
+                found->second.release(*end, run.size);
+        }
+    return found->second;
+}
+
+bool scheduler::implementation::keeps_holds(const decision_pass& pass,
+                                            const worker_id& worker,
+                                            const resources& size, duration run_time)
+{
+    const auto forecast = pass.forecasts.find(worker);
+    return forecast == pass.forecasts.end() ||
+           forecast->second.fits(size, pass.now + run_time * backfill_margin);
+}
+
+void scheduler::implementation::plan_waiting_gang(job_status& job, const step_key& key,
+                                                  decision_pass& pass)
+{
+    if (pass.plans.size() >= max_planned_gangs)
         return;
     const step_spec& spec = job.spec.steps[key.step];
-    const step_status& status = job.steps[key.step];
+    step_status& status = job.steps[key.step];
     const bool needs_ticket = policy_of(job).advice.has_value();
-    std::vector<std::pair<std::int64_t, worker_id>> candidates;
-    std::int64_t slots = 0;
-    for (const auto& [id, candidate] : workers)
+    std::vector<gang_candidate> candidates;
+    for (const auto& [id, worker] : workers)
     {
         if ((needs_ticket && !status.tickets.contains(id)) ||
-            pass.reserved.contains(id) || !can_run(candidate, job, key.step, pass.now))
+            !can_run(worker, job, key.step, pass.now))
             continue;
-        const resources& capacity = candidate.info.capacity;
-        slots += tasks_that_fit(spec.size, capacity);
-        candidates.emplace_back((candidate.used.processors - capacity.processors).value(),
-                                id);
+        const std::int64_t fitting = std::min<std::int64_t>(
+            spec.count, tasks_that_fit(spec.size, worker.info.capacity));
+        candidates.push_back(
+            {id, &forecast_of(worker, pass),
+             spec.per_worker > 0
+                 ? std::min(spec.per_worker, static_cast<std::uint32_t>(fitting))
+                 : static_cast<std::uint32_t>(fitting)});
     }
-    // Do not reserve workers for a gang that would not fit even if they were all idle.
-    if (slots < static_cast<std::int64_t>(spec.count))
+    const std::optional<gang_plan> plan = plan_gang(spec.size, spec.count, candidates);
+    if (!plan)
         return;
-    std::ranges::sort(candidates);
-    // Assume that half of each reserved worker becomes free while the gang waits.
-    std::int64_t expected = 0;
-    for (const auto& [negated_free, id] : candidates)
-    {
-        if (expected >= static_cast<std::int64_t>(spec.count))
-            break;
-        const std::int64_t capacity_slots =
-            tasks_that_fit(spec.size, workers.at(id).info.capacity);
-        expected += std::max<std::int64_t>(1, capacity_slots / 2);
-        pass.reserved.emplace(id, key);
-    }
-    ++pass.reserved_gangs;
+    // A start that is put off again and again would let other tasks pass forever.
+    status.held_from =
+        std::min(plan->starts_at, status.held_from.value_or(plan->starts_at));
+    for (const auto& [id, members] : plan->members)
+        for (std::uint32_t member = 0; member < members; ++member)
+            pass.forecasts.at(id).hold(*status.held_from, spec.size);
+    pass.plans.emplace(std::pair(key.job, key.step), *plan);
 }
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -17,8 +17,6 @@
 /// A run of an unknown job is stopped after this time. Once a second, the owner reads
 /// from the store the jobs that it was not notified of.
 constexpr duration unknown_job_limit = std::chrono::milliseconds(3000);
-/// Progress of a run that has completed its work.
-constexpr std::uint32_t complete_percent = 100;
 /// Maximum number of abandoned starts kept for a worker. More starts are abandoned only
 /// when the worker is unreachable, and then it gets no new ones.
 constexpr std::size_t max_abandoned = 256;
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -69,8 +69,10 @@
         if (!spec.size.fits_in(free_capacity) ||
             !can_run(candidate, job, key.step, pass.now))
             return;
-        const auto reservation = pass.reserved.find(id);
-        if (reservation != pass.reserved.end() && reservation->second < key)
+        resources held_size = spec.size;
+        if (assigned != assigned_capacity.end())
+            held_size += assigned->second;
+        if (!keeps_holds(pass, id, held_size, spec.estimate))
             return;
         if (spec.per_worker > 0)
         {
@@ -121,12 +123,19 @@
     record.run = run;
     record.size = job.spec.steps[task.step].size;
     record.command_sent_at = now;
+    record.started_here = true;
     target.used += record.size;
     // Replaces the record of an earlier run that is still being stopped on this worker.
     // The worker refuses the earlier run once it has received this one.
     run_record& kept = target.runs[task];
     target.used -= kept.size;
     kept = record;
+    const auto forecast = pass.forecasts.find(target.info.id);
+    if (forecast != pass.forecasts.end())
+    {
+        forecast->second.hold(now, record.size);
+        forecast->second.release(now + job.spec.steps[task.step].estimate, record.size);
+    }
     status.run_worker = target.info.id;
     status.last_run = run;
     ++step.occupied;
@@ -190,7 +199,7 @@
     if (job->spec.steps[step].gang)
     {
         if (!place_gang(*job, key, pass))
-            reserve_workers(*job, key, pass);
+            plan_waiting_gang(*job, key, pass);
     }
     else
         for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -540,9 +540,10 @@
     gang.steps[0].gang = true;
     workers.submit(gang);
     bool placed = false;
-    // In each round one small task ends on each worker.
+    // Each worker runs four small tasks of a second, one of which ends in each round.
     for (int round = 0; round < 6 && !placed; ++round)
     {
+        workers.advance(milliseconds(250));
         std::set<worker_id> served;
         for (int number = 0; number < 60; ++number)
             for (const auto& [worker, run] : workers.runs("f" + std::to_string(number)))
