Extend the leases of workers only while the owner is heard

An agent that was cut off from its owner, or whose process was paused, went on extending the leases of its workers. A new owner that cannot reach such a worker starts its tasks elsewhere 8.2 s after its claim, beside runs that the agent kept alive. An agent now polls without an extension when its owner has been silent for 2 s (it sends a message every 0.4 s), so that a lease ends 8.1 s after the last message.

Left: an owner that is cut off from the store and the other hosts together with agents and workers keeps their leases, since it cannot tell this from an outage of the store for all.

--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -31,6 +31,10 @@
 /// Failed polls in a row after which a worker is reported as unreachable.
 constexpr std::uint32_t failed_polls_to_report = 3;
 constexpr duration advice_timeout = std::chrono::seconds(3);
+/// Leases are extended only within this time after a message of the owner, which sends
+/// one every 400 ms. A successor restarts the runs of a worker that it cannot reach once
+/// the longest lease since its claim has ended, with a slack of 2 s.
+constexpr duration max_owner_silence = std::chrono::milliseconds(2000);
 
 struct assigned_worker
 {
@@ -78,6 +82,7 @@
     duration max_lease;
     report_sink sink;
     fence_token token;
+    boot_time owner_heard_at{}; ///< Last message with `token`.
     std::map<worker_id, assigned_worker> workers;
     /// Number of poll answers and results so far, for the positions of later ones.
     std::uint64_t event_count = 1;
@@ -140,14 +145,16 @@
     if (worker.last_acknowledged > worker.last_dropped && worker.failed_polls == 0 &&
         worker.poll_sent_at - worker.clock_read_at <= max_acknowledgement_age)
         call.acknowledged = worker.last_acknowledged;
-    if (worker.clock_read_at != boot_time())
+    const bool owner_is_silent = worker.poll_sent_at - owner_heard_at > max_owner_silence;
+    if (worker.clock_read_at != boot_time() && !owner_is_silent)
     {
         const duration since = worker.poll_sent_at - worker.clock_read_at + max_lease;
         call.lease_until = worker_time(
             worker.clock.value() +
             std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-        call.wait = poll_wait;
     }
+    if (worker.clock_read_at != boot_time())
+        call.wait = poll_wait;
     const event_position sent_position{worker.assignment, event_count};
     port.poll(call,
               [weak = weak_from_this(), id, sent_position,
@@ -304,6 +311,7 @@
         self.workers.clear();
         self.pending = agent_report();
     }
+    self.owner_heard_at = self.loop.clock().now();
     for (const assign_command& command : commands.assignments)
         self.assign(command);
     for (const acknowledge_command& command : commands.acknowledgements)
--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -103,6 +103,30 @@
     EXPECT_EQ(answer(1, 0).acknowledged, end_number());
 }
 
+// Guards against an agent that is cut off together with a worker and keeps its runs
+// alive, while a new owner, which cannot reach the worker, starts them elsewhere.
+TEST_F(agent_test, lease_is_not_extended_without_messages_of_the_owner)
+{
+    answer(1, 0);
+    EXPECT_TRUE(answer(1, 0).lease_until);
+    loop.advance(seconds(3));
+    answer(1, 0);
+    EXPECT_FALSE(answer(1, 0).lease_until);
+    polling_agent.execute(fence_token(1), agent_commands());
+    answer(1, 0);
+    EXPECT_TRUE(answer(1, 0).lease_until);
+}
+
+// The time of a pause counts as silence of the owner.
+TEST_F(agent_test, lease_is_not_extended_after_a_pause_of_the_process)
+{
+    answer(1, 0);
+    EXPECT_TRUE(port.polls.front().first.lease_until);
+    loop.skip(seconds(4));
+    fail();
+    EXPECT_FALSE(answer(1, 0).lease_until);
+}
+
 // The numbers of ends start at 1 in each incarnation. A poll that still acknowledges a
 // number of the former incarnation makes the worker discard ends that were never
 // reported.
