Do not refuse a job that an earlier request at this host may have stored

After a write without an answer the caller gets no verdict (504). When it came back while the store was away it was refused (503: never runs), although the first write may have stored the job, which then runs. A receiver remembers the latest 10,000 jobs whose write it could not settle and gives no verdict for them. Left: another host does not know of the first request.

--- a/lib/cell/receiver.cpp
+++ b/lib/cell/receiver.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 
 namespace hawthornbeam::cell
 {
@@ -23,6 +24,8 @@
 constexpr duration rewrite_pause = std::chrono::milliseconds(100);
 /// Queries that arrive within this time are sent to the owner in one message.
 constexpr duration query_delay = std::chrono::milliseconds(8);
+/// Number of jobs with a write of unknown outcome that are remembered.
+constexpr std::size_t max_unsettled_jobs = 10000;
 /// Number of final states that are kept to answer queries; the oldest are dropped.
 constexpr std::size_t max_final_states = 20000;
 
@@ -52,6 +55,7 @@
     void add_submission(job_spec job, bool relayed, verdict_callback done);
     void relay(const std::shared_ptr<submission>& failed);
     void retry(const std::shared_ptr<submission>& unsettled);
+    void remember_unsettled(const job_key& job);
     struct cancellation
     {
         job_key job;
@@ -73,7 +77,11 @@
     receiver_parts parts;
     std::map<job_key, std::shared_ptr<submission>> open_submissions;
     std::deque<std::shared_ptr<submission>> queued;
-    submissions submissions_to_retry; ///< To be written again after a pause.
+    /// Jobs that an earlier request may have stored. A later request for one of them must
+    /// not be refused, since the job may run.
+    std::set<job_key> unsettled_jobs;
+    std::deque<job_key> unsettled_sequence; ///< Oldest first.
+    submissions submissions_to_retry;       ///< To be written again after a pause.
     timer_handle retry_timer;
     std::size_t transactions_open = 0;
     std::map<job_key, std::vector<std::function<void(query_answer)>>> queries;
@@ -175,7 +183,9 @@
 void receiver::implementation::retry(const std::shared_ptr<submission>& unsettled)
 {
     if (!unsettled->may_take_effect)
-        return finish(unsettled, verdict::refused);
+        return finish(unsettled, unsettled_jobs.contains(unsettled->job.id)
+                                     ? verdict::unknown
+                                     : verdict::refused);
     if (is_past_limit(unsettled->received_at))
         return finish(unsettled, verdict::unknown);
     submissions_to_retry.push_back(unsettled);
@@ -193,10 +203,23 @@
                                       verdict outcome)
 {
     open_submissions.erase(finished->job.id);
+    if (outcome == verdict::unknown)
+        remember_unsettled(finished->job.id);
     for (const verdict_callback& done : finished->callers)
         done(outcome);
 }
 
+void receiver::implementation::remember_unsettled(const job_key& job)
+{
+    if (!unsettled_jobs.insert(job).second)
+        return;
+    unsettled_sequence.push_back(job);
+    if (unsettled_sequence.size() <= max_unsettled_jobs)
+        return;
+    unsettled_jobs.erase(unsettled_sequence.front());
+    unsettled_sequence.pop_front();
+}
+
 void receiver::implementation::read_before_cancel(const cancellation& request,
                                                   verdict_callback done)
 {
@@ -348,7 +371,7 @@
     {
         // Nothing is written here, so a refusal is certain and can be given at once.
         if (relayed)
-            return finish(added, verdict::refused);
+            return retry(added);
         return relay(added);
     }
     queued.push_back(added);
--- a/unittests/cell/receiver_test.cpp
+++ b/unittests/cell/receiver_test.cpp
@@ -104,6 +104,21 @@
     EXPECT_TRUE(state.items.contains("cell/job/c"));
 }
 
+// Guards against callers that are told that their job does not run, while an earlier
+// request has stored it.
+TEST_F(receiver_test, a_job_that_an_earlier_request_may_have_stored_is_not_refused)
+{
+    store.condition = store_condition::losing_answers;
+    EXPECT_EQ(submit("a", seconds(3)), verdict::unknown);
+    store.condition = store_condition::refusing;
+    EXPECT_EQ(submit("a", seconds(3)), verdict::unknown);
+    EXPECT_EQ(submit("b", seconds(3)), verdict::refused);
+    store.condition = store_condition::well;
+    // A call that the store answers shows that it serves this host again.
+    EXPECT_EQ(query("a").outcome, verdict::done);
+    EXPECT_EQ(submit("a", seconds(3)), verdict::done);
+}
+
 TEST_F(receiver_test, a_job_is_refused_at_once_when_the_store_wrote_nothing)
 {
     store.condition = store_condition::refusing;
