Let an owner that the store refuses resign within 0.5 s

Hypothesis: the check ran with the heartbeat, every 0.5 s, and waited until another host had an answer 0.7 s newer. It runs every 0.1 s now, with 0.45 s, longer than the 0.3 s between two renewals. A simulated cell replaces a refused owner within the 1.5 s in which it replaces a dead one; the former code does not.

--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -35,8 +35,11 @@
 constexpr duration resignation_pause = std::chrono::milliseconds(1500);
 /// An owner is cut off from the store when the store's last answer to another instance is
 /// newer than its last answer to the owner by more than this. Longer than the time
-/// between two store calls of an idle owner, which would otherwise count as cut off.
-constexpr duration store_cut_off_limit = std::chrono::milliseconds(700);
+/// between two renewals of the claim, since an idle owner would otherwise count as cut
+/// off.
+constexpr duration store_cut_off_limit = std::chrono::milliseconds(450);
+/// Period in which an owner checks whether it is cut off.
+constexpr duration isolation_check_period = std::chrono::milliseconds(100);
 constexpr duration store_cut_off_pause = std::chrono::milliseconds(4000);
 /// An owner hands the cell over when another host has at least this many times its
 /// processor share.
@@ -112,6 +115,7 @@
     /// last resignation.
     std::optional<boot_time> last_peer_contact;
     timer_handle heartbeat;
+    timer_handle isolation_check;
 };
 
 node::implementation::implementation(const node_parts& given)
@@ -514,10 +518,11 @@
                               {
                                   self.report(self.agent.token(), agent_report());
                                   self.record_store_state();
-                                  self.resign_when_isolated();
                                   self.hand_over_to_larger_host();
                                   self.query_peer_for_owner();
                               });
+    self.isolation_check = self.parts.loop.every(isolation_check_period, [&self]
+                                                 { self.resign_when_isolated(); });
     self.claim.start();
 }
 
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -148,6 +148,19 @@
             << "host " << host;
 }
 
+// Guards against a cell without decisions while its owner waits for a store that refuses
+// only it. An owner that has died is replaced after its lease, 1.2 s, and some retries.
+TEST(store_refusal_test, refused_owner_is_replaced_as_soon_as_a_dead_one)
+{
+    cell_simulation simulation(1);
+    simulation.advance(seconds(4));
+    const std::size_t former = simulation.owner();
+    simulation.set_store_refusing(former, true);
+    simulation.advance(std::chrono::milliseconds(1500));
+    EXPECT_TRUE(simulation.is_owned());
+    EXPECT_NE(simulation.owner(), former);
+}
+
 /// Number of seeds to run. For a longer run:
 /// HAWTHORNBEAM_SEEDS=1000 build/unittests/cell_tests.
 std::uint64_t seed_count()
