--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -105,7 +105,8 @@
     /// Steps are sorted by the value that they can still reach.
     boot_time due{};
     boot_time value_lost_at{};
-    int lateness = 0; ///< 0: can end in time, 1: late, 2: without value.
+    /// 0: can end in time, or is late and has its last chance; 1: late; 2: without value.
+    int lateness = 0;
     std::vector<step_status> steps;
 };
 
--- a/lib/cell/order.cpp
+++ b/lib/cell/order.cpp
@@ -12,6 +12,9 @@
 
 /// A result keeps part of its value up to this many times the objective.
 constexpr std::int64_t value_loss_factor = 3;
+/// A late job is sorted by its priority again when less than this part of its objective
+/// is left before its value is lost.
+constexpr std::int64_t last_chance_divisor = 2;
 /// Interval between updates of the lateness of waiting jobs.
 constexpr duration lateness_update_period = std::chrono::milliseconds(50);
 
@@ -43,7 +46,14 @@
 {
     // A step counts as late as soon as it can no longer end in time.
     const boot_time end = now + job.spec.steps[step].estimate;
-    return end > job.value_lost_at ? 2 : end > job.due ? 1 : 0;
+    if (end > job.value_lost_at)
+        return 2;
+    if (end <= job.due)
+        return 0;
+    // Late jobs wait for those that can be in time, but not until they have no value
+    // left.
+    const duration objective = job.due - job.submitted;
+    return end + objective / last_chance_divisor > job.value_lost_at ? 0 : 1;
 }
 
 void scheduler::implementation::update_lateness(boot_time now)
@@ -56,7 +66,7 @@
     {
         const job_status* job = find_job(key.job);
         if (job != nullptr && !is_final(job->state) &&
-            lateness_of(*job, key.step, now) > job->lateness)
+            lateness_of(*job, key.step, now) != job->lateness)
             changed.push_back(key);
     }
     for (const step_key& key : changed)
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -526,6 +526,36 @@
     EXPECT_EQ(decided.starts[0].run.task.job, job_key("new"));
 }
 
+/// Age of a late job, and whether it starts before a new one. Its objective is 3 s and
+/// its value is lost after 9 s.
+class late_job_test : public testing::TestWithParam<std::pair<duration, bool>>
+{
+};
+
+// Guards against late jobs that wait behind all others until they have no value left.
+TEST_P(late_job_test, starts_before_new_jobs_only_at_its_last_chance)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0, 3, 2, seconds(1));
+    workers.submit(fleet::job("busy", "q", 1, 8));
+    workers.decide();
+    workers.submit(fleet::job("late", "q", 1, 8));
+    workers.advance(GetParam().first);
+    workers.end_all(run_end::done);
+    workers.poll_all();
+    workers.submit(fleet::job("new", "q", 1, 8));
+    const decisions decided = workers.decide();
+    ASSERT_EQ(decided.starts.size(), 1U);
+    EXPECT_EQ(decided.starts[0].run.task.job.value(), GetParam().second ? "late" : "new");
+}
+
+INSTANTIATE_TEST_SUITE_P(ages, late_job_test,
+                         testing::Values(std::pair(seconds(1), true),
+                                         std::pair(seconds(3), false),
+                                         std::pair(milliseconds(6900), true),
+                                         std::pair(milliseconds(7900), true),
+                                         std::pair(milliseconds(8100), false)));
+
 // Small tasks of a less urgent queue take each core that becomes free, so that a gang
 // never finds free capacity for all members at once.
 TEST(scheduler_test, workers_are_reserved_for_a_gang_under_a_flood_of_small_tasks)
