--- a/test/standins/cell_checker.cpp
+++ b/test/standins/cell_checker.cpp
@@ -27,6 +27,8 @@
 constexpr duration gang_wait = std::chrono::milliseconds(3000);
 constexpr duration undisturbed_time = std::chrono::milliseconds(3000);
 constexpr duration kill_grace = std::chrono::milliseconds(400);
+/// Time for which a start may still follow the report of its job as done.
+constexpr duration max_start_after_report = std::chrono::milliseconds(1000);
 /// Longest time from the injection of a failure to its end. The history doesn't pair the
 /// two, so each disturbance counts as the start of a failure of this length.
 constexpr duration max_failure_duration = std::chrono::milliseconds(7000);
@@ -72,6 +74,12 @@
         for (const run_event& event : history_.run_events)
             if (event.type == run_event::kind::acknowledged)
                 acknowledged_.push_back({event.worker, event.incarnation, event.run});
+        for (const reported_state& each : history_.reported_states)
+            if (each.found && each.state == job_state::done)
+            {
+                const auto [first, added] = reported_done_.try_emplace(each.job, each.at);
+                first->second = std::min(first->second, each.at);
+            }
         for (const run_event& event : history_.run_events)
             handle_event(event);
         for (const auto& [ref, task] : tasks_)
@@ -208,6 +216,8 @@
     void check_ended_before(const run_event& event, const step_spec& step)
     {
         const task_ref& ref = event.run.task;
+        if (was_reported_done(ref.job, event.at - max_start_after_report))
+            return report("TWICE", ref, "started after its job was reported as done");
         std::size_t failures = 0;
         for (const task_ref& counted : tasks_ending_together(ref, step))
         {
@@ -224,6 +234,12 @@
             report("BUDGET", ref, fmt::format("started after {} failures", failures));
     }
 
+    bool was_reported_done(const job_key& job, boot_time before) const
+    {
+        const auto found = reported_done_.find(job);
+        return found != reported_done_.end() && found->second < before;
+    }
+
     /// Returns whether the end of \p run is acknowledged at any time in the history.
     bool is_acknowledged(const located_run& run) const
     {
@@ -431,6 +447,7 @@
     std::map<task_ref, task_record> tasks_;
     std::map<worker_id, std::map<task_ref, resources>> reserved_;
     std::vector<located_run> acknowledged_;
+    std::map<job_key, boot_time> reported_done_; ///< First report of each job as done.
 };
 
 } // namespace
--- a/unittests/standins/cell_checker_test.cpp
+++ b/unittests/standins/cell_checker_test.cpp
@@ -190,6 +190,15 @@
     {"gang_start_after_done", "TWICE",
      [](cell_history& history)
      { history.run_events.push_back(event(2500, "w1", started, 1, 1, 2)); }},
+    // The end was reported from the memory of an owner, and lost with it and the worker.
+    {"start_after_an_unacknowledged_end_was_reported", "TWICE",
+     [](cell_history& history)
+     {
+         history.run_events.resize(history.run_events.size() - 2);
+         history.run_events.push_back(event(4000, "w1", started, 1, 0, 2));
+         history.run_events.push_back(event(4000, "w0", started, 1, 1, 2));
+         history.ended_at = at(5000);
+     }},
     {"capacity_exceeded", "LIMIT",
      [](cell_history& history)
      {
@@ -228,6 +237,8 @@
          history.answers.push_back({at(20), job_key("a"), true, verdict::done});
          for (run_event& each : history.run_events)
              each.at += seconds(4);
+         for (reported_state& each : history.reported_states)
+             each.at += seconds(4);
      }},
     {"run_continues_after_cancel", "UNASKED",
      [](cell_history& history)
