--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -1,15 +1,9 @@
 /// \file
-/// Exchanges reports and commands between instances, and decides when an owner resigns or
-/// hands the cell over.
-#include "hawthornbeam/cell/node.hpp"
+/// Exchanges reports, commands and queries between instances.
+#include "node_state.hpp"
 
-#include "hawthornbeam/cell/agent.hpp"
-#include "hawthornbeam/cell/claim.hpp"
-#include "hawthornbeam/cell/observed_store.hpp"
 #include "hawthornbeam/cell/retry_time.hpp"
 
-#include <map>
-
 namespace hawthornbeam::cell
 {
 
@@ -18,106 +12,17 @@
 
 /// Longest time between two reports of an agent.
 constexpr duration heartbeat_period = std::chrono::milliseconds(500);
-/// Timeouts of calls between instances; below the 2 s after which a claim ends.
+/// Timeouts of calls between instances; below the 1.2 s after which a claim ends.
 constexpr duration report_timeout = std::chrono::milliseconds(1000);
 constexpr duration commands_timeout = std::chrono::milliseconds(1000);
-constexpr duration query_timeout = std::chrono::milliseconds(500);
 constexpr duration relay_timeout = std::chrono::milliseconds(1100);
 /// Age up to which the owner's counts of waiting jobs are returned.
 constexpr duration max_queue_depth_age = std::chrono::milliseconds(1800);
-/// An owner that hands the cell over first waits this long for answers to start commands
-/// in flight, so that no gang is left with only a part of its members started.
-constexpr duration hand_over_wait = std::chrono::milliseconds(150);
-/// An owner that receives no message of another instance for this long, while it still
-/// reaches the store, is probably partitioned from them and resigns. It then leaves the
-/// others resignation_pause to claim the cell.
-constexpr duration isolation_limit = std::chrono::milliseconds(2000);
-constexpr duration resignation_pause = std::chrono::milliseconds(1500);
-/// An owner is cut off from the store when the store's last answer to another instance is
-/// newer than its last answer to the owner by more than this. Longer than the time
-/// between two renewals of the claim, since an idle owner would otherwise count as cut
-/// off.
-constexpr duration store_cut_off_limit = std::chrono::milliseconds(450);
 /// Period in which an owner checks whether it is cut off.
 constexpr duration isolation_check_period = std::chrono::milliseconds(100);
-constexpr duration store_cut_off_pause = std::chrono::milliseconds(4000);
-/// An owner hands the cell over when another host has at least this many times its
-/// processor share.
-constexpr std::uint32_t hand_over_share_ratio = 2;
-/// Time from a claim to the first comparison with the shares of other hosts. Longer than
-/// two heartbeats, so that these hosts have reported.
-constexpr duration share_comparison_delay = std::chrono::milliseconds(1200);
-/// Shortest time between two hand-overs. The larger host may fail to claim the cell, and
-/// this instance then claims it again.
-constexpr duration hand_over_interval = std::chrono::milliseconds(10000);
-/// An owner that the store has not answered for longer than this does not hand the cell
-/// over, since no instance could claim it while the store fails.
-constexpr duration max_store_silence = std::chrono::milliseconds(600);
 
 } // namespace
 
-class node::implementation : public std::enable_shared_from_this<implementation>
-{
-public:
-    explicit implementation(const node_parts& given);
-
-    void serve(const instance_id& from, wire::request message,
-               const std::function<void(wire::reply)>& answer);
-    wire::reply handle_commands(const instance_id& from,
-                                const wire::cell_commands& message);
-    void on_acquired(fence_token token, bool continued);
-    /// Logs each change between a store that answers and one that fails.
-    void record_store_state();
-    void resign_when_isolated();
-    void hand_over_to_larger_host();
-    /// Asks another instance for the owner while the store does not serve this host.
-    void query_peer_for_owner();
-    std::optional<endpoint> random_peer();
-    owner_identity known_owner() const
-    {
-        return claim.owner().value_or(owner_identity());
-    }
-    void report(fence_token known_token, agent_report observations);
-    void send_commands(const endpoint& target, wire::cell_commands message,
-                       std::function<void(result<fence_token>)> done);
-    using states_callback =
-        std::function<void(result<std::vector<std::pair<job_key, job_state>>>)>;
-    void query_owner(std::vector<job_key> jobs, states_callback done);
-    void relay(const relayed_change& change, std::function<void(result<verdict>)> done);
-
-    /// A stored job that no owner has confirmed yet.
-    struct unreported_job
-    {
-        job_spec job;
-        kv_revision stored;
-        bool offered = false; ///< An owner may have received it.
-    };
-    void queue_unreported(std::vector<unreported_job> jobs,
-                          const std::vector<job_key>& cancels, bool offered);
-
-    node_parts parts;
-    observed_store store;
-    cell::claim claim;
-    cell::agent agent;
-    cell::receiver receiver;
-    std::unique_ptr<owner> active_owner;
-    std::vector<queue_policy> queues;
-    std::vector<unreported_job> unreported_jobs;
-    std::vector<job_key> unreported_cancels;
-    std::map<queue_name, std::uint64_t> queue_depths;
-    boot_time queue_depths_at{};
-    std::vector<endpoint> peers;        ///< Instances that the store served lately.
-    bool owner_accepts_reports = false; ///< The owner accepted the last report.
-    bool logged_store_failing = false;  ///< The store was last logged as failing.
-    bool leaving = false;
-    boot_time hand_over_not_before{};
-    /// When the last message of another instance arrived; empty when none did since the
-    /// last resignation.
-    std::optional<boot_time> last_peer_contact;
-    timer_handle heartbeat;
-    timer_handle isolation_check;
-};
-
 node::implementation::implementation(const node_parts& given)
     : parts(given), store(given.loop, given.store),
       claim(given.loop, store, given.random, given.log,
@@ -148,43 +53,6 @@
 {
 }
 
-void node::implementation::on_acquired(fence_token token, bool continued)
-{
-    if (continued && active_owner)
-        return active_owner->change_token(token);
-    owner_parts new_owner_parts{
-        parts.loop,
-        store,
-        parts.directory,
-        parts.log,
-        parts.metrics,
-        parts.limits,
-        parts.self,
-        std::chrono::minutes(5),
-        [this](const endpoint& target, wire::cell_commands message,
-               std::function<void(result<fence_token>)> done)
-        { send_commands(target, std::move(message), std::move(done)); },
-        [this](fence_token higher_token)
-        {
-            // Destroys the owner, so it must not run inside one of its calls.
-            parts.loop.post(
-                [weak = weak_from_this(), higher_token]
-                {
-                    const std::shared_ptr<implementation> self = weak.lock();
-                    if (self)
-                        self->claim.superseded(higher_token);
-                });
-        }};
-    parts.metrics.add("hawthornbeam_takeovers_total", {});
-    hand_over_not_before =
-        std::max(hand_over_not_before, parts.loop.clock().now() + share_comparison_delay);
-    active_owner.reset();
-    active_owner = std::make_unique<owner>(new_owner_parts, token);
-    active_owner->configure(queues);
-    active_owner->start();
-    report(agent.token(), agent_report());
-}
-
 std::optional<endpoint> node::implementation::random_peer()
 {
     if (peers.empty())
@@ -192,23 +60,6 @@
     return peers[parts.random.below(peers.size())];
 }
 
-void node::implementation::query_peer_for_owner()
-{
-    const std::optional<endpoint> peer = random_peer();
-    if (claim.is_owner() || owner_accepts_reports || !store.is_failing() || !peer)
-        return;
-    parts.network.call(
-        wire::peer_address(peer->value()), wire::cell_query{}, query_timeout,
-        [weak = weak_from_this()](const result<wire::reply>& answer)
-        {
-            const std::shared_ptr<implementation> self = weak.lock();
-            const wire::cell_query_reply* reply =
-                answer ? std::get_if<wire::cell_query_reply>(&answer.value()) : nullptr;
-            if (self && reply != nullptr)
-                self->claim.on_owner_reported(reply->owner);
-        });
-}
-
 void node::implementation::record_store_state()
 {
     if (store.is_failing() == logged_store_failing)
@@ -224,55 +75,6 @@
                             logged_store_failing ? 0 : 1);
 }
 
-void node::implementation::resign_when_isolated()
-{
-    const boot_time answered = parts.loop.clock().now() - store.silence();
-    if (active_owner && store.is_failing() &&
-        active_owner->store_answered_other_instance(answered + store_cut_off_limit))
-    {
-        peers = active_owner->agents();
-        owner_accepts_reports = false;
-        active_owner->resign();
-        return claim.resign(store_cut_off_pause,
-                            "the store answers other instances but not this one");
-    }
-    if (!claim.is_owner() || !last_peer_contact ||
-        parts.loop.clock().now() - *last_peer_contact < isolation_limit)
-        return;
-    last_peer_contact.reset();
-    claim.resign(resignation_pause, "no message from another instance");
-}
-
-void node::implementation::hand_over_to_larger_host()
-{
-    const boot_time now = parts.loop.clock().now();
-    if (!active_owner || leaving || now < hand_over_not_before ||
-        store.silence() > max_store_silence)
-        return;
-    const std::uint32_t largest_share = active_owner->largest_processor_share();
-    if (largest_share < hand_over_share_ratio * parts.share)
-        return;
-    hand_over_not_before = now + hand_over_interval;
-    parts.log.info("node", "cell handed over",
-                   {{"share", std::uint64_t{parts.share}},
-                    {"largest", std::uint64_t{largest_share}}});
-    active_owner->hand_over(
-        hand_over_wait,
-        [this]
-        {
-            // Destroys the owner, so it must not run inside one of its calls.
-            parts.loop.post(
-                [weak = weak_from_this()]
-                {
-                    const std::shared_ptr<implementation> self = weak.lock();
-                    if (self)
-                        self->claim.resign(
-                            resignation_pause,
-                            "a host with a larger processor share is running");
-                });
-        });
-}
-
 void node::implementation::report(fence_token known_token, agent_report observations)
 {
     const std::optional<owner_identity>& target = claim.owner();
