Rank a job by the latest of its ready steps

With several ready steps the lateness of the last one looked at decided, so that a job whose steps differ changed its rank every 50 ms once the lateness may also fall (last chance). The highest one decides now. Jobs with one ready step at a time are ranked as before.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -246,6 +246,8 @@
     /// Computes `due` and `value_lost_at`.
     void set_due(job_status& job);
     static int lateness_of(const job_status& job, std::uint32_t step, boot_time now);
+    /// The highest lateness of the steps that are ready.
+    int lateness_of(const job_status& job, boot_time now) const;
     /// Updates the lateness of waiting jobs and sorts their steps by it.
     void update_lateness(boot_time now);
     void place_step(const step_key& key, decision_pass& pass);
--- a/lib/cell/order.cpp
+++ b/lib/cell/order.cpp
@@ -56,25 +56,34 @@
     return end + objective / last_chance_divisor > job.value_lost_at ? 0 : 1;
 }
 
+int scheduler::implementation::lateness_of(const job_status& job, boot_time now) const
+{
+    int lateness = 0;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+        if (job.steps[step].remaining > 0 && is_ready(job, step))
+            lateness = std::max(lateness, lateness_of(job, step, now));
+    return lateness;
+}
+
 void scheduler::implementation::update_lateness(boot_time now)
 {
     if (now - lateness_updated_at < lateness_update_period)
         return;
     lateness_updated_at = now;
-    std::vector<step_key> changed;
+    std::set<job_key> changed;
     for (const step_key& key : open_steps)
     {
         const job_status* job = find_job(key.job);
         if (job != nullptr && !is_final(job->state) &&
-            lateness_of(*job, key.step, now) != job->lateness)
-            changed.push_back(key);
+            lateness_of(*job, now) != job->lateness)
+            changed.insert(key.job);
     }
-    for (const step_key& key : changed)
+    for (const job_key& id : changed)
     {
-        job_status* job = find_job(key.job);
+        job_status* job = find_job(id);
         for (std::uint32_t step = 0; step < job->steps.size(); ++step)
             open_steps.erase(key_of(*job, step));
-        job->lateness = lateness_of(*job, key.step, now);
+        job->lateness = lateness_of(*job, now);
         open_ready_steps(*job);
     }
 }
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -556,6 +556,34 @@
                                          std::pair(milliseconds(7900), true),
                                          std::pair(milliseconds(8100), false)));
 
+// Guards against a job that changes its rank from decision to decision because only one
+// of its steps is late.
+TEST(scheduler_test, job_with_one_late_step_stays_behind_jobs_in_time)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0, 3, 2, seconds(1));
+    workers.submit(fleet::job("busy", "q", 1, 8));
+    workers.decide();
+    job_spec late = fleet::job("late", "q", 1, 8);
+    late.steps.push_back(late.steps[0]);
+    late.steps[1].estimate = seconds(4);
+    workers.submit(late);
+    workers.advance(seconds(6));
+    workers.poll_all();
+    for (int decision = 0; decision < 3; ++decision)
+    {
+        workers.decide();
+        workers.advance(milliseconds(60));
+        workers.poll_all();
+    }
+    workers.end_all(run_end::done);
+    workers.poll_all();
+    workers.submit(fleet::job("new", "q", 1, 8));
+    const decisions decided = workers.decide();
+    ASSERT_EQ(decided.starts.size(), 1U);
+    EXPECT_EQ(decided.starts[0].run.task.job, job_key("new"));
+}
+
 // Small tasks of a less urgent queue take each core that becomes free, so that a gang
 // never finds free capacity for all members at once.
 TEST(scheduler_test, workers_are_reserved_for_a_gang_under_a_flood_of_small_tasks)
