Tell a worker that has ended from one that does not answer in the logs

`run lost` names the run and the time from its start to the last contact with its worker; a counter of lost runs has the reason.

--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -221,7 +221,8 @@
     unhealthy,    ///< The worker reported an error and did not execute the command.
     other_worker, ///< A worker with another id uses this address.
     not_sent,     ///< The command did not leave the agent.
-    unanswered    ///< The worker may have executed it, or may do so seconds later.
+    unanswered,   ///< The worker may have executed it, or may do so seconds later.
+    no_listener   ///< Nothing listens at the address: the worker's process has ended.
 };
 
 /// Returns the lower-case name.
--- a/include/hawthornbeam/support/result.hpp
+++ b/include/hawthornbeam/support/result.hpp
@@ -34,6 +34,8 @@
 {
     error_code code = error_code::internal;
     std::string message;
+    /// The remote host answered that nothing listens at the address.
+    bool no_listener = false;
 };
 
 /// A value or an error. Accessing the one that is not present terminates the process.
@@ -44,7 +46,7 @@
 /// Builds the failure value of a result.
 inline error make_error(error_code code, std::string message)
 {
-    return error{code, std::move(message)};
+    return error{code, std::move(message), false};
 }
 
 /// One error in an input, with its location. Checks report all findings of an input
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -26,9 +26,9 @@
 
 const char* to_string(command_outcome outcome)
 {
-    static constexpr std::array<const char*, 11> names{
-        "accepted", "fenced",    "superseded",   "late",     "no_room",   "no_ticket",
-        "invalid",  "unhealthy", "other_worker", "not_sent", "unanswered"};
+    static constexpr std::array<const char*, 12> names{
+        "accepted", "fenced",    "superseded",   "late",     "no_room",    "no_ticket",
+        "invalid",  "unhealthy", "other_worker", "not_sent", "unanswered", "no_listener"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -86,12 +86,17 @@
 void scheduler::implementation::handle_lost_run(worker_status& worker,
                                                 const task_ref& task, const char* reason)
 {
+    const run_record& record = worker.runs.at(task);
     log.info("cell", "run lost",
              {{"job", task.job.value()},
               {"step", std::uint64_t{task.step}},
               {"task", std::uint64_t{task.index}},
+              {"run", std::uint64_t{record.run.value()}},
               {"worker", worker.info.id.value()},
-              {"reason", reason}});
+              {"reason", reason},
+              {"seen_ms", std::int64_t{(worker.contact_at - record.command_sent_at) /
+                                       std::chrono::milliseconds(1)}}});
+    metrics.add("hawthornbeam_runs_lost_total", {{"reason", reason}});
     release(worker, task);
     job_status* job = find_job(task.job);
     if (job != nullptr && !is_final(job->state) && task.step < job->steps.size() &&
--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -214,6 +214,8 @@
             call->sent ? error_code::outcome_unknown : error_code::unavailable;
         error reported_error =
             make_error(code, call->description + ": " + failure->message);
+        reported_error.no_listener =
+            g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != 0;
         g_error_free(failure);
         if (client)
             client->finish(call, std::move(reported_error));
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -22,7 +22,7 @@
 inline constexpr run_end last_enumerator<run_end> = run_end::alone;
 template <>
 inline constexpr command_outcome last_enumerator<command_outcome> =
-    command_outcome::unanswered;
+    command_outcome::no_listener;
 template <>
 inline constexpr verdict last_enumerator<verdict> = verdict::unknown;
 
