--- a/test/standins/cell_checker.hpp
+++ b/test/standins/cell_checker.hpp
@@ -55,6 +55,8 @@
 {
     cell::worker_info info;
     boot_time draining_since = boot_time::max(); ///< When its entry was marked.
+    /// Later changes of the capacity, in the order of their times.
+    std::vector<std::pair<boot_time, resources>> capacity_changes = {};
 };
 
 /// Recorded history of a cell, the input of the checker. Run events are in the order in
@@ -65,6 +67,8 @@
     std::vector<worker_record> workers;
     std::map<cell::queue_name, cell::queue_policy> queues;
     std::map<cell::job_key, cell::job_spec> submitted;
+    /// Tasks that crash each worker that runs them, with the age of the run at the crash.
+    std::map<cell::task_ref, duration> crashing_tasks;
     std::vector<caller_answer> answers;
     std::vector<reported_state> reported_states;
     /// Times at which a failure was injected or ended. Rules with a time bound don't
--- a/unittests/adapter/runner_client_test.cpp
+++ b/unittests/adapter/runner_client_test.cpp
@@ -29,7 +29,8 @@
 {
 };
 
-// Guards against taking a runner that is silent or fails its calls for one that has ended.
+// Guards against taking a runner that is silent or fails its calls for one that has
+// ended.
 TEST_P(runner_client_test, only_a_refused_connection_shows_no_listener)
 {
     loopback local;
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -325,6 +325,18 @@
     return job;
 }
 
+void cell_simulation::choose_crashing_task(const job_spec& job)
+{
+    if (shape_.jobs_per_crashing_job == 0 ||
+        random_.below(shape_.jobs_per_crashing_job) != 0)
+        return;
+    const step_spec& step = job.steps.front();
+    const std::uint32_t index = static_cast<std::uint32_t>(random_.below(step.count));
+    const bool late = random_.below(4) == 0;
+    history_.crashing_tasks[{job.id, 0, index}] =
+        late ? step.estimate / 2 : duration(milliseconds(10));
+}
+
 void cell_simulation::submit(const std::shared_ptr<pending_submission>& pending)
 {
     if (pending->finished || pending->attempts >= max_attempts)
@@ -445,6 +457,27 @@
     return jobs.size();
 }
 
+void cell_simulation::schedule_resizes(duration load_time)
+{
+    if (shape_.resize_period <= duration::zero())
+        return;
+    for (duration at{}; at < load_time; at += shape_.resize_period)
+        schedule(at,
+                 [this]
+                 {
+                     const std::vector<worker_id> all = workers_.ids();
+                     workers_.resize(
+                         all[random_.below(all.size())],
+                         1 + static_cast<std::int64_t>(random_.below(cores_of_worker)));
+                 });
+    schedule(load_time,
+             [this]
+             {
+                 for (const worker_id& each : workers_.ids())
+                     workers_.resize(each, cores_of_worker);
+             });
+}
+
 void cell_simulation::run(duration load_time, const std::vector<cell_failure>& failures)
 {
     record_disturbance();
@@ -464,8 +497,10 @@
                          std::make_shared<pending_submission>();
                      pending->job = make_job();
                      history_.submitted[pending->job.id] = pending->job;
+                     choose_crashing_task(pending->job);
                      submit(pending);
                  });
+    schedule_resizes(load_time);
     loop_.advance(
         load_time + completion_time +
         (shape_.steps_per_long_step > 0 ? extra_completion_time : duration::zero()));
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -54,6 +54,11 @@
     std::size_t page_items = 500;
     /// One in this many steps, on average, has tasks of 8 to 12 s; 0 means no step.
     std::uint64_t steps_per_long_step = 0;
+    /// One in this many jobs, on average, has a task that crashes each worker that runs
+    /// it; 0 means no job. Some of these tasks crash it late in their runs.
+    std::uint64_t jobs_per_crashing_job = 0;
+    /// Mean time between two changes of a worker's capacity; zero means no changes.
+    duration resize_period{};
 };
 
 /// Simulates one cell; equal seeds give equal histories.
@@ -102,6 +107,10 @@
     void inject_failure(cell_failure failure);
     void restore_store_later(std::size_t number, duration after);
     job_spec make_job();
+    /// Lets one task of the job crash its workers, for some of the jobs.
+    void choose_crashing_task(const job_spec& job);
+    /// Changes capacities of workers during the load, and restores them at its end.
+    void schedule_resizes(duration load_time);
     void submit(const std::shared_ptr<pending_submission>& pending);
     void handle_answer(const std::shared_ptr<pending_submission>& pending,
                        verdict outcome);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -129,6 +129,55 @@
     }
 }
 
+class crashing_tasks_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+/// One job in ten has a task that crashes its workers.
+constexpr cell_shape crashing_tasks{.jobs_per_crashing_job = 10};
+
+// Guards against a task that crashes worker after worker without end.
+TEST_P(crashing_tasks_test, are_given_up_and_no_other_work_is)
+{
+    cell_simulation simulation(GetParam(), crashing_tasks);
+    simulation.run(seconds(20), {});
+    expect_all_cell_rules_kept(simulation);
+}
+
+// Guards against counts of crashes that a new owner does not know.
+TEST_P(crashing_tasks_test, are_given_up_when_the_owner_changes)
+{
+    const std::uint64_t seed = GetParam();
+    random_source random(seed);
+    std::vector<cell_failure> failures{cell_failure::owner_killed};
+    for (std::size_t each = 0; each < seed % 3; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+    cell_simulation simulation(seed, crashing_tasks);
+    simulation.run(seconds(20), failures);
+    expect_all_cell_rules_kept(simulation);
+}
+
+class changing_capacity_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+/// Workers whose capacity often changes, in a cell with more work than it can run.
+constexpr cell_shape changing_capacity{.submit_period = std::chrono::milliseconds(200),
+                                       .resize_period = std::chrono::milliseconds(500)};
+
+// Guards against starts on a worker whose capacity has shrunk below its use.
+TEST_P(changing_capacity_test, reduced_capacity_gets_no_starts_beyond_it)
+{
+    const std::uint64_t seed = GetParam();
+    random_source random(seed);
+    std::vector<cell_failure> failures;
+    for (std::size_t each = 0; each < seed % 3; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+    cell_simulation simulation(seed, changing_capacity);
+    simulation.run(seconds(15), failures);
+    expect_all_cell_rules_kept(simulation);
+}
+
 // Guards against hosts that keep sending requests to the former owner while the store
 // refuses their own calls. Callers of a failure domain whose hosts are all refused have
 // no other host to try.
@@ -176,6 +225,12 @@
 INSTANTIATE_TEST_SUITE_P(seeds, overlapping_cell_failures_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, crashing_tasks_test,
+                         testing::Range(std::uint64_t{1}, seed_count() + 1));
+
+INSTANTIATE_TEST_SUITE_P(seeds, changing_capacity_test,
+                         testing::Range(std::uint64_t{1}, seed_count() + 1));
+
 INSTANTIATE_TEST_SUITE_P(regressions, unequal_hosts_test, testing::Values(1, 5, 7));
 
 INSTANTIATE_TEST_SUITE_P(seeds, unequal_hosts_test,
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -23,6 +23,10 @@
 constexpr duration max_command_delay = std::chrono::milliseconds(8000);
 /// Period at which instances read the list of workers.
 constexpr duration directory_update_period = std::chrono::milliseconds(250);
+/// Time for which the entry of an ended worker stays listed: three heartbeats.
+constexpr duration entry_retention = std::chrono::milliseconds(4500);
+/// Time until the process of a worker that a task has crashed starts again.
+constexpr duration restart_time = std::chrono::milliseconds(3000);
 
 std::int64_t whole_ms(duration time)
 {
@@ -233,6 +237,25 @@
                                         return end_gang_run(task, number, outcome);
                                     end_run(workers_.at(id), task, outcome);
                                 });
+    const auto crashing = history_.crashing_tasks.find(task);
+    if (crashing != history_.crashing_tasks.end())
+        run.crash_timer = loop_.after(crashing->second, [this, id, task, number]
+                                      { crash_by_task(id, task, number); });
+}
+
+void simulated_workers::crash_by_task(const worker_id& id, const task_ref& task,
+                                      run_number run)
+{
+    // Erases the timer that is calling, so it runs from the loop.
+    schedule(loop_, duration::zero(),
+             [this, id, task, run]
+             {
+                 const simulated_worker& worker = workers_.at(id);
+                 const auto found = worker.runs.find(task);
+                 if (worker.up && found != worker.runs.end() &&
+                     found->second.number == run)
+                     end_process(id, restart_time, random_.below(2) == 0);
+             });
 }
 
 void simulated_workers::end_run(simulated_worker& worker, task_ref task, run_end outcome)
@@ -311,23 +334,75 @@
     worker.last_ended_runs.clear();
     worker.lease_timer.reset();
     worker.up = false;
+    worker.restart_timer = loop_.after(pause, [this, id] { restart(id); });
+}
+
+void simulated_workers::restart(const worker_id& id)
+{
+    simulated_worker& restarted = workers_.at(id);
+    restarted.up = true;
+    restarted.process_ended = false;
+    restarted.info.incarnation =
+        worker_incarnation(restarted.info.incarnation.value() + 1000);
+    restarted.info.draining = false;
+    restarted.token = fence_token();
+    restarted.last_end = 0;
+    restarted.lease_until = boot_time();
+    restarted.started_at = loop_.clock().now();
+    history_.workers.push_back({restarted.info, boot_time::max()});
+}
+
+void simulated_workers::end_process(const worker_id& id, duration pause, bool new_id)
+{
+    simulated_worker& worker = workers_.at(id);
+    if (!worker.up)
+        return;
+    std::map<std::uint64_t, waiting_poll> waiting;
+    waiting.swap(worker.waiting);
+    crash(id, pause);
+    worker.process_ended = true;
+    worker.entry_listed_until = loop_.clock().now() + entry_retention;
+    // The connections of waiting polls are reset.
+    poll_answer reset;
+    reset.outcome = command_outcome::unanswered;
+    for (const auto& [number, poll] : waiting)
+        poll.done(reset);
+    if (!new_id)
+        return;
     worker.restart_timer =
         loop_.after(pause,
                     [this, id]
                     {
-                        simulated_worker& restarted = workers_.at(id);
-                        restarted.up = true;
-                        restarted.info.incarnation =
-                            worker_incarnation(restarted.info.incarnation.value() + 1000);
-                        restarted.info.draining = false;
-                        restarted.token = fence_token();
-                        restarted.last_end = 0;
-                        restarted.lease_until = boot_time();
-                        restarted.started_at = loop_.clock().now();
-                        history_.workers.push_back({restarted.info, boot_time::max()});
+                        simulated_worker& ended = workers_.at(id);
+                        ended.replaced = true;
+                        worker_info info = ended.info;
+                        info.id =
+                            worker_id(id.value() + "." + std::to_string(++last_new_id_));
+                        simulated_worker& added = workers_[info.id];
+                        added.info = info;
+                        added.started_at = loop_.clock().now();
+                        history_.workers.push_back({info, boot_time::max()});
                     });
 }
 
+void simulated_workers::resize(const worker_id& id, std::int64_t cores)
+{
+    simulated_worker& worker = workers_.at(id);
+    worker.info.capacity.processors = millicores(cores * 1000);
+    for (standins::worker_record& record : history_.workers)
+        if (record.info.id == id && record.info.incarnation == worker.info.incarnation)
+            record.capacity_changes.emplace_back(loop_.clock().now(),
+                                                 worker.info.capacity);
+}
+
+std::optional<command_outcome> simulated_workers::refusal(const worker_id& id) const
+{
+    const simulated_worker& worker = workers_.at(id);
+    if (worker.up || !worker.process_ended || loop_.clock().now() < worker.cut_off_until)
+        return std::nullopt;
+    return worker.replaced ? command_outcome::other_worker : command_outcome::no_listener;
+}
+
 void simulated_workers::cut_off(const worker_id& id, boot_time until)
 {
     workers_.at(id).cut_off_until = until;
@@ -388,7 +463,7 @@
 {
     std::vector<worker_info> listed;
     for (const auto& [id, worker] : workers_)
-        if (worker.up)
+        if (worker.up || loop_.clock().now() < worker.entry_listed_until)
             listed.push_back(worker.info);
     return listed;
 }
@@ -397,7 +472,8 @@
 {
     std::vector<worker_id> all;
     for (const auto& [id, worker] : workers_)
-        all.push_back(id);
+        if (!worker.replaced)
+            all.push_back(id);
     return all;
 }
 
@@ -421,6 +497,14 @@
     no_answer.outcome = command_outcome::unanswered;
     workers_.schedule(instance_loop_, call.wait + command_timeout,
                       [once, no_answer] { once(no_answer); });
+    const std::optional<command_outcome> refusal = workers_.refusal(call.worker);
+    if (refusal)
+    {
+        poll_answer refused;
+        refused.outcome = *refusal;
+        return workers_.schedule(instance_loop_, 2 * link_delay,
+                                 [once, refused] { once(refused); });
+    }
     if (workers_.is_cut_off(call.worker))
         return;
     workers_.schedule(loop_, link_delay,
@@ -447,6 +531,10 @@
         workers.schedule(instance_loop, command_timeout,
                          [done] { done(command_outcome::unanswered); });
     };
+    const std::optional<command_outcome> refusal = workers_.refusal(worker);
+    if (refusal)
+        return workers_.schedule(instance_loop_, 2 * link_delay,
+                                 [done, refusal] { done(*refusal); });
     if (workers_.is_cut_off(worker))
         return unanswered();
     const duration delay = workers_.command_delay(worker);
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace hawthornbeam::cell
 {
@@ -34,6 +35,12 @@
     // Injected failures.
     /// Ends the worker with all of its runs; a new incarnation starts after \p pause.
     void crash(const worker_id& id, duration pause);
+    /// Ends the process of the worker, so that its address refuses connections. A process
+    /// starts there after \p pause, under the same id or a new one. The entry of the
+    /// ended worker stays listed for a while.
+    void end_process(const worker_id& id, duration pause, bool new_id);
+    /// Changes the capacity that the worker's entry shows.
+    void resize(const worker_id& id, std::int64_t cores);
     /// Leaves calls to the worker unanswered until \p until; its runs continue.
     void cut_off(const worker_id& id, boot_time until);
     /// Until \p until, commands are executed up to 8 s late and are not answered.
@@ -43,6 +50,9 @@
     void drain(const worker_id& id, duration pause);
 
     bool is_cut_off(const worker_id& id) const;
+    /// Returns what a caller learns when the process of the worker has ended: nothing
+    /// listens at its address, or another worker does; empty while it may be alive.
+    std::optional<command_outcome> refusal(const worker_id& id) const;
     /// Runs \p action on \p loop after \p delay, even if the instance that made the call
     /// has ended since.
     void schedule(event_loop& loop, duration delay, std::function<void()> action);
@@ -64,6 +74,7 @@
         bool will_fail = false;
         timer_handle end_timer;
         timer_handle stop_timer;
+        timer_handle crash_timer;
     };
     struct waiting_poll
     {
@@ -74,6 +85,9 @@
     {
         worker_info info;
         bool up = true;
+        bool process_ended = false;     ///< Its address answers, if it is not cut off.
+        bool replaced = false;          ///< Another worker has its address.
+        boot_time entry_listed_until{}; ///< Of a worker whose process has ended.
         fence_token token;
         boot_time started_at{};
         boot_time lease_until{};
@@ -90,6 +104,9 @@
         timer_handle restart_timer;
     };
 
+    void restart(const worker_id& id);
+    /// Ends the worker's process if \p run is still the run of the task there.
+    void crash_by_task(const worker_id& id, const task_ref& task, run_number run);
     void record_event(const simulated_worker& worker, standins::run_event::kind type,
                       const run_ref& run, run_end outcome);
     const step_spec& step_of(const task_ref& task) const;
@@ -109,6 +126,7 @@
     std::map<worker_id, simulated_worker> workers_;
     std::map<std::uint64_t, timer_handle> scheduled_calls_;
     std::uint64_t last_call_ = 0;
+    std::uint64_t last_new_id_ = 0;
 };
 
 /// Reaches the workers for one instance, over connections with a delay of 1 ms.
--- a/unittests/standins/cell_checker_test.cpp
+++ b/unittests/standins/cell_checker_test.cpp
@@ -129,6 +129,18 @@
     history.reported_states = {{at(30000), job_key("a"), true, job_state::cancelled}};
 }
 
+/// Lets task 0 of step 0 crash its worker \p times times before its first listed run.
+void crash_first(cell_history& history, std::uint32_t times)
+{
+    history.crashing_tasks[{job_key("a"), 0, 0}] = milliseconds(1);
+    for (std::uint32_t run = times; run >= 1; --run)
+    {
+        const int ms = static_cast<int>(run);
+        insert(history, 0, event(ms, "w1", run_event::kind::lost, 0, 0, run));
+        insert(history, 0, event(ms, "w1", started, 0, 0, run));
+    }
+}
+
 class cell_checker_test : public testing::TestWithParam<rule_violation>
 {
 };
@@ -301,6 +313,15 @@
              history.run_events[each].at += seconds(3);
          history.reported_states.back().at += seconds(3);
      }},
+    {"started_after_crashing_many_workers", "BUDGET",
+     [](cell_history& history) { crash_first(history, 4); }},
+    {"started_beyond_a_reduced_capacity", "LIMIT",
+     [](cell_history& history)
+     {
+         history.workers[0].capacity_changes = {
+             {at(-5000),
+              resources{millicores(3000), byte_count(1000), accelerator_count()}}};
+     }},
 };
 
 INSTANTIATE_TEST_SUITE_P(rule_violations, cell_checker_test,
@@ -308,6 +329,22 @@
                          [](const testing::TestParamInfo<rule_violation>& each)
                          { return std::string(each.param.name); });
 
+// A task may be started twice more after its third crash, and may be given up after two.
+TEST(cell_checker_valid_history_test, accepts_a_task_that_crashed_three_workers)
+{
+    cell_history history = valid_history();
+    crash_first(history, 3);
+    EXPECT_TRUE(check_cell(history).empty());
+}
+
+TEST(cell_checker_valid_history_test, accepts_starts_right_after_a_capacity_was_reduced)
+{
+    cell_history history = valid_history();
+    history.workers[0].capacity_changes = {
+        {at(50), resources{millicores(1000), byte_count(1000), accelerator_count()}}};
+    EXPECT_TRUE(check_cell(history).empty());
+}
+
 // Rules with a time bound don't apply right after a failure.
 TEST(cell_checker_valid_history_test, applies_no_time_bound_right_after_a_failure)
 {
