Take a worker for ended when its address refuses connections or another worker has it

Callers saw the innocent tasks of a crashed worker wait 8 s, the longest lease, before they started again.

An agent now reports a poll that shows that the worker's process has ended, and polls again at once after the first failure. The scheduler believes it only if the poll was sent after the last answer of the incarnation and to the address at which it answered: a late report, a stale entry or an entry with a wrong address shows nothing. Silence, resets, cuts and errors show nothing, as before; such runs wait for their lease. A start without an answer waits for the next incarnation or the lease too, unless another worker has the address: commands name their worker. After a takeover, an expected worker that this owner has not polled counts as ended when this was seen for 1.5 s, the time in which entries become known.

--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -309,6 +309,17 @@
     }
 };
 
+/// A failed poll that shows that the process of a worker has ended: nothing listens at
+/// its address any more, or another worker does.
+struct ended_process
+{
+    worker_id worker;
+    endpoint address;             ///< Address that was polled.
+    event_position sent_position; ///< Position at which the poll was sent.
+    bool replaced = false;        ///< Another worker answers at the address.
+    std::uint32_t failing_ms = 0; ///< Time since the first poll that failed.
+};
+
 /// Observations that an agent sends to the owner in one message.
 struct agent_report
 {
@@ -316,10 +327,12 @@
     std::vector<command_result> results;
     std::vector<advice_result> advice;
     std::vector<worker_id> unreachable; ///< Workers that have stopped answering polls.
+    std::vector<ended_process> ended_processes;
 
     bool empty() const
     {
-        return polls.empty() && results.empty() && advice.empty() && unreachable.empty();
+        return polls.empty() && results.empty() && advice.empty() &&
+               unreachable.empty() && ended_processes.empty();
     }
 };
 
--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -14,7 +14,8 @@
 /// Time for which a worker may delay its answer to a poll until a run ends. It bounds the
 /// age of the reported progress.
 constexpr duration poll_wait = std::chrono::milliseconds(1000);
-/// Delay after a failed poll.
+/// Delay after a failed poll. The first failure in a row is followed at once by another
+/// poll, which shows whether the process of the worker has ended.
 constexpr duration poll_retry_delay = std::chrono::milliseconds(250);
 /// Minimum time between two polls of a worker, so that one poll returns several run ends
 /// that follow closely.
@@ -36,6 +37,14 @@
 /// the longest lease since its claim has ended, with a slack of 2 s.
 constexpr duration max_owner_silence = std::chrono::milliseconds(2000);
 
+/// Returns whether a failed poll shows that the process of the worker has ended. Other
+/// failures may be those of a network or of a busy worker.
+bool shows_ended_process(command_outcome outcome)
+{
+    return outcome == command_outcome::no_listener ||
+           outcome == command_outcome::other_worker;
+}
+
 struct assigned_worker
 {
     endpoint address;
@@ -47,6 +56,7 @@
     worker_time clock;            ///< Clock of the worker in its last answer.
     boot_time clock_read_at{};
     std::uint32_t failed_polls = 0;
+    boot_time failing_since{}; ///< First of the failed polls in a row.
     bool polling = false;
     boot_time poll_sent_at{};
     timer_handle poll_timer;
@@ -181,18 +191,32 @@
     if (answer.outcome != command_outcome::accepted)
     {
         ++worker.failed_polls;
+        if (worker.failed_polls == 1)
+            worker.failing_since = loop.clock().now();
         if (worker.failed_polls == 1)
             log.info("agent", "poll failed",
                      {{"worker", id.value()}, {"reason", to_string(answer.outcome)}});
-        if (answer.outcome == command_outcome::fenced ||
-            worker.failed_polls % failed_polls_to_report == 0)
+        const bool has_ended = shows_ended_process(answer.outcome);
+        if (has_ended)
+        {
+            pending.ended_processes.push_back(
+                {id, worker.address, answer.poll.sent_position,
+                 answer.outcome == command_outcome::other_worker,
+                 static_cast<std::uint32_t>((loop.clock().now() - worker.failing_since) /
+                                            std::chrono::milliseconds(1))});
+            schedule_report();
+        }
+        else if (answer.outcome == command_outcome::fenced ||
+                 worker.failed_polls % failed_polls_to_report == 0)
         {
             pending.unreachable.push_back(id);
             if (answer.outcome == command_outcome::fenced)
                 add_result(id, run_ref(), command_outcome::fenced);
             schedule_report();
         }
-        return schedule_poll(id, poll_retry_delay);
+        return schedule_poll(id, worker.failed_polls == 1 && !has_ended
+                                     ? duration::zero()
+                                     : poll_retry_delay);
     }
     ++event_count;
     worker.failed_polls = 0;
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -124,6 +124,12 @@
     bool has_entry = false; ///< Has an entry in the list of workers.
     bool allowed = false;   ///< The store names it as used, so tasks may start.
     bool polled = false;    ///< This owner has polled its current incarnation.
+    /// The process of the polled incarnation has ended.
+    bool process_ended = false;
+    endpoint contact_address;        ///< Address at the last poll.
+    event_position contact_position; ///< Position at which the last poll was sent.
+    /// Since when polls show that the process has ended, before this owner has polled it.
+    boot_time ended_unpolled_since{};
     worker_incarnation incarnation;
     worker_time clock; ///< Value read at or before clock_at.
     boot_time clock_at{};
@@ -221,6 +227,12 @@
     void handle_running(worker_status& worker, const running_task& listed, boot_time now,
                         event_position sent_position);
     void begin_incarnation(worker_status& worker, const poll_result& poll, boot_time now);
+    /// Handles the end of an incarnation: the runs that it certainly had are lost.
+    /// Returns the runs whose start got no answer and may still be executed by the next
+    /// one.
+    std::vector<task_ref> end_incarnation(worker_status& worker, const char* reason);
+    /// Settles an expected worker whose process has ended before this owner polled it.
+    void settle_ended_worker(worker_status& worker, boot_time now);
     /// Handles the runs that a poll result should list but does not.
     void handle_unlisted_runs(worker_status& worker, const poll_result& poll,
                               boot_time now, const std::set<task_ref>& listed);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -17,6 +17,9 @@
 /// A run of an unknown job is stopped after this time. Once a second, the owner reads
 /// from the store the jobs that it was not notified of.
 constexpr duration unknown_job_limit = std::chrono::milliseconds(3000);
+/// Time after which the entry of a worker that a former owner used is known here. An
+/// address without the worker shows its end only then: it may have a newer address.
+constexpr duration entry_delay = std::chrono::milliseconds(1500);
 /// Maximum number of abandoned starts kept for a worker. More starts are abandoned only
 /// when the worker is unreachable, and then it gets no new ones.
 constexpr std::size_t max_abandoned = 256;
@@ -327,21 +330,28 @@
     }
 }
 
+std::vector<task_ref> scheduler::implementation::end_incarnation(worker_status& worker,
+                                                                 const char* reason)
+{
+    std::vector<task_ref> lost;
+    std::vector<task_ref> uncertain;
+    for (const auto& [task, record] : worker.runs)
+        (record.answered || record.phase == run_phase::running ? lost : uncertain)
+            .push_back(task);
+    for (const task_ref& task : lost)
+        handle_lost_run(worker, task, reason);
+    return uncertain;
+}
+
 void scheduler::implementation::begin_incarnation(worker_status& worker,
                                                   const poll_result& poll, boot_time now)
 {
-    if (worker.polled)
+    if (worker.polled || worker.process_ended)
     {
         log.warning("cell", "worker restarted",
                     {{"worker", poll.worker.value()},
                      {"runs", std::uint64_t{worker.runs.size()}}});
-        std::vector<task_ref> lost;
-        std::vector<task_ref> uncertain;
-        for (const auto& [task, record] : worker.runs)
-            (record.answered || record.phase == run_phase::running ? lost : uncertain)
-                .push_back(task);
-        for (const task_ref& task : lost)
-            handle_lost_run(worker, task, "worker restarted");
+        std::vector<task_ref> uncertain = end_incarnation(worker, "worker restarted");
         // A delayed start may reach the new incarnation and be executed, because the new
         // incarnation has no record of earlier stops and its clock has not reached the
         // deadline of the start. Such runs are therefore stopped again.
@@ -369,6 +379,49 @@
     worker.covered = end_number();
 }
 
+void scheduler::observe(const ended_process& ended, boot_time now)
+{
+    implementation& self = *implementation_;
+    const auto found = self.workers.find(ended.worker);
+    if (found == self.workers.end())
+        return;
+    worker_status& worker = found->second;
+    if (!worker.polled && !worker.process_ended)
+        return self.settle_ended_worker(worker, now);
+    // A poll that was sent before the last answer may be about an earlier process.
+    if (!worker.polled || ended.address != worker.contact_address ||
+        ended.sent_position <= worker.contact_position)
+        return;
+    self.log.warning("cell", "worker process ended",
+                     {{"worker", ended.worker.value()},
+                      {"runs", std::uint64_t{worker.runs.size()}},
+                      {"replaced", ended.replaced ? 1 : 0},
+                      {"draining", worker.info.draining ? 1 : 0}});
+    const std::vector<task_ref> uncertain =
+        self.end_incarnation(worker, "worker process ended");
+    if (ended.replaced)
+    {
+        // Commands name the worker that they are for, so no other one executes them.
+        for (const task_ref& task : uncertain)
+            self.handle_lost_run(worker, task, "worker process ended");
+        worker.abandoned.clear();
+    }
+    worker.polled = false;
+    worker.process_ended = true;
+}
+
+void scheduler::implementation::settle_ended_worker(worker_status& worker, boot_time now)
+{
+    if (!unsettled.contains(worker.info.id))
+        return;
+    if (worker.ended_unpolled_since == boot_time())
+        worker.ended_unpolled_since = now;
+    if (now - worker.ended_unpolled_since < entry_delay)
+        return;
+    worker.process_ended = true;
+    mark_settled(worker.info.id, now);
+}
+
 void scheduler::observe(const poll_result& poll, boot_time now)
 {
     implementation& self = *implementation_;
@@ -380,7 +433,13 @@
         return;
     if (poll.incarnation != worker.incarnation)
         self.begin_incarnation(worker, poll, now);
+    else if (worker.process_ended)
+        self.log.error("cell", "ended worker answers", {{"worker", poll.worker.value()}});
     worker.polled = true;
+    worker.process_ended = false;
+    worker.ended_unpolled_since = boot_time();
+    worker.contact_address = worker.info.address;
+    worker.contact_position = poll.sent_position;
     worker.clock = poll.clock;
     worker.clock_at = now;
     worker.contact_at = now;
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -156,6 +156,13 @@
             poll.sent_position.assignment == route->second.assignment)
             cell.observe(poll, now);
     }
+    for (const ended_process& ended : report.ended_processes)
+    {
+        const auto route = routes.find(ended.worker);
+        if (route != routes.end() && ended.address == route->second.address &&
+            ended.sent_position.assignment == route->second.assignment)
+            cell.observe(ended, now);
+    }
     agent_state& sender = agents[from];
     for (const advice_result& result : report.advice)
     {
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -27,6 +27,8 @@
     if (status.has_entry && worker.draining && !status.info.draining)
         implementation_->log.info("cell", "worker is draining",
                                   {{"worker", worker.id.value()}});
+    if (status.info.address != worker.address)
+        status.ended_unpolled_since = boot_time();
     status.info = worker;
     status.has_entry = true;
 }
@@ -40,7 +42,7 @@
         "cell", "worker entry removed",
         {{"worker", worker.value()}, {"runs", std::uint64_t{found->second.runs.size()}}});
     found->second.has_entry = false;
-    if (!found->second.polled)
+    if (!found->second.polled && !found->second.process_ended)
         implementation_->unsettled.insert(worker);
 }
 
@@ -108,8 +110,9 @@
                       { return now - each.at > late_command_limit; });
         // A worker that this owner has polled refuses starts with lower fencing tokens,
         // so it can have no runs besides those recorded here.
-        const bool has_left = !worker.has_entry && worker.polled && worker.runs.empty() &&
-                              worker.abandoned.empty();
+        const bool has_left = !worker.has_entry &&
+                              (worker.polled || worker.process_ended) &&
+                              worker.runs.empty() && worker.abandoned.empty();
         if (!has_left && !lease_has_ended(worker, now))
         {
             ++entry;
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -164,11 +164,18 @@
     members(archive, assignments, acknowledgements, starts, stops, advice);
 }
 
+template <class Archive>
+void serialize(Archive& archive, ended_process& value)
+{
+    auto& [worker, address, sent_position, replaced, failing_ms] = value;
+    members(archive, worker, address, sent_position, replaced, failing_ms);
+}
+
 template <class Archive>
 void serialize(Archive& archive, agent_report& value)
 {
-    auto& [polls, results, advice, unreachable] = value;
-    members(archive, polls, results, advice, unreachable);
+    auto& [polls, results, advice, unreachable, ended_processes] = value;
+    members(archive, polls, results, advice, unreachable, ended_processes);
 }
 
 template <class Archive>
--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -86,11 +86,13 @@
     logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
     recording_worker_port port;
     std::size_t ends_reported = 0;
+    std::size_t processes_ended = 0;
     agent polling_agent{loop, port, log, seconds(6),
                         [this](fence_token, const agent_report& report)
                         {
                             for (const poll_result& poll : report.polls)
                                 ends_reported += poll.ended.size();
+                            processes_ended += report.ended_processes.size();
                         }};
 };
 
@@ -103,6 +105,36 @@
     EXPECT_EQ(answer(1, 0).acknowledged, end_number());
 }
 
+/// Outcome of a failed poll, and whether it shows that the worker's process has ended.
+class failed_poll_test
+    : public agent_test,
+      public testing::WithParamInterface<std::pair<command_outcome, bool>>
+{
+};
+
+// Guards against taking a worker that is silent, slow or cut off for one that has ended.
+TEST_P(failed_poll_test, only_a_missing_process_is_reported_as_ended)
+{
+    answer(1, 0);
+    poll_answer response;
+    response.outcome = GetParam().first;
+    const std::function<void(poll_answer)> done = port.polls.front().second;
+    port.polls.clear();
+    done(response);
+    loop.advance(milliseconds(30));
+    EXPECT_EQ(processes_ended, GetParam().second ? 1U : 0U);
+    loop.advance(milliseconds(300));
+    EXPECT_EQ(port.polls.size(), 1U) << "the worker may come back";
+}
+
+INSTANTIATE_TEST_SUITE_P(outcomes, failed_poll_test,
+                         testing::Values(std::pair(command_outcome::no_listener, true),
+                                         std::pair(command_outcome::other_worker, true),
+                                         std::pair(command_outcome::unanswered, false),
+                                         std::pair(command_outcome::not_sent, false),
+                                         std::pair(command_outcome::unhealthy, false),
+                                         std::pair(command_outcome::invalid, false)));
+
 // Guards against an agent that is cut off together with a worker and keeps its runs
 // alive, while a new owner, which cannot reach the worker, starts them elsewhere.
 TEST_F(agent_test, lease_is_not_extended_without_messages_of_the_owner)
--- /dev/null
+++ b/unittests/cell/ended_process_test.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// Tests when the runs of a worker whose process has ended start again.
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ended_process_test : public testing::Test
+{
+protected:
+    ended_process_test()
+    {
+        workers.add_queue("q", 0);
+        workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    }
+    /// Starts the job's only run and returns the name of its worker.
+    std::string start(delivery outcome = delivery::executed)
+    {
+        const decisions decided = workers.decide(outcome);
+        EXPECT_EQ(decided.starts.size(), 1U);
+        workers.poll_all();
+        return decided.starts.at(0).worker.value();
+    }
+
+    fleet workers{2};
+};
+
+// Guards against work that waits for the lease of a worker that is known to have ended.
+TEST_F(ended_process_test, run_starts_on_another_worker_at_once)
+{
+    const std::string ended = start();
+    workers.end_process(ended);
+    const decisions decided = workers.decide();
+    ASSERT_EQ(decided.starts.size(), 1U);
+    EXPECT_NE(decided.starts[0].worker.value(), ended);
+    EXPECT_EQ(decided.starts[0].run.run, run_number(2));
+}
+
+// Guards against running a task twice when a late report is about an earlier process.
+TEST_F(ended_process_test, report_older_than_an_answer_is_ignored)
+{
+    const std::string restarted = start();
+    const ended_process old = workers.show_ended(restarted);
+    workers.poll_all();
+    workers.cell.observe(old, workers.clock.now());
+    EXPECT_TRUE(workers.decide().starts.empty());
+}
+
+// Guards against running a task twice when an entry names a wrong address.
+TEST_F(ended_process_test, address_that_the_worker_never_answered_at_shows_nothing)
+{
+    const std::string worker = start();
+    workers.info(worker).address = endpoint("10.0.0.9:1");
+    workers.publish(worker);
+    workers.cell.observe(workers.show_ended(worker), workers.clock.now());
+    EXPECT_TRUE(workers.decide().starts.empty());
+}
+
+/// Whether another worker has the address, and whether the task starts elsewhere.
+class unanswered_start_of_ended_process_test : public ended_process_test,
+                                               public testing::WithParamInterface<bool>
+{
+};
+
+// Guards against a start that the next incarnation under the same id executes late.
+TEST_P(unanswered_start_of_ended_process_test, waits_unless_the_worker_was_replaced)
+{
+    workers.decide(delivery::lost);
+    const std::string worker = "w0";
+    for (const std::string name : {"w0", "w1"})
+        workers.end_process(name, GetParam());
+    workers.restart("w0");
+    workers.restart("w1");
+    if (GetParam())
+        workers.poll_all();
+    EXPECT_EQ(workers.decide().starts.size(), GetParam() ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(replaced, unanswered_start_of_ended_process_test,
+                         testing::Bool());
+
+// Guards against inherited tasks that wait for the lease of a worker that has ended, and
+// against taking a restart at a new address for the end of the worker.
+TEST(inherited_ended_process_test, settles_the_worker_once_its_entry_must_be_known)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.cell.expect_workers({worker_id("w0"), worker_id("gone")},
+                                workers.clock.now());
+    worker_info gone = workers.info("w0");
+    gone.id = worker_id("gone");
+    workers.cell.update_worker(gone, workers.clock.now());
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    workers.poll_all();
+    const ended_process shown{gone.id, gone.address, event_position{1, 1}, false, 0};
+    workers.cell.observe(shown, workers.clock.now());
+    workers.advance(milliseconds(1400));
+    workers.cell.observe(shown, workers.clock.now());
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.advance(milliseconds(200));
+    workers.cell.observe(shown, workers.clock.now());
+    workers.poll_all();
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
--- a/unittests/cell/fleet.cpp
+++ b/unittests/cell/fleet.cpp
@@ -180,6 +180,19 @@
         end(run, outcome);
 }
 
+ended_process fleet::show_ended(const std::string& worker_name, bool replaced)
+{
+    simulated_worker& worker = workers_.at(worker_name);
+    return ended_process{worker.info.id, worker.info.address,
+                         event_position{1, ++worker.event_count}, replaced, 0};
+}
+
+void fleet::end_process(const std::string& worker_name, bool replaced)
+{
+    workers_.at(worker_name).running.clear();
+    cell.observe(show_ended(worker_name, replaced), clock.now());
+}
+
 void fleet::restart(const std::string& worker_name)
 {
     simulated_worker& worker = workers_.at(worker_name);
