Count crashes of workers against the tasks that may have caused them, and give those up

Callers saw their work ended again and again by one task: it crashed its worker within 10 ms, was started on the next one and so on without a bound, with a dozen other runs on each. Class of the fault: a unit of work that takes down what serves it, retried without a bound, since only ends that a worker lists were counted.

Each proven crash of a worker (its process has ended, it is not draining) blames the runs on it by their age at the crash and the earlier suspicion of their tasks: cause, suspect or bystander. Loss of contact blames nothing. A suspect task runs on a worker that takes no other start until it has outlived the age of its crashes, so that a repetition is conclusive and ends little other work. A task is given up after two crashes at about the same age when the second left no doubt, otherwise after three to five. The roles are stored as ends, and the starts of suspect tasks too, so that a new owner knows the counts and counts a run whose worker crashed between two owners.

--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -123,9 +123,22 @@
     stopped, ///< By a stop command.
     lapsed,  ///< The worker's lease expired.
     broken,  ///< Another member of the gang ended.
-    alone    ///< The other members of the gang did not start in time.
+    alone,   ///< The other members of the gang did not start in time.
+    // The worker crashed; see assign_blame().
+    crashed,         ///< The run was the cause.
+    crash_suspect,   ///< The run may have been the cause.
+    crash_bystander, ///< The run was probably not the cause.
+    /// Not an end: stored at the start of a suspect task, so that a later owner counts
+    /// the run if it finds neither the run nor its end.
+    suspect_started
 };
 
+/// Returns whether the run ended because its worker crashed.
+constexpr bool is_crash(run_end outcome)
+{
+    return outcome >= run_end::crashed && outcome <= run_end::crash_bystander;
+}
+
 /// Returns the lower-case name.
 const char* to_string(run_end outcome);
 
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNBEAM_LIB_CELL_CELL_STATE_HPP
 #define HAWTHORNBEAM_LIB_CELL_CELL_STATE_HPP
 
+#include "crash_blame.hpp"
 #include "gang_plan.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
 
@@ -56,6 +57,8 @@
     event_position position; ///< Polls sent after it list the run if it exists.
     std::uint32_t percent = 0;
     boot_time progressed_at{}; ///< When first listed, or when percent last changed.
+    /// The worker takes no other starts until then, because the task is suspect.
+    boot_time observed_until{};
 };
 
 struct task_status
@@ -68,6 +71,11 @@
     checkpoint saved;
     worker_id run_worker; ///< Worker with a run record of the task; empty: none.
     worker_id failed_on;  ///< Worker of the latest failed or stalled run.
+    crash_record crashes;
+    boot_time crashed_at{}; ///< Latest crash of its worker.
+    /// Latest run that a former owner started while the task was suspect, unless it is
+    /// known to have ended.
+    run_number untraced_run;
 };
 
 /// Counts the end of a run. Returns false when it was counted before.
@@ -139,6 +147,8 @@
     std::map<task_ref, run_record> runs;
     std::deque<abandoned_start> abandoned; ///< Of this incarnation, oldest first.
     resources used;
+    boot_time observed_until{}; ///< Latest observed_until of its runs.
+    boot_time last_start_at{};
     /// For each of the latest ends: the job, and whether the run failed.
     std::deque<std::pair<job_key, bool>> recent_ends;
     std::uint32_t quarantines = 0;
@@ -189,7 +199,8 @@
     /// Returns whether all steps that the step depends on are done.
     bool is_ready(const job_status& job, std::uint32_t step) const;
     void open_ready_steps(const job_status& job);
-    void finish_job(job_status& job, job_state state);
+    /// \p reason is logged.
+    void finish_job(job_status& job, job_state state, const char* reason);
     void record_started(job_status& job, boot_time now);
     void stop_runs(const job_status& job, std::uint32_t step);
     void task_done(job_status& job, const task_ref& task);
@@ -211,6 +222,8 @@
     void handle_lost_run(worker_status& worker, const task_ref& task, const char* reason);
     void handle_all_runs_lost(worker_status& worker, const char* reason);
     void request_stop(const worker_id& worker, const task_ref& task);
+    /// Stops a run whose start got no answer, also if the former incarnation was told to.
+    void stop_uncertain_start(worker_status& worker, const task_ref& task, boot_time now);
     /// Stops all runs of a gang, which is placed again after a pause. Does nothing for a
     /// step that is not a gang.
     void restart_gang(job_status& job, std::uint32_t step, boot_time now);
@@ -230,7 +243,9 @@
     /// Handles the end of an incarnation: the runs that it certainly had are lost.
     /// Returns the runs whose start got no answer and may still be executed by the next
     /// one.
-    std::vector<task_ref> end_incarnation(worker_status& worker, const char* reason);
+    /// The worker ended at \p ended_at.
+    std::vector<task_ref> end_incarnation(worker_status& worker, const char* reason,
+                                          boot_time ended_at, boot_time now);
     /// Settles an expected worker whose process has ended before this owner polled it.
     void settle_ended_worker(worker_status& worker, boot_time now);
     /// Handles the runs that a poll result should list but does not.
@@ -252,6 +267,25 @@
     /// Stops runs without progress, so that their tasks start on another worker.
     void stop_stalled_runs(boot_time now);
 
+    // Crashes; defined in crashes.cpp.
+    /// Counts the crash of a worker against the tasks that ran there.
+    void count_crash(worker_status& worker, boot_time crashed_at, boot_time now);
+    void count_crashed_run(const worker_status& worker, const task_ref& task,
+                           run_end role, duration age, boot_time now);
+    /// Counts a run of a suspect task that a former owner started and that ended without
+    /// a trace.
+    void count_untraced_run(job_status& job, const task_ref& task);
+    /// Fails the job if one of its tasks has crashed its workers.
+    void fail_if_crashing(job_status& job);
+    /// Returns whether the crash of a suspect task, of those on the worker or \p task,
+    /// could be told from other crashes if the task started on the worker.
+    static bool takes_start(const worker_status& worker, const task_status& task,
+                            boot_time now);
+    /// Keeps other starts from the worker of a suspect task.
+    void observe_suspect(worker_status& worker, run_record& record,
+                         const task_status& status, const task_ref& task, boot_time now);
+    static void update_observation(worker_status& worker);
+
     // Placement; defined in place.cpp, order.cpp, gangs.cpp and advice.cpp.
     bool can_run(const worker_status& candidate, const job_status& job,
                  std::uint32_t step, boot_time now) const;
@@ -278,16 +312,16 @@
     /// without delaying the gangs that it is held for.
     static bool keeps_holds(const decision_pass& pass, const worker_id& worker,
                             const resources& size, duration run_time);
-    /// Returns the best worker for a task of the step, or nullptr when none has enough
-    /// free capacity. \p assigned_capacity is the capacity of each worker that this
-    /// decision already assigns to the gang, \p tasks_on_worker the number of tasks of
-    /// the step on each worker. The worker \p failed_on is used only when no other one
-    /// fits.
+    /// Returns the best worker for the task with this index in its step, or nullptr when
+    /// none has enough free capacity. \p assigned_capacity is the capacity of each worker
+    /// that this decision already assigns to the gang, \p tasks_on_worker the number of
+    /// tasks of the step on each worker. The worker on which the task failed is used only
+    /// when no other one fits.
     worker_status*
     choose_worker(const job_status& job, const step_key& key, const decision_pass& pass,
                   const std::map<worker_id, resources>& assigned_capacity,
                   const std::map<worker_id, std::uint32_t>& tasks_on_worker,
-                  const worker_id& failed_on);
+                  std::uint32_t index);
     void start(job_status& job, const task_ref& task, run_number run,
                worker_status& target, decision_pass& pass);
     /// Counts the step as waiting with advice. Returns whether its queue is still within
@@ -319,6 +353,7 @@
     std::vector<stop_command> stops; ///< Requested since the last decision.
     std::size_t open_job_count = 0;
     boot_time lateness_updated_at{};
+    std::deque<boot_time> recent_crashes; ///< Times of the latest crashes of workers.
     /// Hosts that can send requests to the advice service concurrently.
     std::uint32_t advice_hosts = min_advice_hosts;
 };
--- /dev/null
+++ b/lib/cell/crashes.cpp
@@ -0,0 +1,147 @@
+/// \file
+/// Crashes of workers: counts them against the tasks that ran there, and keeps suspect
+/// tasks apart.
+#include "cell_state.hpp"
+
+#include <algorithm>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+/// Crashes within this time may have one common cause, such as the loss of a rack.
+constexpr duration common_cause_time = std::chrono::milliseconds(200);
+/// A suspect task starts this long after the latest start on its worker, unless it has
+/// waited too long for such a worker.
+constexpr duration min_start_distance = std::chrono::milliseconds(150);
+constexpr duration max_distance_wait = std::chrono::milliseconds(1000);
+/// Age assumed for a run that this owner has not started.
+constexpr duration inherited_run_age = std::chrono::seconds(1);
+
+} // namespace
+
+void scheduler::implementation::count_crash(worker_status& worker, boot_time crashed_at,
+                                            boot_time now)
+{
+    // A worker that is draining leaves as planned.
+    if (worker.info.draining)
+        return;
+    std::vector<std::pair<task_ref, duration>> ended;
+    std::vector<crashed_run> runs;
+    // The members of a gang on the worker count as one run: they fail together.
+    std::map<std::pair<job_key, std::uint32_t>, std::size_t> run_of_gang;
+    std::vector<std::size_t> run_of_task;
+    for (const auto& [task, record] : worker.runs)
+    {
+        if (record.phase == run_phase::stopping ||
+            !(record.answered || record.phase == run_phase::running))
+            continue;
+        job_status* job = find_job(task.job);
+        const task_status* status = find_task(job, task);
+        const duration age =
+            record.started_here
+                ? std::max(crashed_at - record.command_sent_at, duration::zero())
+                : inherited_run_age;
+        std::size_t number = runs.size();
+        if (status != nullptr && job->spec.steps[task.step].gang)
+            number = run_of_gang.try_emplace({task.job, task.step}, number).first->second;
+        if (number == runs.size())
+            runs.push_back({age, status == nullptr ? 0 : status->crashes.suspicion()});
+        ended.emplace_back(task, age);
+        run_of_task.push_back(number);
+    }
+    std::erase_if(recent_crashes,
+                  [now](boot_time each) { return now - each > common_cause_time; });
+    const std::vector<run_end> roles = assign_blame(runs, recent_crashes.size());
+    recent_crashes.push_back(now);
+    for (std::size_t each = 0; each < ended.size(); ++each)
+        count_crashed_run(worker, ended[each].first, roles[run_of_task[each]],
+                          ended[each].second, now);
+}
+
+void scheduler::implementation::count_crashed_run(const worker_status& worker,
+                                                  const task_ref& task, run_end role,
+                                                  duration age, boot_time now)
+{
+    const run_number run = worker.runs.at(task).run;
+    job_status* job = find_job(task.job);
+    task_status* status = find_task(job, task);
+    if (status == nullptr || is_final(job->state) || status->done ||
+        !count_run(*status, run))
+        return;
+    status->crashes.add(role, age);
+    status->crashed_at = now;
+    changes.ends.push_back({{task, run}, role});
+    metrics.add("hawthornbeam_run_ends_total", {{"how", to_string(role)}});
+    log.info("cell", "run crashed",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"run", std::uint64_t{run.value()}},
+              {"worker", worker.info.id.value()},
+              {"how", to_string(role)},
+              {"age_ms", std::int64_t{age / std::chrono::milliseconds(1)}},
+              {"runs", std::uint64_t{worker.runs.size()}},
+              {"crashes", std::uint64_t{status->crashes.crashes()}}});
+}
+
+void scheduler::implementation::fail_if_crashing(job_status& job)
+{
+    if (is_final(job.state))
+        return;
+    for (const step_status& step : job.steps)
+        for (const task_status& task : step.tasks)
+            if (!task.done && task.crashes.is_conclusive())
+                return finish_job(job, job_state::failed, "crashed its workers");
+}
+
+bool scheduler::implementation::takes_start(const worker_status& worker,
+                                            const task_status& task, boot_time now)
+{
+    if (worker.observed_until > now)
+        return false;
+    // Of two young runs, a crash would not show which one is its cause.
+    return !task.crashes.is_suspect() ||
+           now - worker.last_start_at >= min_start_distance ||
+           now - task.crashed_at >= max_distance_wait;
+}
+
+void scheduler::implementation::observe_suspect(worker_status& worker, run_record& record,
+                                                const task_status& status,
+                                                const task_ref& task, boot_time now)
+{
+    if (!status.crashes.is_suspect())
+        return;
+    const duration time = status.crashes.proving_time();
+    record.observed_until = time == duration::max() ? boot_time::max() : now + time;
+    worker.observed_until = std::max(worker.observed_until, record.observed_until);
+    changes.ends.push_back({{task, record.run}, run_end::suspect_started});
+}
+
+void scheduler::implementation::count_untraced_run(job_status& job, const task_ref& task)
+{
+    task_status& status = job.steps[task.step].tasks[task.index];
+    const run_number run = std::exchange(status.untraced_run, run_number());
+    if (run == run_number() || !count_run(status, run))
+        return;
+    status.crashes.add(run_end::crash_suspect, std::nullopt);
+    changes.ends.push_back({{task, run}, run_end::crash_suspect});
+    log.info("cell", "suspect run left no trace",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"run", std::uint64_t{run.value()}},
+              {"crashes", std::uint64_t{status.crashes.crashes()}}});
+    fail_if_crashing(job);
+}
+
+void scheduler::implementation::update_observation(worker_status& worker)
+{
+    worker.observed_until = boot_time();
+    for (const auto& [task, record] : worker.runs)
+        worker.observed_until = std::max(worker.observed_until, record.observed_until);
+}
+
+} // namespace hawthornbeam::cell
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -37,15 +37,20 @@
     // All members of a gang start with the same run number and the same saved state.
     if (status.occupied > 0 || status.not_before > pass.now)
         return true;
+    for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
+        count_untraced_run(job, task_ref{job.spec.id, key.step, index});
+    if (is_final(job.state))
+        return true;
     std::map<worker_id, resources> assigned_capacity;
     std::map<worker_id, std::uint32_t> tasks_on_worker;
     std::vector<worker_status*> targets;
     run_number run;
     checkpoint saved;
-    for (const task_status& member : status.tasks)
+    for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
     {
-        worker_status* target = choose_worker(job, key, pass, assigned_capacity,
-                                              tasks_on_worker, member.failed_on);
+        const task_status& member = status.tasks[index];
+        worker_status* target =
+            choose_worker(job, key, pass, assigned_capacity, tasks_on_worker, index);
         if (target == nullptr)
             return false;
         targets.push_back(target);
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -19,8 +19,9 @@
 
 const char* to_string(run_end outcome)
 {
-    static constexpr std::array<const char*, 6> names{"done",   "failed", "stopped",
-                                                      "lapsed", "broken", "alone"};
+    static constexpr std::array<const char*, 10> names{
+        "done",  "failed",  "stopped",       "lapsed",          "broken",
+        "alone", "crashed", "crash_suspect", "crash_bystander", "suspect_started"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -228,7 +229,7 @@
     if (found == nullptr)
         return false;
     if (!is_final(found->state))
-        self.finish_job(*found, job_state::cancelled);
+        self.finish_job(*found, job_state::cancelled, "cancelled");
     return true;
 }
 
@@ -271,16 +272,19 @@
     implementation_->jobs.erase(job);
 }
 
-void scheduler::implementation::finish_job(job_status& job, job_state state)
+void scheduler::implementation::finish_job(job_status& job, job_state state,
+                                           const char* reason)
 {
     assert(!is_final(job.state) && "a final state does not change");
-    log.info("cell", "job ended",
-             {{"job", job.spec.id.value()}, {"state", to_string(state)}});
+    log.info(
+        "cell", "job ended",
+        {{"job", job.spec.id.value()}, {"state", to_string(state)}, {"reason", reason}});
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         open_steps.erase(key_of(job, step));
     job.state = state;
-    metrics.add("hawthornbeam_jobs_ended_total",
-                {{"queue", job.spec.queue.value()}, {"state", to_string(state)}});
+    metrics.add("hawthornbeam_jobs_ended_total", {{"queue", job.spec.queue.value()},
+                                                  {"state", to_string(state)},
+                                                  {"reason", reason}});
     --open_job_count;
     changes.final_jobs.emplace_back(job.spec.id, state);
     // The final state is stored in the same batch, so the ends of the job's runs are not
@@ -343,7 +347,7 @@
     if (is_final(job.state))
         return;
     if (all)
-        finish_job(job, job_state::done);
+        finish_job(job, job_state::done, "all tasks done");
     else
         open_ready_steps(job);
 }
@@ -374,7 +378,7 @@
             most = std::max(most, task.failures);
         }
         if (!spec.persistent && total > 0 && (spec.gang ? total : most) >= attempts)
-            return finish_job(job, job_state::failed);
+            return finish_job(job, job_state::failed, "failed runs");
     }
 }
 
@@ -383,7 +387,15 @@
     implementation& self = *implementation_;
     job_status* job = self.find_job(end.run.task.job);
     task_status* task = implementation::find_task(job, end.run.task);
-    if (task == nullptr || is_final(job->state) || !count_run(*task, end.run.run))
+    if (task == nullptr || is_final(job->state))
+        return;
+    if (end.outcome == run_end::suspect_started)
+    {
+        task->last_run = std::max(task->last_run, end.run.run);
+        task->untraced_run = std::max(task->untraced_run, end.run.run);
+        return;
+    }
+    if (!count_run(*task, end.run.run))
         return;
     job->started = true;
     job->state = job_state::running;
@@ -391,6 +403,11 @@
         self.task_done(*job, end.run.task);
     else if (end.outcome == run_end::failed)
         self.task_failed(*job, end.run.task, worker_id());
+    else if (is_crash(end.outcome))
+    {
+        task->crashes.add(end.outcome, std::nullopt);
+        self.fail_if_crashing(*job);
+    }
 }
 
 pending_changes scheduler::take_changes()
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -45,6 +45,7 @@
         return;
     worker.used -= found->second.size;
     worker.runs.erase(found);
+    update_observation(worker);
     job_status* job = find_job(task.job);
     task_status* status = find_task(job, task);
     if (status == nullptr || status->run_worker != worker.info.id)
@@ -117,6 +118,18 @@
         handle_lost_run(worker, task, reason);
 }
 
+void scheduler::implementation::stop_uncertain_start(worker_status& worker,
+                                                     const task_ref& task, boot_time now)
+{
+    run_record& record = worker.runs.at(task);
+    record.command_sent_at = now;
+    if (record.phase != run_phase::stopping)
+        return request_stop(worker.info.id, task);
+    // The new incarnation has no record of a stop that the former one answered.
+    record.stop_answered = false;
+    stops.push_back({worker.info.id, worker.info.address, {task, record.run}});
+}
+
 void scheduler::implementation::repeat_stops(boot_time now)
 {
     for (auto& [id, worker] : workers)
@@ -265,6 +278,8 @@
         status->saved = listed.saved;
     if (is_final(job->state) || status->done)
         return request_stop(worker.info.id, task);
+    if (record.started_here)
+        status->crashes.add_survival(now - record.command_sent_at);
     adopt_run(worker, record, *job, task);
 }
 
@@ -331,15 +346,24 @@
 }
 
 std::vector<task_ref> scheduler::implementation::end_incarnation(worker_status& worker,
-                                                                 const char* reason)
+                                                                 const char* reason,
+                                                                 boot_time ended_at,
+                                                                 boot_time now)
 {
+    count_crash(worker, ended_at, now);
+    worker.last_start_at = boot_time();
     std::vector<task_ref> lost;
     std::vector<task_ref> uncertain;
     for (const auto& [task, record] : worker.runs)
         (record.answered || record.phase == run_phase::running ? lost : uncertain)
             .push_back(task);
     for (const task_ref& task : lost)
+    {
         handle_lost_run(worker, task, reason);
+        job_status* job = find_job(task.job);
+        if (job != nullptr)
+            fail_if_crashing(*job);
+    }
     return uncertain;
 }
 
@@ -351,7 +375,8 @@
         log.warning("cell", "worker restarted",
                     {{"worker", poll.worker.value()},
                      {"runs", std::uint64_t{worker.runs.size()}}});
-        std::vector<task_ref> uncertain = end_incarnation(worker, "worker restarted");
+        std::vector<task_ref> uncertain =
+            end_incarnation(worker, "worker restarted", worker.contact_at, now);
         // A delayed start may reach the new incarnation and be executed, because the new
         // incarnation has no record of earlier stops and its clock has not reached the
         // deadline of the start. Such runs are therefore stopped again.
@@ -369,10 +394,7 @@
             uncertain.push_back(each.run.task);
         }
         for (const task_ref& task : uncertain)
-        {
-            request_stop(poll.worker, task);
-            worker.runs.at(task).command_sent_at = now;
-        }
+            stop_uncertain_start(worker, task, now);
     }
     worker.incarnation = poll.incarnation;
     worker.processed = end_number();
@@ -398,7 +420,8 @@
                       {"replaced", ended.replaced ? 1 : 0},
                       {"draining", worker.info.draining ? 1 : 0}});
     const std::vector<task_ref> uncertain =
-        self.end_incarnation(worker, "worker process ended");
+        self.end_incarnation(worker, "worker process ended",
+                             now - std::chrono::milliseconds(ended.failing_ms), now);
     if (ended.replaced)
     {
         // Commands name the worker that they are for, so no other one executes them.
@@ -406,6 +429,14 @@
             self.handle_lost_run(worker, task, "worker process ended");
         worker.abandoned.clear();
     }
+    else
+        for (const task_ref& task : uncertain)
+        {
+            job_status* job = self.find_job(task.job);
+            if (job != nullptr)
+                self.restart_gang(*job, task.step, now);
+            self.stop_uncertain_start(worker, task, now);
+        }
     worker.polled = false;
     worker.process_ended = true;
 }
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -54,10 +54,12 @@
 worker_status* scheduler::implementation::choose_worker(
     const job_status& job, const step_key& key, const decision_pass& pass,
     const std::map<worker_id, resources>& assigned_capacity,
-    const std::map<worker_id, std::uint32_t>& tasks_on_worker, const worker_id& failed_on)
+    const std::map<worker_id, std::uint32_t>& tasks_on_worker, std::uint32_t index)
 {
     const step_spec& spec = job.spec.steps[key.step];
     const step_status& status = job.steps[key.step];
+    const bool suspect = status.tasks[index].crashes.is_suspect();
+    const worker_id& failed_on = status.tasks[index].failed_on;
     worker_status* best = nullptr;
     std::int64_t best_score = 0;
     const auto consider = [&](const worker_id& id, worker_status& candidate)
@@ -67,6 +69,7 @@
         if (assigned != assigned_capacity.end())
             free_capacity -= assigned->second;
         if (!spec.size.fits_in(free_capacity) ||
+            !takes_start(candidate, status.tasks[index], pass.now) ||
             !can_run(candidate, job, key.step, pass.now))
             return;
         resources held_size = spec.size;
@@ -86,7 +89,9 @@
         // the worker weigh more than packing.
         constexpr std::int64_t far_penalty = 1'000'000;
         constexpr std::int64_t failed_penalty = 10'000'000;
-        std::int64_t score = free_capacity.processors.value();
+        // A suspect task runs where its crash would end the least other work.
+        std::int64_t score = suspect ? candidate.used.processors.value()
+                                     : free_capacity.processors.value();
         if (!spec.data_rack.empty() && candidate.info.rack != spec.data_rack)
             score += far_penalty;
         if (id == failed_on)
@@ -130,6 +135,8 @@
     run_record& kept = target.runs[task];
     target.used -= kept.size;
     kept = record;
+    target.last_start_at = now;
+    observe_suspect(target, kept, status, task, now);
     const auto forecast = pass.forecasts.find(target.info.id);
     if (forecast != pass.forecasts.end())
     {
@@ -175,8 +182,7 @@
             if (!other.run_worker.empty())
                 ++tasks_on_worker[other.run_worker];
     const task_status& status = step.tasks[index];
-    worker_status* target =
-        choose_worker(job, key, pass, {}, tasks_on_worker, status.failed_on);
+    worker_status* target = choose_worker(job, key, pass, {}, tasks_on_worker, index);
     if (target == nullptr)
         return false;
     start(job, task_ref{job.spec.id, key.step, index}, status.last_run.next(), *target,
@@ -207,6 +213,9 @@
             const task_status& task = status.tasks[index];
             if (task.done || !task.run_worker.empty())
                 continue;
+            count_untraced_run(*job, task_ref{job->spec.id, step, index});
+            if (is_final(job->state))
+                return;
             if (!place_task(*job, key, index, pass))
                 break;
         }
--- /dev/null
+++ b/unittests/cell/crash_blame_test.cpp
@@ -0,0 +1,167 @@
+/// \file
+/// Tests which runs are blamed for a crash, and when a task is given up.
+#include "lib/cell/crash_blame.hpp"
+
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct blame_case
+{
+    const char* name;
+    std::vector<crashed_run> runs;
+    std::size_t other_crashes;
+    std::vector<run_end> expected;
+};
+
+class assign_blame_test : public testing::TestWithParam<blame_case>
+{
+};
+
+// Guards against blaming work that only ran beside the cause.
+TEST_P(assign_blame_test, blames_the_likely_cause)
+{
+    EXPECT_EQ(assign_blame(GetParam().runs, GetParam().other_crashes),
+              GetParam().expected);
+}
+
+constexpr run_end cause = run_end::crashed;
+constexpr run_end suspect = run_end::crash_suspect;
+constexpr run_end bystander = run_end::crash_bystander;
+
+INSTANTIATE_TEST_SUITE_P(
+    crashes, assign_blame_test,
+    testing::Values(
+        blame_case{"young_run_alone", {{milliseconds(20)}}, 0, {cause}},
+        blame_case{"young_run_beside_old_ones",
+                   {{seconds(3)}, {milliseconds(20)}, {seconds(5)}},
+                   0,
+                   {bystander, cause, bystander}},
+        blame_case{"two_young_runs",
+                   {{milliseconds(20)}, {milliseconds(30)}},
+                   0,
+                   {suspect, suspect}},
+        blame_case{"suspect_beside_an_equally_young_run",
+                   {{milliseconds(20)}, {milliseconds(20), 4}},
+                   0,
+                   {suspect, cause}},
+        blame_case{"old_run_alone", {{seconds(10)}}, 0, {suspect}},
+        blame_case{"old_run_in_the_loss_of_a_rack", {{seconds(3)}}, 7, {bystander}},
+        blame_case{"no_run", {}, 0, {}}),
+    [](const testing::TestParamInfo<blame_case>& each) { return each.param.name; });
+
+/// Crashes of the workers of one task, and the number of the first one after which the
+/// task is given up; 0: never.
+struct record_case
+{
+    const char* name;
+    std::vector<std::pair<run_end, std::optional<duration>>> crashes;
+    std::size_t given_up_after;
+};
+
+class crash_record_test : public testing::TestWithParam<record_case>
+{
+};
+
+// Guards against giving up innocent tasks, and against starting a guilty one for ever.
+TEST_P(crash_record_test, gives_up_only_with_enough_evidence)
+{
+    crash_record record;
+    std::size_t given_up_after = 0;
+    for (std::size_t each = 0; each < GetParam().crashes.size(); ++each)
+    {
+        record.add(GetParam().crashes[each].first, GetParam().crashes[each].second);
+        if (given_up_after == 0 && record.is_conclusive())
+            given_up_after = each + 1;
+    }
+    EXPECT_EQ(given_up_after, GetParam().given_up_after);
+}
+
+constexpr milliseconds young(20);
+
+INSTANTIATE_TEST_SUITE_P(
+    tasks, crash_record_test,
+    testing::Values(
+        record_case{"one_certain_crash", {{cause, young}}, 0},
+        record_case{"in_company_and_then_alone", {{suspect, young}, {cause, young}}, 2},
+        record_case{"always_in_company",
+                    {{suspect, young}, {suspect, young}, {suspect, young}},
+                    3},
+        record_case{"late_in_its_run",
+                    {{bystander, milliseconds(900)},
+                     {suspect, milliseconds(900)},
+                     {suspect, milliseconds(900)},
+                     {suspect, milliseconds(900)}},
+                    4},
+        record_case{"outlived_the_age_of_the_first_crash",
+                    {{suspect, young}, {cause, milliseconds(600)}},
+                    0},
+        record_case{"counted_by_former_owners",
+                    {{suspect, std::nullopt}, {cause, std::nullopt}, {cause, young}},
+                    3},
+        record_case{"always_a_bystander",
+                    {{bystander, seconds(1)},
+                     {bystander, seconds(1)},
+                     {bystander, seconds(1)},
+                     {bystander, seconds(1)},
+                     {bystander, seconds(1)}},
+                    0}),
+    [](const testing::TestParamInfo<record_case>& each) { return each.param.name; });
+
+// Guards against a suspect task that takes the work of others down with it again.
+TEST(suspect_task_test, worker_of_a_suspect_takes_no_other_start_until_it_has_lasted)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    const std::string first = workers.decide().starts.at(0).worker.value();
+    workers.end_process(first);
+    const std::string second = workers.decide().starts.at(0).worker.value();
+    EXPECT_NE(second, first);
+    workers.submit(fleet::job("b", "q", 1, 1, seconds(10)));
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.advance(milliseconds(300));
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+// Guards against a new owner that does not know of earlier crashes.
+TEST(suspect_task_test, crashes_counted_by_a_former_owner_count)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    const task_ref task{job_key("a"), 0, 0};
+    workers.cell.restore_end({{task, run_number(1)}, cause});
+    workers.cell.restore_end({{task, run_number(2)}, cause});
+    workers.cell.restore_end({{task, run_number(3)}, run_end::suspect_started});
+    // The third run is on no worker, so its worker has crashed too.
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.store_changes();
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::failed);
+}
+
+// Guards against counting the planned exit of a worker against its tasks.
+TEST(suspect_task_test, exit_of_a_draining_worker_counts_against_no_task)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    workers.decide();
+    workers.info("w0").draining = true;
+    workers.publish("w0");
+    workers.end_process("w0");
+    EXPECT_TRUE(workers.store_changes().ends.empty());
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
