--- a/lib/cell/crash_blame.cpp
+++ b/lib/cell/crash_blame.cpp
@@ -96,9 +96,9 @@
 
 bool crash_record::is_conclusive() const
 {
-    const std::uint32_t needed =
-        equal_ages_ || crashes_ >= crashes_to_ignore_ages ? blame_to_give_up
-                                                          : blame_to_give_up_at_any_age;
+    const std::uint32_t needed = equal_ages_ || crashes_ >= crashes_to_ignore_ages
+                                     ? blame_to_give_up
+                                     : blame_to_give_up_at_any_age;
     return crashes_ >= min_crashes_to_give_up &&
            blame_ + std::min(bystander_crashes_, max_bystander_blame) >= needed;
 }
--- a/lib/cell/crash_blame.hpp
+++ b/lib/cell/crash_blame.hpp
@@ -16,14 +16,14 @@
 /// A run that a crash ended.
 struct crashed_run
 {
-    duration age{}; ///< At the crash.
+    duration age{};               ///< At the crash.
     double earlier_suspicion = 0; ///< Of the task, from earlier crashes.
 };
 
 /// Returns, for each of the runs on a worker that crashed, whether the run caused the
 /// crash (`run_end::crashed`), may have caused it (`crash_suspect`) or probably did not
-/// (`crash_bystander`). A run is the more suspect the younger it was and the more its task
-/// was suspected before. A worker may also crash by itself, or for the same reason
+/// (`crash_bystander`). A run is the more suspect the younger it was and the more its
+/// task was suspected before. A worker may also crash by itself, or for the same reason
 /// as \p other_crashes workers at about the same time.
 std::vector<run_end> assign_blame(const std::vector<crashed_run>& runs,
                                   std::size_t other_crashes);
@@ -56,7 +56,7 @@
     std::uint32_t blame_ = 0;
     duration longest_age_{};
     std::optional<duration> blamed_age_; ///< At the last crash that it is blamed for.
-    bool equal_ages_ = false; ///< The last two such ages are about equal.
+    bool equal_ages_ = false;            ///< The last two such ages are about equal.
 };
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -22,6 +22,9 @@
 
 std::int64_t tasks_that_fit(const resources& size, const resources& free_capacity)
 {
+    // A worker whose capacity has been reduced may use more than it has.
+    if (!size.fits_in(free_capacity))
+        return 0;
     std::int64_t count = INT32_MAX;
     if (size.processors.value() > 0)
         count =
@@ -31,7 +34,7 @@
     if (size.accelerators.value() > 0)
         count = std::min(count,
                          free_capacity.accelerators.value() / size.accelerators.value());
-    return std::max<std::int64_t>(count, 0);
+    return count;
 }
 
 bool scheduler::implementation::can_run(const worker_status& candidate,
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -225,6 +225,8 @@
 INSTANTIATE_TEST_SUITE_P(seeds, overlapping_cell_failures_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(regressions, crashing_tasks_test, testing::Values(312, 368));
+
 INSTANTIATE_TEST_SUITE_P(seeds, crashing_tasks_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
--- a/unittests/cell/crash_blame_test.cpp
+++ b/unittests/cell/crash_blame_test.cpp
@@ -40,23 +40,23 @@
 
 INSTANTIATE_TEST_SUITE_P(
     crashes, assign_blame_test,
-    testing::Values(
-        blame_case{"young_run_alone", {{milliseconds(20)}}, 0, {cause}},
-        blame_case{"young_run_beside_old_ones",
-                   {{seconds(3)}, {milliseconds(20)}, {seconds(5)}},
-                   0,
-                   {bystander, cause, bystander}},
-        blame_case{"two_young_runs",
-                   {{milliseconds(20)}, {milliseconds(30)}},
-                   0,
-                   {suspect, suspect}},
-        blame_case{"suspect_beside_an_equally_young_run",
-                   {{milliseconds(20)}, {milliseconds(20), 4}},
-                   0,
-                   {suspect, cause}},
-        blame_case{"old_run_alone", {{seconds(10)}}, 0, {suspect}},
-        blame_case{"old_run_in_the_loss_of_a_rack", {{seconds(3)}}, 7, {bystander}},
-        blame_case{"no_run", {}, 0, {}}),
+    testing::Values(blame_case{"young_run_alone", {{milliseconds(20)}}, 0, {cause}},
+                    blame_case{"young_run_beside_old_ones",
+                               {{seconds(3)}, {milliseconds(20)}, {seconds(5)}},
+                               0,
+                               {bystander, cause, bystander}},
+                    blame_case{"two_young_runs",
+                               {{milliseconds(20)}, {milliseconds(30)}},
+                               0,
+                               {suspect, suspect}},
+                    blame_case{"suspect_beside_an_equally_young_run",
+                               {{milliseconds(20)}, {milliseconds(20), 4}},
+                               0,
+                               {suspect, cause}},
+                    blame_case{"old_run_alone", {{seconds(10)}}, 0, {suspect}},
+                    blame_case{
+                        "old_run_in_the_loss_of_a_rack", {{seconds(3)}}, 7, {bystander}},
+                    blame_case{"no_run", {}, 0, {}}),
     [](const testing::TestParamInfo<blame_case>& each) { return each.param.name; });
 
 /// Crashes of the workers of one task, and the number of the first one after which the
