Give up a task of the own interface that has lost five workers

After five lost workers it ends as unknown. A loss is no proof of a crash there, so the bound is wide; the count is kept in memory and begins anew with another job owner. The new test sees a sixth start without the change.

--- a/lib/instance/job_progress.cpp
+++ b/lib/instance/job_progress.cpp
@@ -13,6 +13,9 @@
 /// Number of failed attempts after which an idempotent task is not retried. Attempts that
 /// end because of a lost worker or a preemption do not count.
 constexpr std::uint8_t max_failures = 3;
+/// Number of lost workers after which an idempotent task is not retried: it may be what
+/// ends them.
+constexpr std::uint8_t max_lost_workers = 5;
 constexpr duration back_off_base = std::chrono::milliseconds(200);
 constexpr double back_off_spread = 0.5;
 
@@ -136,6 +139,8 @@
     case wire::task_event::ended:
         return apply_ended(job, update);
     case wire::task_event::unknown:
+        if (slot.phase == slot_phase::placed)
+            ++slot.lost_workers;
         return end_or_retry_lost(job, update.id.index);
     }
 }
@@ -238,7 +243,7 @@
 {
     task_slot& slot = job.slots[index];
     record_left_queue(job, slot);
-    if (job.spec.idempotent && !job.cancelling)
+    if (job.spec.idempotent && !job.cancelling && slot.lost_workers < max_lost_workers)
     {
         begin_attempt(job, slot);
         requeue(job, index);
--- a/lib/instance/job_state.hpp
+++ b/lib/instance/job_state.hpp
@@ -34,6 +34,7 @@
     wire::dispatch_id dispatch; ///< While dispatched: the start request.
     std::uint16_t attempt = 0;
     std::uint8_t failures = 0;
+    std::uint8_t lost_workers = 0; ///< Workers that were lost while they ran the task.
     slot_phase phase = slot_phase::waiting;
     bool was_placed = false; ///< True once an attempt was started.
     /// False while a previous owner may have started attempts unknown to this instance.
--- a/unittests/instance/cell_test.cpp
+++ b/unittests/instance/cell_test.cpp
@@ -31,6 +31,35 @@
     EXPECT_EQ(cluster.violations(), std::vector<std::string>());
 }
 
+// Guards against a task that ends one worker after the other, because a lost worker is no
+// failed attempt.
+TEST(cell_test, task_that_loses_its_worker_each_time_is_given_up)
+{
+    constexpr std::size_t worker_count = 12;
+    constexpr std::size_t max_starts = 5;
+    cell_options options;
+    options.workers = worker_count;
+    test_cluster cluster(options);
+    cluster.start();
+    const wire::job_spec job = cluster.job("p/batch", "loses", 1, 60000, true);
+    cluster.submit(0, job);
+    for (std::size_t starts = 1; starts <= max_starts; ++starts)
+    {
+        ASSERT_TRUE(cluster.advance_until(
+            seconds(120), [&] { return cluster.starts_of(job.id) == starts; }));
+        for (std::size_t worker = 0; worker < worker_count; ++worker)
+            for (const task_report& each :
+                 cluster.workers().worker(cluster.address(worker)).state().list())
+                if (each.id.job == job.id && each.state == task_state::running)
+                    cluster.kill_worker(worker);
+    }
+    cluster.advance(seconds(120));
+    EXPECT_EQ(cluster.starts_of(job.id), max_starts);
+    const result<wire::job_status> ended = cluster.query(0, job.id);
+    ASSERT_TRUE(ended);
+    EXPECT_EQ(ended.value().verdict, wire::job_verdict::unknown);
+}
+
 // Guards against a second run of a job that is submitted again with the same request id.
 TEST(cell_test, repeated_submission_runs_once)
 {
