Do not wait for the lease of an ended worker whose entry was removed

A worker whose end was seen for less than 1.5 s when its entry went was waited for 8.2 s, since nobody polls a worker without an entry. An entry that is gone has no newer address, so what was seen is enough. The new test fails without the change.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -94,7 +94,7 @@
     void update_worker(const worker_info& worker, boot_time now);
     /// Handles the removal of a worker's entry from the list of workers. The worker may
     /// keep its runs until its lease expires.
-    void remove_worker(const worker_id& worker);
+    void remove_worker(const worker_id& worker, boot_time now);
     /// Adds workers on which a former owner may have started runs. Tasks of inherited
     /// jobs wait until each of them was polled or any lease that it can have has expired.
     void expect_workers(const std::vector<worker_id>& workers, boot_time now);
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -49,7 +49,7 @@
     }
     for (const worker_info& info : cell.workers())
         if (!present.contains(info.id))
-            cell.remove_worker(info.id);
+            cell.remove_worker(info.id, now);
     std::erase_if(routes,
                   [this, &present](const std::pair<const worker_id, worker_route>& entry)
                   {
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -33,7 +33,7 @@
     status.has_entry = true;
 }
 
-void scheduler::remove_worker(const worker_id& worker)
+void scheduler::remove_worker(const worker_id& worker, boot_time now)
 {
     const auto found = implementation_->workers.find(worker);
     if (found == implementation_->workers.end() || !found->second.has_entry)
@@ -42,7 +42,15 @@
         "cell", "worker entry removed",
         {{"worker", worker.value()}, {"runs", std::uint64_t{found->second.runs.size()}}});
     found->second.has_entry = false;
-    if (!found->second.polled && !found->second.process_ended)
+    if (found->second.polled || found->second.process_ended)
+        return;
+    if (found->second.ended_unpolled_since != boot_time())
+    {
+        // Without an entry there is no newer address either.
+        found->second.process_ended = true;
+        implementation_->mark_settled(worker, now);
+    }
+    else
         implementation_->unsettled.insert(worker);
 }
 
--- a/unittests/cell/ended_process_test.cpp
+++ b/unittests/cell/ended_process_test.cpp
@@ -111,6 +111,23 @@
     EXPECT_EQ(workers.decide().starts.size(), 1U);
 }
 
+// Guards against a takeover that waits for the lease of an ended worker whose entry goes.
+TEST(inherited_ended_process_test, settles_the_worker_when_its_entry_is_removed)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    worker_info gone = workers.info("w0");
+    gone.id = worker_id("gone");
+    workers.cell.expect_workers({gone.id}, workers.clock.now());
+    workers.cell.update_worker(gone, workers.clock.now());
+    workers.cell.observe({gone.id, gone.address, event_position{1, 1}, false, 0},
+                         workers.clock.now());
+    EXPECT_TRUE(workers.decide().starts.empty());
+    workers.cell.remove_worker(gone.id, workers.clock.now());
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
