Ignore a late report of an answer that is older than the end of a worker

Reports of one agent are separate messages. An answer reported after the poll that showed the end made the ended worker usable again until the next report. The position of the poll that showed the end counts now; the new test fails without it. Some comments of the change are reworded.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -134,8 +134,9 @@
     bool polled = false;    ///< This owner has polled its current incarnation.
     /// The process of the polled incarnation has ended.
     bool process_ended = false;
-    endpoint contact_address;        ///< Address at the last poll.
-    event_position contact_position; ///< Position at which the last poll was sent.
+    endpoint contact_address; ///< Address at the last poll.
+    /// Position at which the last poll was sent that was answered or showed the end.
+    event_position contact_position;
     /// Since when polls show that the process has ended, before this owner has polled it.
     boot_time ended_unpolled_since{};
     worker_incarnation incarnation;
@@ -240,10 +241,9 @@
     void handle_running(worker_status& worker, const running_task& listed, boot_time now,
                         event_position sent_position);
     void begin_incarnation(worker_status& worker, const poll_result& poll, boot_time now);
-    /// Handles the end of an incarnation: the runs that it certainly had are lost.
-    /// Returns the runs whose start got no answer and may still be executed by the next
-    /// one.
-    /// The worker ended at \p ended_at.
+    /// Handles the end of an incarnation at \p ended_at: the runs that it certainly had
+    /// are lost. Returns the runs whose start got no answer, which the next one may
+    /// execute.
     std::vector<task_ref> end_incarnation(worker_status& worker, const char* reason,
                                           boot_time ended_at, boot_time now);
     /// Settles an expected worker whose process has ended before this owner polled it.
--- a/lib/cell/crash_blame.cpp
+++ b/lib/cell/crash_blame.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-/// Added to each age, since agents notice a crash with this delay at most.
+/// Uncertainty of the time of a crash, added to each age.
 constexpr double noticing_s = 0.05;
-/// Weight of other causes beside runs, which weigh the reciprocal of their age in s.
+/// Weight of other causes. A run weighs the reciprocal of its age in s.
 constexpr double other_cause_weight = 0.5;
 /// Shares of the total weight from which a run is taken for the cause or suspected.
 constexpr double cause_share = 0.8;
@@ -38,7 +38,7 @@
 /// From this many crashes on, a task is observed alone until its run ends.
 constexpr std::uint32_t crashes_to_observe_always = 3;
 
-/// Until a crash is noticed and reported, with a margin.
+/// Longest time from a crash to its report to the owner.
 constexpr duration report_time = std::chrono::milliseconds(150);
 
 /// Assumed for runs of a former owner.
--- a/lib/cell/crash_blame.hpp
+++ b/lib/cell/crash_blame.hpp
@@ -44,7 +44,7 @@
     /// Returns whether the task should run on a worker that takes no other starts until
     /// the proving time has passed.
     bool is_suspect() const;
-    /// Time for which a run has to last to be as innocent as another one.
+    /// Run time after which a run counts as survived; the maximum if it never does.
     duration proving_time() const;
     std::uint32_t crashes() const { return crashes_; }
     /// Zero for a task that is not suspected, 1 after one crash as a suspect.
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -439,6 +439,7 @@
         }
     worker.polled = false;
     worker.process_ended = true;
+    worker.contact_position = ended.sent_position;
 }
 
 void scheduler::implementation::settle_ended_worker(worker_status& worker, boot_time now)
@@ -462,6 +463,10 @@
     worker_status& worker = found->second;
     if (worker.polled && poll.incarnation < worker.incarnation)
         return;
+    // The report of an answer may arrive after that of a later poll.
+    if (worker.process_ended && poll.incarnation == worker.incarnation &&
+        poll.sent_position <= worker.contact_position)
+        return;
     if (poll.incarnation != worker.incarnation)
         self.begin_incarnation(worker, poll, now);
     else if (worker.process_ended)
--- a/unittests/cell/ended_process_test.cpp
+++ b/unittests/cell/ended_process_test.cpp
@@ -54,6 +54,22 @@
     EXPECT_TRUE(workers.decide().starts.empty());
 }
 
+// Guards against taking an ended worker for usable when an older answer arrives late.
+TEST_F(ended_process_test, late_report_of_an_older_answer_is_ignored)
+{
+    const std::string ended = start();
+    workers.submit(fleet::job("b", "q", 2, 8));
+    const ended_process shown = workers.show_ended(ended);
+    poll_result older;
+    older.worker = worker_id(ended);
+    older.incarnation = workers.info(ended).incarnation;
+    older.sent_position = event_position{1, shown.sent_position.event - 1};
+    workers.cell.observe(shown, workers.clock.now());
+    workers.cell.observe(older, workers.clock.now());
+    for (const start_command& each : workers.decide().starts)
+        EXPECT_NE(each.worker.value(), ended);
+}
+
 // Guards against running a task twice when an entry names a wrong address.
 TEST_F(ended_process_test, address_that_the_worker_never_answered_at_shows_nothing)
 {
