--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,45 @@
+"""More than 500 ends wait for their note on one runner while the store is down."""
+
+import asyncio
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standin"))
+
+from scenario import TROUBLE, main, twice
+
+ROOM = {"cpu": 16000, "mem-mb": 32768, "gpu": 0}
+TASKS = 1500
+OUTAGE_S = 4.5
+
+
+def plan(task, run):
+    index = int(task.rsplit(".", 1)[1])
+    return 2.5 + 3.5 * (index % 500) / 500, "done"
+
+
+async def play(scenario):
+    await scenario.open(
+        [(f"i-runner{n}", ROOM, ["a", f"r1-{n}"], plan) for n in range(4)], [{}])
+    job = scenario.job_id()
+    status = await scenario.submit(job, {"spec": "small tasks", "steps": [
+        {"count": TASKS, "cpu": 25, "mem-mb": 40, "estimate-ms": 4000}]})
+    submitted = scenario.now()
+    await scenario.sleep_until(submitted + 2.0)
+    if TROUBLE:
+        scenario.record("the store is down")
+        scenario.store.down = True
+        await scenario.sleep_until(submitted + 2.0 + OUTAGE_S)
+        scenario.store.down = False
+        scenario.record("the store is up")
+    for _ in range(30):
+        await asyncio.sleep(1)
+        if await scenario.state(job) == "done":
+            break
+    await asyncio.sleep(2)
+    return [f"TWICE {task}: {why}: run {a['number']} on {a['runner']} from {a['began']} to "
+            f"{a['ended']} {a['how']}, noted {a['noted']}; run {b['number']} on {b['runner']} "
+            f"from {b['began']}" for task, why, a, b in twice(scenario.events)]
+
+
+main(__file__, play)
