--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import random
 import time
 
 from http11 import Server
 
 MAX_LISTED_ENDS = 500
+LATE_S = (2.0, 12.0)
 
 
 class Run:
@@ -28,6 +30,7 @@
         self.server = None
         self.port = 0
         self.incarnation = 0
+        self.late_share = 0.0  # Share of the orders that get no answer and are carried out late.
 
     async def open(self):
         """Starts an incarnation, which knows nothing of the former one."""
@@ -139,11 +142,24 @@
         if fields.get("fence-token", 0) < self.token:
             return self.answer(409, {"reason": "fence"})
         self.token = fields.get("fence-token", 0)
+        if call in ("run-start", "run-stop") and random.random() < self.late_share:
+            asyncio.get_running_loop().call_later(
+                random.uniform(*LATE_S), self.carry_out_late, call, fields)
+            self.record("gets late", self.name, fields["task"], fields["run"], call)
+            return None
         answer = {"run-start": self.start, "run-stop": self.stop, "hold": self.hold}[call](fields)
         if asyncio.iscoroutine(answer):
             answer = await answer
         return None if self.incarnation != incarnation else answer
 
+    def carry_out_late(self, call, fields):
+        """Also in a later incarnation, which knows nothing of the fencing tokens of the former."""
+        if self.server.server is None or fields["fence-token"] < self.token:
+            return
+        self.token = fields["fence-token"]
+        answer = {"run-start": self.start, "run-stop": self.stop}[call](fields)
+        self.record("carried out late", self.name, fields["task"], fields["run"], call, *answer)
+
     def start(self, fields):
         task, number, deadline = fields["task"], fields["run"], fields["deadline-ms"]
         if task in self.running and self.running[task].number == number:
--- a/review/standin/scenario.py
+++ b/review/standin/scenario.py
@@ -133,6 +133,13 @@
     async def call(self, method, path, body=None, timeout=3.0):
         return await call(self.ip, self.front_port, method, path, HOST, body, timeout)
 
+    async def leave(self):
+        """SIGTERM, the end of the process, and its start anew."""
+        self.signal(signal.SIGTERM)
+        while self.process.poll() is None:
+            await asyncio.sleep(0.1)
+        self.start()
+
 
 class Scenario:
     def __init__(self, case_file, hosts=3, hold_max_ms=6000, kill_grace_ms=400):
