--- a/review/standin/scenario.py
+++ b/review/standin/scenario.py
@@ -3,10 +3,12 @@
 could not run."""
 
 import asyncio
+import base64
 import json
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -15,7 +17,7 @@
 import time
 import traceback
 
-from http11 import Server, call
+from http11 import call
 from runner import Runner
 from store import Store
 
@@ -202,7 +204,6 @@
 
     def owner(self):
         """The host that holds the claim in the store; None if nobody does."""
-        import base64
         item = self.store.items.get("cell/owner")
         value = base64.b64decode(item["value"]) if item else b""
         return next((host for host in self.hosts if host.name.encode() + b"." in value), None)
@@ -257,7 +258,6 @@
         if os.environ.get("KEEP_LOGS") and self.hosts:
             print("logs:", self.folder)
         elif self.hosts:
-            import shutil
             shutil.rmtree(self.folder, ignore_errors=True)
         self.record_file.flush()
 
