Do not take a refused connection for the end of a worker's process

Cause: an agent reported a refused connection as the end of the process, and the owner gave up all answered runs at once. Connections are refused alike by a host without a listener and by a network that resets them, so the report proves nothing. Ruled out: late or reordered reports.

What an observation proves about a run is now decided in one place, lib/cell/run_evidence: another worker at the address, another incarnation, a newer poll and an expired lease prove an end; a refused, reset or silent connection and a removed entry do not. A refusal keeps new starts away until the worker answers, is the time of the crash if an end is proven later, and lets another agent poll the worker, which may reach it. In a takeover a refused connection no longer settles a worker, either.

Tests. ended_process_test asserted that a refusal ends the runs. It now asserts the same promptness for another worker at the address, and that refusals end nothing for 7.5 s and until the lease expires.

The simulation also plays contact lost for longer than a lease, so the checker follows the users' rule that an end is not taken note of if the lease lapsed before its note. Forged histories with the lapse before the end are still reported.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -109,9 +109,9 @@
 
     /// Handles the answer of a worker to a poll.
     void observe(const poll_result& poll, boot_time now);
-    /// Handles a poll that shows that the process of a worker has ended. The poll was
-    /// sent to the address in the worker's entry, by the agent that polls it now.
-    void observe(const ended_process& ended, boot_time now);
+    /// Handles a poll that was refused. The poll was sent to the address in the worker's
+    /// entry, by the agent that polls it now.
+    void observe(const refused_poll& refused, boot_time now);
     /// Handles the result of a start or stop command.
     void observe(const command_result& result, boot_time now);
     /// Handles an answer of the advice service.
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -235,7 +235,8 @@
     other_worker, ///< A worker with another id uses this address.
     not_sent,     ///< The command did not leave the agent.
     unanswered,   ///< The worker may have executed it, or may do so seconds later.
-    no_listener   ///< Nothing listens at the address: the worker's process has ended.
+    no_listener   ///< The connection was refused: by the host of the worker or by a
+                  ///< network.
 };
 
 /// Returns the lower-case name.
@@ -322,14 +323,14 @@
     }
 };
 
-/// A failed poll that shows that the process of a worker has ended: nothing listens at
-/// its address any more, or another worker does.
-struct ended_process
+/// A poll that was refused at the address of a worker. Another worker that answers there
+/// proves that the worker's process has ended; a refused connection does not.
+struct refused_poll
 {
     worker_id worker;
     endpoint address;             ///< Address that was polled.
     event_position sent_position; ///< Position at which the poll was sent.
-    bool replaced = false;        ///< Another worker answers at the address.
+    bool other_worker = false;    ///< Another worker answers at the address.
     std::uint32_t failing_ms = 0; ///< Time since the first poll that failed.
 };
 
@@ -340,12 +341,12 @@
     std::vector<command_result> results;
     std::vector<advice_result> advice;
     std::vector<worker_id> unreachable; ///< Workers that have stopped answering polls.
-    std::vector<ended_process> ended_processes;
+    std::vector<refused_poll> refused_polls;
 
     bool empty() const
     {
         return polls.empty() && results.empty() && advice.empty() &&
-               unreachable.empty() && ended_processes.empty();
+               unreachable.empty() && refused_polls.empty();
     }
 };
 
--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -15,7 +15,7 @@
 /// age of the reported progress.
 constexpr duration poll_wait = std::chrono::milliseconds(1000);
 /// Delay after a failed poll. The first failure in a row is followed at once by another
-/// poll, which shows whether the process of the worker has ended.
+/// poll, since only one connection may have broken.
 constexpr duration poll_retry_delay = std::chrono::milliseconds(250);
 /// Minimum time between two polls of a worker, so that one poll returns several run ends
 /// that follow closely.
@@ -37,14 +37,6 @@
 /// the longest lease since its claim has ended, with a slack of 2 s.
 constexpr duration max_owner_silence = std::chrono::milliseconds(2000);
 
-/// Returns whether a failed poll shows that the process of the worker has ended. Other
-/// failures may be those of a network or of a busy worker.
-bool shows_ended_process(command_outcome outcome)
-{
-    return outcome == command_outcome::no_listener ||
-           outcome == command_outcome::other_worker;
-}
-
 struct assigned_worker
 {
     endpoint address;
@@ -196,27 +188,26 @@
         if (worker.failed_polls == 1)
             log.info("agent", "poll failed",
                      {{"worker", id.value()}, {"reason", to_string(answer.outcome)}});
-        const bool has_ended = shows_ended_process(answer.outcome);
-        if (has_ended)
+        const bool replaced = answer.outcome == command_outcome::other_worker;
+        const bool refused = replaced || answer.outcome == command_outcome::no_listener;
+        if (refused)
         {
-            pending.ended_processes.push_back(
-                {id, worker.address, answer.poll.sent_position,
-                 answer.outcome == command_outcome::other_worker,
+            pending.refused_polls.push_back(
+                {id, worker.address, answer.poll.sent_position, replaced,
                  static_cast<std::uint32_t>((loop.clock().now() - worker.failing_since) /
                                             std::chrono::milliseconds(1))});
             schedule_report();
         }
-        else if (answer.outcome == command_outcome::fenced ||
-                 worker.failed_polls % failed_polls_to_report == 0)
+        if (answer.outcome == command_outcome::fenced ||
+            (!replaced && worker.failed_polls % failed_polls_to_report == 0))
         {
             pending.unreachable.push_back(id);
             if (answer.outcome == command_outcome::fenced)
                 add_result(id, run_ref(), command_outcome::fenced);
             schedule_report();
         }
-        return schedule_poll(id, worker.failed_polls == 1 && !has_ended
-                                     ? duration::zero()
-                                     : poll_retry_delay);
+        return schedule_poll(id, worker.failed_polls == 1 && !refused ? duration::zero()
+                                                                      : poll_retry_delay);
     }
     ++event_count;
     worker.failed_polls = 0;
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -6,6 +6,7 @@
 #include "crash_blame.hpp"
 #include "gang_plan.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
+#include "run_evidence.hpp"
 
 #include <deque>
 #include <map>
@@ -37,30 +38,6 @@
 /// Progress of a run that has completed its work.
 inline constexpr std::uint32_t complete_percent = 100;
 
-/// Phase of a run on a worker.
-enum class run_phase : std::uint8_t
-{
-    starting, ///< Start sent; its answer or a poll shows the result.
-    running,  ///< Start accepted, or run listed in a poll.
-    stopping  ///< Stop sent; keeps its capacity until the end is listed.
-};
-
-struct run_record
-{
-    run_number run;
-    run_phase phase = run_phase::starting;
-    resources size;
-    boot_time command_sent_at{}; ///< When the latest start or stop was sent.
-    bool started_here = false;   ///< Started by this owner, at command_sent_at.
-    bool stop_answered = false;
-    bool answered = false;
-    event_position position; ///< Polls sent after it list the run if it exists.
-    std::uint32_t percent = 0;
-    boot_time progressed_at{}; ///< When first listed, or when percent last changed.
-    /// The worker takes no other starts until then, because the task is suspect.
-    boot_time observed_until{};
-};
-
 struct task_status
 {
     bool done = false;
@@ -139,6 +116,8 @@
     event_position contact_position;
     /// Since when polls show that the process has ended, before this owner has polled it.
     boot_time ended_unpolled_since{};
+    /// First of the polls that were refused since the last answer.
+    boot_time refused_since{};
     worker_incarnation incarnation;
     worker_time clock; ///< Value read at or before clock_at.
     boot_time clock_at{};
@@ -221,7 +200,8 @@
     /// Removes a run that cannot exist any more although no end was listed, and restarts
     /// its gang.
     void handle_lost_run(worker_status& worker, const task_ref& task, const char* reason);
-    void handle_all_runs_lost(worker_status& worker, const char* reason);
+    /// Gives up the runs of a worker whose longest lease has expired.
+    void expire_runs(worker_status& worker);
     void request_stop(const worker_id& worker, const task_ref& task);
     /// Stops a run whose start got no answer, also if the former incarnation was told to.
     void stop_uncertain_start(worker_status& worker, const task_ref& task, boot_time now);
@@ -241,11 +221,10 @@
     void handle_running(worker_status& worker, const running_task& listed, boot_time now,
                         event_position sent_position);
     void begin_incarnation(worker_status& worker, const poll_result& poll, boot_time now);
-    /// Handles the end of an incarnation at \p ended_at: the runs that it certainly had
-    /// are lost. Returns the runs whose start got no answer, which the next one may
-    /// execute.
-    std::vector<task_ref> end_incarnation(worker_status& worker, const char* reason,
-                                          boot_time ended_at, boot_time now);
+    /// Handles the end of an incarnation, which \p evidence shows: gives up the runs that
+    /// are lost and stops those whose start a later incarnation may execute.
+    void end_incarnation(worker_status& worker, const run_evidence& evidence,
+                         const char* reason, boot_time now);
     /// Settles an expected worker whose process has ended before this owner polled it.
     void settle_ended_worker(worker_status& worker, boot_time now);
     /// Handles the runs that a poll result should list but does not.
@@ -268,8 +247,9 @@
     void stop_stalled_runs(boot_time now);
 
     // Crashes; defined in crashes.cpp.
-    /// Counts the crash of a worker against the tasks that ran there.
-    void count_crash(worker_status& worker, boot_time crashed_at, boot_time now);
+    /// Counts the crash of a worker against the tasks of the \p lost runs.
+    void count_crash(worker_status& worker, const std::vector<task_ref>& lost,
+                     boot_time now);
     void count_crashed_run(const worker_status& worker, const task_ref& task,
                            run_end role, duration age, boot_time now);
     /// Counts a run of a suspect task that a former owner started and that ended without
--- a/lib/cell/crashes.cpp
+++ b/lib/cell/crashes.cpp
@@ -22,19 +22,24 @@
 
 } // namespace
 
-void scheduler::implementation::count_crash(worker_status& worker, boot_time crashed_at,
+void scheduler::implementation::count_crash(worker_status& worker,
+                                            const std::vector<task_ref>& lost,
                                             boot_time now)
 {
     // A worker that is draining leaves as planned.
     if (worker.info.draining)
         return;
+    const boot_time crashed_at =
+        worker.refused_since == boot_time() ? worker.contact_at : worker.refused_since;
     std::vector<std::pair<task_ref, duration>> ended;
     std::vector<crashed_run> runs;
     // The members of a gang on the worker count as one run: they fail together.
     std::map<std::pair<job_key, std::uint32_t>, std::size_t> run_of_gang;
     std::vector<std::size_t> run_of_task;
-    for (const auto& [task, record] : worker.runs)
+    for (const task_ref& task : lost)
     {
+        const run_record& record = worker.runs.at(task);
+        // Whether an unanswered start began is unknown.
         if (record.phase == run_phase::stopping ||
             !(record.answered || record.phase == run_phase::running))
             continue;
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -108,14 +108,16 @@
         restart_gang(*job, task.step, worker.contact_at);
 }
 
-void scheduler::implementation::handle_all_runs_lost(worker_status& worker,
-                                                     const char* reason)
+void scheduler::implementation::expire_runs(worker_status& worker)
 {
+    run_evidence evidence;
+    evidence.kind = evidence_kind::lease_expired;
     std::vector<task_ref> lost;
-    for (const auto& [task, run] : worker.runs)
-        lost.push_back(task);
+    for (const auto& [task, record] : worker.runs)
+        if (judge_run(record, evidence) == run_fate::lost)
+            lost.push_back(task);
     for (const task_ref& task : lost)
-        handle_lost_run(worker, task, reason);
+        handle_lost_run(worker, task, "lease ended");
 }
 
 void scheduler::implementation::stop_uncertain_start(worker_status& worker,
@@ -315,48 +317,55 @@
     for (const task_ref& task : missing)
     {
         run_record& record = worker.runs.find(task)->second;
-        const bool poll_is_newer =
-            record.position != event_position() && record.position <= poll.sent_position;
-        switch (record.phase)
+        run_evidence evidence;
+        evidence.kind = evidence_kind::unlisted;
+        evidence.sent_position = poll.sent_position;
+        evidence.answer_overdue = now - record.command_sent_at > limits.answer_limit;
+        switch (judge_run(record, evidence))
         {
-        case run_phase::running:
-            if (poll_is_newer)
-                handle_lost_run(worker, task, "not shown by the worker");
+        case run_fate::open:
             break;
-        case run_phase::stopping:
-            // After an answered stop, the run can no longer start on this worker.
-            if (record.stop_answered && poll_is_newer)
+        case run_fate::lost:
+            if (record.phase == run_phase::stopping)
                 release(worker, task);
+            else
+                handle_lost_run(worker, task, "not shown by the worker");
             break;
-        case run_phase::starting:
-            if (record.answered ? poll_is_newer
-                                : now - record.command_sent_at > limits.answer_limit)
-            {
-                log.info("cell", "start outcome unknown",
-                         {{"job", task.job.value()}, {"worker", worker.info.id.value()}});
-                record.command_sent_at = now;
-                job_status* job = find_job(task.job);
-                if (job != nullptr)
-                    restart_gang(*job, task.step, now);
-                request_stop(worker.info.id, task);
-            }
+        case run_fate::uncertain:
+        {
+            log.info("cell", "start outcome unknown",
+                     {{"job", task.job.value()}, {"worker", worker.info.id.value()}});
+            record.command_sent_at = now;
+            job_status* job = find_job(task.job);
+            if (job != nullptr)
+                restart_gang(*job, task.step, now);
+            request_stop(worker.info.id, task);
             break;
         }
+        }
     }
 }
 
-std::vector<task_ref> scheduler::implementation::end_incarnation(worker_status& worker,
-                                                                 const char* reason,
-                                                                 boot_time ended_at,
-                                                                 boot_time now)
+void scheduler::implementation::end_incarnation(worker_status& worker,
+                                                const run_evidence& evidence,
+                                                const char* reason, boot_time now)
 {
-    count_crash(worker, ended_at, now);
-    worker.last_start_at = boot_time();
     std::vector<task_ref> lost;
     std::vector<task_ref> uncertain;
     for (const auto& [task, record] : worker.runs)
-        (record.answered || record.phase == run_phase::running ? lost : uncertain)
-            .push_back(task);
+        switch (judge_run(record, evidence))
+        {
+        case run_fate::lost:
+            lost.push_back(task);
+            break;
+        case run_fate::uncertain:
+            uncertain.push_back(task);
+            break;
+        case run_fate::open:
+            break;
+        }
+    count_crash(worker, lost, now);
+    worker.last_start_at = boot_time();
     for (const task_ref& task : lost)
     {
         handle_lost_run(worker, task, reason);
@@ -364,7 +373,13 @@
         if (job != nullptr)
             fail_if_crashing(*job);
     }
-    return uncertain;
+    for (const task_ref& task : uncertain)
+    {
+        job_status* job = find_job(task.job);
+        if (job != nullptr)
+            restart_gang(*job, task.step, now);
+        stop_uncertain_start(worker, task, now);
+    }
 }
 
 void scheduler::implementation::begin_incarnation(worker_status& worker,
@@ -375,8 +390,10 @@
         log.warning("cell", "worker restarted",
                     {{"worker", poll.worker.value()},
                      {"runs", std::uint64_t{worker.runs.size()}}});
-        std::vector<task_ref> uncertain =
-            end_incarnation(worker, "worker restarted", worker.contact_at, now);
+        run_evidence evidence;
+        evidence.kind = evidence_kind::other_incarnation;
+        evidence.sent_position = poll.sent_position;
+        end_incarnation(worker, evidence, "worker restarted", now);
         // A delayed start may reach the new incarnation and be executed, because the new
         // incarnation has no record of earlier stops and its clock has not reached the
         // deadline of the start. Such runs are therefore stopped again.
@@ -391,55 +408,53 @@
             record->second.size = each.size;
             record->second.command_sent_at = each.at;
             worker.used += each.size;
-            uncertain.push_back(each.run.task);
+            stop_uncertain_start(worker, each.run.task, now);
         }
-        for (const task_ref& task : uncertain)
-            stop_uncertain_start(worker, task, now);
     }
     worker.incarnation = poll.incarnation;
     worker.processed = end_number();
     worker.covered = end_number();
 }
 
-void scheduler::observe(const ended_process& ended, boot_time now)
+void scheduler::observe(const refused_poll& refused, boot_time now)
 {
     implementation& self = *implementation_;
-    const auto found = self.workers.find(ended.worker);
+    const auto found = self.workers.find(refused.worker);
     if (found == self.workers.end())
         return;
     worker_status& worker = found->second;
     if (!worker.polled && !worker.process_ended)
-        return self.settle_ended_worker(worker, now);
+    {
+        if (refused.other_worker)
+            self.settle_ended_worker(worker, now);
+        return;
+    }
     // A poll that was sent before the last answer may be about an earlier process.
-    if (!worker.polled || ended.address != worker.contact_address ||
-        ended.sent_position <= worker.contact_position)
+    if (!worker.polled || refused.address != worker.contact_address ||
+        refused.sent_position <= worker.contact_position)
+        return;
+    if (worker.refused_since == boot_time())
+    {
+        worker.refused_since = now - std::chrono::milliseconds(refused.failing_ms);
+        self.log.warning("cell", "worker refuses connections",
+                         {{"worker", refused.worker.value()},
+                          {"runs", std::uint64_t{worker.runs.size()}}});
+        self.metrics.add("hawthornbeam_refusing_workers_total", {});
+    }
+    if (!refused.other_worker)
         return;
     self.log.warning("cell", "worker process ended",
-                     {{"worker", ended.worker.value()},
+                     {{"worker", refused.worker.value()},
                       {"runs", std::uint64_t{worker.runs.size()}},
-                      {"replaced", ended.replaced ? 1 : 0},
                       {"draining", worker.info.draining ? 1 : 0}});
-    const std::vector<task_ref> uncertain =
-        self.end_incarnation(worker, "worker process ended",
-                             now - std::chrono::milliseconds(ended.failing_ms), now);
-    if (ended.replaced)
-    {
-        // Commands name the worker that they are for, so no other one executes them.
-        for (const task_ref& task : uncertain)
-            self.handle_lost_run(worker, task, "worker process ended");
-        worker.abandoned.clear();
-    }
-    else
-        for (const task_ref& task : uncertain)
-        {
-            job_status* job = self.find_job(task.job);
-            if (job != nullptr)
-                self.restart_gang(*job, task.step, now);
-            self.stop_uncertain_start(worker, task, now);
-        }
+    run_evidence evidence;
+    evidence.kind = evidence_kind::other_worker;
+    evidence.sent_position = refused.sent_position;
+    self.end_incarnation(worker, evidence, "worker process ended", now);
+    worker.abandoned.clear();
     worker.polled = false;
     worker.process_ended = true;
-    worker.contact_position = ended.sent_position;
+    worker.contact_position = refused.sent_position;
 }
 
 void scheduler::implementation::settle_ended_worker(worker_status& worker, boot_time now)
@@ -474,6 +489,7 @@
     worker.polled = true;
     worker.process_ended = false;
     worker.ended_unpolled_since = boot_time();
+    worker.refused_since = boot_time();
     worker.contact_address = worker.info.address;
     worker.contact_position = poll.sent_position;
     worker.clock = poll.clock;
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -156,12 +156,12 @@
             poll.sent_position.assignment == route->second.assignment)
             cell.observe(poll, now);
     }
-    for (const ended_process& ended : report.ended_processes)
+    for (const refused_poll& refused : report.refused_polls)
     {
-        const auto route = routes.find(ended.worker);
-        if (route != routes.end() && ended.address == route->second.address &&
-            ended.sent_position.assignment == route->second.assignment)
-            cell.observe(ended, now);
+        const auto route = routes.find(refused.worker);
+        if (route != routes.end() && refused.address == route->second.address &&
+            refused.sent_position.assignment == route->second.assignment)
+            cell.observe(refused, now);
     }
     agent_state& sender = agents[from];
     for (const advice_result& result : report.advice)
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -46,6 +46,7 @@
     if (!candidate.has_entry || !candidate.allowed || !candidate.polled ||
         info.draining || info.incarnation != candidate.incarnation ||
         info.service != policy_of(job).service || candidate.quarantined_until > now ||
+        candidate.refused_since != boot_time() ||
         now - candidate.contact_at > limits.answer_limit * 2)
         return false;
     if (!spec.label.empty() &&
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -127,7 +127,7 @@
             continue;
         }
         mark_settled(entry->first, now);
-        handle_all_runs_lost(worker, "lease ended");
+        expire_runs(worker);
         worker.polled = false;
         if (worker.has_entry)
             ++entry;
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -165,17 +165,17 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, ended_process& value)
+void serialize(Archive& archive, refused_poll& value)
 {
-    auto& [worker, address, sent_position, replaced, failing_ms] = value;
-    members(archive, worker, address, sent_position, replaced, failing_ms);
+    auto& [worker, address, sent_position, other_worker, failing_ms] = value;
+    members(archive, worker, address, sent_position, other_worker, failing_ms);
 }
 
 template <class Archive>
 void serialize(Archive& archive, agent_report& value)
 {
-    auto& [polls, results, advice, unreachable, ended_processes] = value;
-    members(archive, polls, results, advice, unreachable, ended_processes);
+    auto& [polls, results, advice, unreachable, refused_polls] = value;
+    members(archive, polls, results, advice, unreachable, refused_polls);
 }
 
 template <class Archive>
--- a/test/standins/cell_checker.cpp
+++ b/test/standins/cell_checker.cpp
@@ -80,9 +80,7 @@
 
     std::vector<broken_rule> run()
     {
-        for (const run_event& event : history_.run_events)
-            if (event.type == run_event::kind::acknowledged)
-                acknowledged_.push_back({event.worker, event.incarnation, event.run});
+        find_acknowledged_runs();
         for (const reported_state& each : history_.reported_states)
             if (each.found && each.state == job_state::done)
             {
@@ -100,6 +98,27 @@
     }
 
 private:
+    /// An acknowledgement counts unless the worker's lease has expired since the end.
+    void find_acknowledged_runs()
+    {
+        std::vector<located_run> listed;
+        for (const run_event& event : history_.run_events)
+        {
+            const located_run located{event.worker, event.incarnation, event.run};
+            if (event.type == run_event::kind::ended)
+                listed.push_back(located);
+            else if (event.type == run_event::kind::lapsed)
+                std::erase_if(listed,
+                              [&event](const located_run& each) {
+                                  return each.worker == event.worker &&
+                                         each.incarnation == event.incarnation;
+                              });
+            else if (event.type == run_event::kind::acknowledged &&
+                     std::ranges::find(listed, located) != listed.end())
+                acknowledged_.push_back(located);
+        }
+    }
+
     void report(const char* rule, const task_ref& task, const std::string& text)
     {
         broken_rules_.push_back({rule, fmt::format("{}.{}.{}: {}", task.job.value(),
@@ -162,6 +181,8 @@
 
     void handle_event(const run_event& event)
     {
+        if (event.type == run_event::kind::lapsed)
+            return;
         task_record& task = tasks_[event.run.task];
         switch (event.type)
         {
@@ -181,6 +202,7 @@
             ++task.crashes;
             return remove_active_run(event, task);
         case run_event::kind::acknowledged:
+        case run_event::kind::lapsed:
             return;
         }
     }
--- a/test/standins/cell_checker.hpp
+++ b/test/standins/cell_checker.hpp
@@ -18,9 +18,10 @@
     enum class kind
     {
         started,
-        ended,       ///< The run ended with `outcome`.
-        lost,        ///< The worker crashed during the run.
-        acknowledged ///< An instance acknowledged the end to the worker.
+        ended,        ///< The run ended with `outcome`.
+        lost,         ///< The worker crashed during the run.
+        acknowledged, ///< An instance acknowledged the end to the worker.
+        lapsed        ///< The worker's lease expired; `run` is not set.
     };
 
     boot_time at{};
--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -86,13 +86,18 @@
     logger log{loop.clock(), "test", log_level::error, [](const std::string&) {}};
     recording_worker_port port;
     std::size_t ends_reported = 0;
-    std::size_t processes_ended = 0;
+    std::size_t refused_polls = 0;
+    std::size_t replaced_workers = 0;
+    std::size_t unreachable_workers = 0;
     agent polling_agent{loop, port, log, seconds(6),
                         [this](fence_token, const agent_report& report)
                         {
                             for (const poll_result& poll : report.polls)
                                 ends_reported += poll.ended.size();
-                            processes_ended += report.ended_processes.size();
+                            refused_polls += report.refused_polls.size();
+                            for (const refused_poll& each : report.refused_polls)
+                                replaced_workers += each.other_worker ? 1U : 0U;
+                            unreachable_workers += report.unreachable.size();
                         }};
 };
 
@@ -105,35 +110,48 @@
     EXPECT_EQ(answer(1, 0).acknowledged, end_number());
 }
 
-/// Outcome of a failed poll, and whether it shows that the worker's process has ended.
-class failed_poll_test
-    : public agent_test,
-      public testing::WithParamInterface<std::pair<command_outcome, bool>>
+/// Outcome of a failed poll, and what the agent reports of it.
+struct failed_poll_case
+{
+    command_outcome outcome;
+    bool refused;
+    bool replaced; ///< Another worker has the address, which proves the worker's end.
+};
+
+class failed_poll_test : public agent_test,
+                         public testing::WithParamInterface<failed_poll_case>
 {
 };
 
 // Guards against taking a worker that is silent, slow or cut off for one that has ended.
-TEST_P(failed_poll_test, only_a_missing_process_is_reported_as_ended)
+TEST_P(failed_poll_test, only_another_worker_is_reported_as_the_end_of_a_process)
 {
     answer(1, 0);
-    poll_answer response;
-    response.outcome = GetParam().first;
-    const std::function<void(poll_answer)> done = port.polls.front().second;
-    port.polls.clear();
-    done(response);
-    loop.advance(milliseconds(30));
-    EXPECT_EQ(processes_ended, GetParam().second ? 1U : 0U);
-    loop.advance(milliseconds(300));
-    EXPECT_EQ(port.polls.size(), 1U) << "the worker may come back";
+    for (std::size_t polls = 1; polls <= 3; ++polls)
+    {
+        poll_answer response;
+        response.outcome = GetParam().outcome;
+        ASSERT_EQ(port.polls.size(), 1U) << "the worker may come back";
+        const std::function<void(poll_answer)> done = port.polls.front().second;
+        port.polls.clear();
+        done(response);
+        loop.advance(milliseconds(30));
+        EXPECT_EQ(refused_polls, GetParam().refused ? polls : 0U);
+        EXPECT_EQ(replaced_workers, GetParam().replaced ? polls : 0U);
+        loop.advance(milliseconds(300));
+    }
+    EXPECT_EQ(unreachable_workers, GetParam().replaced ? 0U : 1U)
+        << "another agent may reach the worker";
 }
 
-INSTANTIATE_TEST_SUITE_P(outcomes, failed_poll_test,
-                         testing::Values(std::pair(command_outcome::no_listener, true),
-                                         std::pair(command_outcome::other_worker, true),
-                                         std::pair(command_outcome::unanswered, false),
-                                         std::pair(command_outcome::not_sent, false),
-                                         std::pair(command_outcome::unhealthy, false),
-                                         std::pair(command_outcome::invalid, false)));
+INSTANTIATE_TEST_SUITE_P(
+    outcomes, failed_poll_test,
+    testing::Values(failed_poll_case{command_outcome::no_listener, true, false},
+                    failed_poll_case{command_outcome::other_worker, true, true},
+                    failed_poll_case{command_outcome::unanswered, false, false},
+                    failed_poll_case{command_outcome::not_sent, false, false},
+                    failed_poll_case{command_outcome::unhealthy, false, false},
+                    failed_poll_case{command_outcome::invalid, false, false}));
 
 // Guards against an agent that is cut off together with a worker and keeps its runs
 // alive, while a new owner, which cannot reach the worker, starts them elsewhere.
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -293,6 +293,8 @@
         return workers_.drain(worker, milliseconds(2500 + random_.below(4000)));
     case cell_failure::connection_silent:
         return network_.silence(hosts_[chosen_host]->id, hosts_[owner_host]->id);
+    case cell_failure::worker_connections_reset:
+        return workers_.reset_connections(worker, failure_end);
     }
 }
 
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -35,10 +35,14 @@
     worker_cut_off,
     commands_late,
     worker_drains,
-    connection_silent
+    connection_silent,
+    worker_connections_reset
 };
 
-inline constexpr std::size_t cell_failures = 19;
+inline constexpr std::size_t cell_failures = 20;
+/// Number of the first kinds, from which earlier tests draw by seed. It stays as it is,
+/// so that their seeds give the same histories.
+inline constexpr std::size_t first_cell_failures = 19;
 
 /// Hosts, load and store of a simulated cell.
 struct cell_shape
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -51,12 +51,35 @@
     std::vector<cell_failure> failures;
     const std::size_t count = 2 + seed % 5;
     for (std::size_t each = 0; each < count; ++each)
-        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+        failures.push_back(static_cast<cell_failure>(random.below(first_cell_failures)));
     cell_simulation simulation(seed);
     simulation.run(seconds(15), failures);
     expect_all_cell_rules_kept(simulation);
 }
 
+class worker_contact_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+/// Tasks that run longer than it takes to notice a failure.
+constexpr cell_shape tasks_of_seconds{.steps_per_long_step = 2};
+
+// Guards against taking a run for ended on evidence that does not prove it.
+TEST_P(worker_contact_test, no_task_runs_twice_when_workers_are_lost_from_sight)
+{
+    const std::uint64_t seed = GetParam();
+    random_source random(seed);
+    std::vector<cell_failure> failures;
+    for (std::size_t each = 0; each < 1 + seed % 3; ++each)
+        failures.push_back(static_cast<cell_failure>(
+            first_cell_failures + random.below(cell_failures - first_cell_failures)));
+    for (std::size_t each = 0; each < seed % 4; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+    cell_simulation simulation(seed, tasks_of_seconds);
+    simulation.run(seconds(15), failures);
+    expect_all_cell_rules_kept(simulation);
+}
+
 class unequal_hosts_test : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -71,7 +94,7 @@
     random_source random(seed);
     std::vector<cell_failure> failures{cell_failure::owner_killed};
     for (std::size_t each = 0; each < seed % 3; ++each)
-        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+        failures.push_back(static_cast<cell_failure>(random.below(first_cell_failures)));
     cell_simulation simulation(seed, one_large_host);
     simulation.run(seconds(15), failures);
     expect_all_cell_rules_kept(simulation);
@@ -102,7 +125,7 @@
     random_source random(seed);
     std::vector<cell_failure> failures;
     for (std::size_t each = 0; each < 1 + seed % 2; ++each)
-        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+        failures.push_back(static_cast<cell_failure>(random.below(first_cell_failures)));
     cell_simulation simulation(seed, long_tasks);
     simulation.run(seconds(30), failures);
     expect_all_cell_rules_kept(simulation);
@@ -151,7 +174,7 @@
     random_source random(seed);
     std::vector<cell_failure> failures{cell_failure::owner_killed};
     for (std::size_t each = 0; each < seed % 3; ++each)
-        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+        failures.push_back(static_cast<cell_failure>(random.below(first_cell_failures)));
     cell_simulation simulation(seed, crashing_tasks);
     simulation.run(seconds(20), failures);
     expect_all_cell_rules_kept(simulation);
@@ -172,7 +195,7 @@
     random_source random(seed);
     std::vector<cell_failure> failures;
     for (std::size_t each = 0; each < seed % 3; ++each)
-        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+        failures.push_back(static_cast<cell_failure>(random.below(first_cell_failures)));
     cell_simulation simulation(seed, changing_capacity);
     simulation.run(seconds(15), failures);
     expect_all_cell_rules_kept(simulation);
@@ -225,6 +248,9 @@
 INSTANTIATE_TEST_SUITE_P(seeds, overlapping_cell_failures_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, worker_contact_test,
+                         testing::Range(std::uint64_t{1}, seed_count() + 1));
+
 INSTANTIATE_TEST_SUITE_P(regressions, crashing_tasks_test, testing::Values(312, 368));
 
 INSTANTIATE_TEST_SUITE_P(seeds, crashing_tasks_test,
--- a/unittests/cell/ended_process_test.cpp
+++ b/unittests/cell/ended_process_test.cpp
@@ -33,6 +33,51 @@
     fleet workers{2};
 };
 
+// Guards against running a task twice when a network resets the connections to its
+// worker, which runs on and holds its lease.
+TEST_F(ended_process_test, refused_connections_do_not_end_the_runs_of_a_worker)
+{
+    const std::string cut_off = start();
+    for (int polls = 0; polls < 30; ++polls)
+    {
+        workers.cell.observe(workers.refuse_poll(cut_off, false), workers.clock.now());
+        workers.advance(milliseconds(250));
+        EXPECT_TRUE(workers.decide().starts.empty()) << "after " << polls << " polls";
+    }
+    workers.poll(cut_off);
+    EXPECT_TRUE(workers.decide().starts.empty());
+    EXPECT_EQ(workers.runs("a").size(), 1U);
+    workers.end_all(run_end::done);
+    workers.poll(cut_off);
+    workers.store_changes();
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::done);
+}
+
+// Guards against tasks of a lost worker that never start again.
+TEST_F(ended_process_test,
+       runs_of_a_worker_that_refuses_connections_restart_after_its_lease)
+{
+    const std::string lost = start();
+    workers.end_process(lost, false);
+    workers.advance(milliseconds(8200));
+    EXPECT_EQ(workers.decide().starts.size(), 0U) << "the other worker is silent, too";
+    workers.poll(lost == "w0" ? "w1" : "w0");
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+// Guards against starts that fail on a worker that cannot be reached.
+TEST_F(ended_process_test,
+       worker_that_refuses_connections_gets_no_starts_until_it_answers)
+{
+    const std::string cut_off = start();
+    workers.cell.observe(workers.refuse_poll(cut_off, false), workers.clock.now());
+    workers.submit(fleet::job("b", "q", 2, 5));
+    for (const start_command& each : workers.decide().starts)
+        EXPECT_NE(each.worker.value(), cut_off);
+    workers.poll(cut_off);
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
 // Guards against work that waits for the lease of a worker that is known to have ended.
 TEST_F(ended_process_test, run_starts_on_another_worker_at_once)
 {
@@ -48,7 +93,7 @@
 TEST_F(ended_process_test, report_older_than_an_answer_is_ignored)
 {
     const std::string restarted = start();
-    const ended_process old = workers.show_ended(restarted);
+    const refused_poll old = workers.refuse_poll(restarted, true);
     workers.poll_all();
     workers.cell.observe(old, workers.clock.now());
     EXPECT_TRUE(workers.decide().starts.empty());
@@ -59,7 +104,7 @@
 {
     const std::string ended = start();
     workers.submit(fleet::job("b", "q", 2, 8));
-    const ended_process shown = workers.show_ended(ended);
+    const refused_poll shown = workers.refuse_poll(ended, true);
     poll_result older;
     older.worker = worker_id(ended);
     older.incarnation = workers.info(ended).incarnation;
@@ -76,7 +121,7 @@
     const std::string worker = start();
     workers.info(worker).address = endpoint("10.0.0.9:1");
     workers.publish(worker);
-    workers.cell.observe(workers.show_ended(worker), workers.clock.now());
+    workers.cell.observe(workers.refuse_poll(worker, true), workers.clock.now());
     EXPECT_TRUE(workers.decide().starts.empty());
 }
 
@@ -116,7 +161,7 @@
     workers.cell.update_worker(gone, workers.clock.now());
     workers.submit(fleet::job("a", "q", 1, 1), true);
     workers.poll_all();
-    const ended_process shown{gone.id, gone.address, event_position{1, 1}, false, 0};
+    const refused_poll shown{gone.id, gone.address, event_position{1, 1}, true, 0};
     workers.cell.observe(shown, workers.clock.now());
     workers.advance(milliseconds(1400));
     workers.cell.observe(shown, workers.clock.now());
@@ -127,6 +172,33 @@
     EXPECT_EQ(workers.decide().starts.size(), 1U);
 }
 
+// Guards against running inherited tasks twice when connections to a worker, which may
+// have runs of them, are reset and its entry goes.
+TEST(inherited_ended_process_test, refused_connections_do_not_settle_a_worker)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    worker_info cut_off = workers.info("w0");
+    cut_off.id = worker_id("cut off");
+    workers.cell.expect_workers({cut_off.id}, workers.clock.now());
+    workers.cell.update_worker(cut_off, workers.clock.now());
+    for (int polls = 0; polls < 30; ++polls)
+    {
+        workers.cell.observe(
+            refused_poll{cut_off.id, cut_off.address, event_position{1, 1}, false, 0},
+            workers.clock.now());
+        if (polls == 20)
+            workers.cell.remove_worker(cut_off.id, workers.clock.now());
+        workers.advance(milliseconds(250));
+        workers.poll_all();
+        EXPECT_TRUE(workers.decide().starts.empty()) << "after " << polls << " polls";
+    }
+    workers.advance(milliseconds(1000));
+    workers.poll_all();
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
 // Guards against a takeover that waits for the lease of an ended worker whose entry goes.
 TEST(inherited_ended_process_test, settles_the_worker_when_its_entry_is_removed)
 {
@@ -137,8 +209,9 @@
     gone.id = worker_id("gone");
     workers.cell.expect_workers({gone.id}, workers.clock.now());
     workers.cell.update_worker(gone, workers.clock.now());
-    workers.cell.observe({gone.id, gone.address, event_position{1, 1}, false, 0},
-                         workers.clock.now());
+    workers.cell.observe(
+        refused_poll{gone.id, gone.address, event_position{1, 1}, true, 0},
+        workers.clock.now());
     EXPECT_TRUE(workers.decide().starts.empty());
     workers.cell.remove_worker(gone.id, workers.clock.now());
     EXPECT_EQ(workers.decide().starts.size(), 1U);
--- a/unittests/cell/fleet.cpp
+++ b/unittests/cell/fleet.cpp
@@ -180,17 +180,17 @@
         end(run, outcome);
 }
 
-ended_process fleet::show_ended(const std::string& worker_name, bool replaced)
+refused_poll fleet::refuse_poll(const std::string& worker_name, bool other_worker)
 {
     simulated_worker& worker = workers_.at(worker_name);
-    return ended_process{worker.info.id, worker.info.address,
-                         event_position{1, ++worker.event_count}, replaced, 0};
+    return refused_poll{worker.info.id, worker.info.address,
+                        event_position{1, ++worker.event_count}, other_worker, 0};
 }
 
-void fleet::end_process(const std::string& worker_name, bool replaced)
+void fleet::end_process(const std::string& worker_name, bool other_worker)
 {
     workers_.at(worker_name).running.clear();
-    cell.observe(show_ended(worker_name, replaced), clock.now());
+    cell.observe(refuse_poll(worker_name, other_worker), clock.now());
 }
 
 void fleet::restart(const std::string& worker_name)
--- a/unittests/cell/fleet.hpp
+++ b/unittests/cell/fleet.hpp
@@ -51,10 +51,12 @@
     void end_all(run_end outcome);
     /// All later polls of the worker show its runs at this progress.
     void freeze_progress(const std::string& worker, std::uint32_t percent);
-    /// Returns what a poll shows now that is sent after the process of the worker ended.
-    ended_process show_ended(const std::string& worker, bool replaced = false);
-    /// Ends the process of the worker with its runs and reports it to the scheduler.
-    void end_process(const std::string& worker, bool replaced = false);
+    /// Returns a poll that is refused at the worker's address now: by another worker, or
+    /// without one.
+    refused_poll refuse_poll(const std::string& worker, bool other_worker);
+    /// Ends the process of the worker with its runs and reports to the scheduler that
+    /// another worker has its address, or that connections are refused.
+    void end_process(const std::string& worker, bool other_worker = true);
     /// Restarts the worker under the same id with a new incarnation.
     void restart(const std::string& worker);
     void advance(duration step) { clock.advance(step); }
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -85,14 +85,15 @@
         worker.started_at + std::chrono::milliseconds(until.value()), now + max_lease);
     worker.lease_until = std::max(worker.lease_until, requested_until);
     const worker_id id = worker.info.id;
-    worker.lease_timer =
-        loop_.after(worker.lease_until - now,
-                    [this, id]
-                    {
-                        simulated_worker& lapsed = workers_.at(id);
-                        while (!lapsed.runs.empty())
-                            end_run(lapsed, lapsed.runs.begin()->first, run_end::lapsed);
-                    });
+    worker.lease_timer = loop_.after(
+        worker.lease_until - now,
+        [this, id]
+        {
+            simulated_worker& lapsed = workers_.at(id);
+            record_event(lapsed, run_event::kind::lapsed, run_ref(), run_end::lapsed);
+            while (!lapsed.runs.empty())
+                end_run(lapsed, lapsed.runs.begin()->first, run_end::lapsed);
+        });
 }
 
 poll_answer simulated_workers::answer(const simulated_worker& worker) const
@@ -352,21 +353,25 @@
     history_.workers.push_back({restarted.info, boot_time::max()});
 }
 
+void simulated_workers::reset_polls(simulated_worker& worker)
+{
+    std::map<std::uint64_t, waiting_poll> waiting;
+    waiting.swap(worker.waiting);
+    poll_answer reset;
+    reset.outcome = command_outcome::unanswered;
+    for (const auto& [number, poll] : waiting)
+        poll.done(reset);
+}
+
 void simulated_workers::end_process(const worker_id& id, duration pause, bool new_id)
 {
     simulated_worker& worker = workers_.at(id);
     if (!worker.up)
         return;
-    std::map<std::uint64_t, waiting_poll> waiting;
-    waiting.swap(worker.waiting);
+    reset_polls(worker);
     crash(id, pause);
     worker.process_ended = true;
     worker.entry_listed_until = loop_.clock().now() + entry_retention;
-    // The connections of waiting polls are reset.
-    poll_answer reset;
-    reset.outcome = command_outcome::unanswered;
-    for (const auto& [number, poll] : waiting)
-        poll.done(reset);
     if (!new_id)
         return;
     worker.restart_timer =
@@ -398,6 +403,8 @@
 std::optional<command_outcome> simulated_workers::refusal(const worker_id& id) const
 {
     const simulated_worker& worker = workers_.at(id);
+    if (worker.up && loop_.clock().now() < worker.resets_until)
+        return command_outcome::no_listener;
     if (worker.up || !worker.process_ended || loop_.clock().now() < worker.cut_off_until)
         return std::nullopt;
     return worker.replaced ? command_outcome::other_worker : command_outcome::no_listener;
@@ -409,6 +416,12 @@
     workers_.at(id).waiting.clear();
 }
 
+void simulated_workers::reset_connections(const worker_id& id, boot_time until)
+{
+    workers_.at(id).resets_until = until;
+    reset_polls(workers_.at(id));
+}
+
 void simulated_workers::delay_commands(const worker_id& id, boot_time until)
 {
     workers_.at(id).delay_commands_until = until;
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -43,6 +43,9 @@
     void resize(const worker_id& id, std::int64_t cores);
     /// Leaves calls to the worker unanswered until \p until; its runs continue.
     void cut_off(const worker_id& id, boot_time until);
+    /// Resets all connections to the worker until \p until; its runs continue. New
+    /// connections are refused as by a host whose process has ended.
+    void reset_connections(const worker_id& id, boot_time until);
     /// Until \p until, commands are executed up to 8 s late and are not answered.
     void delay_commands(const worker_id& id, boot_time until);
     /// Marks the worker as draining in its entry; it exits after \p pause, and its next
@@ -50,8 +53,9 @@
     void drain(const worker_id& id, duration pause);
 
     bool is_cut_off(const worker_id& id) const;
-    /// Returns what a caller learns when the process of the worker has ended: nothing
-    /// listens at its address, or another worker does; empty while it may be alive.
+    /// Returns what a caller learns when its connection is refused: nothing seems to
+    /// listen at the worker's address, or another worker does; empty if it is not
+    /// refused.
     std::optional<command_outcome> refusal(const worker_id& id) const;
     /// Runs \p action on \p loop after \p delay, even if the instance that made the call
     /// has ended since.
@@ -98,6 +102,7 @@
         std::uint64_t last_poll = 0;
         std::map<std::uint64_t, waiting_poll> waiting;
         boot_time cut_off_until{};
+        boot_time resets_until{};
         boot_time delay_commands_until{};
         timer_handle lease_timer;
         /// Restarts a crashed worker, or ends a draining one.
@@ -105,6 +110,8 @@
     };
 
     void restart(const worker_id& id);
+    /// Fails the polls that wait at the worker.
+    static void reset_polls(simulated_worker& worker);
     /// Ends the worker's process if \p run is still the run of the task there.
     void crash_by_task(const worker_id& id, const task_ref& task, run_number run);
     void record_event(const simulated_worker& worker, standins::run_event::kind type,
--- a/unittests/standins/cell_checker_test.cpp
+++ b/unittests/standins/cell_checker_test.cpp
@@ -199,6 +199,15 @@
     {"start_after_done", "TWICE",
      [](cell_history& history)
      { insert(history, 7, event(1000, "w1", started, 0, 1, 2)); }},
+    {"start_beside_a_run_on_a_worker_cut_off_by_resets", "TWICE",
+     [](cell_history& history)
+     { insert(history, 5, event(650, "w0", started, 0, 0, 3)); }},
+    {"start_after_done_whose_lease_expired_before_the_end", "TWICE",
+     [](cell_history& history)
+     {
+         insert(history, 7, event(1000, "w1", started, 0, 1, 2));
+         insert(history, 5, event(890, "w0", run_event::kind::lapsed, 0, 0, 0));
+     }},
     {"gang_start_after_done", "TWICE",
      [](cell_history& history)
      { history.run_events.push_back(event(2500, "w1", started, 1, 1, 2)); }},
@@ -329,6 +338,17 @@
                          [](const testing::TestParamInfo<rule_violation>& each)
                          { return std::string(each.param.name); });
 
+// The users' rule: an end is not taken note of if the lease lapsed before the note.
+TEST(cell_checker_valid_history_test,
+     accepts_a_restart_after_a_lease_that_expired_unnoted)
+{
+    cell_history history = valid_history();
+    insert(history, 7, event(1250, "w0", ended, 0, 1, 2));
+    insert(history, 6, event(940, "w0", started, 0, 1, 2));
+    insert(history, 6, event(910, "w0", run_event::kind::lapsed, 0, 0, 0));
+    EXPECT_TRUE(check_cell(history).empty());
+}
+
 // A task may be started twice more after its third crash, and may be given up after two.
 TEST(cell_checker_valid_history_test, accepts_a_task_that_crashed_three_workers)
 {
