Tell the runs of a restarted worker from those of its former incarnation

Log: "run crashed" with an age of about 0 ms and "run lost" with a negative seen_ms, then an end that nothing counts.

Cause: between the restart of a worker and the first poll that shows it, the new incarnation accepts starts. The owner took every answered run for one of the former incarnation, counted it as crashed, and ignored its end when the new incarnation listed it. Ruled out: ends numbered from 1 again (the numbers are reset with the incarnation), and starts sent again by the HTTP library. A test now shows that it sends neither a start nor an acknowledgement a second time.

An answer to a start does not name the incarnation that gave it, but it has a position: the first poll of the new incarnation, if sent after the answer, lists the run or proves that the former incarnation had it. So runs that this poll lists belong to the new incarnation, runs whose answer is newer than the poll wait for the next one, and the others are lost. A run being stopped that the new incarnation lists is stopped again.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -222,9 +222,11 @@
                         event_position sent_position);
     void begin_incarnation(worker_status& worker, const poll_result& poll, boot_time now);
     /// Handles the end of an incarnation, which \p evidence shows: gives up the runs that
-    /// are lost and stops those whose start a later incarnation may execute.
+    /// are lost and stops those whose start a later incarnation may execute. The \p shown
+    /// runs belong to a later incarnation.
     void end_incarnation(worker_status& worker, const run_evidence& evidence,
-                         const char* reason, boot_time now);
+                         const std::map<task_ref, run_number>& shown, const char* reason,
+                         boot_time now);
     /// Settles an expected worker whose process has ended before this owner polled it.
     void settle_ended_worker(worker_status& worker, boot_time now);
     /// Handles the runs that a poll result should list but does not.
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -24,6 +24,17 @@
 /// when the worker is unreachable, and then it gets no new ones.
 constexpr std::size_t max_abandoned = 256;
 
+/// Returns the runs that the poll lists, running or ended.
+std::map<task_ref, run_number> shown_runs(const poll_result& poll)
+{
+    std::map<task_ref, run_number> shown;
+    for (const running_task& running : poll.running)
+        shown[running.run.task] = running.run.run;
+    for (const ended_task& end : poll.ended)
+        shown[end.run.task] = std::max(shown[end.run.task], end.run.run);
+    return shown;
+}
+
 } // namespace
 
 worker_status& scheduler::implementation::find_or_add_worker(const worker_id& id,
@@ -81,7 +92,8 @@
 void scheduler::implementation::restart_gang(job_status& job, std::uint32_t step,
                                              boot_time now)
 {
-    if (!job.spec.steps[step].gang)
+    // A job whose final state was read from the store has no steps in memory.
+    if (step >= job.steps.size() || !job.spec.steps[step].gang)
         return;
     job.steps[step].not_before = now + gang_pause;
     stop_runs(job, step);
@@ -259,6 +271,7 @@
     worker.used += size;
     record.size = size;
     record.run = listed.run.run;
+    record.listed = true;
     if (record.phase == run_phase::starting)
     {
         record.phase = run_phase::running;
@@ -346,14 +359,25 @@
     }
 }
 
-void scheduler::implementation::end_incarnation(worker_status& worker,
-                                                const run_evidence& evidence,
-                                                const char* reason, boot_time now)
+void scheduler::implementation::end_incarnation(
+    worker_status& worker, const run_evidence& evidence,
+    const std::map<task_ref, run_number>& shown, const char* reason, boot_time now)
 {
     std::vector<task_ref> lost;
     std::vector<task_ref> uncertain;
-    for (const auto& [task, record] : worker.runs)
-        switch (judge_run(record, evidence))
+    for (auto& [task, record] : worker.runs)
+    {
+        const auto found = shown.find(task);
+        if (found != shown.end() && found->second >= record.run)
+        {
+            // The new incarnation has no record of a stop that the former one answered.
+            if (record.phase == run_phase::stopping)
+                uncertain.push_back(task);
+            continue;
+        }
+        const run_fate fate = judge_run(record, evidence);
+        record.listed = false;
+        switch (fate)
         {
         case run_fate::lost:
             lost.push_back(task);
@@ -364,6 +388,7 @@
         case run_fate::open:
             break;
         }
+    }
     count_crash(worker, lost, now);
     worker.last_start_at = boot_time();
     for (const task_ref& task : lost)
@@ -393,7 +418,7 @@
         run_evidence evidence;
         evidence.kind = evidence_kind::other_incarnation;
         evidence.sent_position = poll.sent_position;
-        end_incarnation(worker, evidence, "worker restarted", now);
+        end_incarnation(worker, evidence, shown_runs(poll), "worker restarted", now);
         // A delayed start may reach the new incarnation and be executed, because the new
         // incarnation has no record of earlier stops and its clock has not reached the
         // deadline of the start. Such runs are therefore stopped again.
@@ -450,7 +475,7 @@
     run_evidence evidence;
     evidence.kind = evidence_kind::other_worker;
     evidence.sent_position = refused.sent_position;
-    self.end_incarnation(worker, evidence, "worker process ended", now);
+    self.end_incarnation(worker, evidence, {}, "worker process ended", now);
     worker.abandoned.clear();
     worker.polled = false;
     worker.process_ended = true;
@@ -537,11 +562,9 @@
     if (result.outcome == command_outcome::accepted)
     {
         record->second.answered = true;
+        record->second.position = std::max(record->second.position, result.position);
         if (record->second.phase == run_phase::starting)
-        {
             record->second.phase = run_phase::running;
-            record->second.position = result.position;
-        }
         return;
     }
     if (result.outcome == command_outcome::unanswered)
@@ -568,7 +591,10 @@
     // The worker already lists the run, so it refused a duplicate of the start.
     if (worker.runs.find(task)->second.phase == run_phase::running)
         return;
-    release(worker, task);
+    if (judge_start_answer(result.outcome) == run_fate::lost)
+        release(worker, task);
+    else
+        request_stop(result.worker, task);
     job_status* job = find_job(task.job);
     if (job == nullptr || is_final(job->state))
         return;
--- a/lib/cell/run_evidence.cpp
+++ b/lib/cell/run_evidence.cpp
@@ -33,6 +33,19 @@
     return run_fate::open;
 }
 
+/// Judges a run that the first poll of a later incarnation does not list.
+run_fate judge_restarted(const run_record& run, const run_evidence& evidence)
+{
+    // The later incarnation may have accepted the start before its first poll.
+    if (run.answered)
+        return reflects_last_answer(run, evidence.sent_position) ? run_fate::lost
+                                                                 : run_fate::open;
+    // A start is executed once, and the former incarnation has executed this one.
+    if (run.listed)
+        return run_fate::lost;
+    return run_fate::uncertain;
+}
+
 } // namespace
 
 run_fate judge_run(const run_record& run, const run_evidence& evidence)
@@ -46,8 +59,7 @@
         // Commands name the worker that they are for, so no other one executes them.
         return run_fate::lost;
     case evidence_kind::other_incarnation:
-        return run.answered || run.phase == run_phase::running ? run_fate::lost
-                                                               : run_fate::uncertain;
+        return judge_restarted(run, evidence);
     case evidence_kind::unlisted:
         return judge_unlisted(run, evidence);
     case evidence_kind::lease_expired:
@@ -56,4 +68,29 @@
     return run_fate::open;
 }
 
+run_fate judge_start_answer(command_outcome outcome)
+{
+    switch (outcome)
+    {
+    case command_outcome::accepted:
+    case command_outcome::unanswered:
+        return run_fate::open;
+    case command_outcome::superseded:
+        // A run with this number has ended there. It may be this one, if the start was
+        // delivered twice.
+        return run_fate::uncertain;
+    case command_outcome::fenced:
+    case command_outcome::late:
+    case command_outcome::no_room:
+    case command_outcome::no_ticket:
+    case command_outcome::invalid:
+    case command_outcome::unhealthy:
+    case command_outcome::other_worker:
+    case command_outcome::not_sent:
+    case command_outcome::no_listener:
+        return run_fate::lost;
+    }
+    return run_fate::open;
+}
+
 } // namespace hawthornbeam::cell
--- a/lib/cell/run_evidence.hpp
+++ b/lib/cell/run_evidence.hpp
@@ -27,6 +27,7 @@
     bool started_here = false;   ///< Started by this owner, at command_sent_at.
     bool stop_answered = false;
     bool answered = false;
+    bool listed = false; ///< A poll of the worker's present incarnation has listed it.
     event_position position; ///< Polls sent after it list the run if it exists.
     std::uint32_t percent = 0;
     boot_time progressed_at{}; ///< When first listed, or when percent last changed.
@@ -63,6 +64,9 @@
 /// Returns what \p evidence, which does not show the run, proves about it.
 run_fate judge_run(const run_record& run, const run_evidence& evidence);
 
+/// Returns what an answer other than `accepted` to the start of a run proves about it.
+run_fate judge_start_answer(command_outcome outcome);
+
 } // namespace hawthornbeam::cell
 
 #endif
--- a/unittests/adapter/runner_client_test.cpp
+++ b/unittests/adapter/runner_client_test.cpp
@@ -71,6 +71,85 @@
                     runner_case{"replaced", true, 421, command_outcome::other_worker}),
     [](const testing::TestParamInfo<runner_case>& each) { return each.param.name; });
 
+/// A runner that answers its first call, so that its connection is kept.
+class kept_connection_test : public testing::Test
+{
+protected:
+    kept_connection_test()
+        : server(local.loop, 0, 1,
+                 [this](const exchange_pointer& exchange)
+                 {
+                     ++calls;
+                     handle(exchange);
+                 })
+    {
+        poll(cell::end_number());
+    }
+
+    command_outcome poll(cell::end_number acknowledged)
+    {
+        cell::poll_call call;
+        call.worker = worker_id("w");
+        call.address = cell::endpoint(server.address());
+        call.acknowledged = acknowledged;
+        command_outcome outcome = command_outcome::accepted;
+        runners.poll(call,
+                     [this, &outcome](const cell::poll_answer& answer)
+                     {
+                         outcome = answer.outcome;
+                         local.loop.quit();
+                     });
+        local.loop.run();
+        return outcome;
+    }
+
+    command_outcome start()
+    {
+        cell::start_command command;
+        command.worker = worker_id("w");
+        command.address = cell::endpoint(server.address());
+        command.run.task.job = cell::job_key("a");
+        command_outcome outcome = command_outcome::accepted;
+        runners.start(command, cell::fence_token(1),
+                      [this, &outcome](command_outcome given)
+                      {
+                          outcome = given;
+                          local.loop.quit();
+                      });
+        local.loop.run();
+        return outcome;
+    }
+
+    loopback local;
+    metrics_registry metrics;
+    http_client client{local.loop, local.log, 4, connection_use::kept};
+    runner_client runners{client, metrics, cell::endpoint("127.0.0.1:1")};
+    std::function<void(const exchange_pointer&)> handle =
+        [](const exchange_pointer& exchange) { exchange->reply(200, "{}"); };
+    int calls = 0;
+    http_endpoint server;
+};
+
+// Guards against a start that two incarnations of a runner execute, because the client
+// sends it again when its connection breaks.
+TEST_F(kept_connection_test, start_is_not_sent_again)
+{
+    handle = [this](const exchange_pointer&) { server.stop_listening(); };
+    calls = 0;
+    EXPECT_EQ(start(), command_outcome::unanswered);
+    EXPECT_EQ(calls, 1);
+}
+
+// Guards against acknowledgements that reach a restarted runner, which numbers its ends
+// anew and would forget some that nobody has seen.
+TEST_F(kept_connection_test, acknowledgement_is_not_sent_again)
+{
+    server.faults().lose_answers = 1000;
+    calls = 0;
+    EXPECT_EQ(poll(cell::end_number(7)), command_outcome::unanswered);
+    EXPECT_EQ(calls, 1);
+}
+
 } // namespace
 
 } // namespace hawthornbeam::adapter
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -295,6 +295,9 @@
         return network_.silence(hosts_[chosen_host]->id, hosts_[owner_host]->id);
     case cell_failure::worker_connections_reset:
         return workers_.reset_connections(worker, failure_end);
+    case cell_failure::worker_restarts_at_once:
+        // Faster than a poll times out, so that starts reach the next incarnation first.
+        return workers_.crash(worker, milliseconds(20 + random_.below(800)));
     }
 }
 
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -36,10 +36,11 @@
     commands_late,
     worker_drains,
     connection_silent,
-    worker_connections_reset
+    worker_connections_reset,
+    worker_restarts_at_once
 };
 
-inline constexpr std::size_t cell_failures = 20;
+inline constexpr std::size_t cell_failures = 21;
 /// Number of the first kinds, from which earlier tests draw by seed. It stays as it is,
 /// so that their seeds give the same histories.
 inline constexpr std::size_t first_cell_failures = 19;
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -70,7 +70,7 @@
     const std::uint64_t seed = GetParam();
     random_source random(seed);
     std::vector<cell_failure> failures;
-    for (std::size_t each = 0; each < 1 + seed % 3; ++each)
+    for (std::size_t each = 0; each < 2 + seed % 3; ++each)
         failures.push_back(static_cast<cell_failure>(
             first_cell_failures + random.below(cell_failures - first_cell_failures)));
     for (std::size_t each = 0; each < seed % 4; ++each)
@@ -80,6 +80,18 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+/// Starts at such a rate that some reach a worker in the moment after its restart.
+constexpr cell_shape frequent_starts{.submit_period = std::chrono::milliseconds(60)};
+
+// Guards against taking a run of a restarted worker for one of its former incarnation.
+TEST_P(worker_contact_test, starts_that_the_next_incarnation_accepts_count_as_its_own)
+{
+    cell_simulation simulation(GetParam(), frequent_starts);
+    simulation.run(seconds(10),
+                   std::vector<cell_failure>(3, cell_failure::worker_restarts_at_once));
+    expect_all_cell_rules_kept(simulation);
+}
+
 class unequal_hosts_test : public testing::TestWithParam<std::uint64_t>
 {
 };
--- a/unittests/cell/fleet.cpp
+++ b/unittests/cell/fleet.cpp
@@ -133,7 +133,7 @@
     worker.progress_frozen = true;
 }
 
-void fleet::poll(const std::string& worker_name)
+poll_result fleet::look(const std::string& worker_name)
 {
     simulated_worker& worker = workers_.at(worker_name);
     poll_result poll;
@@ -147,7 +147,12 @@
     for (const auto& [task, run] : worker.running)
         poll.running.push_back({{task, run}, checkpoint(), worker.progress_percent});
     poll.ended = worker.ended;
-    cell.observe(poll, clock.now());
+    return poll;
+}
+
+void fleet::poll(const std::string& worker_name)
+{
+    cell.observe(look(worker_name), clock.now());
 }
 
 void fleet::poll_all()
--- a/unittests/cell/fleet.hpp
+++ b/unittests/cell/fleet.hpp
@@ -44,6 +44,8 @@
     decisions decide(delivery outcome = delivery::executed);
     void deliver(const start_command& command, delivery outcome = delivery::executed);
     void deliver(const stop_command& command);
+    /// Returns what a poll of the worker shows now.
+    poll_result look(const std::string& worker);
     void poll(const std::string& worker);
     void poll_all();
     /// Ends a run on the worker that executes it.
--- a/unittests/cell/run_evidence_test.cpp
+++ b/unittests/cell/run_evidence_test.cpp
@@ -35,6 +35,16 @@
     return record(run_phase::starting, false);
 }
 
+/// Listed by a poll before its answer.
+run_record listed_start()
+{
+    run_record run = record(run_phase::running, false);
+    run.started_here = true;
+    run.listed = true;
+    run.position = at_answer;
+    return run;
+}
+
 run_record stopping(bool stop_answered)
 {
     run_record run = record(run_phase::stopping, false);
@@ -68,6 +78,7 @@
 
 constexpr evidence_kind refused = evidence_kind::refused;
 constexpr evidence_kind other_worker = evidence_kind::other_worker;
+constexpr evidence_kind restarted = evidence_kind::other_incarnation;
 constexpr evidence_kind unlisted = evidence_kind::unlisted;
 constexpr evidence_kind lease_expired = evidence_kind::lease_expired;
 
@@ -81,6 +92,20 @@
                       run_fate::open},
         evidence_case{
             "replaced", answered_run(), {other_worker, after_answer}, run_fate::lost},
+        evidence_case{
+            "restarted", answered_run(), {restarted, after_answer}, run_fate::lost},
+        evidence_case{"restarted_before_the_answer",
+                      answered_run(),
+                      {restarted, before_answer},
+                      run_fate::open},
+        evidence_case{"restarted_unanswered",
+                      unanswered_start(),
+                      {restarted, after_answer, true},
+                      run_fate::uncertain},
+        evidence_case{"restarted_unanswered_listed",
+                      listed_start(),
+                      {restarted, after_answer},
+                      run_fate::lost},
         evidence_case{
             "lease_expired", answered_run(), {lease_expired, {}}, run_fate::lost},
         evidence_case{
@@ -104,6 +129,26 @@
     [](const testing::TestParamInfo<evidence_case>& each)
     { return std::string(each.param.name); });
 
+/// Answer to a start, and what it proves about the run.
+class start_answer_test
+    : public testing::TestWithParam<std::pair<command_outcome, run_fate>>
+{
+};
+
+// Guards against starting a task elsewhere whose run may have begun.
+TEST_P(start_answer_test, gives_up_only_runs_that_never_begin)
+{
+    EXPECT_EQ(judge_start_answer(GetParam().first), GetParam().second);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers, start_answer_test,
+    testing::Values(std::pair(command_outcome::unanswered, run_fate::open),
+                    std::pair(command_outcome::superseded, run_fate::uncertain),
+                    std::pair(command_outcome::late, run_fate::lost),
+                    std::pair(command_outcome::no_listener, run_fate::lost),
+                    std::pair(command_outcome::not_sent, run_fate::lost)));
+
 } // namespace
 
 } // namespace hawthornbeam::cell
