Do not blame tasks by ages at crashes whose time is unknown

Callers would see an innocent job shown as failed with the reason "crashed its workers".

Cause: without a refused connection, the time of a crash was taken to be that of the worker's last answer. Runs that had started since then got the age 0, the strongest blame, and two such ages counted as equal, which halves the blame that is needed to give a task up.

Now such a run gets the likeliest age between the last answer and the new incarnation, and its ages are not compared. With a refused connection, as seen with tasks that crash their worker's process, nothing changes.

--- a/lib/cell/crashes.cpp
+++ b/lib/cell/crashes.cpp
@@ -17,8 +17,29 @@
 /// waited too long for such a worker.
 constexpr duration min_start_distance = std::chrono::milliseconds(150);
 constexpr duration max_distance_wait = std::chrono::milliseconds(1000);
-/// Age assumed for a run that this owner has not started.
-constexpr duration inherited_run_age = std::chrono::seconds(1);
+/// Age assumed for a run if its start or the time of the crash is unknown.
+constexpr duration unknown_run_age = std::chrono::seconds(1);
+
+/// Returns whether the age of a run at the crash of its worker is known. Without a
+/// refused connection, the crash may have come at any time since the last answer.
+bool is_age_known(const worker_status& worker, const run_record& record)
+{
+    return record.started_here && worker.refused_since != boot_time();
+}
+
+/// Returns the age of a run when its worker crashed, or the most likely one.
+duration age_at_crash(const worker_status& worker, const run_record& record,
+                      boot_time now)
+{
+    if (!record.started_here)
+        return unknown_run_age;
+    if (is_age_known(worker, record))
+        return std::max(worker.refused_since - record.command_sent_at, duration::zero());
+    return std::clamp(
+        unknown_run_age,
+        std::max(worker.contact_at - record.command_sent_at, duration::zero()),
+        now - record.command_sent_at);
+}
 
 } // namespace
 
@@ -29,8 +50,6 @@
     // A worker that is draining leaves as planned.
     if (worker.info.draining)
         return;
-    const boot_time crashed_at =
-        worker.refused_since == boot_time() ? worker.contact_at : worker.refused_since;
     std::vector<std::pair<task_ref, duration>> ended;
     std::vector<crashed_run> runs;
     // The members of a gang on the worker count as one run: they fail together.
@@ -45,10 +64,7 @@
             continue;
         job_status* job = find_job(task.job);
         const task_status* status = find_task(job, task);
-        const duration age =
-            record.started_here
-                ? std::max(crashed_at - record.command_sent_at, duration::zero())
-                : inherited_run_age;
+        const duration age = age_at_crash(worker, record, now);
         std::size_t number = runs.size();
         if (status != nullptr && job->spec.steps[task.step].gang)
             number = run_of_gang.try_emplace({task.job, task.step}, number).first->second;
@@ -70,13 +86,15 @@
                                                   const task_ref& task, run_end role,
                                                   duration age, boot_time now)
 {
-    const run_number run = worker.runs.at(task).run;
+    const run_record& record = worker.runs.at(task);
+    const run_number run = record.run;
     job_status* job = find_job(task.job);
     task_status* status = find_task(job, task);
     if (status == nullptr || is_final(job->state) || status->done ||
         !count_run(*status, run))
         return;
-    status->crashes.add(role, age);
+    status->crashes.add(role,
+                        is_age_known(worker, record) ? std::optional(age) : std::nullopt);
     status->crashed_at = now;
     changes.ends.push_back({{task, run}, role});
     metrics.add("hawthornbeam_run_ends_total", {{"how", to_string(role)}});
