Wait for ends beyond those that a worker lists at a time

Log: "run lost" with the reason "not shown by the worker" for tasks of one worker, some seconds into "changes not stored".

Cause: a worker lists 500 ends at a time and further ones only once these are acknowledged, which needs the store. The owner took each answer for complete and gave up runs that were listed neither as running nor as ended. A new owner took the worker for settled and started inherited tasks whose ends it had not seen. Ruled out: leases (the worker was in contact and listed its runs throughout).

The adapter now says whether an answer lists all ends. If not, a run that it lacks stays open, whatever its phase and also after a restart; the worker does not settle a takeover; and its runs are not taken for stalled, since the ended ones among them show no progress.

--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -219,6 +219,8 @@
     worker_time clock;
     std::vector<running_task> running;
     std::vector<ended_task> ended;
+    /// False if further ends may wait until these are acknowledged.
+    bool ends_complete = true;
 };
 
 /// Outcome of a start or stop command.
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -121,9 +121,10 @@
     worker_incarnation incarnation;
     worker_time clock; ///< Value read at or before clock_at.
     boot_time clock_at{};
-    boot_time contact_at{}; ///< Last poll; before the first one, when it was added.
-    end_number processed;   ///< Last ended run that was handled.
-    end_number covered;     ///< Last ended run that was passed on for storing.
+    boot_time contact_at{};    ///< Last poll; before the first one, when it was added.
+    bool ends_complete = true; ///< Whether the last poll listed all ends.
+    end_number processed;      ///< Last ended run that was handled.
+    end_number covered;        ///< Last ended run that was passed on for storing.
     std::map<task_ref, run_record> runs;
     std::deque<abandoned_start> abandoned; ///< Of this incarnation, oldest first.
     resources used;
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -161,7 +161,8 @@
 {
     for (auto& [id, worker] : workers)
     {
-        if (now - worker.contact_at > limits.answer_limit)
+        // A run without progress may have ended if not all ends are listed.
+        if (now - worker.contact_at > limits.answer_limit || !worker.ends_complete)
             continue;
         std::vector<task_ref> stalled;
         for (const auto& [task, run] : worker.runs)
@@ -333,6 +334,7 @@
         run_evidence evidence;
         evidence.kind = evidence_kind::unlisted;
         evidence.sent_position = poll.sent_position;
+        evidence.ends_complete = poll.ends_complete;
         evidence.answer_overdue = now - record.command_sent_at > limits.answer_limit;
         switch (judge_run(record, evidence))
         {
@@ -418,6 +420,7 @@
         run_evidence evidence;
         evidence.kind = evidence_kind::other_incarnation;
         evidence.sent_position = poll.sent_position;
+        evidence.ends_complete = poll.ends_complete;
         end_incarnation(worker, evidence, shown_runs(poll), "worker restarted", now);
         // A delayed start may reach the new incarnation and be executed, because the new
         // incarnation has no record of earlier stops and its clock has not reached the
@@ -520,7 +523,9 @@
     worker.clock = poll.clock;
     worker.clock_at = now;
     worker.contact_at = now;
-    self.mark_settled(poll.worker, now);
+    worker.ends_complete = poll.ends_complete;
+    if (poll.ends_complete)
+        self.mark_settled(poll.worker, now);
     for (const ended_task& end : poll.ended)
     {
         if (end.number <= worker.processed)
--- a/lib/cell/run_evidence.cpp
+++ b/lib/cell/run_evidence.cpp
@@ -8,27 +8,28 @@
 namespace
 {
 
-/// Returns whether the poll was sent after the last answer about the run, so that it
-/// reflects that answer.
-bool reflects_last_answer(const run_record& run, event_position sent_position)
+/// Returns whether the poll would list the run, or its end, if the worker had it: the
+/// poll was sent after the last answer about the run, and no ends are missing.
+bool would_list(const run_record& run, const run_evidence& poll)
 {
-    return run.position != event_position() && run.position <= sent_position;
+    return run.position != event_position() && run.position <= poll.sent_position &&
+           poll.ends_complete;
 }
 
 run_fate judge_unlisted(const run_record& run, const run_evidence& evidence)
 {
-    const bool is_newer = reflects_last_answer(run, evidence.sent_position);
+    const bool is_absent = would_list(run, evidence);
     switch (run.phase)
     {
     case run_phase::running:
-        return is_newer ? run_fate::lost : run_fate::open;
+        return is_absent ? run_fate::lost : run_fate::open;
     case run_phase::stopping:
         // After an answered stop, the run can no longer start on this worker.
-        return run.stop_answered && is_newer ? run_fate::lost : run_fate::open;
+        return run.stop_answered && is_absent ? run_fate::lost : run_fate::open;
     case run_phase::starting:
         break;
     }
-    if (run.answered ? is_newer : evidence.answer_overdue)
+    if (run.answered ? is_absent : evidence.answer_overdue)
         return run_fate::uncertain;
     return run_fate::open;
 }
@@ -38,8 +39,7 @@
 {
     // The later incarnation may have accepted the start before its first poll.
     if (run.answered)
-        return reflects_last_answer(run, evidence.sent_position) ? run_fate::lost
-                                                                 : run_fate::open;
+        return would_list(run, evidence) ? run_fate::lost : run_fate::open;
     // A start is executed once, and the former incarnation has executed this one.
     if (run.listed)
         return run_fate::lost;
--- a/lib/cell/run_evidence.hpp
+++ b/lib/cell/run_evidence.hpp
@@ -49,6 +49,8 @@
 {
     evidence_kind kind = evidence_kind::refused;
     event_position sent_position; ///< Position at which the poll was sent, if any.
+    /// Whether the poll lists all ends; if not, it may lack that of the run.
+    bool ends_complete = true;
     /// A start without an answer has been sent long enough ago to be stopped.
     bool answer_overdue = false;
 };
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -104,8 +104,10 @@
 template <class Archive>
 void serialize(Archive& archive, poll_result& value)
 {
-    auto& [worker, sent_position, incarnation, clock, running, ended] = value;
-    members(archive, worker, sent_position, incarnation, clock, running, ended);
+    auto& [worker, sent_position, incarnation, clock, running, ended, ends_complete] =
+        value;
+    members(archive, worker, sent_position, incarnation, clock, running, ended,
+            ends_complete);
 }
 
 template <class Archive>
--- a/unittests/adapter/runner_client_test.cpp
+++ b/unittests/adapter/runner_client_test.cpp
@@ -4,6 +4,7 @@
 #include "test/standins/http_endpoint.hpp"
 #include "unittests/platform/loopback.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace hawthornbeam::adapter
@@ -83,24 +84,24 @@
                      handle(exchange);
                  })
     {
-        poll(cell::end_number());
+        answer(cell::end_number());
     }
 
-    command_outcome poll(cell::end_number acknowledged)
+    cell::poll_answer answer(cell::end_number acknowledged)
     {
         cell::poll_call call;
         call.worker = worker_id("w");
         call.address = cell::endpoint(server.address());
         call.acknowledged = acknowledged;
-        command_outcome outcome = command_outcome::accepted;
+        cell::poll_answer read;
         runners.poll(call,
-                     [this, &outcome](const cell::poll_answer& answer)
+                     [this, &read](const cell::poll_answer& given)
                      {
-                         outcome = answer.outcome;
+                         read = given;
                          local.loop.quit();
                      });
         local.loop.run();
-        return outcome;
+        return read;
     }
 
     command_outcome start()
@@ -146,10 +147,37 @@
 {
     server.faults().lose_answers = 1000;
     calls = 0;
-    EXPECT_EQ(poll(cell::end_number(7)), command_outcome::unanswered);
+    EXPECT_EQ(answer(cell::end_number(7)).outcome, command_outcome::unanswered);
     EXPECT_EQ(calls, 1);
 }
 
+/// Number of ends in a response, and whether further ones may wait.
+class listed_ends_test : public kept_connection_test,
+                         public testing::WithParamInterface<std::pair<int, bool>>
+{
+};
+
+// Guards against taking a full page of ends for all of them.
+TEST_P(listed_ends_test, full_page_is_not_complete)
+{
+    handle = [](const exchange_pointer& exchange)
+    {
+        std::string ends;
+        for (int number = 1; number <= GetParam().first; ++number)
+            ends += fmt::format(R"({}[{},"a.0.0.{}",1,"done",""])",
+                                ends.empty() ? "" : ",", number, number);
+        exchange->reply(200,
+                        R"({"clock-ms":1,"born":1,"running":[],"ended":[)" + ends + "]}");
+    };
+    const cell::poll_result read = answer(cell::end_number()).poll;
+    EXPECT_EQ(read.ended.size(), static_cast<std::size_t>(GetParam().first));
+    EXPECT_EQ(read.ends_complete, GetParam().second);
+}
+
+INSTANTIATE_TEST_SUITE_P(ends, listed_ends_test,
+                         testing::Values(std::pair(0, true), std::pair(499, true),
+                                         std::pair(500, false)));
+
 } // namespace
 
 } // namespace hawthornbeam::adapter
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -113,6 +113,7 @@
       workers_(loop_, seed + 1, history_)
 {
     store_.page_items = shape.page_items;
+    workers_.limit_listed_ends(shape.max_listed_ends);
     queue_policy queue;
     queue.name = queue_name("q");
     queue.service = service_name("pool");
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -64,6 +64,8 @@
     std::uint64_t jobs_per_crashing_job = 0;
     /// Mean time between two changes of a worker's capacity; zero means no changes.
     duration resize_period{};
+    /// Maximum number of ends that a worker lists at a time.
+    std::size_t max_listed_ends = 500;
 };
 
 /// Simulates one cell; equal seeds give equal histories.
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -92,6 +92,24 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+/// More ends wait at a worker than it lists at a time while the store is away.
+constexpr cell_shape few_listed_ends{.submit_period = std::chrono::milliseconds(200),
+                                     .max_listed_ends = 3};
+
+// Guards against taking a run for lost whose end waits until earlier ends are
+// acknowledged.
+TEST_P(worker_contact_test, ends_beyond_those_that_a_worker_lists_are_waited_for)
+{
+    const std::uint64_t seed = GetParam();
+    random_source random(seed);
+    std::vector<cell_failure> failures{cell_failure::store_refuses_all};
+    for (std::size_t each = 0; each < seed % 3; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+    cell_simulation simulation(seed, few_listed_ends);
+    simulation.run(seconds(15), failures);
+    expect_all_cell_rules_kept(simulation);
+}
+
 class unequal_hosts_test : public testing::TestWithParam<std::uint64_t>
 {
 };
--- a/unittests/cell/fleet.cpp
+++ b/unittests/cell/fleet.cpp
@@ -147,9 +147,19 @@
     for (const auto& [task, run] : worker.running)
         poll.running.push_back({{task, run}, checkpoint(), worker.progress_percent});
     poll.ended = worker.ended;
+    if (poll.ended.size() > max_listed_ends_)
+        poll.ended.resize(max_listed_ends_);
+    poll.ends_complete = poll.ended.size() < max_listed_ends_;
     return poll;
 }
 
+void fleet::acknowledge(const pending_changes& batch)
+{
+    for (const acknowledge_command& each : batch.covered)
+        std::erase_if(workers_.at(each.worker.value()).ended,
+                      [&each](const ended_task& end) { return end.number <= each.last; });
+}
+
 void fleet::poll(const std::string& worker_name)
 {
     cell.observe(look(worker_name), clock.now());
@@ -198,6 +208,16 @@
     cell.observe(refuse_poll(worker_name, other_worker), clock.now());
 }
 
+void fleet::hand_over_to(scheduler& next) const
+{
+    next.configure(queues_);
+    for (const auto& [name, worker] : workers_)
+    {
+        next.update_worker(worker.info, clock.now());
+        next.allow_worker(worker.info.id);
+    }
+}
+
 void fleet::restart(const std::string& worker_name)
 {
     simulated_worker& worker = workers_.at(worker_name);
--- a/unittests/cell/fleet.hpp
+++ b/unittests/cell/fleet.hpp
@@ -44,6 +44,10 @@
     decisions decide(delivery outcome = delivery::executed);
     void deliver(const start_command& command, delivery outcome = delivery::executed);
     void deliver(const stop_command& command);
+    /// Lets each worker list at most \p count ends at a time.
+    void limit_listed_ends(std::size_t count) { max_listed_ends_ = count; }
+    /// Delivers the acknowledgements of \p batch, so that workers drop these ends.
+    void acknowledge(const pending_changes& batch);
     /// Returns what a poll of the worker shows now.
     poll_result look(const std::string& worker);
     void poll(const std::string& worker);
@@ -59,6 +63,11 @@
     /// Ends the process of the worker with its runs and reports to the scheduler that
     /// another worker has its address, or that connections are refused.
     void end_process(const std::string& worker, bool other_worker = true);
+    /// Lets the worker lose its runs without ends.
+    void forget_runs(const std::string& worker) { workers_.at(worker).running.clear(); }
+    /// Makes the queues and workers known to another scheduler, which takes the cell
+    /// over.
+    void hand_over_to(scheduler& next) const;
     /// Restarts the worker under the same id with a new incarnation.
     void restart(const std::string& worker);
     void advance(duration step) { clock.advance(step); }
@@ -97,6 +106,7 @@
     std::map<job_key, job_spec> jobs_;
     std::vector<queue_policy> queues_;
     std::int64_t max_millicores_ = 0;
+    std::size_t max_listed_ends_ = SIZE_MAX;
 };
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -103,6 +103,9 @@
     reply.poll.incarnation = worker.info.incarnation;
     reply.poll.clock = clock_of(worker);
     reply.poll.ended = worker.ended;
+    if (reply.poll.ended.size() > max_listed_ends_)
+        reply.poll.ended.resize(max_listed_ends_);
+    reply.poll.ends_complete = reply.poll.ended.size() < max_listed_ends_;
     for (const auto& [task, run] : worker.runs)
     {
         running_task running;
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -26,6 +26,8 @@
                       standins::cell_history& history);
 
     void add(const std::string& name, std::int64_t cores);
+    /// Lets each worker list at most \p count ends at a time.
+    void limit_listed_ends(std::size_t count) { max_listed_ends_ = count; }
 
     // Calls from an instance, at the time of their arrival at the worker.
     void poll(const poll_call& call, const std::function<void(poll_answer)>& done);
@@ -134,6 +136,7 @@
     std::map<std::uint64_t, timer_handle> scheduled_calls_;
     std::uint64_t last_call_ = 0;
     std::uint64_t last_new_id_ = 0;
+    std::size_t max_listed_ends_ = 500;
 };
 
 /// Reaches the workers for one instance, over connections with a delay of 1 ms.
