Acknowledge ends again after a change of the agent

A worker listed three ends that were stored long before, and none of its later ones.

Cause: the owner sends an acknowledgement once, when the ends are stored. The agent that should pass it on lost it with its assignment, because the owner had claimed the cell again with a new token. The next agent knew of no acknowledgement, and the next one was due only with a newer end, which a full list never shows. With fewer ends the last ones of a worker were never acknowledged in the same way, without harm to jobs. Ruled out: the agent, which keeps an acknowledgement until a poll that carries it is answered.

Now a poll by another agent that still lists ends which were passed on for storing makes them due again. They are acknowledged in the order of the batches, as before.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -230,6 +230,9 @@
                          boot_time now);
     /// Settles an expected worker whose process has ended before this owner polled it.
     void settle_ended_worker(worker_status& worker, boot_time now);
+    /// Acknowledges ends again that were passed on for storing, if the worker still lists
+    /// them after a change of its agent: agents lose acknowledgements with assignments.
+    static void repeat_acknowledgement(worker_status& worker, const poll_result& poll);
     /// Handles the runs that a poll result should list but does not.
     void handle_unlisted_runs(worker_status& worker, const poll_result& poll,
                               boot_time now, const std::set<task_ref>& listed);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -497,6 +497,16 @@
     mark_settled(worker.info.id, now);
 }
 
+void scheduler::implementation::repeat_acknowledgement(worker_status& worker,
+                                                       const poll_result& poll)
+{
+    const bool agent_changed =
+        poll.sent_position.assignment != worker.contact_position.assignment;
+    if (agent_changed && !poll.ended.empty() &&
+        poll.ended.front().number <= worker.covered)
+        worker.covered = end_number();
+}
+
 void scheduler::observe(const poll_result& poll, boot_time now)
 {
     implementation& self = *implementation_;
@@ -514,6 +524,7 @@
         self.begin_incarnation(worker, poll, now);
     else if (worker.process_ended)
         self.log.error("cell", "ended worker answers", {{"worker", poll.worker.value()}});
+    self.repeat_acknowledgement(worker, poll);
     worker.polled = true;
     worker.process_ended = false;
     worker.ended_unpolled_since = boot_time();
--- a/unittests/cell/listed_ends_test.cpp
+++ b/unittests/cell/listed_ends_test.cpp
@@ -63,6 +63,25 @@
     EXPECT_EQ(workers.decide().starts.size(), 3U);
 }
 
+// Guards against ends that are never acknowledged because the agent that should do so was
+// replaced. A worker with a full list would never list its other ends.
+TEST_F(listed_ends_test, ends_are_acknowledged_again_by_the_next_agent)
+{
+    workers.submit(job);
+    workers.decide();
+    workers.end_all(run_end::done);
+    workers.poll_all();
+    EXPECT_EQ(workers.store_changes().covered.size(), 1U);
+    workers.poll_all();
+    EXPECT_TRUE(workers.store_changes().covered.empty()) << "the agent keeps trying";
+    poll_result next = workers.look("w0");
+    next.sent_position = event_position{2, 1};
+    workers.cell.observe(next, workers.clock.now());
+    const pending_changes batch = workers.store_changes();
+    ASSERT_EQ(batch.covered.size(), 1U);
+    EXPECT_EQ(batch.covered[0].last, end_number(2));
+}
+
 // Guards against a new owner that starts tasks again whose ends a worker does not list
 // yet.
 TEST_F(listed_ends_test, inherited_tasks_wait_until_all_ends_are_listed)
