Do not extend leases by polls of a worker that does not answer

Cause: the owner takes the lease of a silent worker for expired 8.2 s after its last answer (a lease of 6 s, 2 s of slack and the drift of a clock). The agent went on polling, and each poll asked for a lease of 6 s from its own sending. A worker that executes polls and whose answers do not arrive, or that executes them seconds late, could so hold its runs for longer than the owner waits, and their tasks would run twice.

Now a poll extends the lease only within 2 s after the last answer, which is the slack that the owner allows; the same bound holds for silent owners already. The first answer lets the next poll extend it again.

Test: agent_test.lease_is_not_extended_without_answers_of_the_worker; it fails with the condition removed.

--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -36,6 +36,10 @@
 /// one every 400 ms. A successor restarts the runs of a worker that it cannot reach once
 /// the longest lease since its claim has ended, with a slack of 2 s.
 constexpr duration max_owner_silence = std::chrono::milliseconds(2000);
+/// Leases are extended only within this time after an answer of the worker. The owner
+/// gives up its runs once the longest lease since then has ended, with the same slack,
+/// and a worker may execute polls that get no answer.
+constexpr duration max_worker_silence = std::chrono::milliseconds(2000);
 
 struct assigned_worker
 {
@@ -148,13 +152,13 @@
         worker.poll_sent_at - worker.clock_read_at <= max_acknowledgement_age)
         call.acknowledged = worker.last_acknowledged;
     const bool owner_is_silent = worker.poll_sent_at - owner_heard_at > max_owner_silence;
-    if (worker.clock_read_at != boot_time() && !owner_is_silent)
-    {
-        const duration since = worker.poll_sent_at - worker.clock_read_at + max_lease;
+    const duration since_answer = worker.poll_sent_at - worker.clock_read_at;
+    if (worker.clock_read_at != boot_time() && !owner_is_silent &&
+        since_answer <= max_worker_silence)
         call.lease_until = worker_time(
-            worker.clock.value() +
-            std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-    }
+            worker.clock.value() + std::chrono::duration_cast<std::chrono::milliseconds>(
+                                       since_answer + max_lease)
+                                       .count());
     if (worker.clock_read_at != boot_time())
         call.wait = poll_wait;
     const event_position sent_position{worker.assignment, event_count};
--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -167,6 +167,23 @@
     EXPECT_TRUE(answer(1, 0).lease_until);
 }
 
+// Guards against a worker whose lease is extended by polls that it executes and does not
+// answer, while the owner takes the lease for expired and starts its tasks elsewhere.
+TEST_F(agent_test, lease_is_not_extended_without_answers_of_the_worker)
+{
+    answer(1, 0);
+    EXPECT_TRUE(fail().lease_until);
+    for (int polls = 0; polls < 10; ++polls)
+    {
+        polling_agent.execute(fence_token(1), agent_commands());
+        const bool is_recent = polls < 2; // A poll each 0.6 s.
+        EXPECT_EQ(fail().lease_until.has_value(), is_recent) << "after " << polls;
+    }
+    polling_agent.execute(fence_token(1), agent_commands());
+    answer(1, 0);
+    EXPECT_TRUE(answer(1, 0).lease_until);
+}
+
 // The time of a pause counts as silence of the owner.
 TEST_F(agent_test, lease_is_not_extended_after_a_pause_of_the_process)
 {
