Count crashes of workers whose end only their lease proves

Run 2 was lost when the lease of its worker had expired, which counted nothing, although connections to the worker had been refused; run 4 had no answer, because the worker ended before it, and unanswered starts counted nothing. Ruled out: counts lost at a change of the owner (there was none).

Both count now: the runs of a worker whose lease has expired after connections to it were refused, and starts without an answer that were sent before the first refusal. A worker lost in silence counts nothing, as before.

Tests: two cases of crash_blame_test, which fail with the former conditions.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -201,8 +201,13 @@
     /// Removes a run that cannot exist any more although no end was listed, and restarts
     /// its gang.
     void handle_lost_run(worker_status& worker, const task_ref& task, const char* reason);
-    /// Gives up the runs of a worker whose longest lease has expired.
-    void expire_runs(worker_status& worker);
+    /// Gives up \p lost runs of a worker, and counts its crash against their tasks if it
+    /// has \p crashed.
+    void give_up_runs(worker_status& worker, const std::vector<task_ref>& lost,
+                      bool crashed, const char* reason, boot_time now);
+    /// Gives up the runs of a worker whose longest lease has expired. If its address
+    /// refused connections since the last answer, it has probably crashed.
+    void expire_runs(worker_status& worker, boot_time now);
     void request_stop(const worker_id& worker, const task_ref& task);
     /// Stops a run whose start got no answer, also if the former incarnation was told to.
     void stop_uncertain_start(worker_status& worker, const task_ref& task, boot_time now);
--- a/lib/cell/crashes.cpp
+++ b/lib/cell/crashes.cpp
@@ -27,6 +27,17 @@
     return record.started_here && worker.refused_since != boot_time();
 }
 
+/// Returns whether a run that was lost with its worker may have crashed it. A start
+/// without an answer may have begun if it was sent before connections were refused.
+bool may_have_crashed(const worker_status& worker, const run_record& record)
+{
+    if (record.phase == run_phase::stopping)
+        return false;
+    return record.answered || record.phase == run_phase::running ||
+           (is_age_known(worker, record) &&
+            record.command_sent_at < worker.refused_since);
+}
+
 /// Returns the age of a run when its worker crashed, or the most likely one.
 duration age_at_crash(const worker_status& worker, const run_record& record,
                       boot_time now)
@@ -58,9 +69,7 @@
     for (const task_ref& task : lost)
     {
         const run_record& record = worker.runs.at(task);
-        // Whether an unanswered start began is unknown.
-        if (record.phase == run_phase::stopping ||
-            !(record.answered || record.phase == run_phase::running))
+        if (!may_have_crashed(worker, record))
             continue;
         job_status* job = find_job(task.job);
         const task_status* status = find_task(job, task);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -120,7 +120,23 @@
         restart_gang(*job, task.step, worker.contact_at);
 }
 
-void scheduler::implementation::expire_runs(worker_status& worker)
+void scheduler::implementation::give_up_runs(worker_status& worker,
+                                             const std::vector<task_ref>& lost,
+                                             bool crashed, const char* reason,
+                                             boot_time now)
+{
+    if (crashed)
+        count_crash(worker, lost, now);
+    for (const task_ref& task : lost)
+    {
+        handle_lost_run(worker, task, reason);
+        job_status* job = find_job(task.job);
+        if (job != nullptr)
+            fail_if_crashing(*job);
+    }
+}
+
+void scheduler::implementation::expire_runs(worker_status& worker, boot_time now)
 {
     run_evidence evidence;
     evidence.kind = evidence_kind::lease_expired;
@@ -128,8 +144,7 @@
     for (const auto& [task, record] : worker.runs)
         if (judge_run(record, evidence) == run_fate::lost)
             lost.push_back(task);
-    for (const task_ref& task : lost)
-        handle_lost_run(worker, task, "lease ended");
+    give_up_runs(worker, lost, worker.refused_since != boot_time(), "lease ended", now);
 }
 
 void scheduler::implementation::stop_uncertain_start(worker_status& worker,
@@ -391,15 +406,8 @@
             break;
         }
     }
-    count_crash(worker, lost, now);
     worker.last_start_at = boot_time();
-    for (const task_ref& task : lost)
-    {
-        handle_lost_run(worker, task, reason);
-        job_status* job = find_job(task.job);
-        if (job != nullptr)
-            fail_if_crashing(*job);
-    }
+    give_up_runs(worker, lost, true, reason, now);
     for (const task_ref& task : uncertain)
     {
         job_status* job = find_job(task.job);
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -127,7 +127,7 @@
             continue;
         }
         mark_settled(entry->first, now);
-        expire_runs(worker);
+        expire_runs(worker, now);
         worker.polled = false;
         if (worker.has_entry)
             ++entry;
--- a/unittests/cell/crash_blame_test.cpp
+++ b/unittests/cell/crash_blame_test.cpp
@@ -149,6 +149,58 @@
     EXPECT_EQ(workers.cell.state(job_key("a")), job_state::failed);
 }
 
+/// Whether connections to a worker were refused before its lease expired.
+class expired_worker_test : public testing::TestWithParam<bool>
+{
+};
+
+// Guards against a task that crashes worker after worker, none of which comes back,
+// without end; and against blaming tasks for workers that were cut off in silence.
+TEST_P(expired_worker_test, counts_against_its_tasks_if_it_refused_connections)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    workers.decide();
+    workers.advance(milliseconds(20));
+    if (GetParam())
+        workers.end_process("w0", false);
+    workers.advance(milliseconds(8200));
+    workers.decide();
+    EXPECT_EQ(workers.store_changes().ends.size(), GetParam() ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(refused, expired_worker_test, testing::Bool());
+
+// Guards against a task that crashes each worker before it can answer the start.
+TEST(suspect_task_test, start_without_an_answer_before_the_crash_counts)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    const decisions decided = workers.decide(delivery::lost);
+    ASSERT_EQ(decided.starts.size(), 1U);
+    const std::string ended = decided.starts[0].worker.value();
+    workers.advance(milliseconds(20));
+    workers.end_process(ended, false);
+    workers.advance(milliseconds(3000));
+    workers.end_process(ended);
+    EXPECT_EQ(workers.store_changes().ends.size(), 1U);
+}
+
+// Guards against blaming a task whose start was sent to a worker that was down already.
+TEST(suspect_task_test, start_after_the_crash_does_not_count)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    workers.decide(delivery::lost);
+    refused_poll refused = workers.refuse_poll("w0", true);
+    refused.failing_ms = 100;
+    workers.cell.observe(refused, workers.clock.now());
+    EXPECT_TRUE(workers.store_changes().ends.empty());
+}
+
 // Guards against counting the planned exit of a worker against its tasks.
 TEST(suspect_task_test, exit_of_a_draining_worker_counts_against_no_task)
 {
