Poll a worker without an entry while it has runs

Users saw innocent tasks wait for 8 s after a crash.

Cause: the owner unassigned a worker as soon as its entry went, so that no poll could find the other worker any more. A worker that is cut off from the store only lost its lease in the same way, and its tasks ran again.

The owner keeps the worker assigned until the scheduler drops it, which is when it has no runs or its longest lease has expired. It gets no new starts.

Test: owner_test.worker_without_an_entry_is_polled_while_it_has_runs, which fails with the former unassignment.

--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -50,16 +50,6 @@
     for (const worker_info& info : cell.workers())
         if (!present.contains(info.id))
             cell.remove_worker(info.id, now);
-    std::erase_if(routes,
-                  [this, &present](const std::pair<const worker_id, worker_route>& entry)
-                  {
-                      if (present.contains(entry.first))
-                          return false;
-                      if (!entry.second.agent.empty())
-                          outbox[entry.second.agent].assignments.push_back(
-                              {entry.first, entry.second.address, 0, false});
-                      return true;
-                  });
     assign_workers();
     schedule_store();
     schedule_decision();
@@ -67,12 +57,23 @@
 
 void owner::implementation::remove_dropped_workers()
 {
-    // The scheduler drops a worker once its entry is removed and its longest lease has
-    // expired. If such a worker stayed in the store, the next owner would wait for its
-    // lease again.
+    // The scheduler drops a worker without an entry once it has no runs or its longest
+    // lease has expired. Until then polls extend its lease, list its ends, or show that
+    // another worker has its address. If such a worker stayed in the store, the next
+    // owner would wait for its lease again.
     std::set<worker_id> known;
     for (const worker_info& info : cell.workers())
         known.insert(info.id);
+    std::erase_if(routes,
+                  [this, &known](const std::pair<const worker_id, worker_route>& entry)
+                  {
+                      if (known.contains(entry.first))
+                          return false;
+                      if (!entry.second.agent.empty())
+                          outbox[entry.second.agent].assignments.push_back(
+                              {entry.first, entry.second.address, 0, false});
+                      return true;
+                  });
     const std::size_t dropped = std::erase_if(
         workers_to_store, [&known](const worker_id& id) { return !known.contains(id); });
     if (dropped == 0)
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -113,6 +113,15 @@
                     latest = std::max(latest, command.assignment);
         return latest;
     }
+    /// How often agents were told to poll a worker no more.
+    std::size_t unassigned_workers() const
+    {
+        std::size_t count = 0;
+        for (const auto& [agent, message] : sent)
+            for (const assign_command& command : message.commands.assignments)
+                count += command.assigned ? 0U : 1U;
+        return count;
+    }
     std::vector<start_command> sent_starts() const
     {
         std::vector<start_command> all;
@@ -408,6 +417,43 @@
     EXPECT_TRUE(stored_workers().empty());
 }
 
+// Guards against runs that wait for their lease, or lose it, because nobody polls their
+// worker any more once its entry is gone.
+TEST_F(owner_test, worker_without_an_entry_is_polled_while_it_has_runs)
+{
+    start();
+    submit("a");
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(200));
+    ASSERT_EQ(sent_starts().size(), 1U);
+    poll_result running = poll({latest_assignment(), 2});
+    running.running.push_back({sent_starts()[0].run, checkpoint(), 1});
+    report("a", report_with(running));
+    directory.changed_handler({});
+    for (std::uint64_t answer = 3; answer < 20; ++answer)
+    {
+        loop.advance(seconds(1));
+        running.sent_position = {latest_assignment(), answer};
+        running.running[0].percent = static_cast<std::uint32_t>(answer);
+        report("a", report_with(running));
+    }
+    EXPECT_EQ(unassigned_workers(), 0U);
+    EXPECT_EQ(stored_workers().size(), 1U);
+    EXPECT_EQ(sent_starts().size(), 1U);
+    worker_info other = directory.workers[0];
+    other.id = worker_id("other");
+    other.address = endpoint("10.0.0.2:1");
+    directory.changed_handler({other});
+    loop.advance(milliseconds(200));
+    agent_report replaced;
+    replaced.refused_polls.push_back(
+        {worker_id("w"), endpoint("10.0.0.1:1"), running.sent_position, true, 0});
+    replaced.refused_polls[0].sent_position.event += 1;
+    report("a", replaced);
+    loop.advance(seconds(1));
+    EXPECT_EQ(unassigned_workers(), 1U);
+}
+
 // A new owner does not know of runs on a worker that is not stored, and would start their
 // tasks again.
 TEST_F(owner_test, worker_added_during_a_write_is_not_used_before_it_is_stored)
