Count a worker whose lease has expired as one crash

Found while reading the change: a lost worker whose connections were refused and whose entry stays was counted as a crash in every decision, ten times a second or more.

The lease of a worker without runs expires without being counted. Test: suspect_task_test.lost_worker_counts_as_one_crash; without the condition the certain cause of another crash is taken for a suspect only.

--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -144,7 +144,9 @@
     for (const auto& [task, record] : worker.runs)
         if (judge_run(record, evidence) == run_fate::lost)
             lost.push_back(task);
-    give_up_runs(worker, lost, worker.refused_since != boot_time(), "lease ended", now);
+    if (!lost.empty())
+        give_up_runs(worker, lost, worker.refused_since != boot_time(), "lease ended",
+                     now);
 }
 
 void scheduler::implementation::stop_uncertain_start(worker_status& worker,
@@ -477,6 +479,7 @@
                           {"runs", std::uint64_t{worker.runs.size()}}});
         self.metrics.add("hawthornbeam_refusing_workers_total", {});
     }
+    // A refusal without another worker proves nothing about the runs.
     if (!refused.other_worker)
         return;
     self.log.warning("cell", "worker process ended",
--- a/unittests/cell/crash_blame_test.cpp
+++ b/unittests/cell/crash_blame_test.cpp
@@ -172,6 +172,39 @@
 
 INSTANTIATE_TEST_SUITE_P(refused, expired_worker_test, testing::Bool());
 
+// Guards against a lost worker that keeps its entry and counts as a crash again and
+// again, which would clear the tasks of other crashes.
+TEST(suspect_task_test, lost_worker_counts_as_one_crash)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    const decisions first = workers.decide();
+    ASSERT_EQ(first.starts.size(), 1U);
+    const std::string lost = first.starts[0].worker.value();
+    const std::string other = lost == "w0" ? "w1" : "w0";
+    workers.end_process(lost, false);
+    workers.advance(milliseconds(8200));
+    workers.poll(other);
+    workers.decide();
+    workers.advance(milliseconds(1000));
+    workers.poll(other);
+    workers.submit(fleet::job("b", "q", 1, 4, seconds(10)));
+    ASSERT_EQ(workers.decide().starts.size(), 1U);
+    for (int decision = 0; decision < 15; ++decision)
+    {
+        workers.advance(milliseconds(2));
+        workers.decide();
+    }
+    workers.store_changes();
+    workers.end_process(other);
+    std::vector<run_end> roles;
+    for (const stored_end& each : workers.store_changes().ends)
+        if (each.run.task.job == job_key("b"))
+            roles.push_back(each.outcome);
+    EXPECT_EQ(roles, std::vector<run_end>{run_end::crashed});
+}
+
 // Guards against a task that crashes each worker before it can answer the start.
 TEST(suspect_task_test, start_without_an_answer_before_the_crash_counts)
 {
