Keep a run whose answer is newer than the proof that its worker was replaced

Found in reading the change: another worker at the address gave up all runs of the former one, also a run whose start was answered after the poll was sent. That order says that a process of this worker had the address afterwards, so the poll proves nothing about the run.

Such a run stays open and is lost with the longest lease at the latest. Test: the case "replaced_before_the_answer" of run_evidence_test, which fails without it.

--- a/lib/cell/run_evidence.cpp
+++ b/lib/cell/run_evidence.cpp
@@ -56,8 +56,10 @@
         // A network that resets connections looks the same as an ended process.
         return run_fate::open;
     case evidence_kind::other_worker:
-        // Commands name the worker that they are for, so no other one executes them.
-        return run_fate::lost;
+        // Commands name the worker that they are for, so no other one executes them. An
+        // answer newer than the poll came from a process that had the address afterwards.
+        return run.answered && evidence.sent_position < run.position ? run_fate::open
+                                                                     : run_fate::lost;
     case evidence_kind::other_incarnation:
         return judge_restarted(run, evidence);
     case evidence_kind::unlisted:
--- a/unittests/cell/run_evidence_test.cpp
+++ b/unittests/cell/run_evidence_test.cpp
@@ -90,6 +90,14 @@
                       unanswered_start(),
                       {refused, after_answer, true, true},
                       run_fate::open},
+        evidence_case{"replaced_before_the_answer",
+                      answered_run(),
+                      {other_worker, before_answer},
+                      run_fate::open},
+        evidence_case{"replaced_unanswered",
+                      unanswered_start(),
+                      {other_worker, after_answer},
+                      run_fate::lost},
         evidence_case{
             "replaced", answered_run(), {other_worker, after_answer}, run_fate::lost},
         evidence_case{
