Test that a restarted worker with a run of an ended job does not end the owner

A job whose final state was read from the store has no steps in memory; when the next incarnation lists a run of it that is being stopped, its gang was looked up there.

Test: run_of_an_ended_job_test.

--- a/unittests/cell/restarted_worker_test.cpp
+++ b/unittests/cell/restarted_worker_test.cpp
@@ -101,6 +101,27 @@
     EXPECT_TRUE(workers.runs("a").empty());
 }
 
+// Guards against an owner that ends when a restarted worker executes a start of a job
+// whose final state was read from the store: the owner has no steps of it.
+TEST(run_of_an_ended_job_test, is_stopped_again_without_the_steps_of_its_job)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    const decisions decided = workers.decide();
+    ASSERT_EQ(decided.starts.size(), 1U);
+    scheduler next(scheduler_limits(), workers.log, workers.metrics);
+    workers.hand_over_to(next);
+    next.restore_final(job_key("a"), job_state::cancelled);
+    next.observe(workers.look("w0"), workers.clock.now());
+    EXPECT_EQ(next.decide(workers.clock.now()).stops.size(), 1U);
+    workers.restart("w0");
+    workers.deliver(decided.starts[0]);
+    next.observe(workers.look("w0"), workers.clock.now());
+    EXPECT_EQ(next.decide(workers.clock.now()).stops.size(), 1U);
+    EXPECT_EQ(next.state(job_key("a")), job_state::cancelled);
+}
+
 /// Answers to a start that do not prove that its run never began.
 class doubtful_start_answer_test : public testing::TestWithParam<command_outcome>
 {
