--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -194,7 +194,7 @@
     void drop_old_queues(const std::set<queue_name>& configured);
     std::uint32_t waiting_tasks(const step_status& step) const;
 
-    // Runs and workers; defined in observe.cpp and workers.cpp.
+    // Runs and workers; defined in observe.cpp, incarnations.cpp and workers.cpp.
     worker_status& find_or_add_worker(const worker_id& id, boot_time now);
     /// Removes the record of a run and frees its capacity.
     void release(worker_status& worker, const task_ref& task);
