Log ends that are not counted and what an owner cannot know

On-call engineers could not tell the hypotheses of the double runs apart: an end whose number was counted before was dropped without a line, as were answers that a former agent reports, workers that a new owner gave up before they answered, and polls that extend no lease. No decision has changed.

--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -49,6 +49,7 @@
     end_number last_acknowledged; ///< Last run end that the owner has acknowledged.
     end_number last_dropped;      ///< Last run end that the worker has dropped.
     end_number last_listed;       ///< Last run end that a poll has returned.
+    bool lease_extended = false;  ///< By the last poll that followed an answer.
     worker_time clock;            ///< Clock of the worker in its last answer.
     boot_time clock_read_at{};
     std::uint32_t failed_polls = 0;
@@ -161,6 +162,11 @@
                                        .count());
     if (worker.clock_read_at != boot_time())
         call.wait = poll_wait;
+    if (worker.lease_extended && !call.lease_until)
+        log.info("agent", "lease not extended",
+                 {{"worker", id.value()},
+                  {"reason", owner_is_silent ? "owner silent" : "worker silent"}});
+    worker.lease_extended = call.lease_until.has_value();
     const event_position sent_position{worker.assignment, event_count};
     port.poll(call,
               [weak = weak_from_this(), id, sent_position,
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -38,13 +38,20 @@
 /// Progress of a run that has completed its work.
 inline constexpr std::uint32_t complete_percent = 100;
 
+/// A run whose end was counted.
+struct ended_run
+{
+    run_number run;
+    worker_id worker; ///< Empty if a former owner stored the end.
+};
+
 struct task_status
 {
     bool done = false;
     std::uint32_t failures = 0;
     run_number last_run;
     /// Runs whose end was counted. After a takeover, ends may arrive in any order.
-    std::vector<run_number> ended_runs;
+    std::vector<ended_run> ended_runs;
     checkpoint saved;
     worker_id run_worker; ///< Worker with a run record of the task; empty: none.
     worker_id failed_on;  ///< Worker of the latest failed or stalled run.
@@ -55,8 +62,9 @@
     run_number untraced_run;
 };
 
-/// Counts the end of a run. Returns false when it was counted before.
-bool count_run(task_status& task, run_number run);
+/// Counts the end of a run on a worker. Returns the end that was counted before under the
+/// number of the run, or nullptr.
+const ended_run* count_run(task_status& task, run_number run, const worker_id& worker);
 
 /// Ticket for a step on a worker, with its expiry time.
 struct permission
@@ -217,6 +225,9 @@
     void handle_end(worker_status& worker, const ended_task& end, boot_time now);
     void count_end(worker_status& worker, job_status& job, const ended_task& end,
                    boot_time now);
+    /// Logs an end whose number was counted before, with the worker of that end.
+    void log_uncounted_end(const worker_status& worker, const ended_task& end,
+                           const worker_id& counted_on) const;
     /// Handles the end of a run that was listed before its job was known.
     void apply_early_end(const worker_id& worker, const ended_task& end);
     /// Records a listed run as the run of its task, or stops it when the task has a run
--- a/lib/cell/crashes.cpp
+++ b/lib/cell/crashes.cpp
@@ -100,7 +100,7 @@
     job_status* job = find_job(task.job);
     task_status* status = find_task(job, task);
     if (status == nullptr || is_final(job->state) || status->done ||
-        !count_run(*status, run))
+        count_run(*status, run, worker.info.id) != nullptr)
         return;
     status->crashes.add(role,
                         is_age_known(worker, record) ? std::optional(age) : std::nullopt);
@@ -156,7 +156,7 @@
 {
     task_status& status = job.steps[task.step].tasks[task.index];
     const run_number run = std::exchange(status.untraced_run, run_number());
-    if (run == run_number() || !count_run(status, run))
+    if (run == run_number() || count_run(status, run, worker_id()) != nullptr)
         return;
     status.crashes.add(run_end::crash_suspect, std::nullopt);
     changes.ends.push_back({{task, run}, run_end::crash_suspect});
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -33,13 +33,14 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
-bool count_run(task_status& task, run_number run)
+const ended_run* count_run(task_status& task, run_number run, const worker_id& worker)
 {
-    if (std::ranges::find(task.ended_runs, run) != task.ended_runs.end())
-        return false;
-    task.ended_runs.push_back(run);
+    const auto counted = std::ranges::find(task.ended_runs, run, &ended_run::run);
+    if (counted != task.ended_runs.end())
+        return &*counted;
+    task.ended_runs.push_back({run, worker});
     task.last_run = std::max(task.last_run, run);
-    return true;
+    return nullptr;
 }
 
 scheduler::scheduler(const scheduler_limits& limits, const logger& log,
@@ -395,7 +396,7 @@
         task->untraced_run = std::max(task->untraced_run, end.run.run);
         return;
     }
-    if (!count_run(*task, end.run.run))
+    if (count_run(*task, end.run.run, worker_id()) != nullptr)
         return;
     job->started = true;
     job->state = job_state::running;
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -68,7 +68,9 @@
     const std::int64_t silence_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(store.silence()).count();
     if (logged_store_failing)
-        parts.log.warning("node", "store does not answer", {{"silence_ms", silence_ms}});
+        parts.log.warning(
+            "node", "store does not answer",
+            {{"silence_ms", silence_ms}, {"owner", claim.is_owner() ? 1 : 0}});
     else
         parts.log.info("node", "store answers again", {});
     parts.metrics.set_gauge("hawthornbeam_store_answers", {},
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -182,13 +182,30 @@
         count_end(worker, *job, end, now);
 }
 
+void scheduler::implementation::log_uncounted_end(const worker_status& worker,
+                                                  const ended_task& end,
+                                                  const worker_id& counted_on) const
+{
+    const task_ref& task = end.run.task;
+    log.info("cell", "end not counted",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"run", std::uint64_t{end.run.run.value()}},
+              {"worker", worker.info.id.value()},
+              {"how", to_string(end.outcome)},
+              {"counted_on", counted_on.value()}});
+    metrics.add("hawthornbeam_ends_not_counted_total", {{"how", to_string(end.outcome)}});
+}
+
 void scheduler::implementation::count_end(worker_status& worker, job_status& job,
                                           const ended_task& end, boot_time now)
 {
     const task_ref& task = end.run.task;
     task_status& status = job.steps[task.step].tasks[task.index];
-    if (!count_run(status, end.run.run))
-        return;
+    const ended_run* counted = count_run(status, end.run.run, worker.info.id);
+    if (counted != nullptr)
+        return log_uncounted_end(worker, end, counted->worker);
     if (!end.saved.empty())
         status.saved = end.saved;
     if (is_final(job.state) || status.done)
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -155,6 +155,9 @@
         if (route != routes.end() &&
             poll.sent_position.assignment == route->second.assignment)
             cell.observe(poll, now);
+        else
+            parts.log.info("owner", "poll not counted",
+                           {{"worker", poll.worker.value()}, {"agent", from.value()}});
     }
     for (const refused_poll& refused : report.refused_polls)
     {
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -126,6 +126,10 @@
             ++entry;
             continue;
         }
+        if (unsettled.contains(entry->first))
+            log.warning("cell", "expected worker not polled",
+                        {{"worker", entry->first.value()},
+                         {"runs", std::uint64_t{worker.runs.size()}}});
         mark_settled(entry->first, now);
         expire_runs(worker, now);
         worker.polled = false;
