--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -50,7 +50,7 @@
          bool is_small, const std::function<void(const std::string&)>& log_sink)
         : id("h" + std::to_string(number) + "." + std::to_string(incarnation)),
           address("h" + std::to_string(number) + ":1"), loop(network.loop_of(id)),
-          store(store_state, loop), port(simulation_loop, loop, workers),
+          store(store_state, loop), port(simulation_loop, loop, workers, number),
           directory(loop, workers),
           peers(network.make_peers(id, wire::peer_address(address.value()))),
           random(seed * 1000 + number * 100 + incarnation),
@@ -299,7 +299,64 @@
     case cell_failure::worker_restarts_at_once:
         // Faster than a poll times out, so that starts reach the next incarnation first.
         return workers_.crash(worker, milliseconds(20 + random_.below(800)));
+    case cell_failure::worker_cut_off_beyond_lease:
+    {
+        const duration time = beyond_lease();
+        record_long_disturbance(time);
+        return workers_.cut_off(worker, loop_.clock().now() + time);
+    }
+    case cell_failure::owner_cut_off_with_workers:
+    {
+        std::set<worker_id> island;
+        for (const worker_id& each : all_workers)
+            if (random_.below(2) == 0)
+                island.insert(each);
+        return cut_off_together({owner_host, chosen_host}, island, beyond_lease());
+    }
+    case cell_failure::host_unheard_beside_worker:
+    {
+        const duration time = beyond_lease();
+        record_long_disturbance(time);
+        for (std::size_t peer = 0; peer < hosts_.size(); ++peer)
+            if (peer != chosen_host)
+                network_.cut(hosts_[chosen_host]->id, hosts_[peer]->id);
+        schedule(time, [this] { network_.heal_all(); });
+        return workers_.restrict_to({chosen_host}, worker, loop_.clock().now() + time);
+    }
+    }
+}
+
+void cell_simulation::cut_off_together(const std::set<std::size_t>& hosts,
+                                       const std::set<worker_id>& workers, duration time)
+{
+    record_long_disturbance(time);
+    std::set<std::size_t> others;
+    for (std::size_t number = 0; number < hosts_.size(); ++number)
+        if (!hosts.contains(number))
+            others.insert(number);
+    for (const std::size_t number : hosts)
+    {
+        hosts_[number]->store.condition = store_condition::refusing;
+        restore_store_later(number, time);
+        for (const std::size_t other : others)
+            network_.cut_both(hosts_[number]->id, hosts_[other]->id);
     }
+    schedule(time, [this] { network_.heal_all(); });
+    const boot_time until = loop_.clock().now() + time;
+    for (const worker_id& each : workers_.ids())
+        workers_.restrict_to(workers.contains(each) ? hosts : others, each, until);
+}
+
+duration cell_simulation::beyond_lease()
+{
+    return milliseconds(9000 + random_.below(9000));
+}
+
+void cell_simulation::record_long_disturbance(duration time)
+{
+    for (duration passed{}; passed < time; passed += seconds(1))
+        schedule(passed, [this] { record_disturbance(); });
+    schedule(time, [this] { record_disturbance(); });
 }
 
 job_spec cell_simulation::make_job()
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -10,6 +10,7 @@
 #include "test/standins/memory_peer_network.hpp"
 
 #include <memory>
+#include <set>
 
 namespace hawthornbeam::cell
 {
@@ -37,13 +38,17 @@
     worker_drains,
     connection_silent,
     worker_connections_reset,
-    worker_restarts_at_once
+    worker_restarts_at_once,
+    worker_cut_off_beyond_lease,
+    owner_cut_off_with_workers,
+    host_unheard_beside_worker
 };
 
-inline constexpr std::size_t cell_failures = 21;
-/// Number of the first kinds, from which earlier tests draw by seed. It stays as it is,
-/// so that their seeds give the same histories.
+inline constexpr std::size_t cell_failures = 24;
+/// Numbers of the first kinds, from which earlier tests draw by seed. They stay as they
+/// are, so that the seeds of these tests give the same histories.
 inline constexpr std::size_t first_cell_failures = 19;
+inline constexpr std::size_t contact_cell_failures = 21;
 
 /// Hosts, load and store of a simulated cell.
 struct cell_shape
@@ -113,6 +118,14 @@
     std::size_t random_host();
     void inject_failure(cell_failure failure);
     void restore_store_later(std::size_t number, duration after);
+    /// Cuts some hosts and workers off from the store and from all other hosts and
+    /// workers; they reach each other.
+    void cut_off_together(const std::set<std::size_t>& hosts,
+                          const std::set<worker_id>& workers, duration time);
+    /// Returns a time that is longer than the wait for an unreachable worker.
+    duration beyond_lease();
+    /// Records a failure that lasts longer than the checker expects of one.
+    void record_long_disturbance(duration time);
     job_spec make_job();
     /// Lets one task of the job crash its workers, for some of the jobs.
     void choose_crashing_task(const job_spec& job);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -72,9 +72,11 @@
     std::vector<cell_failure> failures;
     for (std::size_t each = 0; each < 2 + seed % 3; ++each)
         failures.push_back(static_cast<cell_failure>(
-            first_cell_failures + random.below(cell_failures - first_cell_failures)));
+            first_cell_failures +
+            random.below(contact_cell_failures - first_cell_failures)));
     for (std::size_t each = 0; each < seed % 4; ++each)
-        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+        failures.push_back(
+            static_cast<cell_failure>(random.below(contact_cell_failures)));
     cell_simulation simulation(seed, tasks_of_seconds);
     simulation.run(seconds(15), failures);
     expect_all_cell_rules_kept(simulation);
@@ -104,12 +106,50 @@
     random_source random(seed);
     std::vector<cell_failure> failures{cell_failure::store_refuses_all};
     for (std::size_t each = 0; each < seed % 3; ++each)
-        failures.push_back(static_cast<cell_failure>(random.below(cell_failures)));
+        failures.push_back(
+            static_cast<cell_failure>(random.below(contact_cell_failures)));
     cell_simulation simulation(seed, few_listed_ends);
     simulation.run(seconds(15), failures);
     expect_all_cell_rules_kept(simulation);
 }
 
+/// Failures that last longer than the lease of a worker, each with others beside it.
+class long_failure_test : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+    static void play(cell_failure kind)
+    {
+        const std::uint64_t seed = GetParam();
+        random_source random(seed);
+        std::vector<cell_failure> failures(1 + seed % 2, kind);
+        for (std::size_t each = 0; each < 1 + seed % 3; ++each)
+            failures.push_back(
+                static_cast<cell_failure>(random.below(first_cell_failures)));
+        cell_simulation simulation(seed, tasks_of_seconds);
+        simulation.run(seconds(25), failures);
+        expect_all_cell_rules_kept(simulation);
+    }
+};
+
+// Guards against giving a number of a run again that a former owner used on a worker
+// which nobody reaches.
+TEST_P(long_failure_test, end_of_an_unknown_run_does_not_hide_that_of_its_successor)
+{
+    play(cell_failure::worker_cut_off_beyond_lease);
+}
+
+// Guards against an owner that goes on after another instance may have claimed the cell.
+TEST_P(long_failure_test, owner_in_an_island_does_not_run_tasks_beside_its_successor)
+{
+    play(cell_failure::owner_cut_off_with_workers);
+}
+
+// Guards against leases that are extended by an agent whose reports the owner misses.
+TEST_P(long_failure_test, agent_that_nobody_hears_does_not_extend_leases)
+{
+    play(cell_failure::host_unheard_beside_worker);
+}
+
 class unequal_hosts_test : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -281,6 +321,9 @@
 INSTANTIATE_TEST_SUITE_P(seeds, worker_contact_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, long_failure_test,
+                         testing::Range(std::uint64_t{1}, seed_count() + 1));
+
 INSTANTIATE_TEST_SUITE_P(regressions, crashing_tasks_test, testing::Values(312, 368));
 
 INSTANTIATE_TEST_SUITE_P(seeds, crashing_tasks_test,
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -419,6 +419,15 @@
     workers_.at(id).waiting.clear();
 }
 
+void simulated_workers::restrict_to(const std::set<std::size_t>& hosts,
+                                    const worker_id& id, boot_time until)
+{
+    simulated_worker& worker = workers_.at(id);
+    worker.only_hosts = hosts;
+    worker.restricted_until = until;
+    worker.waiting.clear();
+}
+
 void simulated_workers::reset_connections(const worker_id& id, boot_time until)
 {
     workers_.at(id).resets_until = until;
@@ -461,10 +470,12 @@
     history_.late_commands.push_back(loop_.clock().now());
 }
 
-bool simulated_workers::is_cut_off(const worker_id& id) const
+bool simulated_workers::is_cut_off(const worker_id& id, std::size_t host) const
 {
     const simulated_worker& worker = workers_.at(id);
-    return !worker.up || loop_.clock().now() < worker.cut_off_until;
+    const boot_time now = loop_.clock().now();
+    return !worker.up || now < worker.cut_off_until ||
+           (now < worker.restricted_until && !worker.only_hosts.contains(host));
 }
 
 duration simulated_workers::command_delay(const worker_id& id)
@@ -494,8 +505,8 @@
 }
 
 simulated_port::simulated_port(event_loop& loop, event_loop& instance_loop,
-                               simulated_workers& workers)
-    : loop_(loop), instance_loop_(instance_loop), workers_(workers)
+                               simulated_workers& workers, std::size_t host)
+    : loop_(loop), instance_loop_(instance_loop), workers_(workers), host_(host)
 {
 }
 
@@ -521,20 +532,20 @@
         return workers_.schedule(instance_loop_, 2 * link_delay,
                                  [once, refused] { once(refused); });
     }
-    if (workers_.is_cut_off(call.worker))
+    if (workers_.is_cut_off(call.worker, host_))
         return;
-    workers_.schedule(loop_, link_delay,
-                      [&instance_loop = instance_loop_, &workers = workers_, call, once]
-                      {
-                          if (workers.is_cut_off(call.worker))
-                              return;
-                          workers.poll(
-                              call,
-                              [&instance_loop, &workers, once](const poll_answer& given) {
-                                  workers.schedule(instance_loop, link_delay,
-                                                   [once, given] { once(given); });
-                              });
-                      });
+    workers_.schedule(
+        loop_, link_delay,
+        [&instance_loop = instance_loop_, &workers = workers_, host = host_, call, once]
+        {
+            if (workers.is_cut_off(call.worker, host))
+                return;
+            workers.poll(call,
+                         [&instance_loop, &workers, once](const poll_answer& given) {
+                             workers.schedule(instance_loop, link_delay,
+                                              [once, given] { once(given); });
+                         });
+        });
 }
 
 void simulated_port::command(const worker_id& worker,
@@ -551,19 +562,20 @@
     if (refusal)
         return workers_.schedule(instance_loop_, 2 * link_delay,
                                  [done, refusal] { done(*refusal); });
-    if (workers_.is_cut_off(worker))
+    if (workers_.is_cut_off(worker, host_))
         return unanswered();
     const duration delay = workers_.command_delay(worker);
     if (delay > duration::zero())
     {
-        workers_.schedule(loop_, delay,
-                          [&workers = workers_, worker, execute = std::move(execute)]
-                          {
-                              if (workers.is_cut_off(worker))
-                                  return;
-                              workers.record_late_command();
-                              execute();
-                          });
+        workers_.schedule(
+            loop_, delay,
+            [&workers = workers_, worker, host = host_, execute = std::move(execute)]
+            {
+                if (workers.is_cut_off(worker, host))
+                    return;
+                workers.record_late_command();
+                execute();
+            });
         return unanswered();
     }
     workers_.schedule(loop_, link_delay,
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace hawthornbeam::cell
 {
@@ -45,6 +46,9 @@
     void resize(const worker_id& id, std::int64_t cores);
     /// Leaves calls to the worker unanswered until \p until; its runs continue.
     void cut_off(const worker_id& id, boot_time until);
+    /// Until \p until, only these hosts reach the worker.
+    void restrict_to(const std::set<std::size_t>& hosts, const worker_id& id,
+                     boot_time until);
     /// Resets all connections to the worker until \p until; its runs continue. New
     /// connections are refused as by a host whose process has ended.
     void reset_connections(const worker_id& id, boot_time until);
@@ -54,7 +58,7 @@
     /// incarnation starts 3 s later.
     void drain(const worker_id& id, duration pause);
 
-    bool is_cut_off(const worker_id& id) const;
+    bool is_cut_off(const worker_id& id, std::size_t host) const;
     /// Returns what a caller learns when its connection is refused: nothing seems to
     /// listen at the worker's address, or another worker does; empty if it is not
     /// refused.
@@ -104,6 +108,8 @@
         std::uint64_t last_poll = 0;
         std::map<std::uint64_t, waiting_poll> waiting;
         boot_time cut_off_until{};
+        std::set<std::size_t> only_hosts; ///< These reach it until restricted_until.
+        boot_time restricted_until{};
         boot_time resets_until{};
         boot_time delay_commands_until{};
         timer_handle lease_timer;
@@ -145,7 +151,7 @@
 public:
     /// Delivers answers on \p instance_loop; the workers run on \p loop.
     simulated_port(event_loop& loop, event_loop& instance_loop,
-                   simulated_workers& workers);
+                   simulated_workers& workers, std::size_t host);
 
     void poll(const poll_call& call, std::function<void(poll_answer)> done) override;
     void start(const start_command& command, fence_token token,
@@ -161,6 +167,7 @@
     event_loop& loop_;
     event_loop& instance_loop_;
     simulated_workers& workers_;
+    std::size_t host_; ///< Number of the instance's host.
 };
 
 /// Reports the list of workers to an instance, with a short delay.
