Give no number to two runs of a task

Callers saw tasks start after an end as done. A new owner counted the runs of a task from the highest number that it had seen. Runs of its predecessor on a worker that nobody reached until its lease expired, and runs whose ends were acknowledged without a record, are not seen, so that their numbers were given again. Ends are counted by task and number: when the worker was reachable again, the end of the first run took the place of that of the second, whose 'done' was acknowledged and dropped. The task was started once more.

The class: what names a run did not name one run. Each claim now has a term, stored with it in one transaction, and the runs of inherited jobs are numbered above all numbers of earlier terms (100,000 a term). A pair of task and number names one run for every path that uses it: counted and stored ends, early ends, stops, late starts, crashes, untraced runs. A claim that is based on an outdated term fails. Jobs that the owner accepted still begin at 1.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -71,6 +71,9 @@
     /// Policies of the configured queues and of the latest removed ones.
     std::vector<queue_policy> queues() const;
 
+    /// Sets the term of the owner before any job is added. Terms number the runs of
+    /// inherited jobs, since nobody may know the runs that former owners started.
+    void set_term(owner_term term);
     /// Adds a job. Returns false when the job is known already. An inherited job may have
     /// runs that a former owner started, so its tasks wait until every worker that could
     /// have such a run was polled or its lease has expired. \p submitted is the time of
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -34,7 +34,11 @@
 /// Incarnation of a worker: the start time of its process, in ms since 1970. A worker
 /// that restarts under its id has a new incarnation, no runs and no fencing token.
 using worker_incarnation = strong_number<struct worker_incarnation_tag, std::int64_t>;
-/// Number of a run within its task, counted from 1.
+/// Number of a claim of the cell, counted from 1. Each claim has a higher one.
+using owner_term = strong_number<struct owner_term_tag, std::uint32_t>;
+/// Number of a run within its task. No two runs of a task have the same number: those of
+/// a job that the owner accepted begin at 1, those of an inherited job above all numbers
+/// of earlier terms.
 using run_number = strong_number<struct run_tag, std::uint32_t>;
 /// Time on the steady clock of a worker, in ms.
 using worker_time = strong_number<struct worker_time_tag, std::int64_t>;
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -22,6 +22,9 @@
 /// A command without an answer may still be executed up to this long after it was sent.
 inline constexpr duration late_command_limit = std::chrono::milliseconds(12000);
 
+/// Numbers that one term can give to the runs of a task.
+inline constexpr std::uint32_t runs_per_term = 100'000;
+
 /// Number of removed queues whose policies are kept although they have no open jobs.
 inline constexpr std::size_t max_removed_queues = 256;
 
@@ -339,6 +342,7 @@
     scheduler_limits limits;
     const logger& log;
     metrics_registry& metrics;
+    run_number former_runs; ///< Highest number that an earlier term can have used.
     std::map<queue_name, queue_policy> queues;
     /// Queues that are not configured any more, the first removed one first. Jobs that
     /// were accepted before the removal may still arrive.
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -57,6 +57,8 @@
     void handle_listing(const store_listing& listing);
     void handle_changes(const std::vector<store_event>& events);
     void handle_claim_key(const std::optional<store_item>& item);
+    /// Reads the term of the latest claim.
+    void handle_term(const store_item& item);
     void set_owner(const owner_identity& shown);
     void on_owner_stopped(fence_token token, const char* reason);
     bool may_replace() const
@@ -89,6 +91,8 @@
     lease_id lease;
     kv_revision own_last_claim; ///< Own latest claim; none after stepping down.
     kv_revision latest_claim;   ///< Latest claim of any instance.
+    owner_term latest_term;     ///< Of latest_claim.
+    kv_revision term_revision;  ///< Of the record of latest_term; zero if there is none.
     /// Value of latest_claim when the commit was sent.
     kv_revision expected_latest_claim;
     bool is_free = false;      ///< No claim in the store at the last read.
@@ -122,15 +126,31 @@
             claim_item = item;
         else if (item.key == last_claim_key)
             latest_claim = std::max(latest_claim, item.revision);
+        else if (item.key == term_key)
+            handle_term(item);
     handle_claim_key(claim_item);
 }
 
+void claim::implementation::handle_term(const store_item& item)
+{
+    if (item.revision <= term_revision)
+        return;
+    term_revision = item.revision;
+    const result<owner_term> term = decode_term(item.value);
+    if (!term)
+        return log.error("claim", "term cannot be read",
+                         {{"reason", term.error().message}});
+    latest_term = std::max(latest_term, term.value());
+}
+
 void claim::implementation::handle_changes(const std::vector<store_event>& changes)
 {
     for (const store_event& event : changes)
     {
         if (event.item.key == last_claim_key && !event.removed)
             latest_claim = std::max(latest_claim, event.item.revision);
+        if (event.item.key == term_key && !event.removed)
+            handle_term(event.item);
         if (event.item.key != owner_key)
             continue;
         handle_claim_key(event.removed ? std::nullopt
@@ -228,10 +248,13 @@
         may_replace() && !is_free ? kv_revision(current->token.value()) : kv_revision();
     const std::string value = encode(owner_record{self.instance, self.address});
     store_transaction change;
+    // A claim that is based on an outdated term fails, so that no term is used twice.
     change.expect = {{std::string(owner_key), replaced},
-                     {std::string(last_claim_key), expected_latest_claim}};
+                     {std::string(last_claim_key), expected_latest_claim},
+                     {std::string(term_key), term_revision}};
     change.puts = {{std::string(owner_key), value, lease},
-                   {std::string(last_claim_key), value, lease_id()}};
+                   {std::string(last_claim_key), value, lease_id()},
+                   {std::string(term_key), encode(latest_term.next()), lease_id()}};
     store.commit(std::move(change), guarded(&implementation::handle_commit));
 }
 
@@ -257,6 +280,12 @@
     owning = true;
     own_last_claim = revision;
     latest_claim = std::max(latest_claim, revision);
+    // The claim's own changes are skipped below.
+    if (term_revision < revision)
+    {
+        latest_term = latest_term.next();
+        term_revision = revision;
+    }
     is_free = false;
     follower->advance_to(revision);
     current = owner_identity{self.instance, self.address, fence_token(revision.value())};
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -176,6 +176,18 @@
     return listed;
 }
 
+void scheduler::set_term(owner_term term)
+{
+    constexpr std::uint32_t max_terms =
+        std::numeric_limits<std::uint32_t>::max() / runs_per_term;
+    const std::uint32_t former_terms = std::max(term.value(), 1U) - 1;
+    if (former_terms >= max_terms)
+        implementation_->log.error("cell", "run numbers may repeat",
+                                   {{"term", std::uint64_t{term.value()}}});
+    implementation_->former_runs =
+        run_number(std::min(former_terms, max_terms - 1) * runs_per_term);
+}
+
 bool scheduler::add_job(job_spec job, bool inherited, boot_time submitted)
 {
     implementation& self = *implementation_;
@@ -189,6 +201,9 @@
     {
         step_status& added = status.steps.emplace_back();
         added.tasks.resize(step.count);
+        if (inherited)
+            for (task_status& task : added.tasks)
+                task.last_run = self.former_runs;
         added.remaining = step.count;
     }
     status.spec = std::move(job);
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -114,6 +114,7 @@
     void load();
     void read_stored_jobs();
     void handle_listing(const store_listing& listing);
+    void handle_term(const store_item& item);
     void handle_item(const store_item& item, std::vector<stored_end>& ends,
                      std::vector<job_key>& cancels);
     void remove_ends_of_ended_jobs();
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -52,6 +52,9 @@
 {
     std::vector<stored_end> ends;
     std::vector<job_key> cancels;
+    for (const store_item& item : listing.items)
+        if (item.key == term_key)
+            handle_term(item);
     for (const store_item& item : listing.items)
         handle_item(item, ends, cancels);
     for (const stored_end& end : ends)
@@ -84,6 +87,15 @@
     schedule_decision();
 }
 
+void owner::implementation::handle_term(const store_item& item)
+{
+    const result<owner_term> term = decode_term(item.value);
+    if (!term)
+        return parts.log.error("owner", "term cannot be read",
+                               {{"reason", term.error().message}});
+    cell.set_term(term.value());
+}
+
 void owner::implementation::handle_item(const store_item& item,
                                         std::vector<stored_end>& ends,
                                         std::vector<job_key>& cancels)
--- a/lib/cell/stored_form.cpp
+++ b/lib/cell/stored_form.cpp
@@ -92,6 +92,10 @@
 {
     return encode_value(owner);
 }
+std::string encode(owner_term term)
+{
+    return encode_value(term);
+}
 result<job_record> decode_job(std::string_view bytes)
 {
     return decode_value<job_record>(bytes);
@@ -112,5 +116,9 @@
 {
     return decode_value<owner_record>(bytes);
 }
+result<owner_term> decode_term(std::string_view bytes)
+{
+    return decode_value<owner_term>(bytes);
+}
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/stored_form.hpp
+++ b/lib/cell/stored_form.hpp
@@ -21,6 +21,9 @@
 /// Key of the latest claim, kept after the claim's lease has ended. It begins with
 /// owner_key, so that one listing returns both.
 inline constexpr std::string_view last_claim_key = "cell/owner-last";
+/// Key of the term of the latest claim, written with it. It begins with owner_key like
+/// last_claim_key.
+inline constexpr std::string_view term_key = "cell/owner-term";
 /// Key of the ids of the workers on which tasks may run.
 inline constexpr std::string_view workers_key = "cell/workers";
 /// Key of the policies of the queues that the owner has been configured with.
@@ -48,11 +51,13 @@
 std::string encode(const std::vector<worker_id>& workers);
 std::string encode(const std::vector<queue_policy>& queues);
 std::string encode(const owner_record& owner);
+std::string encode(owner_term term);
 result<job_record> decode_job(std::string_view bytes);
 result<std::vector<stored_end>> decode_ends(std::string_view bytes);
 result<std::vector<worker_id>> decode_workers(std::string_view bytes);
 result<std::vector<queue_policy>> decode_queues(std::string_view bytes);
 result<owner_record> decode_owner(std::string_view bytes);
+result<owner_term> decode_term(std::string_view bytes);
 
 } // namespace hawthornbeam::cell
 
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -1,6 +1,7 @@
 #include "hawthornbeam/cell/claim.hpp"
 
 #include "hawthornbeam/cell/observed_store.hpp"
+#include "lib/cell/stored_form.hpp"
 #include "memory_store.hpp"
 
 #include <gtest/gtest.h>
@@ -100,6 +101,35 @@
     EXPECT_EQ(former.lost_count, 1);
 }
 
+// Guards against two owners that give the same numbers to runs.
+TEST_F(claim_test, each_claim_has_a_higher_term)
+{
+    start();
+    for (std::uint32_t term = 1; term <= 4; ++term)
+    {
+        const result<owner_term> stored =
+            decode_term(state.items.at(std::string(term_key)).value);
+        ASSERT_TRUE(stored);
+        EXPECT_EQ(stored.value(), owner_term(term));
+        owner().cell_claim.resign(milliseconds(500), "test");
+        loop.advance(seconds(3));
+        ASSERT_EQ(owners(), 1);
+    }
+}
+
+// Guards against a term that is counted from an instance's own claims only.
+TEST_F(claim_test, claim_continues_from_the_latest_term_in_the_store)
+{
+    start();
+    ++state.revision;
+    state.put(std::string(term_key), encode(owner_term(7)), lease_id());
+    owner().cell_claim.resign(milliseconds(500), "test");
+    loop.advance(seconds(3));
+    ASSERT_EQ(owners(), 1);
+    EXPECT_EQ(decode_term(state.items.at(std::string(term_key)).value).value(),
+              owner_term(8));
+}
+
 TEST_F(claim_test, owner_keeps_its_role_in_a_store_outage_and_continues_its_claim)
 {
     start();
