Do not let the late end of a former run stop a gang or replace its progress

A worker that becomes reachable again lists the ends of runs that a former owner started. The end of an older run of a gang stopped the members of the present one, and the checkpoint of an older run replaced a newer one, so that work was lost.

A gang is stopped only for the end of its present run, and a checkpoint is kept unless a newer run has saved one. Since numbers rise over all owners, they order the runs. The two new cases of run_numbers_test fail without the guards.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -56,6 +56,7 @@
     /// Runs whose end was counted. After a takeover, ends may arrive in any order.
     std::vector<ended_run> ended_runs;
     checkpoint saved;
+    run_number saved_by;  ///< Run that reported `saved`.
     worker_id run_worker; ///< Worker with a run record of the task; empty: none.
     worker_id failed_on;  ///< Worker of the latest failed or stalled run.
     crash_record crashes;
@@ -65,6 +66,9 @@
     run_number untraced_run;
 };
 
+/// Keeps the state that a run has saved, unless a newer run has saved one.
+void keep_saved(task_status& task, run_number run, const checkpoint& saved);
+
 /// Counts the end of a run on a worker. Returns the end that was counted before under the
 /// number of the run, or nullptr.
 const ended_run* count_run(task_status& task, run_number run, const worker_id& worker);
@@ -222,9 +226,13 @@
     void request_stop(const worker_id& worker, const task_ref& task);
     /// Stops a run whose start got no answer, also if the former incarnation was told to.
     void stop_uncertain_start(worker_status& worker, const task_ref& task, boot_time now);
-    /// Stops all runs of a gang, which is placed again after a pause. Does nothing for a
-    /// step that is not a gang.
-    void restart_gang(job_status& job, std::uint32_t step, boot_time now);
+    /// Stops all members of a gang's run \p ended, of which one has ended, so that the
+    /// gang is placed again after a pause. Does nothing if the step is not a gang or has
+    /// a newer run.
+    void restart_gang(job_status& job, std::uint32_t step, run_number ended,
+                      boot_time now);
+    /// Returns the highest number of the present runs of a step; zero if it has none.
+    run_number present_run(const job_status& job, std::uint32_t step) const;
     void handle_end(worker_status& worker, const ended_task& end, boot_time now);
     void count_end(worker_status& worker, job_status& job, const ended_task& end,
                    boot_time now);
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -33,7 +33,7 @@
     // and the start can no longer be executed. The members that do run would wait
     // forever.
     if (job.inherited && status.occupied > 0 && status.occupied < status.tasks.size())
-        restart_gang(job, key.step, pass.now);
+        restart_gang(job, key.step, present_run(job, key.step), pass.now);
     // All members of a gang start with the same run number and the same saved state.
     if (status.occupied > 0 || status.not_before > pass.now)
         return true;
@@ -46,6 +46,7 @@
     std::vector<worker_status*> targets;
     run_number run;
     checkpoint saved;
+    run_number saved_by;
     for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
     {
         const task_status& member = status.tasks[index];
@@ -57,13 +58,17 @@
         assigned_capacity[target->info.id] += job.spec.steps[key.step].size;
         ++tasks_on_worker[target->info.id];
         run = std::max(run, member.last_run);
-        if (!member.saved.empty())
+        if (!member.saved.empty() && member.saved_by >= saved_by)
+        {
             saved = member.saved;
+            saved_by = member.saved_by;
+        }
     }
     status.held_from.reset();
     for (std::uint32_t index = 0; index < targets.size(); ++index)
     {
         status.tasks[index].saved = saved;
+        status.tasks[index].saved_by = saved_by;
         start(job, task_ref{job.spec.id, key.step, index}, run.next(), *targets[index],
               pass);
     }
--- a/lib/cell/incarnations.cpp
+++ b/lib/cell/incarnations.cpp
@@ -92,7 +92,7 @@
     {
         job_status* job = find_job(task.job);
         if (job != nullptr)
-            restart_gang(*job, task.step, now);
+            restart_gang(*job, task.step, worker.runs.at(task).run, now);
         stop_uncertain_start(worker, task, now);
     }
 }
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -33,6 +33,14 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+void keep_saved(task_status& task, run_number run, const checkpoint& saved)
+{
+    if (saved.empty() || run < task.saved_by)
+        return;
+    task.saved = saved;
+    task.saved_by = run;
+}
+
 const ended_run* count_run(task_status& task, run_number run, const worker_id& worker)
 {
     const auto counted = std::ranges::find(task.ended_runs, run, &ended_run::run);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -75,11 +75,29 @@
     stops.push_back({worker, entry->second.info.address, {task, found->second.run}});
 }
 
+run_number scheduler::implementation::present_run(const job_status& job,
+                                                  std::uint32_t step) const
+{
+    run_number highest;
+    const std::vector<task_status>& tasks = job.steps[step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+    {
+        const auto worker = workers.find(tasks[index].run_worker);
+        if (worker == workers.end())
+            continue;
+        const auto record = worker->second.runs.find({job.spec.id, step, index});
+        if (record != worker->second.runs.end())
+            highest = std::max(highest, record->second.run);
+    }
+    return highest;
+}
+
 void scheduler::implementation::restart_gang(job_status& job, std::uint32_t step,
-                                             boot_time now)
+                                             run_number ended, boot_time now)
 {
     // A job whose final state was read from the store has no steps in memory.
-    if (step >= job.steps.size() || !job.spec.steps[step].gang)
+    if (step >= job.steps.size() || !job.spec.steps[step].gang ||
+        present_run(job, step) > ended)
         return;
     job.steps[step].not_before = now + gang_pause;
     stop_runs(job, step);
@@ -99,11 +117,12 @@
               {"seen_ms", std::int64_t{(worker.contact_at - record.command_sent_at) /
                                        std::chrono::milliseconds(1)}}});
     metrics.add("hawthornbeam_runs_lost_total", {{"reason", reason}});
+    const run_number lost = record.run;
     release(worker, task);
     job_status* job = find_job(task.job);
     if (job != nullptr && !is_final(job->state) && task.step < job->steps.size() &&
         job->steps[task.step].remaining > 0)
-        restart_gang(*job, task.step, worker.contact_at);
+        restart_gang(*job, task.step, lost, worker.contact_at);
 }
 
 void scheduler::implementation::stop_uncertain_start(worker_status& worker,
@@ -206,8 +225,7 @@
     const ended_run* counted = count_run(status, end.run.run, worker.info.id);
     if (counted != nullptr)
         return log_uncounted_end(worker, end, counted->worker);
-    if (!end.saved.empty())
-        status.saved = end.saved;
+    keep_saved(status, end.run.run, end.saved);
     if (is_final(job.state) || status.done)
         return;
     log.info("cell", "run ended",
@@ -236,7 +254,7 @@
     }
     open_steps.insert(key_of(job, task.step));
     if (end.outcome != run_end::stopped)
-        restart_gang(job, task.step, now);
+        restart_gang(job, task.step, end.run.run, now);
 }
 
 void scheduler::implementation::handle_running(worker_status& worker,
@@ -281,8 +299,7 @@
         return;
     }
     status->last_run = std::max(status->last_run, listed.run.run);
-    if (!listed.saved.empty())
-        status->saved = listed.saved;
+    keep_saved(*status, listed.run.run, listed.saved);
     if (is_final(job->state) || status->done)
         return request_stop(worker.info.id, task);
     if (record.started_here)
@@ -344,7 +361,7 @@
             record.command_sent_at = now;
             job_status* job = find_job(task.job);
             if (job != nullptr)
-                restart_gang(*job, task.step, now);
+                restart_gang(*job, task.step, record.run, now);
             request_stop(worker.info.id, task);
             break;
         }
@@ -479,7 +496,7 @@
     if (result.outcome == command_outcome::no_room)
         worker.quarantined_until =
             std::max(worker.quarantined_until, now + limits.answer_limit);
-    restart_gang(*job, task.step, now);
+    restart_gang(*job, task.step, result.run.run, now);
 }
 
 void scheduler::observe(const advice_result& result, boot_time now)
--- a/unittests/cell/run_numbers_test.cpp
+++ b/unittests/cell/run_numbers_test.cpp
@@ -92,6 +92,40 @@
         EXPECT_EQ(each.run.run, run_number(each.run.task.job == inherited ? 100'001 : 1));
 }
 
+// Guards against stopping a gang because a member of its former run ended.
+TEST_F(run_numbers_test, late_end_of_a_former_gang_run_does_not_stop_the_present_one)
+{
+    job_spec gang = fleet::job("a", "q", 3, 1, seconds(10));
+    gang.steps[0].gang = true;
+    take_over(gang);
+    lose_sight_of_first_worker();
+    ASSERT_EQ(starts().size(), 3U);
+    poll("w1");
+    successor.observe(late_end(run_number(1), run_end::lapsed), workers.clock.now());
+    EXPECT_TRUE(successor.decide(workers.clock.now()).stops.empty());
+    EXPECT_EQ(workers.runs("a").size(), 3U);
+}
+
+// Guards against losing progress to the checkpoint of an older run.
+TEST_F(run_numbers_test, checkpoint_of_a_former_run_does_not_replace_a_newer_one)
+{
+    take_over(fleet::job("a", "q", 1, 1, seconds(10)));
+    lose_sight_of_first_worker();
+    const std::vector<start_command> started = starts();
+    ASSERT_EQ(started.size(), 1U);
+    poll_result running = workers.look("w1");
+    ASSERT_EQ(running.running.size(), 1U);
+    running.running[0].saved = checkpoint("newer");
+    successor.observe(running, workers.clock.now());
+    successor.observe(late_end(run_number(1), run_end::lapsed, "older"),
+                      workers.clock.now());
+    workers.end_all(run_end::lapsed);
+    poll("w1");
+    const std::vector<start_command> next = starts();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].saved, checkpoint("newer"));
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
