Act as the owner only while no other instance can have claimed the cell

Callers saw two runs of a task at once, and starts after an end as done. An owner that the store does not answer went on without a limit: 'while the store is away nobody can claim'. Hosts that are cut off together from the store and from all others hear each other, so that neither the answers of other hosts nor the silence of all of them made the owner resign. Outside, another instance claimed the cell. After 8.2 s it took the runs on the workers of the island for ended, while the old owner extended their leases; the old owner took the runs outside for ended, whose leases the new one extended.

The class: a permission that has run out was acted upon, here that of an owner. claim_evidence keeps how recently it was certain that no other instance owned the cell: the store confirmed the claim, or every instance that could claim it has answered a message, both counted from the time of the question. Until 2 s after that the owner starts tasks and agents extend leases; they learn of it by the receipts of their reports. A lease counts as expired only if it had ended by the confirmed time. A successor waits for the longest lease and 2 s after its claim, so that the runs of an island have ended by then. In an outage of the store the owner goes on as long as all instances answer; otherwise nothing starts, and runs go on for the rest of their leases, 6 s. An instance that knows of a later claim does not execute commands of the former owner and names the claim.

--- a/include/hawthornbeam/cell/agent.hpp
+++ b/include/hawthornbeam/cell/agent.hpp
@@ -12,6 +12,13 @@
 namespace hawthornbeam::cell
 {
 
+/// What an agent learns from the owner's answer to its report.
+struct report_receipt
+{
+    /// Time since it was certain that no other instance owns the cell.
+    duration unconfirmed{};
+};
+
 /// Polls the workers that the owner assigned to this instance, and sends starts and stops
 /// to them and requests to the advice service. Results are batched for some milliseconds,
 /// since each message wakes its receiver.
@@ -20,7 +27,8 @@
 public:
     using report_sink = std::function<void(fence_token, agent_report)>;
 
-    /// Each poll extends the lease of its worker to \p max_lease from then on.
+    /// A poll extends the lease of its worker to \p max_lease from then on if the worker
+    /// has answered and the claim of the owner was confirmed recently.
     agent(event_loop& loop, worker_port& port, const logger& log, duration max_lease,
           report_sink sink);
     ~agent();
@@ -28,6 +36,10 @@
     /// Executes \p commands unless \p token is lower than the highest token so far. A
     /// higher token removes all earlier assignments and discards unreported results.
     void execute(fence_token token, const agent_commands& commands);
+    /// Handles the receipt of a report that was sent to the owner with \p token at
+    /// \p sent.
+    void on_report_received(fence_token token, const report_receipt& receipt,
+                            boot_time sent);
     /// Highest token received from an owner.
     fence_token token() const;
 
--- a/include/hawthornbeam/cell/claim.hpp
+++ b/include/hawthornbeam/cell/claim.hpp
@@ -15,8 +15,9 @@
 {
 
 /// The claim is a key with a lease. Its revision is the fencing token, so each claim has
-/// a higher token than all earlier ones. While the store is unavailable the owner keeps
-/// its role: no other instance can claim the cell, and workers refuse lower tokens.
+/// a higher token than all earlier ones. While the store does not answer, the owner keeps
+/// its role until it learns of another claim; what it may still do depends on the time
+/// since its claim was confirmed.
 class claim
 {
 public:
@@ -66,6 +67,9 @@
     void on_owner_stopped(fence_token token, const char* reason);
 
     bool is_owner() const;
+    /// When the latest call was sent whose answer showed that the claim of this instance
+    /// stands. While the store does not answer, another instance may claim the cell.
+    boot_time confirmed_at() const;
     fence_token token() const;
     const std::optional<owner_identity>& owner() const;
 
--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNBEAM_CELL_OWNER_HPP
 #define HAWTHORNBEAM_CELL_OWNER_HPP
 
+#include "hawthornbeam/cell/agent.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
 #include "hawthornbeam/cell/store.hpp"
 #include "hawthornbeam/support/event_loop.hpp"
@@ -43,6 +44,8 @@
         send;
     /// Called with a higher token when a newer claim of the cell is detected.
     std::function<void(fence_token)> superseded;
+    /// Returns when the store last confirmed the claim; see claim::confirmed_at().
+    std::function<boot_time()> confirmed_by_store;
 };
 
 /// Owner of a cell. When the instance renews its claim without another owner in between,
@@ -59,7 +62,7 @@
     void configure(const std::vector<queue_policy>& queues);
 
     /// Processes a report of an agent. The first report registers its sender.
-    void handle_report(const instance_id& from, wire::cell_report report);
+    report_receipt handle_report(const instance_id& from, wire::cell_report report);
     /// True if the store has answered a call of another instance after \p time.
     bool store_answered_other_instance(boot_time time) const;
     /// Notifies the agents that another instance may claim the cell at once.
--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -124,6 +124,10 @@
     /// concurrently.
     void set_advice_hosts(std::uint32_t hosts);
 
+    /// Records that no other instance owned the cell at this time. Later on another owner
+    /// may have extended leases, so none counts as expired that had not ended by then.
+    void confirm_claim(boot_time at);
+
     /// Decides on starts, stops and requests to the advice service.
     decisions decide(boot_time now);
 
--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -2,6 +2,7 @@
 /// Agent of a cell: polls, commands and reports.
 #include "hawthornbeam/cell/agent.hpp"
 
+#include <algorithm>
 #include <cassert>
 #include <map>
 
@@ -32,15 +33,6 @@
 /// Failed polls in a row after which a worker is reported as unreachable.
 constexpr std::uint32_t failed_polls_to_report = 3;
 constexpr duration advice_timeout = std::chrono::seconds(3);
-/// Leases are extended only within this time after a message of the owner, which sends
-/// one every 400 ms. A successor restarts the runs of a worker that it cannot reach once
-/// the longest lease since its claim has ended, with a slack of 2 s.
-constexpr duration max_owner_silence = std::chrono::milliseconds(2000);
-/// Leases are extended only within this time after an answer of the worker. The owner
-/// gives up its runs once the longest lease since then has ended, with the same slack,
-/// and a worker may execute polls that get no answer.
-constexpr duration max_worker_silence = std::chrono::milliseconds(2000);
-
 struct assigned_worker
 {
     endpoint address;
@@ -89,7 +81,7 @@
     duration max_lease;
     report_sink sink;
     fence_token token;
-    boot_time owner_heard_at{}; ///< Last message with `token`.
+    boot_time claim_confirmed_at{}; ///< Claim with `token`.
     std::map<worker_id, assigned_worker> workers;
     /// Number of poll answers and results so far, for the positions of later ones.
     std::uint64_t event_count = 1;
@@ -152,20 +144,23 @@
     if (worker.last_acknowledged > worker.last_dropped && worker.failed_polls == 0 &&
         worker.poll_sent_at - worker.clock_read_at <= max_acknowledgement_age)
         call.acknowledged = worker.last_acknowledged;
-    const bool owner_is_silent = worker.poll_sent_at - owner_heard_at > max_owner_silence;
-    const duration since_answer = worker.poll_sent_at - worker.clock_read_at;
-    if (worker.clock_read_at != boot_time() && !owner_is_silent &&
-        since_answer <= max_worker_silence)
-        call.lease_until = worker_time(
-            worker.clock.value() + std::chrono::duration_cast<std::chrono::milliseconds>(
-                                       since_answer + max_lease)
-                                       .count());
+    const bool is_confirmed =
+        worker.poll_sent_at - claim_confirmed_at <= max_unconfirmed_time;
+    // A worker may execute polls that get no answer.
+    const bool has_answered =
+        worker.poll_sent_at - worker.clock_read_at <= max_unconfirmed_time;
+    if (worker.clock_read_at != boot_time() && is_confirmed && has_answered)
+        call.lease_until =
+            worker_time(worker.clock.value() +
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            worker.poll_sent_at - worker.clock_read_at + max_lease)
+                            .count());
     if (worker.clock_read_at != boot_time())
         call.wait = poll_wait;
     if (worker.lease_extended && !call.lease_until)
         log.info("agent", "lease not extended",
                  {{"worker", id.value()},
-                  {"reason", owner_is_silent ? "owner silent" : "worker silent"}});
+                  {"reason", is_confirmed ? "worker silent" : "claim not confirmed"}});
     worker.lease_extended = call.lease_until.has_value();
     const event_position sent_position{worker.assignment, event_count};
     port.poll(call,
@@ -335,8 +330,8 @@
         self.token = token;
         self.workers.clear();
         self.pending = agent_report();
+        self.claim_confirmed_at = boot_time();
     }
-    self.owner_heard_at = self.loop.clock().now();
     for (const assign_command& command : commands.assignments)
         self.assign(command);
     for (const acknowledge_command& command : commands.acknowledgements)
@@ -349,6 +344,15 @@
         self.request_advice(command);
 }
 
+void agent::on_report_received(fence_token token, const report_receipt& receipt,
+                               boot_time sent)
+{
+    implementation& self = *implementation_;
+    if (token == self.token)
+        self.claim_confirmed_at =
+            std::max(self.claim_confirmed_at, sent - receipt.unconfirmed);
+}
+
 fence_token agent::token() const
 {
     return implementation_->token;
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -268,9 +268,9 @@
     /// Counts an end, and quarantines the worker when too many runs failed there.
     void record_health(worker_status& worker, const job_key& job, bool failed,
                        boot_time now);
-    /// Returns whether every lease that the worker can have has expired, with allowance
-    /// for starts in flight and clock drift.
-    bool lease_has_ended(const worker_status& worker, boot_time now) const;
+    /// Returns whether every lease that the worker can have had expired by then, with
+    /// allowance for starts in flight and clock drift.
+    bool lease_has_ended(const worker_status& worker, boot_time at) const;
     void expire_workers(boot_time now);
     /// Records that the worker cannot have a run that is unknown to this owner.
     void mark_settled(const worker_id& id, boot_time now);
@@ -350,6 +350,7 @@
     scheduler_limits limits;
     const logger& log;
     metrics_registry& metrics;
+    boot_time claim_confirmed_at = boot_time::max(); ///< See confirm_claim().
     run_number former_runs; ///< Highest number that an earlier term can have used.
     std::map<queue_name, queue_policy> queues;
     /// Queues that are not configured any more, the first removed one first. Jobs that
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -74,7 +74,7 @@
     void step_down(const char* reason);
     void remove_claim(const char* reason);
     void renew();
-    void handle_renewal(result<bool> answer);
+    void handle_renewal(const result<bool>& answer, boot_time sent);
 
     event_loop& loop;
     cell_store& store;
@@ -88,6 +88,8 @@
     bool enabled = false; ///< See enable().
     bool released = false;
     bool claiming = false;
+    boot_time confirmed_at{}; ///< See claim::confirmed_at().
+    boot_time claim_sent_at{};
     lease_id lease;
     kv_revision own_last_claim; ///< Own latest claim; none after stepping down.
     kv_revision latest_claim;   ///< Latest claim of any instance.
@@ -243,6 +245,7 @@
         return;
     }
     lease = answer.value();
+    claim_sent_at = loop.clock().now();
     expected_latest_claim = latest_claim;
     const kv_revision replaced =
         may_replace() && !is_free ? kv_revision(current->token.value()) : kv_revision();
@@ -264,6 +267,7 @@
     // If the outcome of the commit is unknown, the watch shows whether it took effect.
     if (!answer || !answer.value().committed)
         return;
+    confirmed_at = std::max(confirmed_at, claim_sent_at);
     on_acquired(answer.value().revision);
 }
 
@@ -318,13 +322,25 @@
 
 void claim::implementation::renew()
 {
-    store.renew(lease, guarded(&implementation::handle_renewal));
+    store.renew(
+        lease,
+        [weak = weak_from_this(), sent = loop.clock().now()](const result<bool>& answer)
+        {
+            const std::shared_ptr<implementation> target = weak.lock();
+            if (target)
+                target->handle_renewal(answer, sent);
+        });
 }
 
-void claim::implementation::handle_renewal(result<bool> answer)
+void claim::implementation::handle_renewal(const result<bool>& answer, boot_time sent)
 {
-    if (!owning || !answer || answer.value())
+    if (!owning || !answer)
+        return;
+    if (answer.value())
+    {
+        confirmed_at = std::max(confirmed_at, sent);
         return;
+    }
     // The lease expired while the store was unavailable or this process was suspended.
     log.warning("claim", "claim lapsed", {});
     if (!claiming)
@@ -424,6 +440,11 @@
     return implementation_->current ? implementation_->current->token : fence_token();
 }
 
+boot_time claim::confirmed_at() const
+{
+    return implementation_->confirmed_at;
+}
+
 const std::optional<owner_identity>& claim::owner() const
 {
     return implementation_->current;
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -29,8 +29,7 @@
             owner_identity{given.self, given.address, fence_token()},
             {[this](fence_token token, bool continued) { on_acquired(token, continued); },
              [this] { active_owner.reset(); },
-             [this](const std::optional<owner_identity>&)
-             { report(agent.token(), agent_report()); }}),
+             [this](const std::optional<owner_identity>&) { report_heartbeat(); }}),
       agent(given.loop, given.workers, given.log, given.limits.max_lease,
             [this](fence_token token, agent_report observations)
             { report(token, std::move(observations)); }),
@@ -39,12 +38,12 @@
            [this](const job_spec& job, kv_revision stored)
            {
                unreported_jobs.push_back({job, stored, false});
-               report(agent.token(), agent_report());
+               report_heartbeat();
            },
            [this](const job_key& job)
            {
                unreported_cancels.push_back(job);
-               report(agent.token(), agent_report());
+               report_heartbeat();
            },
            [this](std::vector<job_key> jobs, states_callback done)
            { query_owner(std::move(jobs), std::move(done)); },
@@ -77,11 +76,17 @@
                             logged_store_failing ? 0 : 1);
 }
 
+void node::implementation::report_heartbeat()
+{
+    report(agent.token(), agent_report());
+}
+
 void node::implementation::report(fence_token known_token, agent_report observations)
 {
     const std::optional<owner_identity>& target = claim.owner();
     if (!target)
         return;
+    const boot_time sent = parts.loop.clock().now();
     wire::cell_report message;
     message.token = known_token;
     message.address = parts.address;
@@ -100,13 +105,15 @@
     if (claim.is_owner())
     {
         if (active_owner)
-            active_owner->handle_report(parts.self, std::move(message));
+            agent.on_report_received(
+                known_token, active_owner->handle_report(parts.self, std::move(message)),
+                sent);
         return;
     }
     parts.network.call(
         wire::peer_address(target->address.value()), message, report_timeout,
         [weak = weak_from_this(), jobs, cancels = message.cancelled,
-         addressed_owner = *target](const result<wire::reply>& answer)
+         addressed_owner = *target, known_token, sent](const result<wire::reply>& answer)
         {
             const std::shared_ptr<implementation> self = weak.lock();
             if (!self)
@@ -117,7 +124,13 @@
                 !answer && answer.error().code == error_code::outcome_unknown;
             self->owner_accepts_reports = reply != nullptr && reply->is_owner;
             if (self->owner_accepts_reports)
+            {
+                if (reply->owner.token == known_token)
+                    self->agent.on_report_received(
+                        known_token, {std::chrono::milliseconds(reply->unconfirmed_ms)},
+                        sent);
                 return;
+            }
             self->queue_unreported(jobs, cancels, offered);
             if (reply == nullptr)
                 return;
@@ -178,6 +191,8 @@
 wire::reply node::implementation::handle_commands(const instance_id& from,
                                                   const wire::cell_commands& message)
 {
+    if (claim.token() > message.token)
+        return wire::cell_commands_reply{claim.token()};
     agent.execute(message.token, message.commands);
     if (message.token == agent.token())
     {
@@ -278,10 +293,21 @@
     last_peer_contact = parts.loop.clock().now();
     if (wire::cell_report* report_message = std::get_if<wire::cell_report>(&message))
     {
-        const bool is_owner = active_owner != nullptr && claim.is_owner();
-        if (is_owner)
-            active_owner->handle_report(from, std::move(*report_message));
-        return answer(wire::cell_report_reply{is_owner, parts.self, known_owner()});
+        wire::cell_report_reply reply;
+        reply.is_owner = active_owner != nullptr && claim.is_owner();
+        reply.instance = parts.self;
+        reply.owner = known_owner();
+        if (reply.is_owner)
+        {
+            const report_receipt receipt =
+                active_owner->handle_report(from, std::move(*report_message));
+            // Rounded up, so that the claim never seems to be confirmed later.
+            reply.unconfirmed_ms =
+                static_cast<std::uint32_t>(receipt.unconfirmed /
+                                           std::chrono::milliseconds(1)) +
+                1;
+        }
+        return answer(reply);
     }
     if (const wire::cell_commands* commands = std::get_if<wire::cell_commands>(&message))
         return answer(handle_commands(from, *commands));
@@ -316,15 +342,14 @@
     self.parts.network.serve([&self](const instance_id& from, wire::request message,
                                      const std::function<void(wire::reply)>& answer)
                              { self.serve(from, std::move(message), answer); });
-    self.heartbeat =
-        self.parts.loop.every(heartbeat_period,
-                              [&self]
-                              {
-                                  self.report(self.agent.token(), agent_report());
-                                  self.record_store_state();
-                                  self.hand_over_to_larger_host();
-                                  self.query_peer_for_owner();
-                              });
+    self.heartbeat = self.parts.loop.every(heartbeat_period,
+                                           [&self]
+                                           {
+                                               self.report_heartbeat();
+                                               self.record_store_state();
+                                               self.hand_over_to_larger_host();
+                                               self.query_peer_for_owner();
+                                           });
     self.isolation_check = self.parts.loop.every(isolation_check_period, [&self]
                                                  { self.resign_when_isolated(); });
     self.claim.start();
@@ -367,7 +392,7 @@
     if (!self.active_owner)
     {
         self.claim.release();
-        self.report(self.agent.token(), agent_report());
+        self.report_heartbeat();
         return done();
     }
     self.active_owner->hand_over(hand_over_wait,
--- a/lib/cell/node_ownership.cpp
+++ b/lib/cell/node_ownership.cpp
@@ -60,7 +60,8 @@
                     if (self)
                         self->claim.superseded(higher_token);
                 });
-        }};
+        },
+        [this] { return claim.confirmed_at(); }};
     parts.metrics.add("hawthornbeam_takeovers_total", {});
     hand_over_not_before =
         std::max(hand_over_not_before, parts.loop.clock().now() + share_comparison_delay);
@@ -68,7 +69,7 @@
     active_owner = std::make_unique<owner>(new_owner_parts, token);
     active_owner->configure(queues);
     active_owner->start();
-    report(agent.token(), agent_report());
+    report_heartbeat();
 }
 
 void node::implementation::query_peer_for_owner()
--- a/lib/cell/node_state.hpp
+++ b/lib/cell/node_state.hpp
@@ -41,6 +41,8 @@
         return claim.owner().value_or(owner_identity());
     }
     void report(fence_token known_token, agent_report observations);
+    /// Sends a report without observations.
+    void report_heartbeat();
     void send_commands(const endpoint& target, wire::cell_commands message,
                        std::function<void(result<fence_token>)> done);
     using states_callback =
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -74,8 +74,31 @@
                                             });
 }
 
-void owner::implementation::handle_report(const instance_id& from,
-                                          wire::cell_report report)
+duration owner::implementation::unconfirmed_time() const
+{
+    return parts.loop.clock().now() - evidence.confirmed_at(parts.confirmed_by_store());
+}
+
+bool owner::implementation::check_claim()
+{
+    const duration unconfirmed = unconfirmed_time();
+    const bool confirmed = unconfirmed <= max_unconfirmed_time;
+    if (confirmed == std::exchange(claim_confirmed, confirmed))
+        return confirmed;
+    parts.metrics.set_gauge("hawthornbeam_claim_confirmed", {}, confirmed ? 1 : 0);
+    if (confirmed)
+        parts.log.info("owner", "claim confirmed again", {});
+    else
+        parts.log.warning(
+            "owner", "claim not confirmed",
+            {{"unconfirmed_ms", std::int64_t{unconfirmed / std::chrono::milliseconds(1)}},
+             {"silent", std::uint64_t{evidence.silent_since(parts.loop.clock().now() -
+                                                            max_unconfirmed_time)}}});
+    return confirmed;
+}
+
+report_receipt owner::implementation::handle_report(const instance_id& from,
+                                                    wire::cell_report report)
 {
     const boot_time now = parts.loop.clock().now();
     agent_state& sender = agents[from];
@@ -86,6 +109,10 @@
     sender.commands_failed = false;
     const bool leaves = report.leaving && !sender.leaving;
     sender.leaving = report.leaving;
+    if (report.leaving)
+        evidence.remove_instance(from);
+    else if (from != parts.self)
+        evidence.add_instance(from, report.address);
     sender.store_answered_at =
         now - std::chrono::milliseconds(report.store_unanswered_ms);
     for (wire::accepted_job& accepted : report.accepted)
@@ -104,6 +131,7 @@
     if (!usable || leaves)
         assign_workers();
     schedule_decision();
+    return {unconfirmed_time()};
 }
 
 void owner::implementation::add_job(job_spec job, bool inherited)
@@ -191,7 +219,10 @@
 {
     if (!loaded || stopping)
         return send_commands();
+    if (!check_claim())
+        return send_commands();
     const boot_time now = parts.loop.clock().now();
+    cell.confirm_claim(now - unconfirmed_time());
     cell.set_advice_hosts(hosts_for_long_advice(now));
     decisions decided = cell.decide(now);
     for (start_command& command : decided.starts)
@@ -299,22 +330,26 @@
     for (const start_command& command : message.commands.starts)
         starts.emplace_back(command.worker, command.run);
     parts.send(found->second.address, std::move(message),
-               [weak = weak_from_this(), id, starts](result<fence_token> answer)
+               [weak = weak_from_this(), id, starts,
+                sent = parts.loop.clock().now()](result<fence_token> answer)
                {
                    const std::shared_ptr<implementation> self = weak.lock();
                    if (self)
-                       self->handle_answer(id, starts, answer);
+                       self->handle_answer(id, sent, starts, answer);
                });
 }
 
 void owner::implementation::handle_answer(
-    const instance_id& id, const std::vector<std::pair<worker_id, run_ref>>& starts,
+    const instance_id& id, boot_time sent,
+    const std::vector<std::pair<worker_id, run_ref>>& starts,
     const result<fence_token>& answer)
 {
     if (answer)
     {
         if (answer.value() > token)
             parts.superseded(answer.value());
+        else
+            evidence.record_answer(id, sent);
         return;
     }
     const boot_time now = parts.loop.clock().now();
@@ -379,9 +414,9 @@
     implementation_->schedule_decision();
 }
 
-void owner::handle_report(const instance_id& from, wire::cell_report report)
+report_receipt owner::handle_report(const instance_id& from, wire::cell_report report)
 {
-    implementation_->handle_report(from, std::move(report));
+    return implementation_->handle_report(from, std::move(report));
 }
 
 std::optional<std::vector<wire::cell_job_state>>
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -4,6 +4,7 @@
 #define HAWTHORNBEAM_LIB_CELL_OWNER_STATE_HPP
 
 #include "change_writer.hpp"
+#include "claim_evidence.hpp"
 #include "hawthornbeam/cell/owner.hpp"
 #include "stored_form.hpp"
 
@@ -77,13 +78,17 @@
     void record_lateness();
     void schedule_decision();
     void decide();
-    void handle_report(const instance_id& from, wire::cell_report report);
+    report_receipt handle_report(const instance_id& from, wire::cell_report report);
     /// Adds a job, whether it was reported by an instance or read from the store, and
     /// applies a cancel that arrived before it.
     void add_job(job_spec job, bool inherited);
     /// Cancels a job, or keeps the cancel until the job is known. \p source is logged.
     void cancel(const job_key& job, const char* source);
     void apply_report(const instance_id& from, const agent_report& report, boot_time now);
+    /// Time since it was certain that no other instance owns the cell.
+    duration unconfirmed_time() const;
+    /// Logs whether the owner may act. Returns whether it may.
+    bool check_claim();
     void handle_workers(const std::vector<worker_info>& listed);
     void remove_dropped_workers();
     void assign_workers();
@@ -106,7 +111,7 @@
     void send_to(const instance_id& id, wire::cell_commands message);
     std::vector<endpoint> agents_with_store_access() const;
     std::uint32_t largest_processor_share() const;
-    void handle_answer(const instance_id& id,
+    void handle_answer(const instance_id& id, boot_time sent,
                        const std::vector<std::pair<worker_id, run_ref>>& starts,
                        const result<fence_token>& answer);
 
@@ -145,6 +150,8 @@
     bool stopping = false;
     bool resigned = false;
     std::map<instance_id, agent_state> agents;
+    claim_evidence evidence;
+    bool claim_confirmed = true; ///< As logged last.
     std::map<worker_id, worker_route> routes;
     std::uint64_t last_assignment = 0;
     std::map<instance_id, agent_commands> outbox;
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -16,9 +16,6 @@
 constexpr std::size_t failures_to_quarantine = 3;
 /// Limits the quarantine, which doubles each time, to 16 s.
 constexpr std::uint32_t max_quarantine_doublings = 3;
-/// A poll in flight may extend a lease after the end of the lease was computed.
-constexpr duration lease_slack = std::chrono::milliseconds(500);
-
 } // namespace
 
 void scheduler::update_worker(const worker_info& worker, boot_time now)
@@ -91,14 +88,19 @@
 }
 
 bool scheduler::implementation::lease_has_ended(const worker_status& worker,
-                                                boot_time now) const
+                                                boot_time at) const
 {
-    const duration since_contact = now - worker.contact_at;
-    const duration longest_lease = limits.max_lease + limits.start_deadline + lease_slack;
+    const duration since_contact = at - worker.contact_at;
+    const duration longest_lease = limits.max_lease + max_unconfirmed_time;
     return since_contact > longest_lease + std::chrono::duration_cast<duration>(
                                                limits.clock_drift * longest_lease);
 }
 
+void scheduler::confirm_claim(boot_time at)
+{
+    implementation_->claim_confirmed_at = at;
+}
+
 void scheduler::implementation::mark_settled(const worker_id& id, boot_time now)
 {
     if (unsettled.erase(id) == 0 || !unsettled.empty())
@@ -111,6 +113,7 @@
 
 void scheduler::implementation::expire_workers(boot_time now)
 {
+    const boot_time confirmed_at = std::min(now, claim_confirmed_at);
     for (auto entry = workers.begin(); entry != workers.end();)
     {
         worker_status& worker = entry->second;
@@ -121,7 +124,7 @@
         const bool has_left = !worker.has_entry &&
                               (worker.polled || worker.process_ended) &&
                               worker.runs.empty() && worker.abandoned.empty();
-        if (!has_left && !lease_has_ended(worker, now))
+        if (!has_left && !lease_has_ended(worker, confirmed_at))
         {
             ++entry;
             continue;
--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -89,6 +89,15 @@
     std::size_t refused_polls = 0;
     std::size_t replaced_workers = 0;
     std::size_t unreachable_workers = 0;
+    /// Lets the owner receive a report that was sent now.
+    void receive()
+    {
+        if (owner_receives_reports)
+            polling_agent.on_report_received(fence_token(1), receipt, loop.clock().now());
+    }
+
+    bool owner_receives_reports = true;
+    report_receipt receipt; ///< Of all reports.
     agent polling_agent{loop, port, log, seconds(6),
                         [this](fence_token, const agent_report& report)
                         {
@@ -98,6 +107,7 @@
                             for (const refused_poll& each : report.refused_polls)
                                 replaced_workers += each.other_worker ? 1U : 0U;
                             unreachable_workers += report.unreachable.size();
+                            receive();
                         }};
 };
 
@@ -155,15 +165,36 @@
 
 // Guards against an agent that is cut off together with a worker and keeps its runs
 // alive, while a new owner, which cannot reach the worker, starts them elsewhere.
-TEST_F(agent_test, lease_is_not_extended_without_messages_of_the_owner)
+TEST_F(agent_test, lease_is_not_extended_without_receipts_of_the_owner)
 {
     answer(1, 0);
     EXPECT_TRUE(answer(1, 0).lease_until);
+    owner_receives_reports = false;
     loop.advance(seconds(3));
     answer(1, 0);
     EXPECT_FALSE(answer(1, 0).lease_until);
+    // Commands of an owner that does not receive the reports show nothing.
     polling_agent.execute(fence_token(1), agent_commands());
     answer(1, 0);
+    EXPECT_FALSE(answer(1, 0).lease_until);
+    owner_receives_reports = true;
+    answer(1, 0);
+    answer(1, 0);
+    EXPECT_TRUE(answer(1, 0).lease_until);
+}
+
+// Guards against leases that an owner in an island extends beyond the takeover.
+TEST_F(agent_test, lease_is_not_extended_while_the_claim_is_not_confirmed)
+{
+    answer(1, 0);
+    EXPECT_TRUE(answer(1, 0).lease_until);
+    receipt.unconfirmed = seconds(3);
+    loop.advance(seconds(3));
+    answer(1, 0);
+    EXPECT_FALSE(answer(1, 0).lease_until);
+    receipt.unconfirmed = milliseconds(300);
+    answer(1, 0);
+    answer(1, 0);
     EXPECT_TRUE(answer(1, 0).lease_until);
 }
 
@@ -175,11 +206,12 @@
     EXPECT_TRUE(fail().lease_until);
     for (int polls = 0; polls < 10; ++polls)
     {
-        polling_agent.execute(fence_token(1), agent_commands());
+        receive();
         const bool is_recent = polls < 2; // A poll each 0.6 s.
         EXPECT_EQ(fail().lease_until.has_value(), is_recent) << "after " << polls;
     }
-    polling_agent.execute(fence_token(1), agent_commands());
+    receive();
+    answer(1, 0);
     answer(1, 0);
     EXPECT_TRUE(answer(1, 0).lease_until);
 }
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -59,16 +59,18 @@
     std::unique_ptr<owner> make_owner()
     {
         return std::make_unique<owner>(
-            owner_parts{loop, observed, directory, log, metrics, scheduler_limits(),
-                        instance_id("self"), std::chrono::minutes(5),
-                        [this](const endpoint& agent, wire::cell_commands message,
-                               const std::function<void(result<fence_token>)>& done)
-                        {
-                            sent.emplace_back(agent, std::move(message));
-                            done(fence_token(first_token));
-                        },
-                        [this](fence_token higher)
-                        { superseding_tokens.push_back(higher); }},
+            owner_parts{
+                loop, observed, directory, log, metrics, scheduler_limits(),
+                instance_id("self"), std::chrono::minutes(5),
+                [this](const endpoint& agent, wire::cell_commands message,
+                       const std::function<void(result<fence_token>)>& done)
+                {
+                    sent.emplace_back(agent, std::move(message));
+                    if (!silent_agents.contains(agent))
+                        done(fence_token(first_token));
+                },
+                [this](fence_token higher) { superseding_tokens.push_back(higher); },
+                [this] { return store_confirmed_at.value_or(loop.clock().now()); }},
             fence_token(first_token));
     }
     void start()
@@ -171,9 +173,55 @@
     manual_worker_directory directory;
     std::vector<std::pair<endpoint, wire::cell_commands>> sent;
     std::vector<fence_token> superseding_tokens;
+    std::optional<boot_time> store_confirmed_at; ///< Empty: at any time.
+    std::set<endpoint> silent_agents;            ///< Do not answer commands.
     std::unique_ptr<owner> cell = make_owner();
 };
 
+// Guards against an owner in an island that goes on while another instance may have
+// claimed the cell.
+TEST_F(owner_test, starts_nothing_while_an_instance_may_have_claimed_the_cell)
+{
+    start();
+    report("b");
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(500));
+    store_confirmed_at = loop.clock().now();
+    silent_agents = {endpoint("b")};
+    for (int tenths = 0; tenths < 25; ++tenths)
+    {
+        report("a", report_with(poll({latest_assignment(), 2})));
+        report("b");
+        loop.advance(milliseconds(100));
+    }
+    submit("late");
+    EXPECT_TRUE(sent_starts().empty());
+    silent_agents.clear();
+    report("b");
+    loop.advance(seconds(1));
+    report("a", report_with(poll({latest_assignment(), 3})));
+    loop.advance(milliseconds(200));
+    EXPECT_EQ(sent_starts().size(), 1U) << "all instances have answered";
+}
+
+// Guards against an outage of the store that keeps running work from being scheduled.
+TEST_F(owner_test, starts_tasks_in_a_store_outage_while_all_instances_answer)
+{
+    start();
+    report("b");
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(500));
+    store_confirmed_at = loop.clock().now();
+    for (int tenths = 0; tenths < 50; ++tenths)
+    {
+        report("a", report_with(poll({latest_assignment(), 2})));
+        report("b");
+        loop.advance(milliseconds(100));
+    }
+    submit("a");
+    EXPECT_EQ(sent_starts().size(), 1U);
+}
+
 TEST_F(owner_test, job_starts_only_on_a_polled_and_stored_worker)
 {
     start();
