Extend leases only for workers whose answers the owner counts

Callers saw two runs of a task at once under one owner. An agent extended the lease of a worker as long as it heard the owner and the worker answered. It did not know whether the owner received and counted these answers: reports may be lost one way, and when the message that takes a worker from an agent was lost, the owner ignored the agent's answers from then on. The owner gave up the runs of the worker after the longest lease since the last answer that it had counted, while the agent went on extending it.

The receipt of a report names the workers whose answers were ignored; the agent stops to poll them.

--- a/include/hawthornbeam/cell/agent.hpp
+++ b/include/hawthornbeam/cell/agent.hpp
@@ -12,9 +12,21 @@
 namespace hawthornbeam::cell
 {
 
+/// A worker whose answer is part of a report.
+struct polled_worker
+{
+    worker_id worker;
+    std::uint64_t assignment = 0;
+};
+
+/// Returns the workers whose answers are in \p report.
+std::vector<polled_worker> polled_workers(const agent_report& report);
+
 /// What an agent learns from the owner's answer to its report.
 struct report_receipt
 {
+    /// Workers whose poll results were ignored: another agent polls them now.
+    std::vector<worker_id> not_counted;
     /// Time since it was certain that no other instance owns the cell.
     duration unconfirmed{};
 };
@@ -25,10 +37,12 @@
 class agent
 {
 public:
-    using report_sink = std::function<void(fence_token, agent_report)>;
+    /// Receives a report and the time of the first observation in it.
+    using report_sink =
+        std::function<void(fence_token, agent_report, boot_time observed_at)>;
 
-    /// A poll extends the lease of its worker to \p max_lease from then on if the worker
-    /// has answered and the claim of the owner was confirmed recently.
+    /// A poll extends the lease of its worker to \p max_lease from then on if the owner
+    /// has counted a recent answer of the worker and its claim was confirmed recently.
     agent(event_loop& loop, worker_port& port, const logger& log, duration max_lease,
           report_sink sink);
     ~agent();
@@ -37,9 +51,10 @@
     /// higher token removes all earlier assignments and discards unreported results.
     void execute(fence_token token, const agent_commands& commands);
     /// Handles the receipt of a report that was sent to the owner with \p token at
-    /// \p sent.
+    /// \p sent and contained answers of \p polled, observed at \p observed_at or later.
     void on_report_received(fence_token token, const report_receipt& receipt,
-                            boot_time sent);
+                            const std::vector<polled_worker>& polled,
+                            boot_time observed_at, boot_time sent);
     /// Highest token received from an owner.
     fence_token token() const;
 
--- a/include/hawthornbeam/wire/messages.hpp
+++ b/include/hawthornbeam/wire/messages.hpp
@@ -332,6 +332,8 @@
     instance_id instance;  ///< The instance that replies.
     /// Owner known to the replying instance; token 0 if none.
     cell::owner_identity owner;
+    /// Workers of the report that another agent polls now. Their results were ignored.
+    std::vector<worker_id> not_counted;
     /// Time since the owner was certain that no other instance owns the cell.
     std::uint32_t unconfirmed_ms = 0;
 };
--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -44,6 +44,9 @@
     bool lease_extended = false;  ///< By the last poll that followed an answer.
     worker_time clock;            ///< Clock of the worker in its last answer.
     boot_time clock_read_at{};
+    /// Time of an answer that the owner has counted, or earlier. It gives up the runs of
+    /// the worker once the longest lease since then has ended.
+    boot_time counted_at{};
     std::uint32_t failed_polls = 0;
     boot_time failing_since{}; ///< First of the failed polls in a row.
     bool polling = false;
@@ -86,6 +89,7 @@
     /// Number of poll answers and results so far, for the positions of later ones.
     std::uint64_t event_count = 1;
     agent_report pending;
+    boot_time pending_since{}; ///< Time of the first observation in `pending`.
     bool report_due = false;
     timer_handle report_timer;
 };
@@ -147,9 +151,9 @@
     const bool is_confirmed =
         worker.poll_sent_at - claim_confirmed_at <= max_unconfirmed_time;
     // A worker may execute polls that get no answer.
-    const bool has_answered =
-        worker.poll_sent_at - worker.clock_read_at <= max_unconfirmed_time;
-    if (worker.clock_read_at != boot_time() && is_confirmed && has_answered)
+    const bool is_counted =
+        worker.poll_sent_at - worker.counted_at <= max_unconfirmed_time;
+    if (worker.clock_read_at != boot_time() && is_confirmed && is_counted)
         call.lease_until =
             worker_time(worker.clock.value() +
                         std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -158,9 +162,10 @@
     if (worker.clock_read_at != boot_time())
         call.wait = poll_wait;
     if (worker.lease_extended && !call.lease_until)
-        log.info("agent", "lease not extended",
-                 {{"worker", id.value()},
-                  {"reason", is_confirmed ? "worker silent" : "claim not confirmed"}});
+        log.info(
+            "agent", "lease not extended",
+            {{"worker", id.value()},
+             {"reason", is_confirmed ? "answers not counted" : "claim not confirmed"}});
     worker.lease_extended = call.lease_until.has_value();
     const event_position sent_position{worker.assignment, event_count};
     port.poll(call,
@@ -302,12 +307,14 @@
     if (pending.empty() || report_due)
         return;
     report_due = true;
-    report_timer = loop.after(report_delay,
-                              [this]
-                              {
-                                  report_due = false;
-                                  sink(token, std::exchange(pending, agent_report()));
-                              });
+    pending_since = loop.clock().now();
+    report_timer =
+        loop.after(report_delay,
+                   [this]
+                   {
+                       report_due = false;
+                       sink(token, std::exchange(pending, agent_report()), pending_since);
+                   });
 }
 
 agent::agent(event_loop& loop, worker_port& port, const logger& log, duration max_lease,
@@ -345,12 +352,34 @@
 }
 
 void agent::on_report_received(fence_token token, const report_receipt& receipt,
-                               boot_time sent)
+                               const std::vector<polled_worker>& polled,
+                               boot_time observed_at, boot_time sent)
 {
     implementation& self = *implementation_;
-    if (token == self.token)
-        self.claim_confirmed_at =
-            std::max(self.claim_confirmed_at, sent - receipt.unconfirmed);
+    if (token != self.token)
+        return;
+    self.claim_confirmed_at =
+        std::max(self.claim_confirmed_at, sent - receipt.unconfirmed);
+    for (const polled_worker& each : polled)
+    {
+        const auto found = self.workers.find(each.worker);
+        if (found == self.workers.end() || found->second.assignment != each.assignment)
+            continue;
+        if (std::ranges::find(receipt.not_counted, each.worker) !=
+            receipt.not_counted.end())
+            self.workers.erase(found);
+        else
+            found->second.counted_at = std::max(found->second.counted_at, observed_at);
+    }
+}
+
+std::vector<polled_worker> polled_workers(const agent_report& report)
+{
+    std::vector<polled_worker> polled;
+    polled.reserve(report.polls.size());
+    for (const poll_result& poll : report.polls)
+        polled.push_back({poll.worker, poll.sent_position.assignment});
+    return polled;
 }
 
 fence_token agent::token() const
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -31,8 +31,8 @@
              [this] { active_owner.reset(); },
              [this](const std::optional<owner_identity>&) { report_heartbeat(); }}),
       agent(given.loop, given.workers, given.log, given.limits.max_lease,
-            [this](fence_token token, agent_report observations)
-            { report(token, std::move(observations)); }),
+            [this](fence_token token, agent_report observations, boot_time observed_at)
+            { report(token, std::move(observations), observed_at); }),
       receiver(
           {given.loop, store, given.log, [this] { return store.is_failing(); },
            [this](const job_spec& job, kv_revision stored)
@@ -78,15 +78,17 @@
 
 void node::implementation::report_heartbeat()
 {
-    report(agent.token(), agent_report());
+    report(agent.token(), agent_report(), parts.loop.clock().now());
 }
 
-void node::implementation::report(fence_token known_token, agent_report observations)
+void node::implementation::report(fence_token known_token, agent_report observations,
+                                  boot_time observed_at)
 {
     const std::optional<owner_identity>& target = claim.owner();
     if (!target)
         return;
     const boot_time sent = parts.loop.clock().now();
+    const std::vector<polled_worker> polled = polled_workers(observations);
     wire::cell_report message;
     message.token = known_token;
     message.address = parts.address;
@@ -107,13 +109,14 @@
         if (active_owner)
             agent.on_report_received(
                 known_token, active_owner->handle_report(parts.self, std::move(message)),
-                sent);
+                polled, observed_at, sent);
         return;
     }
     parts.network.call(
         wire::peer_address(target->address.value()), message, report_timeout,
         [weak = weak_from_this(), jobs, cancels = message.cancelled,
-         addressed_owner = *target, known_token, sent](const result<wire::reply>& answer)
+         addressed_owner = *target, known_token, polled, observed_at,
+         sent](const result<wire::reply>& answer)
         {
             const std::shared_ptr<implementation> self = weak.lock();
             if (!self)
@@ -127,8 +130,10 @@
             {
                 if (reply->owner.token == known_token)
                     self->agent.on_report_received(
-                        known_token, {std::chrono::milliseconds(reply->unconfirmed_ms)},
-                        sent);
+                        known_token,
+                        {reply->not_counted,
+                         std::chrono::milliseconds(reply->unconfirmed_ms)},
+                        polled, observed_at, sent);
                 return;
             }
             self->queue_unreported(jobs, cancels, offered);
@@ -299,8 +304,9 @@
         reply.owner = known_owner();
         if (reply.is_owner)
         {
-            const report_receipt receipt =
+            report_receipt receipt =
                 active_owner->handle_report(from, std::move(*report_message));
+            reply.not_counted = std::move(receipt.not_counted);
             // Rounded up, so that the claim never seems to be confirmed later.
             reply.unconfirmed_ms =
                 static_cast<std::uint32_t>(receipt.unconfirmed /
--- a/lib/cell/node_state.hpp
+++ b/lib/cell/node_state.hpp
@@ -40,7 +40,10 @@
     {
         return claim.owner().value_or(owner_identity());
     }
-    void report(fence_token known_token, agent_report observations);
+    /// Sends \p observations, the first of which was made at \p observed_at, to the
+    /// owner.
+    void report(fence_token known_token, agent_report observations,
+                boot_time observed_at);
     /// Sends a report without observations.
     void report_heartbeat();
     void send_commands(const endpoint& target, wire::cell_commands message,
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -126,12 +126,14 @@
     }
     for (const job_key& job : report.cancelled)
         cancel(job, "report");
+    report_receipt receipt;
     if (report.token == token)
-        apply_report(from, report.report, now);
+        receipt.not_counted = apply_report(from, report.report, now);
     if (!usable || leaves)
         assign_workers();
     schedule_decision();
-    return {unconfirmed_time()};
+    receipt.unconfirmed = unconfirmed_time();
+    return receipt;
 }
 
 void owner::implementation::add_job(job_spec job, bool inherited)
@@ -165,13 +167,18 @@
     return parts.loop.clock().now() - age;
 }
 
-void owner::implementation::apply_report(const instance_id& from,
-                                         const agent_report& report, boot_time now)
+std::vector<worker_id> owner::implementation::apply_report(const instance_id& from,
+                                                           const agent_report& report,
+                                                           boot_time now)
 {
+    std::vector<worker_id> not_counted;
     for (const command_result& result : report.results)
     {
         if (result.outcome == command_outcome::fenced && result.token == token.value())
-            return parts.superseded(fence_token(token.value() + 1));
+        {
+            parts.superseded(fence_token(token.value() + 1));
+            return not_counted;
+        }
         cell.observe(ordered_by_polls(result), now);
     }
     for (const poll_result& poll : report.polls)
@@ -184,8 +191,11 @@
             poll.sent_position.assignment == route->second.assignment)
             cell.observe(poll, now);
         else
+        {
             parts.log.info("owner", "poll not counted",
                            {{"worker", poll.worker.value()}, {"agent", from.value()}});
+            not_counted.push_back(poll.worker);
+        }
     }
     for (const refused_poll& refused : report.refused_polls)
     {
@@ -213,6 +223,7 @@
             reassign_worker(id, route->second);
     }
     schedule_store();
+    return not_counted;
 }
 
 void owner::implementation::decide()
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -84,7 +84,9 @@
     void add_job(job_spec job, bool inherited);
     /// Cancels a job, or keeps the cancel until the job is known. \p source is logged.
     void cancel(const job_key& job, const char* source);
-    void apply_report(const instance_id& from, const agent_report& report, boot_time now);
+    /// Returns the workers whose poll results were ignored.
+    std::vector<worker_id> apply_report(const instance_id& from,
+                                        const agent_report& report, boot_time now);
     /// Time since it was certain that no other instance owns the cell.
     duration unconfirmed_time() const;
     /// Logs whether the owner may act. Returns whether it may.
--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -90,25 +90,28 @@
     std::size_t replaced_workers = 0;
     std::size_t unreachable_workers = 0;
     /// Lets the owner receive a report that was sent now.
-    void receive()
+    void receive(const agent_report& report, boot_time observed_at)
     {
         if (owner_receives_reports)
-            polling_agent.on_report_received(fence_token(1), receipt, loop.clock().now());
+            polling_agent.on_report_received(fence_token(1), receipt,
+                                             polled_workers(report), observed_at,
+                                             loop.clock().now());
     }
 
     bool owner_receives_reports = true;
     report_receipt receipt; ///< Of all reports.
-    agent polling_agent{loop, port, log, seconds(6),
-                        [this](fence_token, const agent_report& report)
-                        {
-                            for (const poll_result& poll : report.polls)
-                                ends_reported += poll.ended.size();
-                            refused_polls += report.refused_polls.size();
-                            for (const refused_poll& each : report.refused_polls)
-                                replaced_workers += each.other_worker ? 1U : 0U;
-                            unreachable_workers += report.unreachable.size();
-                            receive();
-                        }};
+    agent polling_agent{
+        loop, port, log, seconds(6),
+        [this](fence_token, const agent_report& report, boot_time observed_at)
+        {
+            for (const poll_result& poll : report.polls)
+                ends_reported += poll.ended.size();
+            refused_polls += report.refused_polls.size();
+            for (const refused_poll& each : report.refused_polls)
+                replaced_workers += each.other_worker ? 1U : 0U;
+            unreachable_workers += report.unreachable.size();
+            receive(report, observed_at);
+        }};
 };
 
 TEST_F(agent_test, run_ends_are_acknowledged_once)
@@ -179,7 +182,7 @@
     EXPECT_FALSE(answer(1, 0).lease_until);
     owner_receives_reports = true;
     answer(1, 0);
-    answer(1, 0);
+    EXPECT_FALSE(answer(1, 0).lease_until) << "sent before the receipt";
     EXPECT_TRUE(answer(1, 0).lease_until);
 }
 
@@ -198,6 +201,17 @@
     EXPECT_TRUE(answer(1, 0).lease_until);
 }
 
+// Guards against an agent that misses its last assignment and extends a lease which the
+// owner, who counts the answers to another agent, takes for expired.
+TEST_F(agent_test, worker_whose_answers_are_not_counted_is_polled_no_more)
+{
+    answer(1, 0);
+    receipt.not_counted = {worker_id("w")};
+    answer(1, 0);
+    answer(1, 0);
+    EXPECT_TRUE(port.polls.empty());
+}
+
 // Guards against a worker whose lease is extended by polls that it executes and does not
 // answer, while the owner takes the lease for expired and starts its tasks elsewhere.
 TEST_F(agent_test, lease_is_not_extended_without_answers_of_the_worker)
@@ -206,11 +220,11 @@
     EXPECT_TRUE(fail().lease_until);
     for (int polls = 0; polls < 10; ++polls)
     {
-        receive();
+        receive(agent_report(), loop.clock().now());
         const bool is_recent = polls < 2; // A poll each 0.6 s.
         EXPECT_EQ(fail().lease_until.has_value(), is_recent) << "after " << polls;
     }
-    receive();
+    receive(agent_report(), loop.clock().now());
     answer(1, 0);
     answer(1, 0);
     EXPECT_TRUE(answer(1, 0).lease_until);
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -222,6 +222,22 @@
     EXPECT_EQ(sent_starts().size(), 1U);
 }
 
+// Guards against an agent that extends leases for a worker that was given to another one.
+TEST_F(owner_test, receipt_names_the_workers_whose_answers_are_not_counted)
+{
+    start();
+    report("a", report_with(poll({latest_assignment(), 1})));
+    wire::cell_report message;
+    message.token = fence_token(first_token);
+    message.address = endpoint("a");
+    message.share = 250;
+    message.report = report_with(poll({latest_assignment(), 2}));
+    EXPECT_TRUE(cell->handle_report(instance_id("a"), message).not_counted.empty());
+    message.report = report_with(poll({latest_assignment() - 1, 3}));
+    EXPECT_EQ(cell->handle_report(instance_id("a"), message).not_counted,
+              std::vector<worker_id>{worker_id("w")});
+}
+
 TEST_F(owner_test, job_starts_only_on_a_polled_and_stored_worker)
 {
     start();
