Read no jobs of a later owner after the store has dropped its history

Callers may see two runs of a task. An owner whose watch was answered with 'history lost' reads all records again. It took over jobs that were stored after another instance had claimed the cell, and started them; that instance takes them for new and starts them as well. The watch itself shows the claim before such jobs, the listing was not checked.

A listing that contains a later claim of another instance ends the owner before any job is read: keys of jobs sort before those of the claim, so that the claim is at least as new as the jobs of the listing. missed_claim_test failed before: the owner went on and started the job.

--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -121,6 +121,8 @@
     void load();
     void read_stored_jobs();
     void handle_listing(const store_listing& listing);
+    /// Returns whether another instance has claimed the cell after this owner.
+    bool is_later_claim(const store_item& item) const;
     void handle_term(const store_item& item);
     void handle_item(const store_item& item, std::vector<stored_end>& ends,
                      std::vector<job_key>& cancels);
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -52,6 +52,10 @@
 {
     std::vector<stored_end> ends;
     std::vector<job_key> cancels;
+    // Jobs that were stored after a later claim may run under that owner already.
+    for (const store_item& item : listing.items)
+        if (is_later_claim(item))
+            return parts.superseded(fence_token(item.revision.value()));
     for (const store_item& item : listing.items)
         if (item.key == term_key)
             handle_term(item);
@@ -87,6 +91,16 @@
     schedule_decision();
 }
 
+bool owner::implementation::is_later_claim(const store_item& item) const
+{
+    if ((item.key != owner_key && item.key != last_claim_key) ||
+        item.revision <= kv_revision(token.value()))
+        return false;
+    // This instance may have continued its claim without having learned of it.
+    const result<owner_record> record = decode_owner(item.value);
+    return !record || record.value().instance != parts.self;
+}
+
 void owner::implementation::handle_term(const store_item& item)
 {
     const result<owner_term> term = decode_term(item.value);
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -222,6 +222,37 @@
     EXPECT_EQ(sent_starts().size(), 1U);
 }
 
+class missed_claim_test : public owner_test,
+                          public testing::WithParamInterface<const char*>
+{
+};
+
+// Guards against an owner that reads jobs which a later owner has accepted: both would
+// start them.
+TEST_P(missed_claim_test, jobs_are_not_read_after_a_later_claim)
+{
+    start();
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(500));
+    ++state.revision;
+    state.put(GetParam(), "", lease_id());
+    ++state.revision;
+    state.put("cell/job/later",
+              encode(job_record{job_state::queued, fleet::job("later", "q", 1, 1), 0}),
+              lease_id());
+    drop_history();
+    for (int tenths = 0; tenths < 20; ++tenths)
+    {
+        report("a", report_with(poll({latest_assignment(), 2})));
+        loop.advance(milliseconds(100));
+    }
+    EXPECT_FALSE(superseding_tokens.empty());
+    EXPECT_TRUE(sent_starts().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(keys, missed_claim_test,
+                         testing::Values("cell/owner", "cell/owner-last"));
+
 // Guards against an agent that extends leases for a worker that was given to another one.
 TEST_F(owner_test, receipt_names_the_workers_whose_answers_are_not_counted)
 {
