Confirm a claim only by the lease that its key has

An owner whose claim has lapsed asks for a new lease and tries to claim again. The attempt fails if another instance owns the cell, but the new lease was renewed from then on, and each renewal confirmed the claim until the watch showed the successor. The conflict that names the successor was ignored. If an attempt without an answer had taken effect, a later lease was renewed in place of the one that the key has.

The lease of an attempt becomes the lease of the claim when it succeeds, or is read from the key. Answers to renewals of other leases count for nothing, and a conflict is handled like a change. claim_test.failed_attempt_to_claim_again_ confirms_nothing failed before.

--- a/include/hawthornbeam/cell/store.hpp
+++ b/include/hawthornbeam/cell/store.hpp
@@ -27,6 +27,7 @@
     std::string key;
     std::string value;
     kv_revision revision;
+    lease_id lease = {}; ///< Zero if the key has none.
 };
 
 /// All keys with a prefix, read page by page and therefore not a snapshot.
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -69,12 +69,16 @@
     void schedule_claim();
     void begin_claim();
     void handle_lease(result<lease_id> answer);
-    void handle_commit(result<store_commit> answer);
+    /// Handles the answer to a claim with a lease that was sent then.
+    void handle_commit(const result<store_commit>& answer, lease_id attempted,
+                       boot_time sent);
+    /// Learns of the claim that made an attempt of this instance fail.
+    void handle_conflicts(const std::vector<store_item>& current);
     void on_acquired(kv_revision revision);
     void step_down(const char* reason);
     void remove_claim(const char* reason);
     void renew();
-    void handle_renewal(const result<bool>& answer, boot_time sent);
+    void handle_renewal(const result<bool>& answer, lease_id renewed, boot_time sent);
 
     event_loop& loop;
     cell_store& store;
@@ -88,9 +92,8 @@
     bool enabled = false; ///< See enable().
     bool released = false;
     bool claiming = false;
-    boot_time confirmed_at{}; ///< See claim::confirmed_at().
-    boot_time claim_sent_at{};
-    lease_id lease;
+    boot_time confirmed_at{};   ///< See claim::confirmed_at().
+    lease_id lease;             ///< Of the own claim.
     kv_revision own_last_claim; ///< Own latest claim; none after stepping down.
     kv_revision latest_claim;   ///< Latest claim of any instance.
     owner_term latest_term;     ///< Of latest_claim.
@@ -181,8 +184,10 @@
         return;
     if (record.value().instance != self.instance)
         return set_owner({record.value().instance, record.value().address, token});
-    if (!owning)
-        on_acquired(item->revision);
+    if (owning)
+        return;
+    lease = item->lease;
+    on_acquired(item->revision);
 }
 
 void claim::implementation::set_owner(const owner_identity& shown)
@@ -244,8 +249,7 @@
         claiming = false;
         return;
     }
-    lease = answer.value();
-    claim_sent_at = loop.clock().now();
+    const lease_id granted = answer.value();
     expected_latest_claim = latest_claim;
     const kv_revision replaced =
         may_replace() && !is_free ? kv_revision(current->token.value()) : kv_revision();
@@ -255,22 +259,51 @@
     change.expect = {{std::string(owner_key), replaced},
                      {std::string(last_claim_key), expected_latest_claim},
                      {std::string(term_key), term_revision}};
-    change.puts = {{std::string(owner_key), value, lease},
+    change.puts = {{std::string(owner_key), value, granted},
                    {std::string(last_claim_key), value, lease_id()},
                    {std::string(term_key), encode(latest_term.next()), lease_id()}};
-    store.commit(std::move(change), guarded(&implementation::handle_commit));
+    store.commit(std::move(change),
+                 [weak = weak_from_this(), granted,
+                  sent = loop.clock().now()](const result<store_commit>& committed)
+                 {
+                     const std::shared_ptr<implementation> target = weak.lock();
+                     if (target)
+                         target->handle_commit(committed, granted, sent);
+                 });
 }
 
-void claim::implementation::handle_commit(result<store_commit> answer)
+void claim::implementation::handle_commit(const result<store_commit>& answer,
+                                          lease_id attempted, boot_time sent)
 {
     claiming = false;
     // If the outcome of the commit is unknown, the watch shows whether it took effect.
-    if (!answer || !answer.value().committed)
+    if (!answer)
         return;
-    confirmed_at = std::max(confirmed_at, claim_sent_at);
+    if (!answer.value().committed)
+        return handle_conflicts(answer.value().conflicts);
+    lease = attempted;
+    confirmed_at = std::max(confirmed_at, sent);
     on_acquired(answer.value().revision);
 }
 
+void claim::implementation::handle_conflicts(const std::vector<store_item>& current)
+{
+    std::optional<store_item> claim_item;
+    for (const store_item& item : current)
+    {
+        if (item.revision == kv_revision())
+            continue;
+        if (item.key == owner_key)
+            claim_item = item;
+        else if (item.key == last_claim_key)
+            latest_claim = std::max(latest_claim, item.revision);
+        else if (item.key == term_key)
+            handle_term(item);
+    }
+    if (claim_item)
+        handle_claim_key(claim_item);
+}
+
 void claim::implementation::on_acquired(kv_revision revision)
 {
     if (released)
@@ -322,19 +355,20 @@
 
 void claim::implementation::renew()
 {
-    store.renew(
-        lease,
-        [weak = weak_from_this(), sent = loop.clock().now()](const result<bool>& answer)
-        {
-            const std::shared_ptr<implementation> target = weak.lock();
-            if (target)
-                target->handle_renewal(answer, sent);
-        });
+    store.renew(lease,
+                [weak = weak_from_this(), renewed = lease,
+                 sent = loop.clock().now()](const result<bool>& answer)
+                {
+                    const std::shared_ptr<implementation> target = weak.lock();
+                    if (target)
+                        target->handle_renewal(answer, renewed, sent);
+                });
 }
 
-void claim::implementation::handle_renewal(const result<bool>& answer, boot_time sent)
+void claim::implementation::handle_renewal(const result<bool>& answer, lease_id renewed,
+                                           boot_time sent)
 {
-    if (!owning || !answer)
+    if (!owning || !answer || renewed != lease)
         return;
     if (answer.value())
     {
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -130,6 +130,23 @@
               owner_term(8));
 }
 
+// Guards against a lease that no claim has and that confirms the claim of a former owner.
+TEST_F(claim_test, failed_attempt_to_claim_again_confirms_nothing)
+{
+    start();
+    claimant& former = owner();
+    claimant& successor = non_owner();
+    former.store.condition = store_condition::refusing;
+    loop.advance(seconds(2));
+    ASSERT_TRUE(successor.cell_claim.is_owner());
+    // The watch of the former owner misses the claim of its successor.
+    former.store.condition = store_condition::deaf_watches;
+    const boot_time before = loop.clock().now();
+    loop.advance(seconds(2));
+    EXPECT_LT(former.cell_claim.confirmed_at(), before);
+    EXPECT_FALSE(former.cell_claim.is_owner()) << "the failed attempt names the claim";
+}
+
 TEST_F(claim_test, owner_keeps_its_role_in_a_store_outage_and_continues_its_claim)
 {
     start();
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -36,7 +36,7 @@
 
 void memory_store_state::put(const std::string& key, std::string value, lease_id lease)
 {
-    items[key] = store_item{key, std::move(value), kv_revision(revision)};
+    items[key] = store_item{key, std::move(value), kv_revision(revision), lease};
     key_leases[key] = lease;
     history.push_back({items[key], false});
     change_times.push_back(loop.clock().now());
