Drop answers to polls that carried the token of a former owner

A poll waits up to 1 s. When the owner changed meanwhile and the worker got the same assignment number again, its answer was reported to the new owner, which took the worker for one that refuses the former token, while it had not seen the new one. A poll that was refused with the former token was reported as a refusal of the new one, and the new owner stepped down.

Answers to polls are compared by token, as those to commands were already. agent_test.answer_to_a_poll_of_the_former_owner_is_not_reported failed before. agent_test.lease_is_not_extended_while_the_claim_is_not_confirmed could not fail for what it names, since no answer was counted either; it goes on to count answers now, and fails if the confirmation is not asked for.

--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -169,11 +169,11 @@
     worker.lease_extended = call.lease_until.has_value();
     const event_position sent_position{worker.assignment, event_count};
     port.poll(call,
-              [weak = weak_from_this(), id, sent_position,
+              [weak = weak_from_this(), id, sent_position, command_token = token,
                acknowledged = call.acknowledged](poll_answer answer)
               {
                   const std::shared_ptr<implementation> self = weak.lock();
-                  if (!self)
+                  if (!self || self->token != command_token)
                       return;
                   answer.poll.sent_position = sent_position;
                   self->handle_poll(id, acknowledged, std::move(answer));
--- a/unittests/cell/agent_test.cpp
+++ b/unittests/cell/agent_test.cpp
@@ -191,9 +191,10 @@
 {
     answer(1, 0);
     EXPECT_TRUE(answer(1, 0).lease_until);
+    // The owner goes on to count the answers, each 0.6 s.
     receipt.unconfirmed = seconds(3);
-    loop.advance(seconds(3));
-    answer(1, 0);
+    for (int polls = 0; polls < 4; ++polls)
+        answer(1, 0);
     EXPECT_FALSE(answer(1, 0).lease_until);
     receipt.unconfirmed = milliseconds(300);
     answer(1, 0);
@@ -201,6 +202,32 @@
     EXPECT_TRUE(answer(1, 0).lease_until);
 }
 
+// Guards against taking an answer to the former owner for one that has seen the token of
+// the present owner: the worker may still execute commands of the former one.
+TEST_F(agent_test, answer_to_a_poll_of_the_former_owner_is_not_reported)
+{
+    answer(1, 0);
+    ASSERT_EQ(port.polls.size(), 1U);
+    const std::function<void(poll_answer)> done = port.polls.front().second;
+    port.polls.clear();
+    agent_commands commands;
+    commands.assignments.push_back({worker_id("w"), endpoint("w:1"), 1, true});
+    polling_agent.execute(fence_token(2), commands);
+    loop.advance(milliseconds(100));
+    ASSERT_EQ(port.polls.size(), 1U);
+    ends_reported = 0;
+    poll_answer late;
+    late.poll.incarnation = worker_incarnation(1);
+    late.poll.ended.push_back({end_number(1),
+                               {{job_key("j"), 0, 0}, run_number(1)},
+                               run_end::done,
+                               checkpoint()});
+    done(late);
+    loop.advance(milliseconds(600));
+    EXPECT_EQ(ends_reported, 0U);
+    EXPECT_EQ(port.polls.size(), 1U) << "the poll with the new token goes on alone";
+}
+
 // Guards against an agent that misses its last assignment and extends a lease which the
 // owner, who counts the answers to another agent, takes for expired.
 TEST_F(agent_test, worker_whose_answers_are_not_counted_is_polled_no_more)
