Count instances that only a former owner has heard as able to claim the cell

The instances that confirm a claim were those that had reported to this owner. A host that claims the cell while some hosts are cut off from it, and loses the store with the rest of its island afterwards, was confirmed by that rest without end.

The owner stores the instances that it has heard in cell/instances; the next one counts those that it does not hear as silent. A process at the same address replaces them, a planned stop removes them, and so do ten minutes without a report, so that hosts that were taken out of service do not withhold their confirmation for ever. owner_test.instance_that_only_the_former_owner_has_heard_ counts_as_silent is new; before, nothing was stored and the owner was confirmed.

--- a/lib/cell/claim_evidence.cpp
+++ b/lib/cell/claim_evidence.cpp
@@ -7,20 +7,53 @@
 namespace hawthornbeam::cell
 {
 
-void claim_evidence::add_instance(const instance_id& id, const endpoint& address)
+namespace
 {
-    const auto [found, added] = instances_.try_emplace(id);
+
+/// Time without a report after which an instance counts as removed from service.
+constexpr duration unheard_retention = std::chrono::minutes(10);
+
+} // namespace
+
+bool claim_evidence::add_instance(const known_instance& heard, boot_time now)
+{
+    const auto [found, added] = instances_.try_emplace(heard.id);
+    found->second.heard_at = now;
     if (!added)
-        return;
-    found->second.address = address;
-    std::erase_if(instances_,
-                  [&id, &address](const std::pair<const instance_id, instance>& each)
-                  { return each.first != id && each.second.address == address; });
+        return false;
+    found->second.address = heard.address;
+    std::erase_if(
+        instances_, [&heard](const std::pair<const instance_id, instance>& each)
+        { return each.first != heard.id && each.second.address == heard.address; });
+    return true;
+}
+
+bool claim_evidence::remove_instance(const instance_id& id)
+{
+    return instances_.erase(id) > 0;
 }
 
-void claim_evidence::remove_instance(const instance_id& id)
+bool claim_evidence::remove_at(const endpoint& address)
 {
-    instances_.erase(id);
+    return std::erase_if(instances_,
+                         [&address](const std::pair<const instance_id, instance>& each)
+                         { return each.second.address == address; }) > 0;
+}
+
+bool claim_evidence::remove_unheard(boot_time now)
+{
+    return std::erase_if(instances_,
+                         [now](const std::pair<const instance_id, instance>& each)
+                         { return now - each.second.heard_at > unheard_retention; }) > 0;
+}
+
+std::vector<known_instance> claim_evidence::instances() const
+{
+    std::vector<known_instance> listed;
+    listed.reserve(instances_.size());
+    for (const auto& [id, each] : instances_)
+        listed.push_back({id, each.address});
+    return listed;
 }
 
 void claim_evidence::record_answer(const instance_id& id, boot_time sent)
--- a/lib/cell/claim_evidence.hpp
+++ b/lib/cell/claim_evidence.hpp
@@ -4,7 +4,7 @@
 #ifndef HAWTHORNBEAM_LIB_CELL_CLAIM_EVIDENCE_HPP
 #define HAWTHORNBEAM_LIB_CELL_CLAIM_EVIDENCE_HPP
 
-#include "hawthornbeam/cell/types.hpp"
+#include "stored_form.hpp"
 
 #include <map>
 
@@ -18,11 +18,17 @@
 class claim_evidence
 {
 public:
-    /// Records an instance that could claim the cell. A process replaces earlier ones at
-    /// its address, which have ended.
-    void add_instance(const instance_id& id, const endpoint& address);
+    /// Records an instance that could claim the cell and was heard at \p now. A process
+    /// replaces earlier ones at its address, which have ended. Returns whether
+    /// instances() has changed, like the other functions.
+    bool add_instance(const known_instance& heard, boot_time now);
     /// Records that the instance makes no claim any more.
-    void remove_instance(const instance_id& id);
+    bool remove_instance(const instance_id& id);
+    /// Removes the instances at an address that another process uses now.
+    bool remove_at(const endpoint& address);
+    /// Removes the instances that were not heard for so long that they have probably been
+    /// removed from service.
+    bool remove_unheard(boot_time now);
     /// Records that the instance answered a message that was sent at \p sent, and knew of
     /// no later claim.
     void record_answer(const instance_id& id, boot_time sent);
@@ -31,11 +37,14 @@
     boot_time confirmed_at(boot_time by_store) const;
     /// Instances that have not answered a message sent after \p time.
     std::size_t silent_since(boot_time time) const;
+    /// All instances that could claim the cell, for the next owner.
+    std::vector<known_instance> instances() const;
 
 private:
     struct instance
     {
         endpoint address;
+        boot_time heard_at{};
         boot_time answered_at{}; ///< When the message that it answered last was sent.
     };
 
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -106,10 +106,12 @@
     message.cancelled = std::exchange(unreported_cancels, {});
     if (claim.is_owner())
     {
-        if (active_owner)
-            agent.on_report_received(
-                known_token, active_owner->handle_report(parts.self, std::move(message)),
-                polled, observed_at, sent);
+        if (!active_owner)
+            return;
+        const report_receipt receipt =
+            active_owner->handle_report(parts.self, std::move(message));
+        if (known_token == claim.token())
+            agent.on_report_received(known_token, receipt, polled, observed_at, sent);
         return;
     }
     parts.network.call(
@@ -309,8 +311,9 @@
             reply.not_counted = std::move(receipt.not_counted);
             // Rounded up, so that the claim never seems to be confirmed later.
             reply.unconfirmed_ms =
-                static_cast<std::uint32_t>(receipt.unconfirmed /
-                                           std::chrono::milliseconds(1)) +
+                static_cast<std::uint32_t>(
+                    std::min<duration>(receipt.unconfirmed, std::chrono::hours(1)) /
+                    std::chrono::milliseconds(1)) +
                 1;
         }
         return answer(reply);
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -74,14 +74,28 @@
                                             });
 }
 
-duration owner::implementation::unconfirmed_time() const
+void owner::implementation::record_instance(const instance_id& from,
+                                            const wire::cell_report& report,
+                                            boot_time now)
 {
-    return parts.loop.clock().now() - evidence.confirmed_at(parts.confirmed_by_store());
+    bool changed = false;
+    if (from == parts.self)
+        changed = evidence.remove_at(report.address);
+    else if (report.leaving)
+        changed = evidence.remove_instance(from);
+    else
+        changed = evidence.add_instance({from, report.address}, now);
+    instances_changed = instances_changed || changed;
+}
+
+boot_time owner::implementation::confirmed_at() const
+{
+    return evidence.confirmed_at(parts.confirmed_by_store());
 }
 
-bool owner::implementation::check_claim()
+bool owner::implementation::check_claim(boot_time now)
 {
-    const duration unconfirmed = unconfirmed_time();
+    const duration unconfirmed = now - confirmed_at();
     const bool confirmed = unconfirmed <= max_unconfirmed_time;
     if (confirmed == std::exchange(claim_confirmed, confirmed))
         return confirmed;
@@ -92,8 +106,8 @@
         parts.log.warning(
             "owner", "claim not confirmed",
             {{"unconfirmed_ms", std::int64_t{unconfirmed / std::chrono::milliseconds(1)}},
-             {"silent", std::uint64_t{evidence.silent_since(parts.loop.clock().now() -
-                                                            max_unconfirmed_time)}}});
+             {"silent",
+              std::uint64_t{evidence.silent_since(now - max_unconfirmed_time)}}});
     return confirmed;
 }
 
@@ -109,10 +123,7 @@
     sender.commands_failed = false;
     const bool leaves = report.leaving && !sender.leaving;
     sender.leaving = report.leaving;
-    if (report.leaving)
-        evidence.remove_instance(from);
-    else if (from != parts.self)
-        evidence.add_instance(from, report.address);
+    record_instance(from, report, now);
     sender.store_answered_at =
         now - std::chrono::milliseconds(report.store_unanswered_ms);
     for (wire::accepted_job& accepted : report.accepted)
@@ -132,7 +143,7 @@
     if (!usable || leaves)
         assign_workers();
     schedule_decision();
-    receipt.unconfirmed = unconfirmed_time();
+    receipt.unconfirmed = parts.loop.clock().now() - confirmed_at();
     return receipt;
 }
 
@@ -230,10 +241,10 @@
 {
     if (!loaded || stopping)
         return send_commands();
-    if (!check_claim())
-        return send_commands();
     const boot_time now = parts.loop.clock().now();
-    cell.confirm_claim(now - unconfirmed_time());
+    if (!check_claim(now))
+        return send_commands();
+    cell.confirm_claim(confirmed_at());
     cell.set_advice_hosts(hosts_for_long_advice(now));
     decisions decided = cell.decide(now);
     for (start_command& command : decided.starts)
@@ -296,6 +307,8 @@
     const boot_time now = parts.loop.clock().now();
     std::erase_if(agents, [now](const std::pair<const instance_id, agent_state>& entry)
                   { return now - entry.second.last_report_at > agent_retention; });
+    if (evidence.remove_unheard(now))
+        instances_changed = true;
     assign_workers();
     const std::uint32_t largest = largest_processor_share();
     std::vector<queue_depth> depths;
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -87,10 +87,13 @@
     /// Returns the workers whose poll results were ignored.
     std::vector<worker_id> apply_report(const instance_id& from,
                                         const agent_report& report, boot_time now);
-    /// Time since it was certain that no other instance owns the cell.
-    duration unconfirmed_time() const;
-    /// Logs whether the owner may act. Returns whether it may.
-    bool check_claim();
+    /// Records whether the sender of a report could claim the cell.
+    void record_instance(const instance_id& from, const wire::cell_report& report,
+                         boot_time now);
+    /// Latest time at which it was certain that no other instance owned the cell.
+    boot_time confirmed_at() const;
+    /// Returns whether the owner may act at \p now, and logs each change.
+    bool check_claim(boot_time now);
     void handle_workers(const std::vector<worker_info>& listed);
     void remove_dropped_workers();
     void assign_workers();
@@ -135,11 +138,21 @@
     void remove_expired_jobs();
     void handle_stored(const change_batch& batch);
     void record_stored_ends(const change_batch& batch);
-    /// Writes the records of workers and queues if they have changed.
+    /// Reads the instances that the former owner knew. Those that are not heard count as
+    /// silent.
+    void handle_instances(const store_item& item);
+    /// The records that a transaction writes.
+    struct written_records
+    {
+        std::optional<std::set<worker_id>> workers;
+        bool queues = false;
+        bool instances = false;
+    };
+    /// Writes the records of workers, queues and instances if they have changed.
     void write_records();
     void handle_records_conflict(const std::vector<store_item>& current);
-    void handle_records_commit(const std::optional<std::set<worker_id>>& written_workers,
-                               bool queues_written, const result<store_commit>& answer);
+    void handle_records_commit(const written_records& written,
+                               const result<store_commit>& answer);
 
     owner_parts parts;
     fence_token token;
@@ -173,11 +186,13 @@
     std::set<worker_id> workers_to_store;
     bool workers_changed = false;
     bool queues_changed = true; ///< Since they were stored.
+    bool instances_changed = false;
     bool writing_records = false;
     bool records_retry_due = false; ///< The last write failed.
-    /// Revisions of the records of workers and queues; zero if there is no record.
+    /// Revisions of the records of workers, queues and instances; zero if there is none.
     kv_revision workers_revision;
     kv_revision queues_revision;
+    kv_revision instances_revision;
     kv_revision followed_revision; ///< Changes up to this revision have been read.
     bool following = false;
     /// Transfer timeout of the next watch.
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -110,6 +110,25 @@
     cell.set_term(term.value());
 }
 
+void owner::implementation::handle_instances(const store_item& item)
+{
+    instances_revision = item.revision;
+    const result<std::vector<known_instance>> known = decode_instances(item.value);
+    if (!known)
+        return parts.log.error("owner", "stored instances cannot be read",
+                               {{"reason", known.error().message}});
+    const std::vector<known_instance> heard = evidence.instances();
+    for (const known_instance& each : known.value())
+    {
+        const bool is_replaced =
+            each.id == parts.self ||
+            std::ranges::find(heard, each.address, &known_instance::address) !=
+                heard.end();
+        if (!is_replaced)
+            evidence.add_instance(each, parts.loop.clock().now());
+    }
+}
+
 void owner::implementation::handle_item(const store_item& item,
                                         std::vector<stored_end>& ends,
                                         std::vector<job_key>& cancels)
@@ -159,6 +178,8 @@
         queues_revision = item.revision;
         return cell.restore_queues(known.value());
     }
+    if (key == instances_key)
+        return handle_instances(item);
     if (key == workers_key)
     {
         result<std::vector<worker_id>> known = decode_workers(item.value);
@@ -352,7 +373,8 @@
 
 void owner::implementation::write_records()
 {
-    if (writing_records || records_retry_due || !(workers_changed || queues_changed))
+    if (writing_records || records_retry_due ||
+        !(workers_changed || queues_changed || instances_changed))
         return;
     // A transaction without an answer may be executed after a later one. Its expectation
     // of the records' revisions fails then.
@@ -372,20 +394,26 @@
         change.puts.push_back(
             {std::string(queues_key), encode(cell.queues()), lease_id()});
     }
+    if (instances_changed)
+    {
+        change.expect.push_back({std::string(instances_key), instances_revision});
+        change.puts.push_back(
+            {std::string(instances_key), encode(evidence.instances()), lease_id()});
+    }
+    written_records written;
+    if (std::exchange(workers_changed, false))
+        written.workers = workers_to_store;
+    written.queues = std::exchange(queues_changed, false);
+    written.instances = std::exchange(instances_changed, false);
     writing_records = true;
-    parts.store.commit(
-        std::move(change),
-        [weak = weak_from_this(), written_workers = workers_to_store,
-         workers_written = std::exchange(workers_changed, false),
-         queues_written =
-             std::exchange(queues_changed, false)](const result<store_commit>& answer)
-        {
-            const std::shared_ptr<implementation> self = weak.lock();
-            if (self)
-                self->handle_records_commit(
-                    workers_written ? std::optional(written_workers) : std::nullopt,
-                    queues_written, answer);
-        });
+    parts.store.commit(std::move(change),
+                       [weak = weak_from_this(),
+                        written = std::move(written)](const result<store_commit>& answer)
+                       {
+                           const std::shared_ptr<implementation> self = weak.lock();
+                           if (self)
+                               self->handle_records_commit(written, answer);
+                       });
 }
 
 void owner::implementation::handle_records_conflict(
@@ -397,20 +425,22 @@
             workers_revision = item.revision;
         else if (item.key == queues_key)
             queues_revision = item.revision;
+        else if (item.key == instances_key)
+            instances_revision = item.revision;
         else if (item.key == owner_key && item.revision > kv_revision(token.value()))
             parts.superseded(fence_token(item.revision.value()));
     }
 }
 
-void owner::implementation::handle_records_commit(
-    const std::optional<std::set<worker_id>>& written_workers, bool queues_written,
-    const result<store_commit>& answer)
+void owner::implementation::handle_records_commit(const written_records& written,
+                                                  const result<store_commit>& answer)
 {
     writing_records = false;
     if (!answer || !answer.value().committed)
     {
-        workers_changed = workers_changed || written_workers.has_value();
-        queues_changed = queues_changed || queues_written;
+        workers_changed = workers_changed || written.workers.has_value();
+        queues_changed = queues_changed || written.queues;
+        instances_changed = instances_changed || written.instances;
         if (answer)
             handle_records_conflict(answer.value().conflicts);
         parts.log.warning("owner", "records not stored",
@@ -425,14 +455,16 @@
                                          });
         return;
     }
-    if (queues_written)
+    if (written.queues)
         queues_revision = answer.value().revision;
-    if (!written_workers)
+    if (written.instances)
+        instances_revision = answer.value().revision;
+    if (!written.workers)
         return;
     workers_revision = answer.value().revision;
     // Workers that were added during the write are included in the next one.
     stored_workers.clear();
-    std::ranges::set_intersection(*written_workers, workers_to_store,
+    std::ranges::set_intersection(*written.workers, workers_to_store,
                                   std::inserter(stored_workers, stored_workers.end()));
     for (const worker_id& id : stored_workers)
         cell.allow_worker(id);
--- a/lib/cell/stored_form.cpp
+++ b/lib/cell/stored_form.cpp
@@ -16,6 +16,13 @@
     members(archive, instance, address);
 }
 
+template <class Archive>
+void serialize(Archive& archive, known_instance& value)
+{
+    auto& [id, address] = value;
+    members(archive, id, address);
+}
+
 namespace
 {
 
@@ -96,6 +103,10 @@
 {
     return encode_value(term);
 }
+std::string encode(const std::vector<known_instance>& instances)
+{
+    return encode_value(instances);
+}
 result<job_record> decode_job(std::string_view bytes)
 {
     return decode_value<job_record>(bytes);
@@ -120,5 +131,9 @@
 {
     return decode_value<owner_term>(bytes);
 }
+result<std::vector<known_instance>> decode_instances(std::string_view bytes)
+{
+    return decode_value<std::vector<known_instance>>(bytes);
+}
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/stored_form.hpp
+++ b/lib/cell/stored_form.hpp
@@ -26,6 +26,8 @@
 inline constexpr std::string_view term_key = "cell/owner-term";
 /// Key of the ids of the workers on which tasks may run.
 inline constexpr std::string_view workers_key = "cell/workers";
+/// Key of the instances that could claim the cell.
+inline constexpr std::string_view instances_key = "cell/instances";
 /// Key of the policies of the queues that the owner has been configured with.
 inline constexpr std::string_view queues_key = "cell/queues";
 inline constexpr std::string_view job_prefix = "cell/job/";
@@ -44,6 +46,13 @@
     endpoint address;
 };
 
+/// An instance that could claim the cell.
+struct known_instance
+{
+    instance_id id;
+    endpoint address;
+};
+
 /// Encoded values begin with a version byte. Decoding a value that has another version,
 /// is truncated or has trailing bytes fails with invalid_input.
 std::string encode(const job_record& record);
@@ -52,12 +61,14 @@
 std::string encode(const std::vector<queue_policy>& queues);
 std::string encode(const owner_record& owner);
 std::string encode(owner_term term);
+std::string encode(const std::vector<known_instance>& instances);
 result<job_record> decode_job(std::string_view bytes);
 result<std::vector<stored_end>> decode_ends(std::string_view bytes);
 result<std::vector<worker_id>> decode_workers(std::string_view bytes);
 result<std::vector<queue_policy>> decode_queues(std::string_view bytes);
 result<owner_record> decode_owner(std::string_view bytes);
 result<owner_term> decode_term(std::string_view bytes);
+result<std::vector<known_instance>> decode_instances(std::string_view bytes);
 
 } // namespace hawthornbeam::cell
 
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -92,8 +92,7 @@
 {
     const duration since_contact = at - worker.contact_at;
     const duration longest_lease = limits.max_lease + max_unconfirmed_time;
-    return since_contact > longest_lease + std::chrono::duration_cast<duration>(
-                                               limits.clock_drift * longest_lease);
+    return since_contact * (1 - limits.clock_drift) > longest_lease;
 }
 
 void scheduler::confirm_claim(boot_time at)
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -204,6 +204,47 @@
     EXPECT_EQ(sent_starts().size(), 1U) << "all instances have answered";
 }
 
+// Guards against an owner that is confirmed by those instances alone which are cut off
+// with it.
+TEST_F(owner_test, instance_that_only_the_former_owner_has_heard_counts_as_silent)
+{
+    ++state.revision;
+    state.put(
+        "cell/instances",
+        encode(std::vector<known_instance>{{instance_id("b"), endpoint("b")},
+                                           {instance_id("a0"), endpoint("a")},
+                                           {instance_id("self0"), endpoint("self")}}),
+        lease_id());
+    start();
+    report("self");
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(500));
+    store_confirmed_at = loop.clock().now();
+    for (int tenths = 0; tenths < 25; ++tenths)
+    {
+        report("a", report_with(poll({latest_assignment(), 2})));
+        loop.advance(milliseconds(100));
+    }
+    submit("late");
+    EXPECT_TRUE(sent_starts().empty());
+    report("b");
+    loop.advance(seconds(1));
+    report("a", report_with(poll({latest_assignment(), 3})));
+    loop.advance(milliseconds(200));
+    EXPECT_EQ(sent_starts().size(), 1U) << "earlier processes at a and here have ended";
+}
+
+TEST_F(owner_test, instances_are_stored_for_the_next_owner)
+{
+    start();
+    report("b");
+    loop.advance(milliseconds(500));
+    const result<std::vector<known_instance>> stored =
+        decode_instances(state.items.at("cell/instances").value);
+    ASSERT_TRUE(stored);
+    EXPECT_EQ(stored.value().size(), 2U);
+}
+
 // Guards against an outage of the store that keeps running work from being scheduled.
 TEST_F(owner_test, starts_tasks_in_a_store_outage_while_all_instances_answer)
 {
@@ -235,7 +276,8 @@
     report("a", report_with(poll({latest_assignment(), 1})));
     loop.advance(milliseconds(500));
     ++state.revision;
-    state.put(GetParam(), "", lease_id());
+    state.put(GetParam(), encode(owner_record{instance_id("other"), endpoint("o:1")}),
+              lease_id());
     ++state.revision;
     state.put("cell/job/later",
               encode(job_record{job_state::queued, fleet::job("later", "q", 1, 1), 0}),
--- a/unittests/cell/run_numbers_test.cpp
+++ b/unittests/cell/run_numbers_test.cpp
@@ -88,7 +88,9 @@
     const job_spec accepted = fleet::job("b", "q", 1, 1);
     workers.submit(accepted);
     successor.add_job(accepted, false, workers.clock.now());
-    for (const start_command& each : starts())
+    const std::vector<start_command> started = starts();
+    ASSERT_EQ(started.size(), 2U);
+    for (const start_command& each : started)
         EXPECT_EQ(each.run.run, run_number(each.run.task.job == inherited ? 100'001 : 1));
 }
 
