Start tasks for as long as their leases end before a successor acts

The limit of 2 s is needed for the extension of leases. A start extends the lease of its worker to its deadline only, 1.5 s later, so that tasks may start until 6.5 s after the claim was confirmed: all leases have ended by then plus 1.5 s, and a successor waits for 8.2 s after its claim. A task that a successor could start earlier ran on a worker that it has polled, and such a worker refuses the former owner.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -29,6 +29,14 @@
     duration stall_limit = std::chrono::milliseconds(2500);
     /// Maximum fraction by which a worker's clock may run slow.
     double clock_drift = 0.02;
+
+    /// A task is started only within this time after the owner's claim was confirmed: a
+    /// start extends the lease of its worker to its deadline, and the lease has to end
+    /// before a successor gives the worker up.
+    duration max_unconfirmed_start() const
+    {
+        return max_lease + max_unconfirmed_time - start_deadline;
+    }
 };
 
 /// Changes to write to the store. Ended runs are acknowledged to the workers only after
--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -45,9 +45,9 @@
 /// Number of an ended run in a worker's list, counted from 1 in each incarnation.
 using end_number = strong_number<struct ended_number_tag, std::uint64_t>;
 
-/// Tasks are started and leases are extended only within this time after the owner's
-/// claim was confirmed. A successor, whose claim is later, gives up the runs of a worker
-/// that it cannot reach after the longest lease and this time.
+/// Leases are extended only within this time after the owner's claim was confirmed. A
+/// successor, whose claim is later, gives up the runs of a worker that it cannot reach
+/// after the longest lease and this time.
 inline constexpr duration max_unconfirmed_time = std::chrono::milliseconds(2000);
 
 /// Instance that owns the cell, with its fencing token.
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -96,7 +96,7 @@
 bool owner::implementation::check_claim(boot_time now)
 {
     const duration unconfirmed = now - confirmed_at();
-    const bool confirmed = unconfirmed <= max_unconfirmed_time;
+    const bool confirmed = unconfirmed <= parts.limits.max_unconfirmed_start();
     if (confirmed == std::exchange(claim_confirmed, confirmed))
         return confirmed;
     parts.metrics.set_gauge("hawthornbeam_claim_confirmed", {}, confirmed ? 1 : 0);
@@ -106,8 +106,8 @@
         parts.log.warning(
             "owner", "claim not confirmed",
             {{"unconfirmed_ms", std::int64_t{unconfirmed / std::chrono::milliseconds(1)}},
-             {"silent",
-              std::uint64_t{evidence.silent_since(now - max_unconfirmed_time)}}});
+             {"silent", std::uint64_t{evidence.silent_since(
+                            now - parts.limits.max_unconfirmed_start())}}});
     return confirmed;
 }
 
