Report why a ready step does not start

The owner now reports a step that has waited for 2 s, then after 4, 8 and 16 s, with a reason and the number of workers behind each barrier (step waits), counts the steps by reason (hawthornbeam_pending_steps), and docs/OPERATIONS.md leads from the id of such a job to the cause. At most 32 steps are examined in half a second. No decision changes: can_run() asks the same conditions as before through barrier_of().

The test fleet can now pass on its log lines.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -6,6 +6,7 @@
 #include "crash_blame.hpp"
 #include "gang_plan.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
+#include "pending.hpp"
 #include "run_evidence.hpp"
 
 #include <deque>
@@ -90,7 +91,14 @@
     std::optional<boot_time> advice_requested_at;
     /// First planned start of a waiting gang; capacity is held from then on.
     std::optional<boot_time> held_from;
-    boot_time not_before{}; ///< A gang that lost a member is placed after this.
+    boot_time not_before{};         ///< A gang that lost a member is placed after this.
+    bool over_advice_limit = false; ///< May not request advice in this decision.
+    boot_time considered_at{};      ///< Latest decision that tried to place the step.
+    /// Since when tasks wait without a start of any task of the step, as found by
+    /// report_pending(); zero: no task was found waiting.
+    boot_time waiting_since{};
+    duration next_report{}; ///< Wait after which the step is reported next.
+    pending_reason pending = pending_reason::not_placed; ///< As reported last.
 };
 
 struct job_status
@@ -299,7 +307,25 @@
                          const task_status& status, const task_ref& task, boot_time now);
     static void update_observation(worker_status& worker);
 
+    // Waiting steps; defined in pending.cpp.
+    /// Returns what keeps a worker without another barrier from starting a task of the
+    /// step in this decision.
+    worker_barrier start_barrier_of(const worker_status& candidate, const job_status& job,
+                                    std::uint32_t step, const decision_pass& pass) const;
+    barrier_counts count_barriers(const job_status& job, std::uint32_t step,
+                                  const decision_pass& pass) const;
+    pending_reason pending_reason_of(const job_status& job, std::uint32_t step,
+                                     const barrier_counts& counts,
+                                     const decision_pass& pass) const;
+    /// Reports the steps that have waited for some seconds, at the end of a decision.
+    void report_pending(const decision_pass& pass);
+    void report_step(job_status& job, std::uint32_t step, const decision_pass& pass);
+
     // Placement; defined in place.cpp, order.cpp, gangs.cpp and advice.cpp.
+    /// Returns what keeps the worker from running any task of the step, apart from
+    /// advice, room and suspect tasks.
+    worker_barrier barrier_of(const worker_status& candidate, const job_status& job,
+                              std::uint32_t step, boot_time now) const;
     bool can_run(const worker_status& candidate, const job_status& job,
                  std::uint32_t step, boot_time now) const;
     /// Computes `due` and `value_lost_at`.
@@ -368,6 +394,7 @@
     std::vector<stop_command> stops; ///< Requested since the last decision.
     std::size_t open_job_count = 0;
     boot_time lateness_updated_at{};
+    boot_time pending_reviewed_at{};
     std::deque<boot_time> recent_crashes; ///< Times of the latest crashes of workers.
     /// Hosts that can send requests to the advice service concurrently.
     std::uint32_t advice_hosts = min_advice_hosts;
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -37,22 +37,32 @@
     return count;
 }
 
-bool scheduler::implementation::can_run(const worker_status& candidate,
-                                        const job_status& job, std::uint32_t step,
-                                        boot_time now) const
+worker_barrier scheduler::implementation::barrier_of(const worker_status& candidate,
+                                                     const job_status& job,
+                                                     std::uint32_t step,
+                                                     boot_time now) const
 {
     const step_spec& spec = job.spec.steps[step];
     const worker_info& info = candidate.info;
-    if (!candidate.has_entry || !candidate.allowed || !candidate.polled ||
-        info.draining || info.incarnation != candidate.incarnation ||
-        info.service != policy_of(job).service || candidate.quarantined_until > now ||
+    if (!candidate.has_entry || info.service != policy_of(job).service ||
+        !spec.size.fits_in(info.capacity) ||
+        (!spec.label.empty() &&
+         std::ranges::find(info.labels, spec.label) == info.labels.end()))
+        return worker_barrier::unsuitable;
+    if (!candidate.allowed || !candidate.polled || info.draining ||
+        info.incarnation != candidate.incarnation ||
         candidate.refused_since != boot_time() ||
         now - candidate.contact_at > limits.answer_limit * 2)
-        return false;
-    if (!spec.label.empty() &&
-        std::ranges::find(info.labels, spec.label) == info.labels.end())
-        return false;
-    return spec.size.fits_in(info.capacity);
+        return worker_barrier::away;
+    return candidate.quarantined_until > now ? worker_barrier::quarantined
+                                             : worker_barrier::none;
+}
+
+bool scheduler::implementation::can_run(const worker_status& candidate,
+                                        const job_status& job, std::uint32_t step,
+                                        boot_time now) const
+{
+    return barrier_of(candidate, job, step, now) == worker_barrier::none;
 }
 
 worker_status* scheduler::implementation::choose_worker(
@@ -150,6 +160,7 @@
     status.run_worker = target.info.id;
     status.last_run = run;
     ++step.occupied;
+    step.waiting_since = boot_time();
     record_started(job, now);
     metrics.add("hawthornbeam_starts_ordered_total", {{"queue", job.spec.queue.value()}});
     start_command command;
@@ -204,6 +215,7 @@
         return;
     }
     step_status& status = job->steps[step];
+    status.considered_at = pass.now;
     if (job->inherited && (inherited_held || !unsettled.empty()))
         return;
     if (job->spec.steps[step].gang)
@@ -225,8 +237,12 @@
         }
     if (waiting_tasks(status) == 0)
         open_steps.erase(key);
-    else if (policy_of(*job).advice && may_request_advice(*job, pass))
-        request_advice(*job, key, pass);
+    else if (policy_of(*job).advice)
+    {
+        status.over_advice_limit = !may_request_advice(*job, pass);
+        if (!status.over_advice_limit)
+            request_advice(*job, key, pass);
+    }
 }
 
 decisions scheduler::decide(boot_time now)
@@ -253,6 +269,7 @@
     }
     for (const step_key& key : considered)
         self.place_step(key, pass);
+    self.report_pending(pass);
     decisions& out = pass.out;
     out.stops = std::exchange(self.stops, {});
     for (const stop_command& stop : out.stops)
--- a/unittests/cell/fleet.hpp
+++ b/unittests/cell/fleet.hpp
@@ -5,6 +5,7 @@
 
 #include "hawthornbeam/cell/scheduler.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -83,7 +84,14 @@
     void publish(const std::string& worker);
 
     manual_clock clock;
-    logger log{clock, "test", log_level::error, [](const std::string&) {}};
+    /// Receives the log lines; empty without a reader.
+    std::function<void(const std::string&)> log_sink;
+    logger log{clock, "test", log_level::info,
+               [this](const std::string& line)
+               {
+                   if (log_sink)
+                       log_sink(line);
+               }};
     metrics_registry metrics;
     scheduler cell{scheduler_limits(), log, metrics};
 
