Tell failures of tasks from failures of workers

Cause: three failed runs of two jobs among the last eight ends of a worker gave a quarantine of 2 to 16 s, wherever else these jobs failed, for any number of workers, and longer each time for ever. A failed run has several possible causes, and one of them, the worker, was charged for all.

Now outlier_detector compares. A failure counts against the worker when the task then succeeds elsewhere, and against the task when it fails on another worker that is not suspect. Until that is known it counts only if the failing share of the worker is more than twice that of the others. A quarantine is lifted when its failures turn out to be those of tasks; at most half of the workers are in one; after it a worker gets three runs at a time and no gang until three runs in a row have succeeded; successes shorten the next one. A step that waits and could never start without quarantined workers uses them. Retries and gangs avoid all workers on which they have failed, where only the last one was remembered, and those with recent failures. A refused start pauses a worker by itself, apart from this.

worker_that_fails_tasks_of_several_jobs_gets_no_starts_for_a_while had one worker only, which nothing could be compared with and which has to be used. It has four now and checks that the faulty one gets no start and the others do, until 2 s have passed.

policy::quarantine, the older rule, compares with the mean of the others, which cannot tell faulty workers apart once a third of all runs fails, and is bound to the records of that scheduler. Both are kept.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -6,6 +6,7 @@
 #include "crash_blame.hpp"
 #include "gang_plan.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
+#include "outlier_detector.hpp"
 #include "pending.hpp"
 #include "run_evidence.hpp"
 
@@ -17,9 +18,6 @@
 namespace hawthornbeam::cell
 {
 
-/// Duration of the first quarantine of a worker on which runs fail.
-inline constexpr duration initial_quarantine = std::chrono::seconds(2);
-
 /// A command without an answer may still be executed up to this long after it was sent.
 inline constexpr duration late_command_limit = std::chrono::milliseconds(12000);
 
@@ -59,7 +57,8 @@
     checkpoint saved;
     run_number saved_by;  ///< Run that reported `saved`.
     worker_id run_worker; ///< Worker with a run record of the task; empty: none.
-    worker_id failed_on;  ///< Worker of the latest failed or stalled run.
+    /// Workers of failed and stalled runs; for a gang, kept at its first task.
+    std::set<worker_id> failed_on;
     crash_record crashes;
     boot_time crashed_at{}; ///< Latest crash of its worker.
     /// Latest run that a former owner started while the task was suspect, unless it is
@@ -97,6 +96,9 @@
     /// Since when tasks wait without a start of any task of the step, as found by
     /// report_pending(); zero: no task was found waiting.
     boot_time waiting_since{};
+    /// Too few other workers could ever run the step.
+    bool uses_quarantined = false;
+    boot_time quarantine_checked_at{};
     duration next_report{}; ///< Wait after which the step is reported next.
     pending_reason pending = pending_reason::not_placed; ///< As reported last.
 };
@@ -153,10 +155,8 @@
     resources used;
     boot_time observed_until{}; ///< Latest observed_until of its runs.
     boot_time last_start_at{};
-    /// For each of the latest ends: the job, and whether the run failed.
-    std::deque<std::pair<job_key, bool>> recent_ends;
-    std::uint32_t quarantines = 0;
-    boot_time quarantined_until{};
+    boot_time quarantined_until{}; ///< As the outlier detector decided.
+    boot_time paused_until{};      ///< Gets no starts after it has refused one.
 };
 
 /// Sort key of the steps to place: lateness, then priority, then age.
@@ -209,7 +209,7 @@
     void stop_runs(const job_status& job, std::uint32_t step);
     void task_done(job_status& job, const task_ref& task);
     void step_done(job_status& job, std::uint32_t step);
-    void task_failed(job_status& job, const task_ref& task, const worker_id& worker);
+    void task_failed(job_status& job, const task_ref& task);
     /// Fails the job if a task or gang has used all of its attempts.
     void fail_if_exhausted(job_status& job);
     void set_policies(const std::vector<queue_policy>& given);
@@ -273,9 +273,16 @@
                               boot_time now, const std::set<task_ref>& listed);
     void handle_refused_start(worker_status& worker, const command_result& result,
                               boot_time now);
-    /// Counts an end, and quarantines the worker when too many runs failed there.
-    void record_health(worker_status& worker, const job_key& job, bool failed,
-                       boot_time now);
+    /// Returns the first task of a gang, which fails as a whole, or else the task itself.
+    static task_ref failing_unit(const job_status& job, const task_ref& task);
+    /// Counts an end, and quarantines workers on which too many runs failed.
+    void record_health(job_status& job, const worker_id& worker, const task_ref& task,
+                       bool failed, boot_time now);
+    void apply(const quarantine_change& change);
+    /// Returns whether the workers that are not quarantined could not run the step even
+    /// if they were free.
+    bool needs_quarantined(const job_status& job, std::uint32_t step,
+                           boot_time now) const;
     /// Returns whether every lease that the worker can have had expired by then, with
     /// allowance for starts in flight and clock drift.
     bool lease_has_ended(const worker_status& worker, boot_time at) const;
@@ -335,6 +342,9 @@
     int lateness_of(const job_status& job, boot_time now) const;
     /// Updates the lateness of waiting jobs and sorts their steps by it.
     void update_lateness(boot_time now);
+    /// Lets a step that waits use quarantined workers if it could never start without
+    /// them.
+    void update_quarantine_use(job_status& job, std::uint32_t step, boot_time now);
     void place_step(const step_key& key, decision_pass& pass);
     bool place_task(job_status& job, const step_key& key, std::uint32_t index,
                     decision_pass& pass);
@@ -390,6 +400,8 @@
     bool inherited_held = false;   ///< See set_inherited_held().
     /// Ended runs whose job another instance stored and this owner has not read yet.
     std::map<job_key, std::vector<std::pair<worker_id, ended_task>>> early_ends;
+    outlier_detector outliers;
+    boot_time last_quarantine_until{}; ///< End of the quarantine that ends last.
     pending_changes changes;
     std::vector<stop_command> stops; ///< Requested since the last decision.
     std::size_t open_job_count = 0;
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -376,12 +376,9 @@
         open_ready_steps(job);
 }
 
-void scheduler::implementation::task_failed(job_status& job, const task_ref& task,
-                                            const worker_id& worker)
+void scheduler::implementation::task_failed(job_status& job, const task_ref& task)
 {
-    task_status& failed = job.steps[task.step].tasks[task.index];
-    ++failed.failures;
-    failed.failed_on = worker;
+    ++job.steps[task.step].tasks[task.index].failures;
     fail_if_exhausted(job);
 }
 
@@ -426,7 +423,7 @@
     if (end.outcome == run_end::done)
         self.task_done(*job, end.run.task);
     else if (end.outcome == run_end::failed)
-        self.task_failed(*job, end.run.task, worker_id());
+        self.task_failed(*job, end.run.task);
     else if (is_crash(end.outcome))
     {
         task->crashes.add(end.outcome, std::nullopt);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -17,6 +17,8 @@
 /// A run of an unknown job is stopped after this time. Once a second, the owner reads
 /// from the store the jobs that it was not notified of.
 constexpr duration unknown_job_limit = std::chrono::milliseconds(3000);
+/// A worker that cannot execute a start gets no others for this long.
+constexpr duration unhealthy_pause = std::chrono::seconds(2);
 /// Maximum number of abandoned starts kept for a worker. More starts are abandoned only
 /// when the worker is unreachable, and then it gets no new ones.
 constexpr std::size_t max_abandoned = 256;
@@ -175,8 +177,7 @@
                          {"task", std::uint64_t{task.index}},
                          {"worker", id.value()},
                          {"percent", std::uint64_t{worker.runs.at(task).percent}}});
-            job->steps[task.step].tasks[task.index].failed_on = id;
-            record_health(worker, task.job, true, now);
+            record_health(*job, id, task, true, now);
             request_stop(id, task);
         }
     }
@@ -242,13 +243,13 @@
     const bool persistent = job.spec.steps[task.step].persistent;
     if (end.outcome == run_end::done && !persistent)
     {
-        record_health(worker, task.job, false, now);
+        record_health(job, worker.info.id, task, false, now);
         return task_done(job, task);
     }
     if (end.outcome == run_end::failed)
     {
-        record_health(worker, task.job, true, now);
-        task_failed(job, task, worker.info.id);
+        record_health(job, worker.info.id, task, true, now);
+        task_failed(job, task);
         if (is_final(job.state))
             return;
     }
@@ -491,11 +492,9 @@
         step.tickets[result.worker].until = now;
     if (result.outcome == command_outcome::unhealthy ||
         result.outcome == command_outcome::invalid)
-        worker.quarantined_until =
-            std::max(worker.quarantined_until, now + initial_quarantine);
+        worker.paused_until = std::max(worker.paused_until, now + unhealthy_pause);
     if (result.outcome == command_outcome::no_room)
-        worker.quarantined_until =
-            std::max(worker.quarantined_until, now + limits.answer_limit);
+        worker.paused_until = std::max(worker.paused_until, now + limits.answer_limit);
     restart_gang(*job, task.step, result.run.run, now);
 }
 
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -17,6 +17,12 @@
 /// send requests to the advice service.
 constexpr std::size_t max_steps = 96;
 constexpr std::size_t max_advised_steps_each = 16;
+/// A step that has waited for this long may use quarantined workers if too few others
+/// could ever run it.
+constexpr duration quarantine_patience = std::chrono::seconds(1);
+/// A worker on probation gets no gangs and no start beside this many runs.
+constexpr std::size_t max_runs_on_probation = 3;
+constexpr duration quarantine_check_period = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -54,8 +60,15 @@
         candidate.refused_since != boot_time() ||
         now - candidate.contact_at > limits.answer_limit * 2)
         return worker_barrier::away;
-    return candidate.quarantined_until > now ? worker_barrier::quarantined
-                                             : worker_barrier::none;
+    const bool is_left_out =
+        candidate.quarantined_until > now ||
+        (candidate.quarantined_until != boot_time() &&
+         (spec.gang || candidate.runs.size() >= max_runs_on_probation) &&
+         outliers.is_on_probation(info.id));
+    return (is_left_out && !job.steps[step].uses_quarantined) ||
+                   candidate.paused_until > now
+               ? worker_barrier::quarantined
+               : worker_barrier::none;
 }
 
 bool scheduler::implementation::can_run(const worker_status& candidate,
@@ -73,7 +86,7 @@
     const step_spec& spec = job.spec.steps[key.step];
     const step_status& status = job.steps[key.step];
     const bool suspect = status.tasks[index].crashes.is_suspect();
-    const worker_id& failed_on = status.tasks[index].failed_on;
+    const std::set<worker_id>& failed_on = status.tasks[spec.gang ? 0 : index].failed_on;
     worker_status* best = nullptr;
     std::int64_t best_score = 0;
     const auto consider = [&](const worker_id& id, worker_status& candidate)
@@ -102,14 +115,21 @@
         // free capacity. Input data in another rack and an earlier failure of the task on
         // the worker weigh more than packing.
         constexpr std::int64_t far_penalty = 1'000'000;
+        constexpr std::int64_t failures_penalty = 5'000'000;
         constexpr std::int64_t failed_penalty = 10'000'000;
+        constexpr std::int64_t quarantined_penalty = 20'000'000;
         // A suspect task runs where its crash would end the least other work.
         std::int64_t score = suspect ? candidate.used.processors.value()
                                      : free_capacity.processors.value();
         if (!spec.data_rack.empty() && candidate.info.rack != spec.data_rack)
             score += far_penalty;
-        if (id == failed_on)
+        if (failed_on.contains(id))
             score += failed_penalty;
+        // A gang, and a task that has failed before, have attempts to lose.
+        if ((spec.gang || !failed_on.empty()) && outliers.has_failures(id))
+            score += failures_penalty;
+        if (candidate.quarantined_until > pass.now)
+            score += quarantined_penalty;
         if (best == nullptr || score < best_score)
         {
             best = &candidate;
@@ -205,6 +225,19 @@
     return true;
 }
 
+void scheduler::implementation::update_quarantine_use(job_status& job, std::uint32_t step,
+                                                      boot_time now)
+{
+    step_status& status = job.steps[step];
+    if (status.waiting_since == boot_time() ||
+        now - status.waiting_since < quarantine_patience ||
+        now - status.quarantine_checked_at < quarantine_check_period)
+        return;
+    status.quarantine_checked_at = now;
+    status.uses_quarantined =
+        last_quarantine_until > now && needs_quarantined(job, step, now);
+}
+
 void scheduler::implementation::place_step(const step_key& key, decision_pass& pass)
 {
     const std::uint32_t step = key.step;
@@ -218,6 +251,7 @@
     status.considered_at = pass.now;
     if (job->inherited && (inherited_held || !unsettled.empty()))
         return;
+    update_quarantine_use(*job, step, pass.now);
     if (job->spec.steps[step].gang)
     {
         if (!place_gang(*job, key, pass))
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -3,21 +3,11 @@
 #include "cell_state.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hawthornbeam::cell
 {
 
-namespace
-{
-
-/// Number of recent ends of a worker that are checked to detect a faulty worker.
-constexpr std::size_t health_window = 8;
-/// Minimum number of failures among them, of more than one job, for a quarantine.
-constexpr std::size_t failures_to_quarantine = 3;
-/// Limits the quarantine, which doubles each time, to 16 s.
-constexpr std::uint32_t max_quarantine_doublings = 3;
-} // namespace
-
 void scheduler::update_worker(const worker_info& worker, boot_time now)
 {
     worker_status& status = implementation_->find_or_add_worker(worker.id, now);
@@ -136,38 +126,86 @@
         expire_runs(worker, now);
         worker.polled = false;
         if (worker.has_entry)
+        {
             ++entry;
-        else
-            entry = workers.erase(entry);
+            continue;
+        }
+        outliers.forget(entry->first);
+        entry = workers.erase(entry);
     }
 }
 
-void scheduler::implementation::record_health(worker_status& worker, const job_key& job,
-                                              bool failed, boot_time now)
+task_ref scheduler::implementation::failing_unit(const job_status& job,
+                                                 const task_ref& task)
 {
-    worker.recent_ends.emplace_back(job, failed);
-    if (worker.recent_ends.size() > health_window)
-        worker.recent_ends.pop_front();
-    std::set<job_key> jobs_failed;
-    std::size_t failures = 0;
-    for (const auto& [ended, end_failed] : worker.recent_ends)
-        if (end_failed)
-        {
-            ++failures;
-            jobs_failed.insert(ended);
-        }
-    if (failures < failures_to_quarantine || jobs_failed.size() < 2 ||
-        2 * failures < worker.recent_ends.size())
+    task_ref unit = task;
+    if (job.spec.steps[task.step].gang)
+        unit.index = 0;
+    return unit;
+}
+
+void scheduler::implementation::record_health(job_status& job, const worker_id& worker,
+                                              const task_ref& task, bool failed,
+                                              boot_time now)
+{
+    const task_ref unit = failing_unit(job, task);
+    if (failed)
+        job.steps[unit.step].tasks[unit.index].failed_on.insert(worker);
+    outliers.set_workers(static_cast<std::size_t>(std::ranges::count_if(
+        workers, [](const std::pair<const worker_id, worker_status>& entry)
+        { return entry.second.has_entry; })));
+    for (const quarantine_change& change :
+         failed ? outliers.record_failure(worker, unit, now)
+                : outliers.record_success(worker, unit, now))
+        apply(change);
+}
+
+void scheduler::implementation::apply(const quarantine_change& change)
+{
+    const auto found = workers.find(change.worker);
+    if (found == workers.end())
+        return;
+    found->second.quarantined_until = change.until;
+    const std::int64_t others_percent =
+        std::llround(change.others_failing * complete_percent);
+    if (change.until == boot_time())
+    {
+        metrics.add("hawthornbeam_quarantines_lifted_total", {});
+        log.info("cell", "quarantine lifted",
+                 {{"worker", change.worker.value()},
+                  {"failures", std::uint64_t{change.failures}},
+                  {"others_failing_percent", others_percent}});
         return;
-    worker.quarantined_until =
-        now + initial_quarantine *
-                  (1U << std::min(worker.quarantines, max_quarantine_doublings));
-    ++worker.quarantines;
+    }
+    last_quarantine_until = std::max(last_quarantine_until, change.until);
     metrics.add("hawthornbeam_quarantines_total", {});
-    worker.recent_ends.clear();
     log.warning("cell", "worker quarantined",
-                {{"worker", worker.info.id.value()},
-                 {"times", std::uint64_t{worker.quarantines}}});
+                {{"worker", change.worker.value()},
+                 {"times", std::uint64_t{change.times}},
+                 {"failures", std::uint64_t{change.failures}},
+                 {"others_failing_percent", others_percent}});
+}
+
+bool scheduler::implementation::needs_quarantined(const job_status& job,
+                                                  std::uint32_t step, boot_time now) const
+{
+    const step_spec& spec = job.spec.steps[step];
+    const step_status& status = job.steps[step];
+    const bool needs_ticket = policy_of(job).advice.has_value();
+    const std::int64_t needed = spec.gang || spec.per_worker > 0 ? spec.count : 1;
+    std::int64_t places = 0;
+    for (const auto& [id, candidate] : workers)
+    {
+        if (candidate.quarantined_until > now || !can_run(candidate, job, step, now) ||
+            (needs_ticket && !status.tickets.contains(id) && status.asked.contains(id)))
+            continue;
+        const std::int64_t fitting = tasks_that_fit(spec.size, candidate.info.capacity);
+        places += spec.per_worker > 0 ? std::min<std::int64_t>(fitting, spec.per_worker)
+                                      : fitting;
+        if (places >= needed)
+            return false;
+    }
+    return true;
 }
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -496,17 +496,28 @@
 
 TEST(scheduler_test, worker_that_fails_tasks_of_several_jobs_gets_no_starts_for_a_while)
 {
-    fleet workers(1);
+    fleet workers(4);
     workers.add_queue("q", 0, 5);
     for (const char* id : {"a", "b", "c"})
         workers.submit(fleet::job(id, "q", 1, 1));
-    workers.decide();
+    const decisions first = workers.decide();
+    ASSERT_EQ(first.starts.size(), 3U);
+    const worker_id faulty = first.starts[0].worker;
+    for (const start_command& command : first.starts)
+        ASSERT_EQ(command.worker, faulty);
     workers.end_all(run_end::failed);
     workers.poll_all();
-    EXPECT_TRUE(workers.decide().starts.empty());
+    for (const char* id : {"d", "e", "f", "g"})
+        workers.submit(fleet::job(id, "q", 1, 7));
+    const decisions second = workers.decide();
+    EXPECT_EQ(second.starts.size(), 5U);
+    for (const start_command& command : second.starts)
+        EXPECT_NE(command.worker, faulty);
     workers.advance(milliseconds(2100));
     workers.poll_all();
-    EXPECT_EQ(workers.decide().starts.size(), 3U);
+    const decisions third = workers.decide();
+    ASSERT_EQ(third.starts.size(), 1U);
+    EXPECT_EQ(third.starts[0].worker, faulty);
 }
 
 // For a while, requests with short objectives arrive faster than they can run. Served in
