Count a failed run of a gang as one attempt

When several members of a gang failed in one run, as on a worker that fails all it starts, each of them counted as an attempt, so that a gang could fail for good in its first run. A gang fails as a whole: its attempts are the runs in which a member failed.

members_that_fail_in_one_run_count_as_one_attempt_of_their_gang failed before: the job was failed after the first run.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -50,7 +50,7 @@
 struct task_status
 {
     bool done = false;
-    std::uint32_t failures = 0;
+    std::uint32_t failures = 0; ///< Not counted for members of a gang.
     run_number last_run;
     /// Runs whose end was counted. After a takeover, ends may arrive in any order.
     std::vector<ended_run> ended_runs;
@@ -83,8 +83,9 @@
 struct step_status
 {
     std::vector<task_status> tasks;
-    std::uint32_t remaining = 0; ///< Tasks that are not done.
-    std::uint32_t occupied = 0;  ///< Tasks with a run record.
+    std::uint32_t remaining = 0;      ///< Tasks that are not done.
+    std::uint32_t occupied = 0;       ///< Tasks with a run record.
+    std::set<run_number> failed_runs; ///< Runs of a gang in which a member failed.
     std::map<worker_id, permission> tickets;
     std::set<worker_id> asked; ///< Workers with known or requested advice.
     std::optional<boot_time> advice_requested_at;
@@ -209,7 +210,9 @@
     void stop_runs(const job_status& job, std::uint32_t step);
     void task_done(job_status& job, const task_ref& task);
     void step_done(job_status& job, std::uint32_t step);
-    void task_failed(job_status& job, const task_ref& task);
+    /// Counts a failed run. Returns false if it is the run of a gang that was counted for
+    /// another member.
+    bool task_failed(job_status& job, const run_ref& run);
     /// Fails the job if a task or gang has used all of its attempts.
     void fail_if_exhausted(job_status& job);
     void set_policies(const std::vector<queue_policy>& given);
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -376,29 +376,27 @@
         open_ready_steps(job);
 }
 
-void scheduler::implementation::task_failed(job_status& job, const task_ref& task)
+bool scheduler::implementation::task_failed(job_status& job, const run_ref& run)
 {
-    ++job.steps[task.step].tasks[task.index].failures;
-    fail_if_exhausted(job);
+    step_status& step = job.steps[run.task.step];
+    if (job.spec.steps[run.task.step].gang)
+        return step.failed_runs.insert(run.run).second;
+    ++step.tasks[run.task.index].failures;
+    return true;
 }
 
 void scheduler::implementation::fail_if_exhausted(job_status& job)
 {
     if (is_final(job.state))
         return;
-    const std::uint32_t attempts = policy_of(job).attempts;
+    const std::size_t attempts = policy_of(job).attempts;
     for (std::uint32_t number = 0; number < job.steps.size(); ++number)
     {
-        const step_spec& spec = job.spec.steps[number];
-        // Failures of all members count together, since a gang fails as a whole.
-        std::uint32_t total = 0;
-        std::uint32_t most = 0;
-        for (const task_status& task : job.steps[number].tasks)
-        {
-            total += task.failures;
-            most = std::max(most, task.failures);
-        }
-        if (!spec.persistent && total > 0 && (spec.gang ? total : most) >= attempts)
+        const step_status& step = job.steps[number];
+        std::size_t failures = step.failed_runs.size();
+        for (const task_status& task : step.tasks)
+            failures = std::max<std::size_t>(failures, task.failures);
+        if (!job.spec.steps[number].persistent && failures > 0 && failures >= attempts)
             return finish_job(job, job_state::failed, "failed runs");
     }
 }
@@ -423,7 +421,10 @@
     if (end.outcome == run_end::done)
         self.task_done(*job, end.run.task);
     else if (end.outcome == run_end::failed)
-        self.task_failed(*job, end.run.task);
+    {
+        self.task_failed(*job, end.run);
+        self.fail_if_exhausted(*job);
+    }
     else if (is_crash(end.outcome))
     {
         task->crashes.add(end.outcome, std::nullopt);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -248,8 +248,9 @@
     }
     if (end.outcome == run_end::failed)
     {
-        record_health(job, worker.info.id, task, true, now);
-        task_failed(job, task);
+        if (task_failed(job, end.run))
+            record_health(job, worker.info.id, task, true, now);
+        fail_if_exhausted(job);
         if (is_final(job.state))
             return;
     }
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -467,6 +467,27 @@
     EXPECT_EQ(workers.cell.state(job_key("a")), job_state::failed);
 }
 
+// Guards against gangs that use up their attempts in one run, on a worker that fails all
+// members.
+TEST(scheduler_test, members_that_fail_in_one_run_count_as_one_attempt_of_their_gang)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0, 2);
+    job_spec gang = fleet::job("a", "q", 2, 2);
+    gang.steps[0].gang = true;
+    workers.submit(gang);
+    for (const job_state expected : {job_state::running, job_state::failed})
+    {
+        ASSERT_EQ(workers.decide().starts.size(), 2U);
+        workers.end_all(run_end::failed);
+        workers.poll_all();
+        workers.store_changes();
+        EXPECT_EQ(workers.cell.state(job_key("a")), expected);
+        workers.advance(milliseconds(100));
+        workers.poll_all();
+    }
+}
+
 TEST(scheduler_test, step_keeps_its_limit_of_tasks_per_worker)
 {
     fleet workers(2);
