Compare the workers that cannot parse a start before one is left out

A start that its worker answered as unreadable paused the worker for 2 s and was sent to the next one at once. One job that no worker can parse so took one worker after another out of use, and accepted jobs had nothing running: the same class as jobs that fail wherever they run, a fault of the work that is charged to the workers.

Such an answer now counts as a failure that the outlier detector compares, and the task waits for 1 s. It does not use up an attempt, since no run has ended. A worker that reports itself unhealthy is paused as before.

job_that_no_worker_accepts_does_not_stop_other_jobs failed before: of 30 jobs beside it, submitted one each 0.1 s to six workers, 21 did not start in the next decision.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -59,6 +59,7 @@
     worker_id run_worker; ///< Worker with a run record of the task; empty: none.
     /// Workers of failed and stalled runs; for a gang, kept at its first task.
     std::set<worker_id> failed_on;
+    boot_time not_before{}; ///< Starts after this; for a gang, see step_status.
     crash_record crashes;
     boot_time crashed_at{}; ///< Latest crash of its worker.
     /// Latest run that a former owner started while the task was suspect, unless it is
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -19,6 +19,8 @@
 constexpr duration unknown_job_limit = std::chrono::milliseconds(3000);
 /// A worker that cannot execute a start gets no others for this long.
 constexpr duration unhealthy_pause = std::chrono::seconds(2);
+/// A task whose start the worker could not parse is started again after this time.
+constexpr duration invalid_start_pause = std::chrono::seconds(1);
 /// Maximum number of abandoned starts kept for a worker. More starts are abandoned only
 /// when the worker is unreachable, and then it gets no new ones.
 constexpr std::size_t max_abandoned = 256;
@@ -491,9 +493,14 @@
     step_status& step = job->steps[task.step];
     if (result.outcome == command_outcome::no_ticket)
         step.tickets[result.worker].until = now;
-    if (result.outcome == command_outcome::unhealthy ||
-        result.outcome == command_outcome::invalid)
+    if (result.outcome == command_outcome::unhealthy)
         worker.paused_until = std::max(worker.paused_until, now + unhealthy_pause);
+    if (result.outcome == command_outcome::invalid)
+    {
+        // Either the task or the worker is at fault.
+        record_health(*job, result.worker, task, true, now);
+        step.tasks[task.index].not_before = now + invalid_start_pause;
+    }
     if (result.outcome == command_outcome::no_room)
         worker.paused_until = std::max(worker.paused_until, now + limits.answer_limit);
     restart_gang(*job, task.step, result.run.run, now);
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -261,7 +261,7 @@
         for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
         {
             const task_status& task = status.tasks[index];
-            if (task.done || !task.run_worker.empty())
+            if (task.done || !task.run_worker.empty() || task.not_before > pass.now)
                 continue;
             count_untraced_run(*job, task_ref{job->spec.id, step, index});
             if (is_final(job->state))
--- a/unittests/cell/faulty_work_test.cpp
+++ b/unittests/cell/faulty_work_test.cpp
@@ -208,6 +208,29 @@
         EXPECT_NE(command.worker, faulty);
 }
 
+// Guards against one job that no worker can parse and that takes one worker after another
+// out of use.
+TEST(quarantine_test, job_that_no_worker_accepts_does_not_stop_other_jobs)
+{
+    fleet workers(6);
+    workers.add_queue("q", 0, 5, 10, seconds(60));
+    workers.submit(fleet::job("odd", "q", 3, 1));
+    for (int round = 0; round < 30; ++round)
+    {
+        workers.advance(tick);
+        workers.poll_all();
+        const std::string id = "sound" + std::to_string(round);
+        workers.submit(fleet::job(id, "q", 1, 1));
+        for (const start_command& command :
+             workers.cell.decide(workers.clock.now()).starts)
+            workers.deliver(command, command.run.task.job == job_key("odd")
+                                         ? delivery::invalid
+                                         : delivery::executed);
+        EXPECT_EQ(workers.runs(id).size(), 1U) << "round " << round;
+        workers.end_all(run_end::done);
+    }
+}
+
 // Guards against a task that never starts because all workers that could run it are
 // quarantined.
 TEST(quarantine_test, task_that_only_quarantined_workers_can_run_starts_in_time)
--- a/unittests/cell/fleet.cpp
+++ b/unittests/cell/fleet.cpp
@@ -88,7 +88,9 @@
     const auto last_ended = worker.last_ended_runs.find(command.run.task);
     const bool superseded = last_ended != worker.last_ended_runs.end() &&
                             command.run.run <= last_ended->second;
-    if (outcome == delivery::refused || superseded)
+    if (outcome == delivery::invalid)
+        result.outcome = command_outcome::invalid;
+    else if (outcome == delivery::refused || superseded)
         result.outcome =
             superseded ? command_outcome::superseded : command_outcome::no_room;
     else if (outcome != delivery::lost)
--- a/unittests/cell/fleet.hpp
+++ b/unittests/cell/fleet.hpp
@@ -19,7 +19,8 @@
     executed,
     answer_lost, ///< Executed, but the answer does not reach the scheduler.
     lost,        ///< Neither executed nor answered.
-    refused
+    refused,
+    invalid ///< Refused because the worker cannot parse it.
 };
 
 /// A scheduler, its simulated workers of 8 cores each, and a clock that the test
