Let steps that cannot start keep no others waiting

Jobs that were accepted and fit on free workers started nothing for as long as enough steps ahead of them could not start. One decision looked at 96 steps without advice and 16 a host in all, and only the first 3 to 21 waiting steps of a queue could request advice. Both limits counted every waiting step, also those that no change but one of the workers lets start: of a label that no worker has, larger than all workers, of an unknown queue, inherited and unsettled, or admitted on no worker with room.

- Steps of unknown queues, unsettled inherited steps and steps that need a ticket and have none count against no limit of placement.
A task that is at least as large and as long as one of its kind that no worker took is not compared with the workers again in the same decision and does not count either; capacity only shrinks during a decision, so the order of starts stays.
Gangs have a limit of their own.
- Whatever the limits say, each open step has its turn once in 0.5 s.
- The first waiting steps of a queue request advice as before.
The others use the requests that those have not open, at least an eighth of the limit, and the one that has waited longest for a request comes first, so that neither gangs that renew tickets in vain nor steps that ask about worker after worker keep a new step from its first request.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -21,11 +21,17 @@
 /// Maximum number of workers whose expired tickets one request renews; a step with many
 /// waiting tasks may renew more.
 constexpr std::size_t max_renewed = 6;
-/// Bounds for the number of steps of a queue that may request advice. The number is how
-/// many requests half of the hosts can complete within the lifetime of a ticket. The
-/// upper bound is per host.
+/// Bounds for the number of steps of a queue that may request advice at the same time.
+/// The number is how many requests half of the hosts can complete within the lifetime of
+/// a ticket. The upper bound is per host.
 constexpr std::int64_t min_waiting_steps = 3;
 constexpr double max_waiting_steps_each = 2.7;
+/// The other steps of a queue use what the first ones leave of that number, and in any
+/// case this part of it.
+constexpr std::size_t reserved_requests_divisor = 8;
+/// Maximum number of the other steps of a queue that find out in one decision whether
+/// they need advice although they may not request it yet.
+constexpr std::size_t max_checked = 64;
 /// The tickets of a planned gang are renewed so long before its start, and are valid for
 /// this long after it.
 constexpr duration renewal_lead = std::chrono::milliseconds(200);
@@ -34,35 +40,121 @@
 
 } // namespace
 
-bool scheduler::implementation::may_request_advice(const job_status& job,
-                                                   decision_pass& pass) const
+std::uint32_t scheduler::implementation::max_requesting(const advice_policy& advice) const
 {
-    const advice_policy& advice = *policy_of(job).advice;
     const duration answer_duration = advice.answer_time(typical_advice_workers);
     const std::int64_t hosts = advice_hosts;
     const std::int64_t bound = std::max<std::int64_t>(
         min_waiting_steps, std::llround(max_waiting_steps_each * advice_hosts));
-    const std::int64_t max_requesting =
+    return static_cast<std::uint32_t>(
         answer_duration <= duration::zero()
             ? bound
             : std::clamp(advice.valid * hosts / (2 * answer_duration), min_waiting_steps,
-                         bound);
-    return ++pass.waiting_with_advice[job.spec.queue] <=
-           static_cast<std::uint64_t>(max_requesting);
+                         bound));
+}
+
+bool scheduler::implementation::has_open_request(const step_status& step, boot_time now)
+{
+    return step.advice_requested_at && now - *step.advice_requested_at < advice_timeout;
+}
+
+void scheduler::implementation::permit_requests(const std::vector<step_key>& steps,
+                                                boot_time now)
+{
+    struct queue_requests
+    {
+        std::size_t first_steps = 0;
+        std::size_t open_requests = 0; ///< Of all steps.
+        std::size_t open_of_others = 0;
+        std::vector<std::pair<boot_time, step_status*>> others;
+    };
+    std::map<queue_name, queue_requests> requests;
+    for (const step_key& key : steps)
+    {
+        job_status* job = find_job(key.job);
+        if (job == nullptr || is_final(job->state) || !policy_of(*job).advice)
+            continue;
+        step_status& status = job->steps[key.step];
+        if (status.occupied >= status.remaining)
+            continue;
+        queue_requests& queue = requests[job->spec.queue];
+        const bool is_open = has_open_request(status, now);
+        queue.open_requests += is_open ? 1 : 0;
+        if (queue.first_steps < max_requesting(*policy_of(*job).advice))
+        {
+            ++queue.first_steps;
+            status.may_check_at = now;
+            status.may_request_at = now;
+        }
+        else if (is_open)
+            ++queue.open_of_others;
+        else if (status.may_need_advice || status.turn_at == now)
+            queue.others.emplace_back(status.advice_checked_at, &status);
+    }
+    for (auto& [name, queue] : requests)
+    {
+        // Those that have waited longest for a request come first, whatever the steps
+        // before them wait for.
+        std::ranges::stable_sort(queue.others, {},
+                                 &std::pair<boot_time, step_status*>::first);
+        const std::size_t limit = queue.first_steps;
+        const std::size_t reserved =
+            std::max<std::size_t>(1, limit / reserved_requests_divisor);
+        const std::size_t left =
+            std::max(limit - std::min(limit, queue.open_requests),
+                     reserved - std::min(reserved, queue.open_of_others));
+        std::size_t checked = 0;
+        for (std::size_t index = 0; index < queue.others.size(); ++index)
+        {
+            step_status& status = *queue.others[index].second;
+            status.may_need_advice = true;
+            if (index < left)
+                status.may_request_at = now;
+            if (index < left || (!status.over_advice_limit && ++checked <= max_checked))
+                status.may_check_at = now;
+        }
+    }
+}
+
+void scheduler::implementation::update_advice(job_status& job, const step_key& key,
+                                              decision_pass& pass)
+{
+    step_status& status = job.steps[key.step];
+    if (status.may_check_at != pass.now || has_open_request(status, pass.now))
+        return;
+    if (waiting_tasks(status) == 0)
+    {
+        open_steps.erase(key);
+        return;
+    }
+    request_advice(job, key, pass);
 }
 
 void scheduler::implementation::request_advice(job_status& job, const step_key& key,
                                                decision_pass& pass)
 {
-    const boot_time now = pass.now;
-    const std::uint32_t step = key.step;
-    step_status& status = job.steps[step];
-    if (status.advice_requested_at && now - *status.advice_requested_at < advice_timeout)
-        return;
+    step_status& status = job.steps[key.step];
     // The host that sent the last request may have died. Its workers are asked again.
     if (status.advice_requested_at)
         std::erase_if(status.asked, [&status](const worker_id& id)
                       { return !status.tickets.contains(id); });
+    std::vector<worker_id> asked = workers_to_ask(job, key, pass);
+    const bool may_request = status.may_request_at == pass.now;
+    status.may_need_advice = !asked.empty() && !may_request;
+    status.over_advice_limit = status.may_need_advice;
+    if (asked.empty())
+        status.advice_checked_at = pass.now;
+    else if (may_request)
+        send_advice_request(key, std::move(asked), pass);
+}
+
+std::vector<worker_id>
+scheduler::implementation::workers_to_ask(const job_status& job, const step_key& key,
+                                          const decision_pass& pass) const
+{
+    const boot_time now = pass.now;
+    const std::uint32_t step = key.step;
+    const step_status& status = job.steps[step];
     const step_spec& spec = job.spec.steps[step];
     const std::size_t waiting = waiting_tasks(status);
     std::vector<std::tuple<std::int64_t, std::size_t, worker_id>> unknown;
@@ -95,7 +187,7 @@
             renewable.emplace_back(-free_slots, id);
     }
     if (ticketed_slots >= static_cast<std::int64_t>(waiting))
-        return;
+        return {};
     std::ranges::sort(unknown);
     std::ranges::sort(renewable);
     const auto plan = pass.plans.find({key.job, step});
@@ -137,7 +229,7 @@
             ++added;
         }
     }
-    send_advice_request(key, std::move(asked), pass);
+    return asked;
 }
 
 std::vector<worker_id> scheduler::implementation::tickets_to_renew(const job_status& job,
@@ -160,8 +252,6 @@
                                                     std::vector<worker_id> asked,
                                                     decision_pass& pass)
 {
-    if (asked.empty())
-        return;
     step_status& status = find_job(key.job)->steps[key.step];
     status.asked.insert(asked.begin(), asked.end());
     status.advice_requested_at = pass.now;
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -8,6 +8,7 @@
 #include "hawthornbeam/cell/scheduler.hpp"
 #include "outlier_detector.hpp"
 #include "pending.hpp"
+#include "rejected_sizes.hpp"
 #include "run_evidence.hpp"
 
 #include <deque>
@@ -88,13 +89,22 @@
     std::uint32_t occupied = 0;       ///< Tasks with a run record.
     std::set<run_number> failed_runs; ///< Runs of a gang in which a member failed.
     std::map<worker_id, permission> tickets;
+    boot_time tickets_until{}; ///< No ticket is valid after this.
     std::set<worker_id> asked; ///< Workers with known or requested advice.
     std::optional<boot_time> advice_requested_at;
     /// First planned start of a waiting gang; capacity is held from then on.
     std::optional<boot_time> held_from;
     boot_time not_before{};         ///< A gang that lost a member is placed after this.
-    bool over_advice_limit = false; ///< May not request advice in this decision.
-    boot_time considered_at{};      ///< Latest decision that tried to place the step.
+    bool over_advice_limit = false; ///< Last wanted to request advice and could not.
+    bool may_need_advice = true;    ///< Was not found to need no advice.
+    /// Last answer, or when the step last needed no advice.
+    boot_time advice_checked_at{};
+    /// Latest decision in which it may find out whether it needs advice, and may also
+    /// request it.
+    boot_time may_check_at{};
+    boot_time may_request_at{};
+    boot_time considered_at{}; ///< Latest decision that tried to place the step.
+    boot_time turn_at{};       ///< Latest decision that considers the step in any case.
     /// Since when tasks wait without a start of any task of the step, as found by
     /// report_pending(); zero: no task was found waiting.
     boot_time waiting_since{};
@@ -183,8 +193,10 @@
     std::map<worker_id, capacity_forecast> forecasts;
     /// Plans of waiting gangs, by job and step.
     std::map<std::pair<job_key, std::uint32_t>, gang_plan> plans;
-    /// Number of waiting steps with advice that were counted so far, for each queue.
-    std::map<queue_name, std::uint32_t> waiting_with_advice;
+    std::map<task_kind, rejected_sizes> rejected; ///< By all workers.
+    std::size_t comparisons = 0; ///< How often a task was compared with all workers.
+    /// Number of steps that count against the limits, by need of advice and gang.
+    std::map<std::pair<bool, bool>, std::size_t> considered;
 };
 
 class scheduler::implementation
@@ -349,7 +361,15 @@
     /// Lets a step that waits use quarantined workers if it could never start without
     /// them.
     void update_quarantine_use(job_status& job, std::uint32_t step, boot_time now);
+    /// Gives the next of the open steps their turn, in which the limits on the
+    /// considered steps do not apply to them.
+    void take_turns(boot_time now);
+    /// Returns the open steps that may start or request advice.
+    std::vector<step_key> find_startable(boot_time now);
+    bool is_within_limits(const job_status& job, std::uint32_t step,
+                          const decision_pass& pass) const;
     void place_step(const step_key& key, decision_pass& pass);
+    void place_waiting_tasks(job_status& job, const step_key& key, decision_pass& pass);
     bool place_task(job_status& job, const step_key& key, std::uint32_t index,
                     decision_pass& pass);
     bool place_gang(job_status& job, const step_key& key, decision_pass& pass);
@@ -371,16 +391,25 @@
     /// tasks of the step on each worker. The worker on which the task failed is used only
     /// when no other one fits.
     worker_status*
-    choose_worker(const job_status& job, const step_key& key, const decision_pass& pass,
+    choose_worker(const job_status& job, const step_key& key, decision_pass& pass,
                   const std::map<worker_id, resources>& assigned_capacity,
                   const std::map<worker_id, std::uint32_t>& tasks_on_worker,
                   std::uint32_t index);
     void start(job_status& job, const task_ref& task, run_number run,
                worker_status& target, decision_pass& pass);
-    /// Counts the step as waiting with advice. Returns whether its queue is still within
-    /// its limit of such steps.
-    bool may_request_advice(const job_status& job, decision_pass& pass) const;
+    /// Number of steps of a queue that may have requests at the same time.
+    std::uint32_t max_requesting(const advice_policy& advice) const;
+    /// Returns whether a request of the step is open.
+    static bool has_open_request(const step_status& step, boot_time now);
+    /// Chooses the steps that may request advice in this decision: the first ones of each
+    /// queue, and some of the others, which take turns.
+    void permit_requests(const std::vector<step_key>& steps, boot_time now);
+    /// Requests advice for a step if it needs it and may.
+    void update_advice(job_status& job, const step_key& key, decision_pass& pass);
     void request_advice(job_status& job, const step_key& key, decision_pass& pass);
+    /// Returns the workers to name in a request; none if the step needs no advice now.
+    std::vector<worker_id> workers_to_ask(const job_status& job, const step_key& key,
+                                          const decision_pass& pass) const;
     void send_advice_request(const step_key& key, std::vector<worker_id> asked,
                              decision_pass& pass);
     /// Workers whose tickets a planned gang has to renew by now.
@@ -411,6 +440,8 @@
     std::size_t open_job_count = 0;
     boot_time lateness_updated_at{};
     boot_time pending_reviewed_at{};
+    boot_time turns_taken_at{};
+    step_key last_turn;                   ///< Step that had the last turn.
     std::deque<boot_time> recent_crashes; ///< Times of the latest crashes of workers.
     /// Hosts that can send requests to the advice service concurrently.
     std::uint32_t advice_hosts = min_advice_hosts;
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -513,6 +513,8 @@
         return;
     step_status& step = job->steps[result.step];
     step.advice_requested_at.reset();
+    step.may_need_advice = true;
+    step.advice_checked_at = now;
     if (!result.answered)
     {
         for (const worker_id& id : result.asked)
@@ -522,10 +524,12 @@
     }
     // A ticket has to be valid when the start arrives at the worker.
     constexpr duration start_transit_time = std::chrono::milliseconds(150);
+    const boot_time until =
+        now + std::chrono::milliseconds(result.valid_ms) - start_transit_time;
     for (const auto& [id, ticket_id] : result.tickets)
-        step.tickets[id] =
-            permission{ticket_id, now + std::chrono::milliseconds(result.valid_ms) -
-                                      start_transit_time};
+        step.tickets[id] = permission{ticket_id, until};
+    if (!result.tickets.empty())
+        step.tickets_until = std::max(step.tickets_until, until);
 }
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -10,13 +10,16 @@
 namespace
 {
 
-/// Maximum number of steps that one decision considers; the others wait for the next
-/// decision. `max_steps` applies to steps without advice, which are compared with all
-/// workers. Steps with advice are compared only with workers that they have tickets for,
-/// so the limit for all steps is higher: `max_advised_steps_each` for each host that can
-/// send requests to the advice service.
+/// Maximum number of single tasks and gangs without advice that one decision compares
+/// with all workers. Those that could not run on any worker for the same reason as an
+/// earlier one do not count.
 constexpr std::size_t max_steps = 96;
+/// Steps with advice are compared only with workers that they have tickets for, so their
+/// limit is higher: this many for each host that can send requests to the advice service.
 constexpr std::size_t max_advised_steps_each = 16;
+/// Each open step is considered in any case once in this time, whatever the limits say.
+constexpr duration turn_period = std::chrono::milliseconds(500);
+constexpr std::size_t min_turns = 4;
 /// A step that has waited for this long may use quarantined workers if too few others
 /// could ever run it.
 constexpr duration quarantine_patience = std::chrono::seconds(1);
@@ -79,7 +82,7 @@
 }
 
 worker_status* scheduler::implementation::choose_worker(
-    const job_status& job, const step_key& key, const decision_pass& pass,
+    const job_status& job, const step_key& key, decision_pass& pass,
     const std::map<worker_id, resources>& assigned_capacity,
     const std::map<worker_id, std::uint32_t>& tasks_on_worker, std::uint32_t index)
 {
@@ -140,14 +143,23 @@
     {
         for (const auto& [id, permitted] : status.tickets)
         {
+            if (permitted.until <= pass.now)
+                continue;
             const auto found = workers.find(id);
-            if (permitted.until > pass.now && found != workers.end())
+            if (found != workers.end())
                 consider(id, found->second);
         }
         return best;
     }
+    rejected_sizes& rejected = pass.rejected[{policy_of(job).service, spec.label,
+                                              spec.gang, status.uses_quarantined}];
+    if (rejected.covers(spec.size, spec.estimate))
+        return nullptr;
+    ++pass.comparisons;
     for (auto& [id, candidate] : workers)
         consider(id, candidate);
+    if (best == nullptr && assigned_capacity.empty() && spec.per_worker == 0 && !suspect)
+        rejected.add(spec.size, spec.estimate);
     return best;
 }
 
@@ -238,45 +250,112 @@
         last_quarantine_until > now && needs_quarantined(job, step, now);
 }
 
-void scheduler::implementation::place_step(const step_key& key, decision_pass& pass)
+void scheduler::implementation::take_turns(boot_time now)
 {
-    const std::uint32_t step = key.step;
-    job_status* job = find_job(key.job);
-    if (job == nullptr || is_final(job->state) || job->steps[step].remaining == 0)
+    const duration elapsed = turns_taken_at == boot_time()
+                                 ? duration::zero()
+                                 : std::min(now - turns_taken_at, turn_period);
+    turns_taken_at = now;
+    const std::size_t open = open_steps.size();
+    const std::size_t turns =
+        std::min(open, min_turns + open * static_cast<std::size_t>(elapsed.count()) /
+                                       static_cast<std::size_t>(turn_period.count()));
+    auto next = open_steps.upper_bound(last_turn);
+    for (std::size_t turn = 0; turn < turns; ++turn, ++next)
     {
-        open_steps.erase(key);
-        return;
+        if (next == open_steps.end())
+            next = open_steps.begin();
+        job_status* job = find_job(next->job);
+        if (job != nullptr && !is_final(job->state))
+            job->steps[next->step].turn_at = now;
+        if (turn + 1 == turns)
+            last_turn = *next;
+    }
+}
+
+std::vector<step_key> scheduler::implementation::find_startable(boot_time now)
+{
+    std::vector<step_key> startable;
+    startable.reserve(open_steps.size());
+    for (const step_key& key : open_steps)
+    {
+        job_status* job = find_job(key.job);
+        // place_step() removes the keys of jobs that have ended.
+        if (job == nullptr || is_final(job->state) ||
+            (queues.contains(job->spec.queue) &&
+             !(job->inherited && (inherited_held || !unsettled.empty()))))
+            startable.push_back(key);
+        else
+            job->steps[key.step].considered_at = now;
     }
-    step_status& status = job->steps[step];
-    status.considered_at = pass.now;
-    if (job->inherited && (inherited_held || !unsettled.empty()))
+    return startable;
+}
+
+bool scheduler::implementation::is_within_limits(const job_status& job,
+                                                 std::uint32_t step,
+                                                 const decision_pass& pass) const
+{
+    const bool needs_ticket = policy_of(job).advice.has_value();
+    const auto considered =
+        pass.considered.find({needs_ticket, job.spec.steps[step].gang});
+    return considered == pass.considered.end() ||
+           considered->second <
+               (needs_ticket ? max_advised_steps_each * advice_hosts : max_steps);
+}
+
+void scheduler::implementation::place_waiting_tasks(job_status& job, const step_key& key,
+                                                    decision_pass& pass)
+{
+    step_status& status = job.steps[key.step];
+    update_quarantine_use(job, key.step, pass.now);
+    if (job.spec.steps[key.step].gang)
+    {
+        if (!place_gang(job, key, pass))
+            plan_waiting_gang(job, key, pass);
         return;
-    update_quarantine_use(*job, step, pass.now);
-    if (job->spec.steps[step].gang)
+    }
+    for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
     {
-        if (!place_gang(*job, key, pass))
-            plan_waiting_gang(*job, key, pass);
+        const task_status& task = status.tasks[index];
+        if (task.done || !task.run_worker.empty() || task.not_before > pass.now)
+            continue;
+        count_untraced_run(job, task_ref{job.spec.id, key.step, index});
+        if (is_final(job.state) || !place_task(job, key, index, pass))
+            return;
     }
-    else
-        for (std::uint32_t index = 0; index < status.tasks.size(); ++index)
-        {
-            const task_status& task = status.tasks[index];
-            if (task.done || !task.run_worker.empty() || task.not_before > pass.now)
-                continue;
-            count_untraced_run(*job, task_ref{job->spec.id, step, index});
-            if (is_final(job->state))
-                return;
-            if (!place_task(*job, key, index, pass))
-                break;
-        }
-    if (waiting_tasks(status) == 0)
+}
+
+void scheduler::implementation::place_step(const step_key& key, decision_pass& pass)
+{
+    job_status* job = find_job(key.job);
+    if (job == nullptr || is_final(job->state) || job->steps[key.step].remaining == 0)
+    {
         open_steps.erase(key);
-    else if (policy_of(*job).advice)
+        return;
+    }
+    step_status& status = job->steps[key.step];
+    const bool needs_ticket = policy_of(*job).advice.has_value();
+    const bool is_gang = job->spec.steps[key.step].gang;
+    const bool has_turn = status.turn_at == pass.now;
+    // A waiting gang is planned also without tickets.
+    const bool lacks_tickets =
+        needs_ticket && !is_gang && status.tickets_until <= pass.now;
+    if (has_turn || (!lacks_tickets && is_within_limits(*job, key.step, pass)))
     {
-        status.over_advice_limit = !may_request_advice(*job, pass);
-        if (!status.over_advice_limit)
-            request_advice(*job, key, pass);
+        const std::size_t compared = pass.comparisons;
+        place_waiting_tasks(*job, key, pass);
+        if (is_final(job->state))
+            return;
+        if (!has_turn && (needs_ticket || is_gang || pass.comparisons != compared))
+            ++pass.considered[{needs_ticket, is_gang}];
+        if (waiting_tasks(status) == 0)
+            open_steps.erase(key);
+        status.considered_at = pass.now;
     }
+    else if (lacks_tickets)
+        status.considered_at = pass.now;
+    if (needs_ticket)
+        update_advice(*job, key, pass);
 }
 
 decisions scheduler::decide(boot_time now)
@@ -288,20 +367,10 @@
     self.update_lateness(now);
     decision_pass pass;
     pass.now = now;
-    std::vector<step_key> considered;
-    std::size_t without_advice = 0;
-    for (const step_key& key : self.open_steps)
-    {
-        if (considered.size() >= max_advised_steps_each * self.advice_hosts)
-            break;
-        // A step that needs no ticket is compared with all workers.
-        const job_status* job = self.find_job(key.job);
-        if (job != nullptr && !self.policy_of(*job).advice &&
-            ++without_advice > max_steps)
-            continue;
-        considered.push_back(key);
-    }
-    for (const step_key& key : considered)
+    self.take_turns(now);
+    const std::vector<step_key> startable = self.find_startable(now);
+    self.permit_requests(startable, now);
+    for (const step_key& key : startable)
         self.place_step(key, pass);
     self.report_pending(pass);
     decisions& out = pass.out;
