Keep a worker in quarantine while one wide job fills its window

The simulation showed a worker on which every run fails that was quarantined and released in the same instant, 39 times in 4 s: eight open failures of one wide job filled its window, and failures of one job only were taken for those of the job. A quarantine needs failures of two jobs to begin, but not to go on; it is lifted when the tasks fail elsewhere.

outlier_test fails_a_wide_job_after_others failed before.

--- a/lib/cell/outlier_detector.cpp
+++ b/lib/cell/outlier_detector.cpp
@@ -157,7 +157,8 @@
     const std::size_t needed = is_quarantined || worker.on_probation
                                    ? failures_of_suspect
                                    : failures_to_quarantine;
-    return found.failures >= needed && found.failed_jobs > 1 &&
+    // The window of a worker in quarantine may hold the runs of one wide job only.
+    return found.failures >= needed && (is_quarantined || found.failed_jobs > 1) &&
            2 * found.failures >= found.ends;
 }
 
--- a/unittests/cell/outlier_detector_test.cpp
+++ b/unittests/cell/outlier_detector_test.cpp
@@ -14,8 +14,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Ends of runs in the form "worker:job+" for success and "worker:job-" for failure, and
-/// the workers that are quarantined afterwards.
+/// Ends of runs in the form "worker:job+" for success and "worker:job-" for failure, with
+/// ".task" behind the job unless it is its first task, and the workers that are
+/// quarantined afterwards.
 struct ends_case
 {
     std::string name;
@@ -36,8 +37,13 @@
         {
             const std::size_t colon = word.find(':');
             const worker_id worker(word.substr(0, colon));
-            const task_ref task{job_key(word.substr(colon + 1, word.size() - colon - 2)),
-                                0, 0};
+            const std::string name = word.substr(colon + 1, word.size() - colon - 2);
+            const std::size_t dot = std::min(name.find('.'), name.size());
+            const std::uint32_t index =
+                dot < name.size()
+                    ? static_cast<std::uint32_t>(std::stoul(name.substr(dot + 1)))
+                    : 0;
+            const task_ref task{job_key(name.substr(0, dot)), 0, index};
             apply(word.back() == '+' ? detector_.record_success(worker, task, now_)
                                      : detector_.record_failure(worker, task, now_));
         }
@@ -94,6 +100,9 @@
         ends_case{"jobs_succeed_elsewhere",
                   "b:7- c:8- b:9- c:10- a:1- a:2- a:3- b:1+ c:2+ b:3+",
                   {"a"}},
+        ends_case{"fails_a_wide_job_after_others",
+                  "a:1- a:2- a:3- a:4- a:4.1- a:4.2- a:4.3- a:4.4- a:4.5- a:4.6- a:4.7-",
+                  {"a"}},
         ends_case{"failures_are_old",
                   "a:1- a:2- a:3+ a:4+ a:5+ a:6+ a:7+ a:8+ a:9+ a:10- a:11-",
                   {}},
