Check in the simulation that jobs start while there is room for them

The checker now reports an accepted job that nobody cancelled if, for 3 s, it has nothing running while a ready task could run: no failure in these 3 s and the 4 s before, room for the task (for a gang, for all members) twice over on workers that are up for 4 s, not draining, suitable and admitted, and under half of the capacity of the service in use. The simulation records when workers are up and how long failures last.

In a cell whose hosts all have slow links (500 ms for 10 stored records) the traces show that new owners read for 8 to 13 s; links are squeezed all the while, so no machine is in touch by the users' rule and the history counts as disturbed.

--- a/test/standins/cell_checker.cpp
+++ b/test/standins/cell_checker.cpp
@@ -1,5 +1,7 @@
 #include "test/standins/cell_checker.hpp"
 
+#include "test/standins/liveness_checker.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <functional>
@@ -520,7 +522,10 @@
 
 std::vector<broken_rule> check_cell(const cell_history& history)
 {
-    return checker(history).run();
+    std::vector<broken_rule> broken_rules = checker(history).run();
+    for (broken_rule& each : check_liveness(history))
+        broken_rules.push_back(std::move(each));
+    return broken_rules;
 }
 
 } // namespace hawthornbeam::standins
--- a/test/standins/cell_checker.hpp
+++ b/test/standins/cell_checker.hpp
@@ -6,6 +6,7 @@
 #include "hawthornbeam/cell/types.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,8 @@
     boot_time draining_since = boot_time::max(); ///< When its entry was marked.
     /// Later changes of the capacity, in the order of their times.
     std::vector<std::pair<boot_time, resources>> capacity_changes = {};
+    boot_time up_since = boot_time::min();
+    boot_time up_until = boot_time::max(); ///< When its process ended.
 };
 
 /// Recorded history of a cell, the input of the checker. Run events are in the order in
@@ -78,6 +81,10 @@
     /// Times at which a worker executed a command late. Time bounds that concern starts
     /// don't apply shortly after them.
     std::vector<boot_time> late_commands;
+    /// Failures that last, from their start to their end.
+    std::vector<std::pair<boot_time, boot_time>> failures;
+    /// Workers that the advice service admits for each step of a queue with advice.
+    std::map<std::pair<cell::job_key, std::uint32_t>, std::set<worker_id>> admitted;
     boot_time ended_at{}; ///< End of the recording.
 };
 
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -160,6 +160,7 @@
     if (!killed.up)
         return;
     killed.up = false;
+    history_.failures.emplace_back(loop_.clock().now(), loop_.clock().now() + pause);
     network_.kill(killed.id);
     killed.instance.reset();
     schedule(pause, [this, number] { start_host(number); });
@@ -223,6 +224,7 @@
     const worker_id& worker = all_workers[random_.below(all_workers.size())];
     const boot_time failure_end = loop_.clock().now() + failure_duration;
     schedule(failure_duration, [this] { record_disturbance(); });
+    history_.failures.emplace_back(loop_.clock().now(), failure_end);
     const std::function<void(std::size_t, store_condition)> set_store =
         [this, failure_duration](std::size_t number, store_condition condition)
     {
@@ -544,6 +546,7 @@
 void cell_simulation::run(duration load_time, const std::vector<cell_failure>& failures)
 {
     record_disturbance();
+    const boot_time started_at = loop_.clock().now();
     loop_.advance(seconds(3));
     const std::uint64_t load_ms = static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(load_time).count());
@@ -573,6 +576,9 @@
         loop_.advance(seconds(2));
     }
     history_.ended_at = loop_.clock().now();
+    // The links of all hosts to the store are squeezed, so none of them is in touch.
+    if (shape_.small_hosts >= host_count)
+        history_.failures.emplace_back(started_at, history_.ended_at);
 }
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -52,7 +52,19 @@
         resources{millicores(cores * 1000), byte_count(std::int64_t{32} << 30U),
                   accelerator_count()};
     added.started_at = loop_.clock().now();
-    history_.workers.push_back({added.info, boot_time::max()});
+    history_.workers.push_back({added.info});
+    history_.workers.back().up_since = added.started_at;
+}
+
+standins::worker_record& simulated_workers::record_of(const simulated_worker& worker)
+{
+    return *std::ranges::find_if(history_.workers,
+                                 [&worker](const standins::worker_record& each)
+                                 {
+                                     return each.info.id == worker.info.id &&
+                                            each.info.incarnation ==
+                                                worker.info.incarnation;
+                                 });
 }
 
 void simulated_workers::record_event(const simulated_worker& worker, run_event::kind type,
@@ -337,6 +349,8 @@
     worker.ended.clear();
     worker.last_ended_runs.clear();
     worker.lease_timer.reset();
+    if (worker.up)
+        record_of(worker).up_until = loop_.clock().now();
     worker.up = false;
     worker.restart_timer = loop_.after(pause, [this, id] { restart(id); });
 }
@@ -353,7 +367,8 @@
     restarted.last_end = 0;
     restarted.lease_until = boot_time();
     restarted.started_at = loop_.clock().now();
-    history_.workers.push_back({restarted.info, boot_time::max()});
+    history_.workers.push_back({restarted.info});
+    history_.workers.back().up_since = restarted.started_at;
 }
 
 void simulated_workers::reset_polls(simulated_worker& worker)
@@ -389,7 +404,8 @@
                         simulated_worker& added = workers_[info.id];
                         added.info = info;
                         added.started_at = loop_.clock().now();
-                        history_.workers.push_back({info, boot_time::max()});
+                        history_.workers.push_back({info});
+                        history_.workers.back().up_since = added.started_at;
                     });
 }
 
@@ -397,10 +413,8 @@
 {
     simulated_worker& worker = workers_.at(id);
     worker.info.capacity.processors = millicores(cores * 1000);
-    for (standins::worker_record& record : history_.workers)
-        if (record.info.id == id && record.info.incarnation == worker.info.incarnation)
-            record.capacity_changes.emplace_back(loop_.clock().now(),
-                                                 worker.info.capacity);
+    record_of(worker).capacity_changes.emplace_back(loop_.clock().now(),
+                                                    worker.info.capacity);
 }
 
 std::optional<command_outcome> simulated_workers::refusal(const worker_id& id) const
@@ -445,9 +459,7 @@
     if (!worker.up || worker.info.draining)
         return;
     worker.info.draining = true;
-    for (standins::worker_record& record : history_.workers)
-        if (record.info.id == id && record.info.incarnation == worker.info.incarnation)
-            record.draining_since = loop_.clock().now();
+    record_of(worker).draining_since = loop_.clock().now();
     worker.restart_timer =
         loop_.after(pause, [this, id] { crash(id, std::chrono::seconds(3)); });
 }
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -118,6 +118,8 @@
     };
 
     void restart(const worker_id& id);
+    /// Returns the record of the worker's present incarnation.
+    standins::worker_record& record_of(const simulated_worker& worker);
     /// Fails the polls that wait at the worker.
     static void reset_polls(simulated_worker& worker);
     /// Ends the worker's process if \p run is still the run of the task there.
