Let a gang use a worker that is on probation when it needs it

An accepted gang that needs a worker on probation never started in a cell without other work: gangs do not start on such workers, the probation ends only with runs there, and the exception for steps that too few others could run was dropped as soon as the last quarantine had ended. The exception now applies whenever any worker has been quarantined; needs_quarantined() already counts workers on probation as left out.

The new test started 0 of 4 members before.

--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -247,7 +247,7 @@
         return;
     status.quarantine_checked_at = now;
     status.uses_quarantined =
-        last_quarantine_until > now && needs_quarantined(job, step, now);
+        last_quarantine_until != boot_time() && needs_quarantined(job, step, now);
 }
 
 void scheduler::implementation::take_turns(boot_time now)
--- a/unittests/cell/faulty_work_test.cpp
+++ b/unittests/cell/faulty_work_test.cpp
@@ -259,4 +259,40 @@
     }
 }
 
+// Guards against a gang that never starts because one of its workers, which gets no other
+// task, is left out after its quarantine.
+TEST(quarantine_test, gang_that_needs_all_workers_starts_in_time)
+{
+    fleet workers(4);
+    workers.add_queue("q", 0, 100, 10, seconds(60));
+    const worker_id faulty("w0");
+    for (int job = 0; job < 40; ++job)
+    {
+        workers.submit(fleet::job("j" + std::to_string(job), "q", 1, 8));
+        const decisions decided = workers.decide();
+        workers.advance(tick);
+        for (const start_command& each : decided.starts)
+            workers.end(each.run,
+                        each.worker == faulty ? run_end::failed : run_end::done);
+        workers.poll_all();
+    }
+    for (duration passed{}; passed < seconds(20); passed += tick)
+    {
+        workers.advance(tick);
+        workers.end_all(run_end::done);
+        workers.poll_all();
+        workers.decide();
+    }
+    job_spec gang = fleet::job("g", "q", 4, 8);
+    gang.steps[0].gang = true;
+    workers.submit(gang);
+    for (duration passed{}; passed < max_wait; passed += tick)
+    {
+        workers.decide();
+        workers.advance(tick);
+        workers.poll_all();
+    }
+    EXPECT_EQ(workers.runs("g").size(), 4U);
+}
+
 } // namespace hawthornbeam::cell
