Ask for advice again when the answer to a request cannot come

Callers saw accepted jobs of queues with advice that had nothing running while workers were free. An owner sends an agent requests of 1.2 s in all at a time, and counted a request as in flight until its answer arrived. Answers that never come (a lost report or message, an agent that has a new token since) were counted for ever: after four of them an agent got no further request, for as long as it reported. A step whose agent had died waited 4 s, longer than a job may wait.

An owner keeps the requests in flight with the time of their sending. It refuses them to their steps, which ask again, when the agent is dead, did not accept the message, has a new token, or has not answered for 3.5 s, half a second more than its own time-out. The backlog is the sum of what is in flight, so that it cannot differ from it.

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -218,12 +218,7 @@
     agent_state& sender = agents[from];
     for (const advice_result& result : report.advice)
     {
-        const auto request = sender.pending_advice.find({result.job, result.step});
-        if (request != sender.pending_advice.end())
-        {
-            sender.advice_backlog -= request->second;
-            sender.pending_advice.erase(request);
-        }
+        sender.pending_advice.erase({result.job, result.step});
         cell.observe(result, now);
     }
     for (const worker_id& id : report.unreachable)
@@ -305,6 +300,7 @@
 void owner::implementation::broadcast()
 {
     const boot_time now = parts.loop.clock().now();
+    refuse_lost_advice(now);
     std::erase_if(agents, [now](const std::pair<const instance_id, agent_state>& entry)
                   { return now - entry.second.last_report_at > agent_retention; });
     if (evidence.remove_unheard(now))
@@ -350,23 +346,24 @@
     message.token = token;
     message.leaving = stopping;
     message.resigned = resigned;
-    std::vector<std::pair<worker_id, run_ref>> starts;
+    sent_commands commands;
     for (const start_command& command : message.commands.starts)
-        starts.emplace_back(command.worker, command.run);
+        commands.starts.emplace_back(command.worker, command.run);
+    for (const advice_command& command : message.commands.advice)
+        commands.advice.emplace_back(command.job, command.step);
     parts.send(found->second.address, std::move(message),
-               [weak = weak_from_this(), id, starts,
+               [weak = weak_from_this(), id, commands = std::move(commands),
                 sent = parts.loop.clock().now()](result<fence_token> answer)
                {
                    const std::shared_ptr<implementation> self = weak.lock();
                    if (self)
-                       self->handle_answer(id, sent, starts, answer);
+                       self->handle_answer(id, sent, commands, answer);
                });
 }
 
-void owner::implementation::handle_answer(
-    const instance_id& id, boot_time sent,
-    const std::vector<std::pair<worker_id, run_ref>>& starts,
-    const result<fence_token>& answer)
+void owner::implementation::handle_answer(const instance_id& id, boot_time sent,
+                                          const sent_commands& commands,
+                                          const result<fence_token>& answer)
 {
     if (answer)
     {
@@ -381,13 +378,21 @@
     parts.log.warning("owner", "commands not accepted",
                       {{"agent", id.value()}, {"reason", answer.error().message}});
     if (answer.error().code != error_code::outcome_unknown)
-        for (const auto& [worker, run] : starts)
+        for (const auto& [worker, run] : commands.starts)
             record_start_not_sent(worker, run, now);
     const auto found = agents.find(id);
     if (found == agents.end())
         return;
     // The agent becomes usable again with its next report and then gets new assignments.
     found->second.commands_failed = true;
+    for (const std::pair<job_key, std::uint32_t>& step : commands.advice)
+    {
+        const auto request = found->second.pending_advice.find(step);
+        if (request == found->second.pending_advice.end())
+            continue;
+        refuse_advice(request->second.command, now);
+        found->second.pending_advice.erase(request);
+    }
     assign_workers();
     schedule_decision();
 }
@@ -416,8 +421,13 @@
     for (auto& [id, route] : self.routes)
         route.agent = instance_id();
     self.outbox.clear();
+    // They also drop the answers to requests of an earlier token.
+    const boot_time now = self.parts.loop.clock().now();
+    for (auto& [id, agent] : self.agents)
+        self.refuse_all_advice(agent, now);
     self.assign_workers();
     self.send_commands();
+    self.schedule_decision();
 }
 
 void owner::resign()
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -21,6 +21,9 @@
 constexpr duration max_short_backlog = std::chrono::milliseconds(150);
 constexpr duration short_advice_limit = std::chrono::milliseconds(30);
 constexpr std::size_t agents_for_short_advice = 4;
+/// An agent reports within this time, or its answer was lost. Longer than the time-out of
+/// an agent's request.
+constexpr duration advice_answer_limit = std::chrono::milliseconds(3500);
 
 /// Number of instances that are sent to agents as peers: enough that one of them is up
 /// after a failure.
@@ -202,7 +205,7 @@
     // others if the reserved agents are busy.
     for (std::size_t i = 0; i < usable.size(); ++i)
     {
-        const duration backlog = agents.at(usable[i]).advice_backlog;
+        const duration backlog = agents.at(usable[i]).advice_backlog();
         if ((is_short || i >= reserved) && backlog < least_backlog)
         {
             least_backlog = backlog;
@@ -210,17 +213,48 @@
         }
     }
     if (best.empty())
+        return refuse_advice(command, now);
+    agents.at(best).pending_advice.insert_or_assign(
+        {command.job, command.step}, advice_in_flight{command, expected, now});
+    outbox[best].advice.push_back(std::move(command));
+}
+
+void owner::implementation::refuse_advice(const advice_command& command, boot_time now)
+{
+    advice_result refused;
+    refused.job = command.job;
+    refused.step = command.step;
+    refused.asked = command.workers;
+    cell.observe(refused, now);
+}
+
+void owner::implementation::refuse_lost_advice(boot_time now)
+{
+    bool refused = false;
+    for (auto& [id, agent] : agents)
     {
-        advice_result refused;
-        refused.job = command.job;
-        refused.step = command.step;
-        refused.asked = command.workers;
-        return cell.observe(refused, now);
+        const bool is_alive = agent.is_alive(now);
+        const std::size_t lost = std::erase_if(
+            agent.pending_advice,
+            [this, now, is_alive](const std::pair<const std::pair<job_key, std::uint32_t>,
+                                                  advice_in_flight>& entry)
+            {
+                const advice_in_flight& request = entry.second;
+                if (is_alive && now - request.sent_at <= advice_answer_limit)
+                    return false;
+                refuse_advice(request.command, now);
+                return true;
+            });
+        refused = refused || lost > 0;
     }
-    agent_state& chosen = agents.at(best);
-    chosen.advice_backlog += expected;
-    chosen.pending_advice[{command.job, command.step}] = expected;
-    outbox[best].advice.push_back(std::move(command));
+    if (refused)
+        schedule_decision();
+}
+
+void owner::implementation::refuse_all_advice(agent_state& agent, boot_time now)
+{
+    for (const auto& [step, request] : std::exchange(agent.pending_advice, {}))
+        refuse_advice(request.command, now);
 }
 
 bool owner::store_answered_other_instance(boot_time time) const
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -25,6 +25,14 @@
 /// time; every instance calls the store once a second.
 inline constexpr duration max_store_answer_age = std::chrono::milliseconds(1500);
 
+/// A request to the advice service that an agent has not answered.
+struct advice_in_flight
+{
+    advice_command command;
+    duration expected{}; ///< Expected duration of the request.
+    boot_time sent_at{};
+};
+
 struct agent_state
 {
     bool is_alive(boot_time now) const
@@ -48,9 +56,16 @@
     bool leaving = false;
     boot_time store_answered_at{}; ///< Last answer of the store to the agent.
     bool commands_failed = false; ///< Commands to the agent failed since its last report.
-    duration advice_backlog{};    ///< Sum of the durations in pending_advice.
-    /// Expected durations of the advice requests in flight, by job and step.
-    std::map<std::pair<job_key, std::uint32_t>, duration> pending_advice;
+    /// Sum of the expected durations of the requests in flight.
+    duration advice_backlog() const
+    {
+        duration sum{};
+        for (const auto& [step, request] : pending_advice)
+            sum += request.expected;
+        return sum;
+    }
+    /// Advice requests in flight, by job and step.
+    std::map<std::pair<job_key, std::uint32_t>, advice_in_flight> pending_advice;
 };
 
 /// The agent that polls a worker.
@@ -110,15 +125,25 @@
     /// Number of agents that may take long advice requests.
     std::uint32_t hosts_for_long_advice(boot_time now) const;
     void route_advice(advice_command command, boot_time now);
+    /// Lets the step of a request ask again.
+    void refuse_advice(const advice_command& command, boot_time now);
+    /// Refuses requests whose answers cannot come any more.
+    void refuse_lost_advice(boot_time now);
+    void refuse_all_advice(agent_state& agent, boot_time now);
     void acknowledge(const std::vector<acknowledge_command>& covered);
     void send_commands();
     void broadcast();
     void send_to(const instance_id& id, wire::cell_commands message);
     std::vector<endpoint> agents_with_store_access() const;
     std::uint32_t largest_processor_share() const;
+    /// The commands of a message that need an answer.
+    struct sent_commands
+    {
+        std::vector<std::pair<worker_id, run_ref>> starts;
+        std::vector<std::pair<job_key, std::uint32_t>> advice;
+    };
     void handle_answer(const instance_id& id, boot_time sent,
-                       const std::vector<std::pair<worker_id, run_ref>>& starts,
-                       const result<fence_token>& answer);
+                       const sent_commands& commands, const result<fence_token>& answer);
 
     // Store access (owner_store.cpp).
     void load();
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -66,8 +66,10 @@
                        const std::function<void(result<fence_token>)>& done)
                 {
                     sent.emplace_back(agent, std::move(message));
-                    if (!silent_agents.contains(agent))
-                        done(fence_token(first_token));
+                    if (unreachable_agents.contains(agent))
+                        done(make_error(error_code::outcome_unknown, "no answer"));
+                    else if (!silent_agents.contains(agent))
+                        done(current_token);
                 },
                 [this](fence_token higher) { superseding_tokens.push_back(higher); },
                 [this] { return store_confirmed_at.value_or(loop.clock().now()); }},
@@ -84,7 +86,7 @@
                 std::vector<wire::accepted_job> accepted = {})
     {
         wire::cell_report message;
-        message.token = fence_token(first_token);
+        message.token = current_token;
         message.address = endpoint(agent);
         message.share = 250;
         message.report = std::move(observed);
@@ -175,6 +177,8 @@
     std::vector<fence_token> superseding_tokens;
     std::optional<boot_time> store_confirmed_at; ///< Empty: at any time.
     std::set<endpoint> silent_agents;            ///< Do not answer commands.
+    std::set<endpoint> unreachable_agents;       ///< Commands to them fail.
+    fence_token current_token{first_token};
     std::unique_ptr<owner> cell = make_owner();
 };
 
@@ -801,6 +805,92 @@
     EXPECT_EQ(superseding_tokens.size(), 1U);
 }
 
+/// An owner of a queue with advice, whose agents take up to four requests each.
+class advice_request_test : public owner_test
+{
+protected:
+    advice_request_test()
+    {
+        queue_policy queue;
+        queue.name = queue_name("q");
+        queue.service = service_name("pool");
+        queue.attempts = 3;
+        queue.advice = advice_policy{milliseconds(300), milliseconds(10), seconds(5)};
+        cell->configure({queue});
+        cell->start();
+        report("a");
+        loop.advance(milliseconds(200));
+        poll_worker("a");
+        loop.advance(milliseconds(200));
+    }
+    void poll_worker(const std::string& agent)
+    {
+        report(agent, report_with(poll({latest_assignment(), ++polls})));
+    }
+    void advance_with_reports(const std::string& agent, duration time)
+    {
+        for (duration passed{}; passed < time; passed += milliseconds(100))
+        {
+            poll_worker(agent);
+            loop.advance(milliseconds(100));
+        }
+    }
+    /// Submits jobs until the agent takes no more requests.
+    void fill_agent()
+    {
+        for (int job = 0; job < 6; ++job)
+            submit("j" + std::to_string(job));
+        ASSERT_EQ(requests("a"), 4U);
+    }
+    std::size_t requests(const std::string& agent) const
+    {
+        std::size_t count = 0;
+        for (const auto& [to, message] : sent)
+            count += to == endpoint(agent) ? message.commands.advice.size() : 0U;
+        return count;
+    }
+
+    std::uint64_t polls = 0;
+};
+
+// Guards against an agent that gets no requests any more, since answers that cannot come
+// count as in flight for ever.
+TEST_F(advice_request_test, agent_gets_requests_after_answers_were_lost)
+{
+    fill_agent();
+    advance_with_reports("a", milliseconds(4500));
+    EXPECT_GT(requests("a"), 4U);
+}
+
+TEST_F(advice_request_test, requests_of_the_former_token_are_sent_again_at_once)
+{
+    fill_agent();
+    current_token = fence_token(first_token + 1);
+    cell->change_token(current_token);
+    advance_with_reports("a", milliseconds(300));
+    EXPECT_EQ(requests("a"), 8U);
+}
+
+TEST_F(advice_request_test, requests_that_an_agent_did_not_accept_are_sent_again_at_once)
+{
+    unreachable_agents = {endpoint("a")};
+    for (int job = 0; job < 4; ++job)
+        submit("j" + std::to_string(job));
+    ASSERT_GT(requests("a"), 0U);
+    unreachable_agents.clear();
+    sent.clear();
+    advance_with_reports("a", milliseconds(300));
+    EXPECT_EQ(requests("a"), 4U);
+}
+
+// Guards against steps that wait 4 s for the answer to a request whose agent has died.
+TEST_F(advice_request_test, requests_of_a_dead_agent_are_sent_to_another_one)
+{
+    fill_agent();
+    advance_with_reports("b", milliseconds(2200));
+    EXPECT_EQ(requests("b"), 4U);
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
