Do not let inherited tasks wait for new workers that were never polled

Callers saw jobs that an owner had inherited, or had read from the store because their receiver was away, wait while workers were free. A worker whose entry was removed before its first answer counted as one that may have runs of a former owner, until its longest lease had ended (8.2 s after its entry came). With workers that come and go, one after the other, the wait did not end.

Only a worker in the record of workers can have runs of a former owner, since starts are allowed after that record is stored; these are expected from the beginning and are not concerned. A worker that was neither expected nor polled has no runs, as this owner starts tasks only on workers that have answered it.

--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -29,16 +29,14 @@
         "cell", "worker entry removed",
         {{"worker", worker.value()}, {"runs", std::uint64_t{found->second.runs.size()}}});
     found->second.has_entry = false;
-    if (found->second.polled || found->second.process_ended)
+    // A worker that was neither expected nor polled has no runs, so that nothing waits
+    // for it.
+    if (found->second.polled || found->second.process_ended ||
+        found->second.ended_unpolled_since == boot_time())
         return;
-    if (found->second.ended_unpolled_since != boot_time())
-    {
-        // Without an entry there is no newer address either.
-        found->second.process_ended = true;
-        implementation_->mark_settled(worker, now);
-    }
-    else
-        implementation_->unsettled.insert(worker);
+    // Without an entry there is no newer address either.
+    found->second.process_ended = true;
+    implementation_->mark_settled(worker, now);
 }
 
 void scheduler::expect_workers(const std::vector<worker_id>& workers, boot_time now)
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -181,6 +181,20 @@
     EXPECT_EQ(workers.decide().starts.size(), 1U);
 }
 
+// Guards against inherited tasks that wait for workers which come and go, one after the
+// other, and which no former owner has used.
+TEST(scheduler_test, inherited_tasks_do_not_wait_for_a_new_worker_that_was_never_polled)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("old", "q", 1, 1), true);
+    worker_info passing = workers.info("w0");
+    passing.id = worker_id("passing");
+    workers.cell.update_worker(passing, workers.clock.now());
+    workers.cell.remove_worker(passing.id, workers.clock.now());
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
 TEST(scheduler_test, inherited_tasks_wait_for_the_longest_lease_of_an_unreachable_worker)
 {
     fleet workers(2, false);
