Store the policy of a queue with its first job

Callers saw an accepted job that never starts: its queue was added and removed again before any owner had stored its policy, because the owner stood still. A later owner neither is configured with the queue nor finds it in cell/queues, and starts no job of a queue that it does not know.

Whoever accepts a job knows the policy at that moment. The receiver writes it under cell/queue/NAME in the transaction of the first job of the queue that it stores, which needs no further writing call; the owner reads these keys with the jobs, stores the policies it lacks in cell/queues and then removes the keys with its other writes. Policies that the owner knows take precedence. The stand-in of the store refuses transactions with too many entries, as the store does.

--- a/include/hawthornbeam/cell/receiver.hpp
+++ b/include/hawthornbeam/cell/receiver.hpp
@@ -53,6 +53,9 @@
     explicit receiver(receiver_parts parts);
     ~receiver();
 
+    /// Sets the configured queues. The policy of a queue is stored with its first job, so
+    /// that an owner learns it which never reads this configuration.
+    void configure(const std::vector<queue_policy>& queues);
     void submit(job_spec job, std::function<void(verdict)> done);
     /// Stores a job or a cancel that another instance relayed; it is not relayed again.
     void store_relayed(relayed_change change, std::function<void(verdict)> done);
--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -74,8 +74,9 @@
     /// queue that is not listed any more keep its policy.
     void configure(const std::vector<queue_policy>& queues);
     /// Adds the policies that a former owner knew, for jobs of queues that were removed
-    /// from the configuration before this owner read it.
-    void restore_queues(const std::vector<queue_policy>& queues);
+    /// from the configuration before this owner read it. Policies of known queues are
+    /// kept. Returns whether any was added.
+    bool restore_queues(const std::vector<queue_policy>& queues);
     /// Policies of the configured queues and of the latest removed ones.
     std::vector<queue_policy> queues() const;
 
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -163,17 +163,18 @@
     }
 }
 
-void scheduler::restore_queues(const std::vector<queue_policy>& queues)
+bool scheduler::restore_queues(const std::vector<queue_policy>& queues)
 {
     std::vector<queue_policy> missing;
     for (const queue_policy& queue : queues)
         if (!implementation_->queues.contains(queue.name))
             missing.push_back(queue);
     if (missing.empty())
-        return;
+        return false;
     implementation_->set_policies(missing);
     for (const queue_policy& queue : missing)
         implementation_->removed_queues.push_back(queue.name);
+    return true;
 }
 
 std::vector<queue_policy> scheduler::queues() const
--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -367,6 +367,7 @@
 void node::configure(const std::vector<queue_policy>& queues)
 {
     implementation_->queues = queues;
+    implementation_->receiver.configure(queues);
     // An owner without the policies of the queues would fail and place jobs by defaults.
     implementation_->claim.enable();
     if (implementation_->active_owner)
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -152,6 +152,11 @@
     /// Returns whether another instance has claimed the cell after this owner.
     bool is_later_claim(const store_item& item) const;
     void handle_term(const store_item& item);
+    void handle_queues(const store_item& item);
+    /// Reads the policy that a receiver has stored with a job.
+    void handle_receiver_policy(const store_item& item);
+    /// Removes the policies of receivers that the record of queues contains.
+    void remove_receiver_policies();
     void handle_item(const store_item& item, std::vector<stored_end>& ends,
                      std::vector<job_key>& cancels);
     void remove_ends_of_ended_jobs();
@@ -210,7 +215,8 @@
     std::set<worker_id> stored_workers;
     std::set<worker_id> workers_to_store;
     bool workers_changed = false;
-    bool queues_changed = true; ///< Since they were stored.
+    bool queues_changed = true;              ///< Since they were stored.
+    std::set<std::string> receiver_policies; ///< Keys that were read and not removed.
     bool instances_changed = false;
     bool writing_records = false;
     bool records_retry_due = false; ///< The last write failed.
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -59,6 +59,8 @@
     for (const store_item& item : listing.items)
         if (item.key == term_key)
             handle_term(item);
+        else if (item.key == queues_key)
+            handle_queues(item);
     for (const store_item& item : listing.items)
         handle_item(item, ends, cancels);
     for (const stored_end& end : ends)
@@ -110,6 +112,35 @@
     cell.set_term(term.value());
 }
 
+void owner::implementation::handle_queues(const store_item& item)
+{
+    const result<std::vector<queue_policy>> known = decode_queues(item.value);
+    if (!known)
+        return parts.log.error("owner", "stored queues cannot be read",
+                               {{"reason", known.error().message}});
+    queues_revision = item.revision;
+    cell.restore_queues(known.value());
+}
+
+void owner::implementation::handle_receiver_policy(const store_item& item)
+{
+    const result<std::vector<queue_policy>> known = decode_queues(item.value);
+    if (!known)
+        return parts.log.error("owner", "stored queues cannot be read",
+                               {{"reason", known.error().message}});
+    queues_changed = cell.restore_queues(known.value()) || queues_changed;
+    receiver_policies.insert(item.key);
+    schedule_store();
+}
+
+void owner::implementation::remove_receiver_policies()
+{
+    if (queues_changed || writing_records)
+        return;
+    for (const std::string& key : std::exchange(receiver_policies, {}))
+        writer.remove(key);
+}
+
 void owner::implementation::handle_instances(const store_item& item)
 {
     instances_revision = item.revision;
@@ -169,15 +200,8 @@
         }
         return;
     }
-    if (key == queues_key)
-    {
-        result<std::vector<queue_policy>> known = decode_queues(item.value);
-        if (!known)
-            return parts.log.error("owner", "stored queues cannot be read",
-                                   {{"reason", known.error().message}});
-        queues_revision = item.revision;
-        return cell.restore_queues(known.value());
-    }
+    if (key.starts_with(queue_prefix))
+        return handle_receiver_policy(item);
     if (key == instances_key)
         return handle_instances(item);
     if (key == workers_key)
@@ -255,7 +279,8 @@
         std::vector<stored_end> ends;
         std::vector<job_key> cancels;
         // Final states and run ends are written by this owner only and need no handling.
-        if (key.starts_with(cancel_prefix) || key.starts_with(job_prefix))
+        if (key.starts_with(cancel_prefix) || key.starts_with(job_prefix) ||
+            key.starts_with(queue_prefix))
             handle_item(event.item, ends, cancels);
         for (const job_key& job : cancels)
             cancel(job, "change");
@@ -299,6 +324,7 @@
 void owner::implementation::store_now()
 {
     remove_expired_jobs();
+    remove_receiver_policies();
     // Changes that cannot be sent yet stay in the scheduler, which drops run ends that a
     // final state replaces.
     if (writer.has_capacity())
@@ -456,7 +482,10 @@
         return;
     }
     if (written.queues)
+    {
         queues_revision = answer.value().revision;
+        schedule_store();
+    }
     if (written.instances)
         instances_revision = answer.value().revision;
     if (!written.workers)
--- a/lib/cell/receiver.cpp
+++ b/lib/cell/receiver.cpp
@@ -15,8 +15,8 @@
 namespace
 {
 
-/// Each job takes two entries of a transaction, an expectation and a put.
-constexpr std::size_t max_jobs_in_transaction = max_transaction_entries / 2;
+/// Entries of a transaction for each job: an expectation and a put.
+constexpr std::size_t entries_per_job = 2;
 constexpr std::size_t max_transactions_open = 4;
 /// Time for which a write of unknown outcome is repeated. Callers wait 3 s, and one that
 /// gets no verdict within half of that can still try another host.
@@ -50,7 +50,8 @@
     explicit implementation(receiver_parts given) : parts(std::move(given)) {}
 
     void store_submissions();
-    void handle_commit(const submissions& sent, const result<store_commit>& answer);
+    void handle_commit(const submissions& sent, const std::set<queue_name>& with_policy,
+                       const result<store_commit>& answer);
     void finish(const std::shared_ptr<submission>& finished, verdict outcome);
     void add_submission(job_spec job, bool relayed, verdict_callback done);
     void relay(const std::shared_ptr<submission>& failed);
@@ -75,6 +76,10 @@
     }
 
     receiver_parts parts;
+    /// Policies of all queues since the start of the process. A job may be stored after
+    /// its queue was removed.
+    std::map<queue_name, queue_policy> policies;
+    std::set<queue_name> stored_policies; ///< Of queues that are configured now.
     std::map<job_key, std::shared_ptr<submission>> open_submissions;
     std::deque<std::shared_ptr<submission>> queued;
     /// Jobs that an earlier request may have stored. A later request for one of them must
@@ -96,13 +101,29 @@
     while (!queued.empty() && transactions_open < max_transactions_open)
     {
         submissions sent;
+        std::set<queue_name> with_policy;
         store_transaction change;
         const std::int64_t now_ms =
             parts.loop.clock().wall_now().time_since_epoch().count();
-        while (!queued.empty() && sent.size() < max_jobs_in_transaction)
+        while (!queued.empty())
         {
             const std::shared_ptr<submission> next = queued.front();
+            const queue_name& queue = next->job.queue;
+            const bool adds_policy = policies.contains(queue) &&
+                                     !stored_policies.contains(queue) &&
+                                     !with_policy.contains(queue);
+            if (change.expect.size() + change.puts.size() + entries_per_job +
+                    (adds_policy ? 1U : 0U) >
+                max_transaction_entries)
+                break;
             queued.pop_front();
+            if (adds_policy)
+            {
+                with_policy.insert(queue);
+                change.puts.push_back({queue_store_key(queue),
+                                       encode(std::vector{policies.at(queue)}),
+                                       lease_id()});
+            }
             const std::string key = job_store_key(next->job.id);
             change.expect.push_back({key, kv_revision()});
             change.puts.push_back(
@@ -113,19 +134,23 @@
         ++transactions_open;
         parts.store.commit(
             std::move(change),
-            [weak = weak_from_this(), sent](const result<store_commit>& answer)
+            [weak = weak_from_this(), sent,
+             with_policy = std::move(with_policy)](const result<store_commit>& answer)
             {
                 const std::shared_ptr<implementation> self = weak.lock();
                 if (self)
-                    self->handle_commit(sent, answer);
+                    self->handle_commit(sent, with_policy, answer);
             });
     }
 }
 
 void receiver::implementation::handle_commit(const submissions& sent,
+                                             const std::set<queue_name>& with_policy,
                                              const result<store_commit>& answer)
 {
     --transactions_open;
+    if (answer && answer.value().committed)
+        stored_policies.insert(with_policy.begin(), with_policy.end());
     if (!answer)
     {
         const bool nothing_written = answer.error().code != error_code::outcome_unknown;
@@ -378,6 +403,19 @@
     store_submissions();
 }
 
+void receiver::configure(const std::vector<queue_policy>& queues)
+{
+    implementation& self = *implementation_;
+    std::set<queue_name> configured;
+    for (const queue_policy& queue : queues)
+    {
+        configured.insert(queue.name);
+        self.policies.insert_or_assign(queue.name, queue);
+    }
+    std::erase_if(self.stored_policies, [&configured](const queue_name& name)
+                  { return !configured.contains(name); });
+}
+
 void receiver::submit(job_spec job, std::function<void(verdict)> done)
 {
     implementation_->add_submission(std::move(job), false, std::move(done));
--- a/lib/cell/stored_form.cpp
+++ b/lib/cell/stored_form.cpp
@@ -74,6 +74,11 @@
     return std::string(cancel_prefix) + job.value();
 }
 
+std::string queue_store_key(const queue_name& queue)
+{
+    return std::string(queue_prefix) + queue.value();
+}
+
 std::string ends_store_key(fence_token token, std::uint64_t batch)
 {
     return fmt::format("{}{:016x}-{:08x}", ends_prefix, token.value(), batch);
--- a/lib/cell/stored_form.hpp
+++ b/lib/cell/stored_form.hpp
@@ -30,12 +30,16 @@
 inline constexpr std::string_view instances_key = "cell/instances";
 /// Key of the policies of the queues that the owner has been configured with.
 inline constexpr std::string_view queues_key = "cell/queues";
+/// Prefix of the keys of policies that receivers store with the first job of a queue,
+/// until the owner has stored them under queues_key.
+inline constexpr std::string_view queue_prefix = "cell/queue/";
 inline constexpr std::string_view job_prefix = "cell/job/";
 inline constexpr std::string_view cancel_prefix = "cell/cancel/";
 inline constexpr std::string_view ends_prefix = "cell/ends/";
 
 std::string job_store_key(const job_key& job);
 std::string cancel_store_key(const job_key& job);
+std::string queue_store_key(const queue_name& queue);
 /// Key of a batch of run ends; keys are ordered by the owner's token, then by batch.
 std::string ends_store_key(fence_token token, std::uint64_t batch);
 
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -199,6 +199,8 @@
 {
     ++state_.commits;
     store_commit outcome;
+    if (change.size() > max_transaction_entries)
+        return outcome;
     for (const store_expectation& each : change.expect)
     {
         const auto found = state_.items.find(each.key);
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -542,6 +542,88 @@
     EXPECT_EQ(sent_starts().size(), 1U);
 }
 
+class unknown_queue_test : public owner_test
+{
+protected:
+    static queue_policy policy(const std::string& name)
+    {
+        queue_policy queue;
+        queue.name = queue_name(name);
+        queue.service = service_name("pool");
+        queue.attempts = 3;
+        return queue;
+    }
+    /// Stores a job and the policy of its queue as its receiver does.
+    void store_job()
+    {
+        ++state.revision;
+        job_record record;
+        record.job = fleet::job("a", "brief", 1, 1);
+        state.put("cell/job/a", encode(record), lease_id());
+        state.put("cell/queue/brief", encode(std::vector<queue_policy>{policy("brief")}),
+                  lease_id());
+    }
+    void expect_start()
+    {
+        for (int tenths = 0; tenths < 20; ++tenths)
+        {
+            report("a", report_with(poll({latest_assignment(), 1})));
+            loop.advance(milliseconds(100));
+        }
+        EXPECT_EQ(sent_starts().size(), 1U);
+    }
+};
+
+// Guards against jobs that never start because their queue came and went before an owner
+// stored its policy.
+TEST_F(unknown_queue_test, job_of_a_queue_that_this_owner_never_had_starts)
+{
+    start();
+    loop.advance(milliseconds(500));
+    store_job();
+    expect_start();
+}
+
+TEST_F(unknown_queue_test, job_of_a_queue_that_no_owner_ever_had_starts)
+{
+    store_job();
+    start();
+    expect_start();
+}
+
+// Guards against a successor that finds neither the stored policy nor the one of its
+// receiver, and against records that stay in the store for ever.
+TEST_F(unknown_queue_test, policy_of_a_receiver_is_removed_once_the_owner_has_stored_it)
+{
+    store_job();
+    start();
+    loop.advance(seconds(2));
+    EXPECT_FALSE(state.items.contains("cell/queue/brief"));
+    const result<std::vector<queue_policy>> stored =
+        decode_queues(state.items.at("cell/queues").value);
+    ASSERT_TRUE(stored);
+    EXPECT_EQ(
+        std::ranges::count(stored.value(), queue_name("brief"), &queue_policy::name), 1);
+}
+
+// Guards against a policy that the receivers have replaced.
+TEST_F(unknown_queue_test, policy_of_a_former_owner_takes_precedence)
+{
+    queue_policy stored = policy("brief");
+    stored.service = service_name("other");
+    state.put("cell/queues", encode(std::vector<queue_policy>{stored}), lease_id());
+    store_job();
+    start();
+    loop.advance(seconds(2));
+    const result<std::vector<queue_policy>> kept =
+        decode_queues(state.items.at("cell/queues").value);
+    ASSERT_TRUE(kept);
+    const auto found =
+        std::ranges::find(kept.value(), queue_name("brief"), &queue_policy::name);
+    ASSERT_NE(found, kept.value().end());
+    EXPECT_EQ(found->service, service_name("other"));
+}
+
 // A new owner waits for the longest lease (8 s) of each stored worker that it cannot
 // poll, even if the worker left long ago.
 TEST_F(owner_test, idle_worker_is_removed_from_the_store_when_it_leaves)
--- a/unittests/cell/receiver_test.cpp
+++ b/unittests/cell/receiver_test.cpp
@@ -81,6 +81,43 @@
     EXPECT_EQ(accepted.size(), 1U);
 }
 
+// Guards against jobs whose queue is removed before any owner reads its policy.
+TEST_F(receiver_test, policy_of_a_queue_is_stored_with_its_first_job)
+{
+    queue_policy policy;
+    policy.name = queue_name("q");
+    requests.configure({policy});
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    ASSERT_TRUE(state.items.contains("cell/queue/q"));
+    const kv_revision stored = state.items.at("cell/queue/q").revision;
+    EXPECT_EQ(stored, state.items.at("cell/job/a").revision);
+    EXPECT_EQ(submit("b", milliseconds(50)), verdict::done);
+    EXPECT_EQ(state.items.at("cell/queue/q").revision, stored);
+    EXPECT_EQ(state.commits, 2U);
+    requests.configure({});
+    EXPECT_EQ(submit("c", milliseconds(50)), verdict::done);
+    EXPECT_GT(state.items.at("cell/queue/q").revision, stored);
+}
+
+// Guards against transactions that are refused because they have too many entries.
+TEST_F(receiver_test, jobs_of_many_queues_are_stored_with_their_policies)
+{
+    std::vector<queue_policy> queues(20);
+    for (std::size_t number = 0; number < queues.size(); ++number)
+        queues[number].name = queue_name("q" + std::to_string(number));
+    requests.configure(queues);
+    std::size_t stored = 0;
+    for (std::size_t number = 0; number < 4 * queues.size(); ++number)
+        requests.submit(fleet::job("j" + std::to_string(number),
+                                   queues[number % queues.size()].name.value(), 1, 1),
+                        [&stored](verdict outcome)
+                        { stored += outcome == verdict::done ? 1U : 0U; });
+    loop.advance(milliseconds(200));
+    EXPECT_EQ(stored, 4 * queues.size());
+    for (const queue_policy& queue : queues)
+        EXPECT_TRUE(state.items.contains("cell/queue/" + queue.name.value()));
+}
+
 TEST_F(receiver_test, a_repeated_job_is_accepted_and_not_stored_again)
 {
     EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
