Send the starts of wide jobs in messages that fit a frame

Callers would see a wide job with a long payload that never starts while its workers are free, and other tasks delayed. Each start carries the payload of its job, up to 4,000 bytes, and all starts of a decision went to an agent in one message. A message above 1 MiB is not sent: the starts count as not sent, the agent's workers go to other agents, and the next decision does the same again.

The owner splits the commands for an agent by an upper estimate of the bytes of their starts, at 256 KiB. The first part has all other commands, so that assignments and stops still come before starts.

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -24,6 +24,33 @@
 /// Lateness of a periodic decision that is logged, since the host cannot keep up. It is
 /// half of the time after which an agent counts as lost.
 constexpr duration late_decision_threshold = agent_timeout / 2;
+/// Bytes of starts in one message, well below the frame size of the inner protocol: a
+/// message that exceeds it is not sent.
+constexpr std::size_t max_start_bytes = std::size_t{256} << 10U;
+/// Upper estimate of the size of a start besides its payload and its saved state.
+constexpr std::size_t start_overhead = 1024;
+
+/// Splits commands by the size of their starts. The first part has all other commands.
+std::vector<agent_commands> split_by_size(agent_commands commands)
+{
+    const std::vector<start_command> starts = std::exchange(commands.starts, {});
+    std::vector<agent_commands> parts;
+    parts.push_back(std::move(commands));
+    std::size_t bytes = 0;
+    for (const start_command& command : starts)
+    {
+        const std::size_t size =
+            command.payload.size() + command.saved.value().size() + start_overhead;
+        if (bytes + size > max_start_bytes && bytes > 0)
+        {
+            parts.emplace_back();
+            bytes = 0;
+        }
+        bytes += size;
+        parts.back().starts.push_back(command);
+    }
+    return parts;
+}
 
 } // namespace
 
@@ -291,9 +318,12 @@
     {
         if (commands.empty())
             continue;
-        wire::cell_commands message;
-        message.commands = std::move(commands);
-        send_to(id, std::move(message));
+        for (agent_commands& part : split_by_size(std::move(commands)))
+        {
+            wire::cell_commands message;
+            message.commands = std::move(part);
+            send_to(id, std::move(message));
+        }
     }
 }
 
@@ -327,8 +357,11 @@
     {
         if (!state.is_alive(now))
             continue;
+        std::vector<agent_commands> split = split_by_size(std::move(sending[id]));
+        for (std::size_t later = 1; later < split.size(); ++later)
+            std::ranges::move(split[later].starts, std::back_inserter(outbox[id].starts));
         wire::cell_commands message;
-        message.commands = std::move(sending[id]);
+        message.commands = std::move(split.front());
         message.ended = newly_ended;
         message.depths = depths;
         message.peers = peers;
@@ -336,6 +369,7 @@
         send_to(id, std::move(message));
     }
     newly_ended.clear();
+    send_commands();
 }
 
 void owner::implementation::send_to(const instance_id& id, wire::cell_commands message)
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -1,6 +1,7 @@
 #include "hawthornbeam/cell/owner.hpp"
 
 #include "fleet.hpp"
+#include "hawthornbeam/wire/peer_network.hpp"
 #include "late_store.hpp"
 #include "lib/cell/stored_form.hpp"
 #include "memory_store.hpp"
@@ -887,6 +888,27 @@
     EXPECT_EQ(superseding_tokens.size(), 1U);
 }
 
+// Guards against a wide job with a long payload that never starts, because the message
+// with its starts exceeds the frame size of the inner protocol.
+TEST_F(owner_test, starts_of_a_wide_job_are_sent_in_messages_that_fit_a_frame)
+{
+    constexpr std::uint32_t tasks = 400;
+    start();
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(200));
+    job_spec wide = fleet::job("wide", "q", tasks, 1);
+    wide.payload.assign(4000, 'p');
+    wide.steps[0].size.processors = millicores(10);
+    report("a", {}, {{wide, true}});
+    loop.advance(milliseconds(50));
+    EXPECT_EQ(sent_starts().size(), tasks);
+    const std::size_t max_bytes = wire::tcp_peer_network::options().max_frame_bytes;
+    std::size_t largest = 0;
+    for (const auto& [agent, message] : sent)
+        largest = std::max(largest, wire::encode(wire::request(message)).size());
+    EXPECT_LT(largest, max_bytes);
+}
+
 /// An owner of a queue with advice, whose agents take up to four requests each.
 class advice_request_test : public owner_test
 {
