Refuse relayed jobs of queues that were never configured here

Callers could see an accepted job that never starts: a host that the store turns away relays a job to an instance that has not read the configuration with its queue. That instance stored the job without a policy, and no owner knows the queue if it is removed before one reads it.

Evidence: the new test accepted such a job with nothing but the job in the store; now it is refused, nothing is stored, and it is accepted with the policy once the instance is configured. The tests of relays configure the queue at both instances now.

--- a/include/hawthornbeam/cell/receiver.hpp
+++ b/include/hawthornbeam/cell/receiver.hpp
@@ -58,6 +58,8 @@
     void configure(const std::vector<queue_policy>& queues);
     void submit(job_spec job, std::function<void(verdict)> done);
     /// Stores a job or a cancel that another instance relayed; it is not relayed again.
+    /// Refuses a job whose queue was never configured here, since its policy could not be
+    /// stored.
     void store_relayed(relayed_change change, std::function<void(verdict)> done);
     void cancel(const job_key& job, std::function<void(verdict)> done);
     void query(const job_key& job, std::function<void(query_answer)> done);
--- a/lib/cell/receiver.cpp
+++ b/lib/cell/receiver.cpp
@@ -427,6 +427,8 @@
         return implementation_->write_cancel(
             {change.job.id, implementation_->parts.loop.clock().now(), false, true},
             std::move(done));
+    if (!implementation_->policies.contains(change.job.queue))
+        return done(verdict::refused);
     implementation_->add_submission(std::move(change.job), true, std::move(done));
 }
 
--- a/unittests/cell/receiver_test.cpp
+++ b/unittests/cell/receiver_test.cpp
@@ -45,6 +45,12 @@
                                                 [done](verdict answer) { done(answer); });
                 }};
     }
+    static queue_policy policy_of(const std::string& queue)
+    {
+        queue_policy policy;
+        policy.name = queue_name(queue);
+        return policy;
+    }
     verdict submit(const std::string& id, duration wait)
     {
         std::optional<verdict> answer;
@@ -84,9 +90,7 @@
 // Guards against jobs whose queue is removed before any owner reads its policy.
 TEST_F(receiver_test, policy_of_a_queue_is_stored_with_its_first_job)
 {
-    queue_policy policy;
-    policy.name = queue_name("q");
-    requests.configure({policy});
+    requests.configure({policy_of("q")});
     EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
     ASSERT_TRUE(state.items.contains("cell/queue/q"));
     const kv_revision stored = state.items.at("cell/queue/q").revision;
@@ -186,6 +190,7 @@
     receiver served_receiver({loop, served_store, log, [] { return false; },
                               served_parts.on_accepted, served_parts.on_cancelled,
                               served_parts.query_owner, served_parts.relay});
+    served_receiver.configure({policy_of("q")});
     relay_target = &served_receiver;
     store.condition = store_condition::refusing;
     EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
@@ -198,6 +203,25 @@
     EXPECT_EQ(submit("b", milliseconds(50)), verdict::refused);
 }
 
+// Guards against accepted jobs whose queue no owner knows: only the sender of a relayed
+// job may have read the configuration with its queue.
+TEST_F(receiver_test, relayed_job_of_an_unknown_queue_is_refused)
+{
+    memory_store served_store(state);
+    receiver_parts served_parts = parts();
+    receiver served_receiver({loop, served_store, log, [] { return false; },
+                              served_parts.on_accepted, served_parts.on_cancelled,
+                              served_parts.query_owner, served_parts.relay});
+    relay_target = &served_receiver;
+    requests.configure({policy_of("q")});
+    store.condition = store_condition::refusing;
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::refused);
+    EXPECT_FALSE(state.items.contains("cell/job/a"));
+    served_receiver.configure({policy_of("q")});
+    EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
+    EXPECT_TRUE(state.items.contains("cell/queue/q"));
+}
+
 class failing_store_test : public receiver_test,
                            public testing::WithParamInterface<store_condition>
 {
@@ -236,6 +260,7 @@
     receiver served_receiver({loop, served_store, log, [] { return false; },
                               served_parts.on_accepted, served_parts.on_cancelled,
                               served_parts.query_owner, served_parts.relay});
+    served_receiver.configure({policy_of("q")});
     relay_target = &served_receiver;
     make_store_fail();
     EXPECT_EQ(submit("a", milliseconds(50)), verdict::done);
