--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -771,6 +771,46 @@
     EXPECT_EQ(sent_starts()[0].run.task.job, job_key("orphan"));
 }
 
+class dead_receiver_test : public owner_test,
+                           public testing::WithParamInterface<store_condition>
+{
+};
+
+// Guards against accepted jobs that their owner learns of too late, when the receiver has
+// died and the store fails for a second.
+TEST_P(dead_receiver_test, owner_learns_of_a_job_within_two_seconds)
+{
+    start();
+    for (int offset = 0; offset < 100; ++offset)
+    {
+        const std::string id = "orphan" + std::to_string(offset);
+        ++state.revision;
+        job_record record;
+        record.job = fleet::job(id, "q", 1, 1);
+        state.put("cell/job/" + id, encode(record), lease_id());
+        store.condition = GetParam();
+        if (offset % 4 == 0)
+            state.forget_history();
+        duration unknown_for{};
+        for (; cell->states({job_key(id)})->empty() && unknown_for < seconds(10);
+             unknown_for += milliseconds(10))
+        {
+            if (unknown_for >= seconds(1))
+                store.condition = store_condition::well;
+            loop.advance(milliseconds(10));
+        }
+        store.condition = store_condition::well;
+        EXPECT_LE(unknown_for, seconds(2)) << offset;
+        loop.advance(milliseconds(1010) * offset / 10);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(conditions, dead_receiver_test,
+                         testing::Values(store_condition::well, store_condition::refusing,
+                                         store_condition::cutting_watches,
+                                         store_condition::deaf_watches,
+                                         store_condition::losing_answers));
+
 // The delay before the next read attempt must not cancel the delay before a write.
 TEST_F(owner_test, run_end_is_stored_after_a_repeated_read_of_the_jobs_failed)
 {
