Ask other agents for advice while the requests of one fail

Callers saw jobs of queues with advice that had nothing running while workers were free, and others that moved on. A request goes to the agent with the shortest backlog. An agent that the advice service refuses, or that cannot reach it, fails at once and so always has the shortest one: it got nearly all requests, again with each decision.

Evidence: in the new test with two agents, one of which fails at once, 3 steps made 400 requests to it in 2 s, and 1 of the 3 was asked about at the other agent. Now all 3 are, after at most 3 requests to the failing one.

After a failed request an agent gets none for a second, unless all usable agents are in such a pause. An answer ends the pause.

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -246,6 +246,8 @@
     for (const advice_result& result : report.advice)
     {
         sender.pending_advice.erase({result.job, result.step});
+        sender.advice_not_before =
+            result.answered ? boot_time() : now + failed_advice_pause;
         cell.observe(result, now);
     }
     for (const worker_id& id : report.unreachable)
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -24,7 +24,6 @@
 /// An agent reports within this time, or its answer was lost. Longer than the time-out of
 /// an agent's request.
 constexpr duration advice_answer_limit = std::chrono::milliseconds(3500);
-
 /// Number of instances that are sent to agents as peers: enough that one of them is up
 /// after a failure.
 constexpr std::size_t max_peers = 8;
@@ -192,9 +191,12 @@
 void owner::implementation::route_advice(advice_command command, boot_time now)
 {
     std::vector<instance_id> usable;
+    std::vector<instance_id> paused;
     for (const auto& [id, state] : agents)
         if (state.is_usable(now))
-            usable.push_back(id);
+            (now < state.advice_not_before ? paused : usable).push_back(id);
+    if (usable.empty())
+        usable = std::move(paused);
     const duration expected = cell.advice_duration(command);
     const bool is_short = expected <= short_advice_limit;
     const std::size_t reserved = usable.size() / agents_for_short_advice;
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -21,6 +21,9 @@
 /// The workers of an agent without a report for this long are assigned to other agents.
 inline constexpr duration agent_timeout = std::chrono::milliseconds(1500);
 
+/// An agent whose request for advice failed gets no others for this long.
+inline constexpr duration failed_advice_pause = std::chrono::milliseconds(1000);
+
 /// An agent counts as having access to the store if the store answered it within this
 /// time; every instance calls the store once a second.
 inline constexpr duration max_store_answer_age = std::chrono::milliseconds(1500);
@@ -64,6 +67,8 @@
             sum += request.expected;
         return sum;
     }
+    /// Before this time, requests go to other agents if there are any.
+    boot_time advice_not_before{};
     /// Advice requests in flight, by job and step.
     std::map<std::pair<job_key, std::uint32_t>, advice_in_flight> pending_advice;
 };
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -1035,6 +1035,38 @@
     EXPECT_EQ(requests("b"), 4U);
 }
 
+// Guards against an agent that cannot reach the advice service and, as it fails at once,
+// always has the shortest backlog and gets all requests.
+TEST_F(advice_request_test, requests_avoid_an_agent_whose_requests_fail)
+{
+    std::map<endpoint, std::size_t> asked;
+    std::size_t first_unread = sent.size();
+    poll_worker("b");
+    for (int job = 0; job < 3; ++job)
+        report("a", {}, {{fleet::job("j" + std::to_string(job), "q", 1, 1), true}});
+    for (int step = 0; step < 200; ++step)
+    {
+        loop.advance(milliseconds(10));
+        for (; first_unread < sent.size(); ++first_unread)
+        {
+            const endpoint agent = sent[first_unread].first;
+            const std::vector<advice_command> requests =
+                sent[first_unread].second.commands.advice;
+            asked[agent] += requests.size();
+            agent_report failed;
+            for (const advice_command& request : requests)
+                if (agent == endpoint("a"))
+                    failed.advice.push_back(
+                        {request.job, request.step, false, request.workers, {}, 0});
+            report(agent.value(), failed);
+        }
+        if (step % 10 == 0)
+            poll_worker("a");
+    }
+    EXPECT_EQ(asked[endpoint("b")], 3U);
+    EXPECT_LE(asked[endpoint("a")], 3U);
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
