Continue a claim whose answer is late or lost

After an outage of the store an owner claims its cell again and keeps what it knows. If the answer to that write was lost, it did not recognise its own claim: it waited for the end of its lease, claimed once more and took its own cell over, in which inherited tasks wait for all workers. If the answer was late, the owner saw a higher token among the changes or conflicts and stepped down.

Evidence: in the new test of the claim the owner lost the cell once and was not continued; now it is continued.

The claim takes its own key in the store as the answer to its write, with the lease that the key has: the write expects the latest claim, so that no other instance owned the cell in between if that was its own. The owner compares the instance of a later claim, as it did for listings only, and also looks at the record of the latest claim among the changes.

--- a/lib/cell/change_writer.cpp
+++ b/lib/cell/change_writer.cpp
@@ -163,8 +163,9 @@
 {
     if (answer)
         for (const store_item& item : answer.value().conflicts)
-            if (item.key == owner_key && item.revision > kv_revision(token.value()))
-                return handlers.superseded(fence_token(item.revision.value()));
+            if (item.key == owner_key && item.revision > kv_revision(token.value()) &&
+                handlers.later_claim(item))
+                return;
     log.warning(
         "owner", "changes not stored",
         {{"reason", answer ? "the claim is not in the store" : answer.error().message}});
--- a/lib/cell/change_writer.hpp
+++ b/lib/cell/change_writer.hpp
@@ -35,8 +35,9 @@
         std::function<void(const change_batch&)> stored;
         /// All ends up to these are stored, with those of all earlier batches.
         std::function<void(const std::vector<acknowledge_command>&)> covered;
-        /// The store shows a claim with a higher token.
-        std::function<void(fence_token)> superseded;
+        /// The store shows a claim with a higher token. Returns whether it ends the
+        /// owner, which may have made it itself.
+        std::function<bool(const store_item&)> later_claim;
     };
 
     change_writer(event_loop& loop, cell_store& store, const logger& log,
--- a/lib/cell/claim.cpp
+++ b/lib/cell/claim.cpp
@@ -184,8 +184,7 @@
         return;
     if (record.value().instance != self.instance)
         return set_owner({record.value().instance, record.value().address, token});
-    if (owning)
-        return;
+    // While owning: the claim was continued, and the answer to that is late or lost.
     lease = item->lease;
     on_acquired(item->revision);
 }
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -90,7 +90,7 @@
                  {[this](const change_batch& batch) { handle_stored(batch); },
                   [this](const std::vector<acknowledge_command>& covered)
                   { acknowledge(covered); },
-                  given.superseded})
+                  [this](const store_item& item) { return handle_claim(item); }})
     {
     }
 
@@ -156,6 +156,8 @@
     void handle_listing(const store_listing& listing);
     /// Returns whether another instance has claimed the cell after this owner.
     bool is_later_claim(const store_item& item) const;
+    /// Ends the owner if another instance has made the claim. Returns whether it has.
+    bool handle_claim(const store_item& item);
     void handle_term(const store_item& item);
     void handle_queues(const store_item& item);
     /// Reads the policy that a receiver has stored with a job.
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -54,8 +54,8 @@
     std::vector<job_key> cancels;
     // Jobs that were stored after a later claim may run under that owner already.
     for (const store_item& item : listing.items)
-        if (is_later_claim(item))
-            return parts.superseded(fence_token(item.revision.value()));
+        if (handle_claim(item))
+            return;
     for (const store_item& item : listing.items)
         if (item.key == term_key)
             handle_term(item);
@@ -103,6 +103,14 @@
     return !record || record.value().instance != parts.self;
 }
 
+bool owner::implementation::handle_claim(const store_item& item)
+{
+    const bool is_later = is_later_claim(item);
+    if (is_later)
+        parts.superseded(fence_token(item.revision.value()));
+    return is_later;
+}
+
 void owner::implementation::handle_term(const store_item& item)
 {
     const result<owner_term> term = decode_term(item.value);
@@ -274,8 +282,8 @@
         const std::string_view key = event.item.key;
         if (event.removed)
             continue;
-        if (key == owner_key && event.item.revision > kv_revision(token.value()))
-            return parts.superseded(fence_token(event.item.revision.value()));
+        if (handle_claim(event.item))
+            return;
         std::vector<stored_end> ends;
         std::vector<job_key> cancels;
         // Final states and run ends are written by this owner only and need no handling.
@@ -453,8 +461,8 @@
             queues_revision = item.revision;
         else if (item.key == instances_key)
             instances_revision = item.revision;
-        else if (item.key == owner_key && item.revision > kv_revision(token.value()))
-            parts.superseded(fence_token(item.revision.value()));
+        else
+            handle_claim(item);
     }
 }
 
--- a/unittests/cell/change_writer_test.cpp
+++ b/unittests/cell/change_writer_test.cpp
@@ -73,8 +73,11 @@
                               for (const acknowledge_command& each : covered)
                                   acknowledged.push_back(each.last);
                           },
-                          [this](fence_token higher)
-                          { superseding_tokens.push_back(higher); }}};
+                          [this](const store_item& claim)
+                          {
+                              superseding_tokens.emplace_back(claim.revision.value());
+                              return true;
+                          }}};
 };
 
 } // namespace
--- a/unittests/cell/claim_test.cpp
+++ b/unittests/cell/claim_test.cpp
@@ -1,6 +1,7 @@
 #include "hawthornbeam/cell/claim.hpp"
 
 #include "hawthornbeam/cell/observed_store.hpp"
+#include "late_store.hpp"
 #include "lib/cell/stored_form.hpp"
 #include "memory_store.hpp"
 
@@ -172,6 +173,37 @@
 }
 
 // An owner without the policies of the queues would decide by defaults.
+// Guards against an owner that takes its own cell over, so that inherited tasks wait,
+// because the answer to its continued claim was lost.
+TEST_F(claim_test, claim_is_continued_when_the_answer_to_it_was_lost)
+{
+    memory_store store(state);
+    late_store late(store);
+    random_source random(1);
+    std::vector<bool> continued;
+    int lost_count = 0;
+    claim cell_claim(
+        loop, late, random, log,
+        owner_identity{instance_id("third"), endpoint("third:1"), fence_token()},
+        {[&continued](fence_token, bool is_continued)
+         { continued.push_back(is_continued); },
+         [&lost_count] { ++lost_count; }, [](const std::optional<owner_identity>&) {}});
+    cell_claim.enable();
+    cell_claim.start();
+    loop.advance(seconds(1));
+    ASSERT_TRUE(cell_claim.is_owner());
+    late.late_key = "cell/owner";
+    for (auto& [lease, term] : state.leases)
+        term.first = loop.clock().now();
+    loop.advance(milliseconds(500));
+    late.late_key.clear();
+    late.execute_late();
+    loop.advance(seconds(4));
+    EXPECT_EQ(continued, (std::vector<bool>{false, true}));
+    EXPECT_EQ(lost_count, 0);
+    EXPECT_EQ(state.items.at("cell/owner").revision.value(), cell_claim.token().value());
+}
+
 TEST_F(claim_test, instance_claims_only_after_it_is_enabled)
 {
     claimant starting(loop, state, log, "starting", "", false);
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -317,6 +317,26 @@
     EXPECT_TRUE(sent_starts().empty());
 }
 
+// Guards against a takeover, in which all inherited tasks wait, when the store shows an
+// owner that it has continued its claim before the answer to that write arrives.
+TEST_P(missed_claim_test, own_continued_claim_does_not_supersede_the_owner)
+{
+    start();
+    submit("a");
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(500));
+    ASSERT_EQ(sent_starts().size(), 1U);
+    ++state.revision;
+    state.put(GetParam(), encode(owner_record{instance_id("self"), endpoint("self:1")}),
+              lease_id());
+    poll_result ended = poll({latest_assignment(), 2});
+    ended.ended.push_back(
+        {end_number(1), sent_starts()[0].run, run_end::done, checkpoint()});
+    report("a", report_with(ended));
+    loop.advance(milliseconds(1500));
+    EXPECT_TRUE(superseding_tokens.empty());
+}
+
 INSTANTIATE_TEST_SUITE_P(keys, missed_claim_test,
                          testing::Values("cell/owner", "cell/owner-last"));
 
