Count only the places that a step can use when it asks for advice

Callers saw a gang or a spread step wait, with no request for advice, although the service would have admitted further workers with free capacity.

Cause: a worker with a valid ticket counted with all the tasks that fit into its free capacity, also where a part of it is held for another gang and fewer fit, and where the step runs as many tasks as one worker may. The count reached the number of waiting tasks, and no further worker was asked about.

Now the count uses what stays free until the tasks end and the tasks of the step that are there already; `step waits` counts its places the same way and no longer says `not_placed` for room that is held.

Before: stuck_gang_test.gang_asks_beyond_workers_of_which_a_part_is_held: no start in 8 s, reason not_placed; spread_tasks_ask_beyond_the_workers_of_their_step: 7 of 8 tasks run after 4 s. Both pass now.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -160,6 +160,9 @@
     std::vector<std::tuple<std::int64_t, std::size_t, worker_id>> unknown;
     std::vector<std::pair<std::int64_t, worker_id>> renewable;
     std::int64_t ticketed_slots = 0;
+    std::map<worker_id, std::uint32_t> tasks_on_worker;
+    if (spec.per_worker > 0)
+        tasks_on_worker = count_tasks(status);
     // Workers with equal free capacity are sorted by a hash that differs for each job.
     // Otherwise, steps that send requests at the same time would get tickets for the same
     // workers and wait for each other.
@@ -168,12 +171,10 @@
     {
         if (!can_run(candidate, job, step, now))
             continue;
-        std::int64_t free_slots =
-            tasks_that_fit(spec.size, candidate.info.capacity - candidate.used);
-        if (!keeps_holds(pass, id, spec.size, spec.estimate))
-            free_slots = 0;
-        if (spec.per_worker > 0)
-            free_slots = std::min<std::int64_t>(free_slots, spec.per_worker);
+        const auto there = tasks_on_worker.find(id);
+        const std::int64_t free_slots =
+            places_now(candidate, job, step,
+                       there == tasks_on_worker.end() ? 0 : there->second, pass);
         const auto permitted = status.tickets.find(id);
         if (permitted == status.tickets.end())
         {
--- a/lib/cell/capacity_forecast.cpp
+++ b/lib/cell/capacity_forecast.cpp
@@ -37,9 +37,21 @@
 
 bool capacity_forecast::fits(const resources& size, boot_time end) const
 {
-    return std::ranges::all_of(
-        levels_, [&](const level& each)
-        { return each.from >= end || size.fits_in(each.free_capacity); });
+    return end <= levels_.front().from || size.fits_in(least_free(end));
+}
+
+resources capacity_forecast::least_free(boot_time end) const
+{
+    resources least = levels_.front().free_capacity;
+    for (const auto& [from, free_capacity] : levels_)
+    {
+        if (from >= end)
+            break;
+        least.processors = std::min(least.processors, free_capacity.processors);
+        least.memory = std::min(least.memory, free_capacity.memory);
+        least.accelerators = std::min(least.accelerators, free_capacity.accelerators);
+    }
+    return least;
 }
 
 std::optional<boot_time> capacity_forecast::free_from(const resources& size) const
--- a/lib/cell/capacity_forecast.hpp
+++ b/lib/cell/capacity_forecast.hpp
@@ -25,6 +25,8 @@
     void hold(boot_time at, const resources& size);
     /// Returns whether \p size is free from now until \p end.
     bool fits(const resources& size, boot_time end) const;
+    /// Returns the lowest free capacity from now until \p end.
+    resources least_free(boot_time end) const;
     /// Returns the earliest time from which \p size stays free; empty if there is none.
     std::optional<boot_time> free_from(const resources& size) const;
 
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -385,6 +385,13 @@
     /// without delaying the gangs that it is held for.
     static bool keeps_holds(const decision_pass& pass, const worker_id& worker,
                             const resources& size, duration run_time);
+    /// Returns how many tasks of the step a worker without another barrier could start in
+    /// this decision, apart from advice. \p tasks_there run on it already.
+    static std::int64_t places_now(const worker_status& candidate, const job_status& job,
+                                   std::uint32_t step, std::uint32_t tasks_there,
+                                   const decision_pass& pass);
+    /// Number of tasks of the step on each worker.
+    static std::map<worker_id, std::uint32_t> count_tasks(const step_status& step);
     /// Returns the best worker for the task with this index in its step, or nullptr when
     /// none has enough free capacity. \p assigned_capacity is the capacity of each worker
     /// that this decision already assigns to the gang, \p tasks_on_worker the number of
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -118,6 +118,25 @@
            forecast->second.fits(size, pass.now + run_time * backfill_margin);
 }
 
+std::int64_t scheduler::implementation::places_now(const worker_status& candidate,
+                                                   const job_status& job,
+                                                   std::uint32_t step,
+                                                   std::uint32_t tasks_there,
+                                                   const decision_pass& pass)
+{
+    const step_spec& spec = job.spec.steps[step];
+    resources free_capacity = candidate.info.capacity - candidate.used;
+    const auto forecast = pass.forecasts.find(candidate.info.id);
+    if (forecast != pass.forecasts.end() && spec.estimate > duration::zero())
+        free_capacity =
+            forecast->second.least_free(pass.now + spec.estimate * backfill_margin);
+    const std::int64_t fitting = tasks_that_fit(spec.size, free_capacity);
+    if (spec.per_worker == 0)
+        return fitting;
+    const std::int64_t allowed = std::int64_t{spec.per_worker} - tasks_there;
+    return std::clamp<std::int64_t>(allowed, 0, fitting);
+}
+
 void scheduler::implementation::plan_waiting_gang(job_status& job, const step_key& key,
                                                   decision_pass& pass)
 {
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -101,20 +101,16 @@
                                                          const decision_pass& pass) const
 {
     const step_spec& spec = job.spec.steps[step];
-    const step_status& status = job.steps[step];
-    std::map<worker_id, std::int64_t> tasks_on_worker;
+    std::map<worker_id, std::uint32_t> tasks_on_worker;
     if (spec.per_worker > 0)
-        for (const task_status& task : status.tasks)
-            if (!task.run_worker.empty())
-                ++tasks_on_worker[task.run_worker];
+        tasks_on_worker = count_tasks(job.steps[step]);
     barrier_counts counts;
     for (const auto& [id, candidate] : workers)
     {
-        std::int64_t places =
-            tasks_that_fit(spec.size, candidate.info.capacity - candidate.used);
-        if (spec.per_worker > 0)
-            places =
-                std::min<std::int64_t>(places, spec.per_worker - tasks_on_worker[id]);
+        const auto there = tasks_on_worker.find(id);
+        const std::int64_t places =
+            places_now(candidate, job, step,
+                       there == tasks_on_worker.end() ? 0 : there->second, pass);
         worker_barrier barrier = barrier_of(candidate, job, step, pass.now);
         if (barrier == worker_barrier::none)
             barrier = start_barrier_of(candidate, job, step, pass);
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -219,15 +219,23 @@
     pass.out.starts.push_back(std::move(command));
 }
 
+std::map<worker_id, std::uint32_t>
+scheduler::implementation::count_tasks(const step_status& step)
+{
+    std::map<worker_id, std::uint32_t> tasks_on_worker;
+    for (const task_status& task : step.tasks)
+        if (!task.run_worker.empty())
+            ++tasks_on_worker[task.run_worker];
+    return tasks_on_worker;
+}
+
 bool scheduler::implementation::place_task(job_status& job, const step_key& key,
                                            std::uint32_t index, decision_pass& pass)
 {
     const step_status& step = job.steps[key.step];
     std::map<worker_id, std::uint32_t> tasks_on_worker;
     if (job.spec.steps[key.step].per_worker > 0)
-        for (const task_status& other : step.tasks)
-            if (!other.run_worker.empty())
-                ++tasks_on_worker[other.run_worker];
+        tasks_on_worker = count_tasks(step);
     const task_status& status = step.tasks[index];
     worker_status* target = choose_worker(job, key, pass, {}, tasks_on_worker, index);
     if (target == nullptr)
--- a/unittests/cell/gang_plan_test.cpp
+++ b/unittests/cell/gang_plan_test.cpp
@@ -62,6 +62,15 @@
     EXPECT_FALSE(worker.fits(cores(1), start + milliseconds(1)));
 }
 
+TEST(capacity_forecast_test, least_free_capacity_ends_at_the_given_time)
+{
+    capacity_forecast worker = forecast(4, {{seconds(1), 4}});
+    worker.hold(start + seconds(2), cores(6));
+    EXPECT_EQ(worker.least_free(start), cores(4));
+    EXPECT_EQ(worker.least_free(start + seconds(2)), cores(4));
+    EXPECT_EQ(worker.least_free(start + seconds(3)), cores(2));
+}
+
 TEST(gang_plan_test, members_go_to_the_workers_that_are_free_first)
 {
     const capacity_forecast early = forecast(0, {{seconds(1), 8}});
--- /dev/null
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -0,0 +1,252 @@
+/// \file
+/// Tests that gangs and other steps start soon while workers that they may use have free
+/// capacity. The advice service is simulated: it admits the same workers each time, and
+/// its tickets expire.
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration tick = milliseconds(20);
+constexpr int ticks_between_polls = 5;
+/// A step with free capacity starts within this time.
+constexpr duration start_limit = seconds(3);
+constexpr duration long_time = seconds(60);
+
+/// A cell of workers of eight cores. Queues "advised" and "other" have slow advice;
+/// "plain" has none and is less urgent.
+class advised_cell
+{
+public:
+    explicit advised_cell(std::size_t count) : workers(count), worker_count_(count)
+    {
+        queue_policy advised;
+        advised.name = queue_name("advised");
+        advised.service = service_name("pool");
+        advised.priority = 1;
+        advised.attempts = 3;
+        advised.objective = long_time;
+        advised.advice =
+            advice_policy{milliseconds(450), milliseconds(6), milliseconds(1500)};
+        queue_policy plain = advised;
+        plain.name = queue_name("plain");
+        plain.priority = 2;
+        plain.advice.reset();
+        queue_policy other = advised;
+        other.name = queue_name("other");
+        queue_policy third = advised;
+        third.name = queue_name("third");
+        workers.cell.configure({advised, other, third, plain});
+        workers.log_sink = [this](const std::string& line) { read_log(line); };
+    }
+
+    /// Submits a job whose runs end after \p run_time.
+    void submit(const job_spec& spec, duration run_time)
+    {
+        run_times_[spec.id.value()] = run_time;
+        submitted_at_[spec.id.value()] = workers.clock.now();
+        workers.submit(spec);
+        // Jobs are sorted by the time of submission.
+        workers.advance(std::chrono::microseconds(1));
+    }
+
+    /// Advice about the job admits only these workers; by default, it admits all.
+    void admit(const std::string& job, std::set<worker_id> admitted)
+    {
+        admitted_[job] = std::move(admitted);
+    }
+
+    /// Lets each answer of the advice service take so much longer.
+    void delay_answers(duration delay) { answer_delay_ = delay; }
+    /// Loses the answer to the next request of each job.
+    void lose_next_answers() { lose_answers_ = true; }
+    void set_cores(const std::string& worker, std::int64_t cores)
+    {
+        workers.info(worker).capacity.processors = millicores(cores * 1000);
+        workers.publish(worker);
+    }
+    /// Stops the polls of a worker.
+    void cut_off(const std::string& worker) { cut_off_.insert(worker); }
+
+    void simulate(duration length)
+    {
+        const boot_time end = workers.clock.now() + length;
+        while (workers.clock.now() < end)
+        {
+            workers.advance(tick);
+            pass_on_answers();
+            end_runs();
+            if (++ticks_ % ticks_between_polls == 0)
+                for (std::size_t number = 0; number < worker_count_; ++number)
+                    poll("w" + std::to_string(number));
+            workers.store_changes();
+            decide();
+        }
+    }
+
+    /// Time from submission to the first start; the time until now if there was none.
+    duration wait_of(const std::string& job) const
+    {
+        const auto started = started_at_.find(job);
+        return (started == started_at_.end() ? workers.clock.now() : started->second) -
+               submitted_at_.at(job);
+    }
+
+    /// Describes the wait of a job for the messages of failed assertions.
+    std::string describe(const std::string& job) const
+    {
+        const auto reason = reasons_.find(job);
+        return job + (started_at_.contains(job) ? " started after " : " waits since ") +
+               std::to_string(wait_of(job) / milliseconds(1)) + " ms, last reason " +
+               (reason == reasons_.end() ? "none" : reason->second);
+    }
+
+    fleet workers;
+
+private:
+    void read_log(const std::string& line)
+    {
+        const nlohmann::json event = nlohmann::json::parse(line);
+        if (event.at("message") == "step waits")
+            reasons_[event.at("job").get<std::string>()] =
+                event.at("reason").get<std::string>();
+    }
+
+    void poll(const std::string& worker)
+    {
+        if (!cut_off_.contains(worker))
+            workers.poll(worker);
+    }
+
+    void decide()
+    {
+        const decisions decided = workers.decide();
+        for (const start_command& command : decided.starts)
+        {
+            const std::string job = command.run.task.job.value();
+            started_at_.try_emplace(job, workers.clock.now());
+            ends_.emplace(workers.clock.now() + run_times_.at(job), command.run);
+        }
+        for (const advice_command& command : decided.advice)
+            answer(command);
+    }
+
+    void answer(const advice_command& command)
+    {
+        if (lose_answers_ && lost_.insert(command.job.value()).second)
+            return;
+        advice_result result;
+        result.job = command.job;
+        result.step = command.step;
+        result.answered = true;
+        result.asked = command.workers;
+        const auto admitted = admitted_.find(command.job.value());
+        for (const worker_id& id : command.workers)
+            if (admitted == admitted_.end() || admitted->second.contains(id))
+                result.tickets.emplace_back(id, ticket("t"));
+        result.valid_ms = 1500;
+        answers_.emplace(workers.clock.now() + answer_delay_ +
+                             workers.cell.advice_duration(command),
+                         result);
+    }
+
+    void pass_on_answers()
+    {
+        while (!answers_.empty() && answers_.begin()->first <= workers.clock.now())
+        {
+            workers.cell.observe(answers_.begin()->second, workers.clock.now());
+            answers_.erase(answers_.begin());
+        }
+    }
+
+    void end_runs()
+    {
+        while (!ends_.empty() && ends_.begin()->first <= workers.clock.now())
+        {
+            workers.end(ends_.begin()->second, run_end::done);
+            ends_.erase(ends_.begin());
+        }
+    }
+
+    std::size_t worker_count_;
+    std::set<std::string> cut_off_;
+    std::map<std::string, std::set<worker_id>> admitted_;
+    std::map<std::string, duration> run_times_;
+    std::map<std::string, boot_time> submitted_at_;
+    std::map<std::string, boot_time> started_at_;
+    std::map<std::string, std::string> reasons_;
+    std::multimap<boot_time, advice_result> answers_;
+    std::multimap<boot_time, run_ref> ends_;
+    duration answer_delay_{};
+    bool lose_answers_ = false;
+    std::set<std::string> lost_;
+    int ticks_ = 0;
+};
+
+job_spec gang_of(const std::string& id, std::uint32_t count, std::int64_t cores,
+                 duration run_time = seconds(1), const std::string& queue = "advised")
+{
+    job_spec spec = fleet::job(id, queue, count, cores, run_time);
+    spec.steps[0].gang = true;
+    return spec;
+}
+
+/// The workers from \p first on.
+std::set<worker_id> range_of(std::size_t first, std::size_t count)
+{
+    std::set<worker_id> chosen;
+    for (std::size_t number = first; number < first + count; ++number)
+        chosen.insert(worker_id("w" + std::to_string(number)));
+    return chosen;
+}
+
+// Guards against a gang that needs the room of several members on each worker and counts
+// room that is held for another gang.
+TEST(stuck_gang_test, gang_asks_beyond_workers_of_which_a_part_is_held)
+{
+    advised_cell cell(60);
+    // The younger gang asks first about the workers that the older one shares with it.
+    for (int number = 0; number < 10; ++number)
+        cell.set_cores("w" + std::to_string(number), 10);
+    cell.submit(fleet::job("busy", "plain", 1, 10, seconds(12)), seconds(12));
+    cell.simulate(milliseconds(100));
+    cell.admit("older", range_of(0, 10));
+    cell.submit(gang_of("older", 10, 8, long_time), long_time);
+    cell.simulate(seconds(3));
+    std::set<worker_id> admitted = range_of(0, 10);
+    admitted.merge(range_of(40, 8));
+    cell.admit("younger", admitted);
+    cell.submit(gang_of("younger", 30, 1, long_time, "other"), long_time);
+    cell.simulate(seconds(8));
+    EXPECT_LE(cell.wait_of("younger"), start_limit) << cell.describe("younger");
+}
+
+// Guards against a lasting task that may share no worker with the others of its step, and
+// waits while advice about further workers is not requested.
+TEST(stuck_gang_test, spread_tasks_ask_beyond_the_workers_of_their_step)
+{
+    advised_cell cell(100);
+    job_spec spec = fleet::job("s", "advised", 8, 1, long_time);
+    spec.steps[0].per_worker = 1;
+    std::set<worker_id> admitted;
+    for (std::size_t number = 0; number < 100; number += 8)
+        admitted.merge(range_of(number, 1));
+    cell.admit("s", admitted);
+    cell.submit(spec, long_time);
+    cell.simulate(seconds(4));
+    EXPECT_EQ(cell.workers.runs("s").size(), 8U) << cell.describe("s");
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
