Plan no gang on a worker that takes no start

Callers saw a gang without a start while admitted workers were free and advice about others was never requested.

Cause: a worker that runs a suspect task takes no other start until the task has lasted, which may be without an end. The plan of a waiting gang looked only at its room, so the gang counted as startable now, asked about no further workers and kept its places.

The plan now counts such a worker from the end of the observation on, or not at all, and its tickets do not count as places. The gang then asks about others.

Before: stuck_gang_test.gang_leaves_the_worker_of_a_suspect_task: no start in 8 s with reason advice_requested. gang_plan_test.member_starts_only_when_its_worker_takes_starts checks the plan itself.

--- a/lib/cell/gang_plan.cpp
+++ b/lib/cell/gang_plan.cpp
@@ -21,7 +21,7 @@
             const std::optional<boot_time> free = candidate.forecast->free_from(size);
             if (!free)
                 break;
-            places.emplace_back(*free, candidate.id);
+            places.emplace_back(std::max(*free, candidate.available_from), candidate.id);
         }
     }
     if (places.size() < count)
--- a/lib/cell/gang_plan.hpp
+++ b/lib/cell/gang_plan.hpp
@@ -18,6 +18,7 @@
     worker_id id;
     const capacity_forecast* forecast = nullptr;
     std::uint32_t max_members = 0;
+    boot_time available_from{}; ///< Takes no start before, whatever its capacity.
 };
 
 /// Where and when a gang can start.
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -124,6 +124,8 @@
                                                    std::uint32_t tasks_there,
                                                    const decision_pass& pass)
 {
+    if (candidate.observed_until > pass.now)
+        return 0;
     const step_spec& spec = job.spec.steps[step];
     resources free_capacity = candidate.info.capacity - candidate.used;
     const auto forecast = pass.forecasts.find(candidate.info.id);
@@ -149,6 +151,7 @@
     for (const auto& [id, worker] : workers)
     {
         if ((needs_ticket && !status.tickets.contains(id)) ||
+            worker.observed_until == boot_time::max() ||
             !can_run(worker, job, key.step, pass.now))
             continue;
         const std::int64_t fitting = std::min<std::int64_t>(
@@ -157,7 +160,8 @@
             {id, &forecast_of(worker, pass),
              spec.per_worker > 0
                  ? std::min(spec.per_worker, static_cast<std::uint32_t>(fitting))
-                 : static_cast<std::uint32_t>(fitting)});
+                 : static_cast<std::uint32_t>(fitting),
+             worker.observed_until});
     }
     const std::optional<gang_plan> plan = plan_gang(spec.size, spec.count, candidates);
     if (!plan)
--- a/unittests/cell/gang_plan_test.cpp
+++ b/unittests/cell/gang_plan_test.cpp
@@ -83,6 +83,17 @@
     EXPECT_EQ(plan->members.at(worker_id("late")), 1U);
 }
 
+// Guards against a start that is planned for now on a worker that takes none yet.
+TEST(gang_plan_test, member_starts_only_when_its_worker_takes_starts)
+{
+    const capacity_forecast worker = forecast(8, {});
+    const boot_time later = start + seconds(2);
+    const std::optional<gang_plan> plan =
+        plan_gang(cores(8), 1, {{worker_id("w"), &worker, 1, later}});
+    ASSERT_TRUE(plan);
+    EXPECT_EQ(plan->starts_at, later);
+}
+
 TEST(gang_plan_test, limit_of_members_on_a_worker_is_kept)
 {
     const capacity_forecast worker = forecast(8, {});
--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -210,6 +210,27 @@
     return chosen;
 }
 
+// Guards against a gang that is planned on the worker of a suspect task, where it cannot
+// start, and asks about no other workers.
+TEST(stuck_gang_test, gang_leaves_the_worker_of_a_suspect_task)
+{
+    advised_cell cell(60);
+    // The largest worker, about which the gang asks first, is the only one for the task.
+    cell.set_cores("w0", 64);
+    cell.submit(fleet::job("suspect", "plain", 1, 9, long_time), long_time);
+    cell.simulate(seconds(6));
+    cell.workers.end_process("w0");
+    cell.workers.restart("w0");
+    cell.simulate(seconds(1));
+    ASSERT_EQ(cell.workers.runs("suspect").size(), 1U);
+    std::set<worker_id> admitted = range_of(55, 5);
+    admitted.insert(worker_id("w0"));
+    cell.admit("g", admitted);
+    cell.submit(gang_of("g", 4, 8), seconds(1));
+    cell.simulate(seconds(8));
+    EXPECT_LE(cell.wait_of("g"), start_limit) << cell.describe("g");
+}
+
 // Guards against a gang that needs the room of several members on each worker and counts
 // room that is held for another gang.
 TEST(stuck_gang_test, gang_asks_beyond_workers_of_which_a_part_is_held)
