Renew the tickets of a gang together

Callers saw wide gangs wait without an end, with requests for advice answered all the time and free capacity on all the workers that the service admits.

Cause: a planned gang renewed only the tickets that had expired. When an answer takes about as long as a ticket is valid, such as behind other requests of the host, one half of the tickets expires while the other half is renewed, and they are never valid together. A gang after the planned ones renewed the tickets of a quarter of its tasks at a time.

A planned gang now renews all of its tickets when one would expire before the start, so they expire together. A gang without a plan renews with each request those that would expire before the answer, up to all that it needs, and none when it would still not be able to start. A request names at most the 100 workers that the service accepts.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -19,8 +19,10 @@
 /// ticket.
 constexpr double expected_allowed_fraction = 0.35;
 /// Maximum number of workers whose expired tickets one request renews; a step with many
-/// waiting tasks may renew more.
+/// waiting tasks may renew more, and a gang as many as it has tasks.
 constexpr std::size_t max_renewed = 6;
+/// Maximum number of workers in one request that the advice service accepts.
+constexpr std::size_t max_request_workers = 100;
 /// Bounds for the number of steps of a queue that may request advice at the same time.
 /// The number is how many requests half of the hosts can complete within the lifetime of
 /// a ticket. The upper bound is per host.
@@ -160,6 +162,11 @@
     std::vector<std::tuple<std::int64_t, std::size_t, worker_id>> unknown;
     std::vector<std::pair<std::int64_t, worker_id>> renewable;
     std::int64_t ticketed_slots = 0;
+    // The tickets of a gang have to be valid together when the answer arrives.
+    const boot_time answered_at =
+        spec.gang ? now + policy_of(job).advice->answer_time(typical_advice_workers)
+                  : now;
+    std::int64_t lasting_slots = 0;
     std::map<worker_id, std::uint32_t> tasks_on_worker;
     if (spec.per_worker > 0)
         tasks_on_worker = count_tasks(status);
@@ -182,10 +189,15 @@
                 unknown.emplace_back(-free_slots,
                                      hash_string(job.spec.id.value() + id.value()), id);
         }
-        else if (permitted->second.until > now)
-            ticketed_slots += free_slots;
-        else if (free_slots > 0)
-            renewable.emplace_back(-free_slots, id);
+        else
+        {
+            if (permitted->second.until > now)
+                ticketed_slots += free_slots;
+            if (permitted->second.until > answered_at)
+                lasting_slots += free_slots;
+            else if (free_slots > 0)
+                renewable.emplace_back(-free_slots, id);
+        }
     }
     if (ticketed_slots >= static_cast<std::int64_t>(waiting))
         return {};
@@ -194,13 +206,15 @@
     const auto plan = pass.plans.find({key.job, step});
     const bool is_planned = plan != pass.plans.end();
     std::vector<worker_id> asked;
-    std::int64_t renewed_slots = ticketed_slots;
+    std::int64_t renewed_slots = lasting_slots;
+    const std::size_t renewal_limit =
+        std::max(max_renewed + waiting / 4, spec.gang ? waiting : 0);
     if (is_planned)
         asked = tickets_to_renew(job, step, plan->second, now);
     else
         for (const auto& [negated_slots, id] : renewable)
         {
-            if (asked.size() >= max_renewed + waiting / 4 ||
+            if (asked.size() >= renewal_limit ||
                 renewed_slots >= static_cast<std::int64_t>(2 * waiting))
                 break;
             asked.push_back(id);
@@ -214,12 +228,12 @@
                                 ? plan->second.starts_at > now
                                 : renewed_slots < static_cast<std::int64_t>(waiting);
     const bool names_full_workers = !is_planned && (status.asked.empty() || spec.gang);
+    std::size_t added = 0;
     if (needs_more)
     {
         double expected = 0;
         const double needed =
             2.0 * (static_cast<double>(waiting) - static_cast<double>(renewed_slots));
-        std::size_t added = 0;
         for (const auto& [negated_slots, tie_breaker, id] : unknown)
         {
             if (added >= max_asked || (added >= min_asked && expected >= needed) ||
@@ -230,6 +244,9 @@
             ++added;
         }
     }
+    // Renewed tickets are of no use to a gang that still cannot start.
+    if (spec.gang && !is_planned && needs_more && added == 0)
+        return {};
     return asked;
 }
 
@@ -242,17 +259,27 @@
         policy_of(job).advice->answer_time(std::ssize(plan.members));
     if (plan.starts_at > now + answer_time + renewal_lead)
         return {};
-    std::vector<worker_id> expiring;
+    const boot_time needed_until = plan.starts_at + renewal_lead;
+    std::vector<std::pair<boot_time, worker_id>> tickets;
     for (const auto& [id, members] : plan.members)
-        if (job.steps[step].tickets.at(id).until <= plan.starts_at + renewal_lead)
-            expiring.push_back(id);
-    return expiring;
+        tickets.emplace_back(job.steps[step].tickets.at(id).until, id);
+    std::ranges::sort(tickets);
+    if (tickets.empty() || tickets.front().first > needed_until)
+        return {};
+    // Tickets that are renewed one after the other may never be valid together when
+    // answers are slow.
+    std::vector<worker_id> renewed;
+    for (const auto& [until, id] : tickets)
+        renewed.push_back(id);
+    return renewed;
 }
 
 void scheduler::implementation::send_advice_request(const step_key& key,
                                                     std::vector<worker_id> asked,
                                                     decision_pass& pass)
 {
+    if (asked.size() > max_request_workers)
+        asked.resize(max_request_workers);
     step_status& status = find_job(key.job)->steps[key.step];
     status.asked.insert(asked.begin(), asked.end());
     status.advice_requested_at = pass.now;
--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -210,6 +210,31 @@
     return chosen;
 }
 
+/// Additional time that each answer of the advice service takes.
+class slow_advice_test : public testing::TestWithParam<duration>
+{
+};
+
+// Guards against tickets of one gang that never are valid at the same time.
+TEST_P(slow_advice_test, wide_gang_gets_all_of_its_tickets_at_once)
+{
+    advised_cell cell(100);
+    cell.delay_answers(GetParam());
+    std::set<worker_id> admitted;
+    for (std::size_t number = 0; number < 100; number += 3)
+        admitted.merge(range_of(number, 1));
+    cell.admit("g", admitted);
+    cell.submit(gang_of("g", 16, 8), seconds(1));
+    cell.simulate(seconds(20));
+    // One answer about all workers that the gang may need, and one more.
+    EXPECT_LE(cell.wait_of("g"), start_limit + 3 * GetParam()) << cell.describe("g");
+}
+
+INSTANTIATE_TEST_SUITE_P(delays, slow_advice_test,
+                         testing::Values(milliseconds(0), milliseconds(500),
+                                         milliseconds(900), milliseconds(1200),
+                                         milliseconds(2000)));
+
 // Guards against a gang that is planned on the worker of a suspect task, where it cannot
 // start, and asks about no other workers.
 TEST(stuck_gang_test, gang_leaves_the_worker_of_a_suspect_task)
@@ -268,6 +293,32 @@
     EXPECT_EQ(cell.workers.runs("s").size(), 8U) << cell.describe("s");
 }
 
+// Guards against a gang after those that are planned, whose few renewed tickets never
+// suffice.
+TEST(stuck_gang_test, gang_after_the_planned_ones_renews_all_tickets_that_it_needs)
+{
+    advised_cell cell(200);
+    cell.submit(fleet::job("busy", "plain", 1, 8, seconds(20)), seconds(20));
+    cell.simulate(milliseconds(100));
+    const worker_id busy = cell.workers.runs("busy").at(0).first;
+    for (std::size_t number = 0; number < 14; ++number)
+    {
+        const std::string id = "g" + std::to_string(number);
+        cell.admit(id, {busy, worker_id("w" + std::to_string(number))});
+        cell.submit(gang_of(id, 2, 8, long_time, number < 7 ? "advised" : "other"),
+                    long_time);
+    }
+    cell.simulate(seconds(6));
+    std::set<worker_id> admitted;
+    for (std::size_t number = 20; number < 200; number += 5)
+        admitted.merge(range_of(number, 1));
+    cell.admit("free", admitted);
+    cell.delay_answers(milliseconds(500));
+    cell.submit(gang_of("free", 24, 8, seconds(2), "third"), seconds(2));
+    cell.simulate(seconds(14));
+    EXPECT_LE(cell.wait_of("free"), seconds(5)) << cell.describe("free");
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
