Repeat a request for advice without an answer sooner

Callers saw a step without a start for more than four seconds when the host that had sent its request for advice died, although the other hosts could ask.

Cause: such a request was repeated after 4 s, and the answer to the repeated one comes later still; the workers that it names count as asked until then.

It is now repeated 1.6 s after the answer was due, which covers the 1.2 s of requests that the owner lets wait at one host.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -37,8 +37,9 @@
 /// The tickets of a planned gang are renewed so long before its start, and are valid for
 /// this long after it.
 constexpr duration renewal_lead = std::chrono::milliseconds(200);
-/// A request to the advice service that got no answer is repeated after this time.
-constexpr duration advice_timeout = std::chrono::seconds(4);
+/// A request to the advice service that got no answer is repeated this long after the
+/// answer was expected: it may wait behind others of its host.
+constexpr duration max_answer_delay = std::chrono::milliseconds(1600);
 
 } // namespace
 
@@ -57,7 +58,7 @@
 
 bool scheduler::implementation::has_open_request(const step_status& step, boot_time now)
 {
-    return step.advice_requested_at && now - *step.advice_requested_at < advice_timeout;
+    return step.advice_requested_at && now < step.advice_repeat_at;
 }
 
 void scheduler::implementation::permit_requests(const std::vector<step_key>& steps,
@@ -283,6 +284,9 @@
     step_status& status = find_job(key.job)->steps[key.step];
     status.asked.insert(asked.begin(), asked.end());
     status.advice_requested_at = pass.now;
+    status.advice_repeat_at =
+        pass.now + max_answer_delay +
+        policy_of(*find_job(key.job)).advice->answer_time(std::ssize(asked));
     pass.out.advice.push_back({key.job, key.step, std::move(asked)});
 }
 
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -92,6 +92,7 @@
     boot_time tickets_until{}; ///< No ticket is valid after this.
     std::set<worker_id> asked; ///< Workers with known or requested advice.
     std::optional<boot_time> advice_requested_at;
+    boot_time advice_repeat_at{}; ///< When a request without an answer is repeated.
     /// First planned start of a waiting gang; capacity is held from then on.
     std::optional<boot_time> held_from;
     boot_time not_before{};         ///< A gang that lost a member is placed after this.
--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -277,6 +277,18 @@
     EXPECT_LE(cell.wait_of("younger"), start_limit) << cell.describe("younger");
 }
 
+// Guards against a step that waits for a host that died, while the others could ask.
+TEST(stuck_gang_test, lost_request_is_repeated_in_time)
+{
+    advised_cell cell(20);
+    cell.lose_next_answers();
+    cell.submit(gang_of("g", 10, 8), seconds(1));
+    cell.submit(fleet::job("t", "advised", 1, 8), seconds(1));
+    cell.simulate(seconds(8));
+    EXPECT_LE(cell.wait_of("g"), start_limit) << cell.describe("g");
+    EXPECT_LE(cell.wait_of("t"), start_limit) << cell.describe("t");
+}
+
 // Guards against a lasting task that may share no worker with the others of its step, and
 // waits while advice about further workers is not requested.
 TEST(stuck_gang_test, spread_tasks_ask_beyond_the_workers_of_their_step)
