Give the places of a gang back when it misses its planned start

Callers saw tasks wait, on free workers and without an end, behind a gang that did not start either.

Cause: the capacity of a planned gang is held from its first planned start on, however long that is past. A gang whose plan keeps saying "now" while another condition fails, such as a late gang that may not renew its tickets before the other steps of its queue, held its workers for good, and asked about no others.

The hold now ends 1.5 s after the planned start, and as much later as one answer to a renewal takes. The gang then holds nothing for 1 s, in which waiting tasks may use the capacity, and asks about further workers.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -225,9 +225,9 @@
     // with valid or renewed tickets, or a planned gang would start earlier on free ones.
     // Workers without free capacity are named by the first request, and for a gang that
     // the workers with tickets cannot run.
-    const bool needs_more = is_planned
-                                ? plan->second.starts_at > now
-                                : renewed_slots < static_cast<std::int64_t>(waiting);
+    const bool needs_more =
+        is_planned ? plan->second.starts_at > now || status.yields_until > now
+                   : renewed_slots < static_cast<std::int64_t>(waiting);
     const bool names_full_workers = !is_planned && (status.asked.empty() || spec.gang);
     std::size_t added = 0;
     if (needs_more)
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -95,6 +95,10 @@
     boot_time advice_repeat_at{}; ///< When a request without an answer is repeated.
     /// First planned start of a waiting gang; capacity is held from then on.
     std::optional<boot_time> held_from;
+    /// A gang that missed its planned start holds no capacity until then.
+    boot_time yields_until{};
+    /// Planned starts that a gang has missed since its last start.
+    std::uint32_t missed_starts = 0;
     boot_time not_before{};         ///< A gang that lost a member is placed after this.
     bool over_advice_limit = false; ///< Last wanted to request advice and could not.
     bool may_need_advice = true;    ///< Was not found to need no advice.
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -16,6 +16,13 @@
 constexpr duration overdue_run_time = std::chrono::milliseconds(100);
 /// A stopped run frees its capacity within this time.
 constexpr duration stop_time = std::chrono::milliseconds(400);
+/// Capacity is held for a gang up to this long after its planned start, and while its
+/// tickets are renewed once. If the gang has not started by then, others may use the
+/// capacity for a while. After each such miss it is held for longer, up to a limit, so
+/// that others cannot pass forever.
+constexpr duration max_start_delay = std::chrono::milliseconds(1500);
+constexpr duration yield_time = std::chrono::milliseconds(1000);
+constexpr std::uint32_t max_counted_misses = 3;
 /// A task may run on held capacity if it ends before the gang starts, even when it takes
 /// this many times its estimate.
 constexpr std::int64_t backfill_margin = 2;
@@ -65,6 +72,7 @@
         }
     }
     status.held_from.reset();
+    status.missed_starts = 0;
     for (std::uint32_t index = 0; index < targets.size(); ++index)
     {
         status.tasks[index].saved = saved;
@@ -166,13 +174,26 @@
     const std::optional<gang_plan> plan = plan_gang(spec.size, spec.count, candidates);
     if (!plan)
         return;
+    pass.plans.emplace(std::pair(key.job, key.step), *plan);
+    const duration renewal_time =
+        needs_ticket ? policy_of(job).advice->answer_time(std::ssize(plan->members))
+                     : duration::zero();
+    const std::uint32_t longer = 1 + std::min(status.missed_starts, max_counted_misses);
+    if (status.held_from &&
+        pass.now - *status.held_from > (max_start_delay + renewal_time) * longer)
+    {
+        ++status.missed_starts;
+        status.held_from.reset();
+        status.yields_until = pass.now + yield_time;
+    }
+    if (status.yields_until > pass.now)
+        return;
     // A start that is put off again and again would let other tasks pass forever.
     status.held_from =
         std::min(plan->starts_at, status.held_from.value_or(plan->starts_at));
     for (const auto& [id, members] : plan->members)
         for (std::uint32_t member = 0; member < members; ++member)
             pass.forecasts.at(id).hold(*status.held_from, spec.size);
-    pass.plans.emplace(std::pair(key.job, key.step), *plan);
 }
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -23,8 +23,9 @@
 constexpr duration start_limit = seconds(3);
 constexpr duration long_time = seconds(60);
 
-/// A cell of workers of eight cores. Queues "advised" and "other" have slow advice;
-/// "plain" has none and is less urgent.
+/// A cell of workers of eight cores. Queue "plain" has no advice and is less urgent than
+/// the others, whose advice is slow; jobs of "urgent" and "idle" are
+/// late soon.
 class advised_cell
 {
 public:
@@ -46,7 +47,13 @@
         other.name = queue_name("other");
         queue_policy third = advised;
         third.name = queue_name("third");
-        workers.cell.configure({advised, other, third, plain});
+        queue_policy urgent = advised;
+        urgent.name = queue_name("urgent");
+        urgent.objective = seconds(1);
+        queue_policy idle = plain;
+        idle.name = queue_name("idle");
+        idle.objective = duration::zero();
+        workers.cell.configure({advised, other, third, urgent, plain, idle});
         workers.log_sink = [this](const std::string& line) { read_log(line); };
     }
 
@@ -277,6 +284,28 @@
     EXPECT_LE(cell.wait_of("younger"), start_limit) << cell.describe("younger");
 }
 
+// Guards against idle workers that are held for a gang whose start is put off without an
+// end, here since late steps may not renew their tickets before the others of the queue.
+TEST(stuck_gang_test, gang_that_misses_its_start_gives_its_places_back)
+{
+    advised_cell cell(8);
+    cell.submit(fleet::job("busy", "plain", 8, 8, seconds(6)), seconds(6));
+    cell.simulate(milliseconds(100));
+    cell.admit("late", range_of(0, 4));
+    cell.submit(gang_of("late", 4, 8, milliseconds(100), "urgent"), seconds(1));
+    cell.simulate(seconds(3));
+    // None of these can start: only three workers are admitted.
+    for (int number = 0; number < 12; ++number)
+    {
+        const std::string id = "g" + std::to_string(number);
+        cell.admit(id, range_of(0, 3));
+        cell.submit(gang_of(id, 4, 8, long_time, "urgent"), long_time);
+    }
+    cell.submit(fleet::job("next", "idle", 8, 8, milliseconds(500)), long_time);
+    cell.simulate(seconds(6));
+    EXPECT_EQ(cell.workers.runs("next").size(), 8U) << cell.describe("next");
+}
+
 // Guards against a step that waits for a host that died, while the others could ask.
 TEST(stuck_gang_test, lost_request_is_repeated_in_time)
 {
