Let waiting steps use held workers while a service is mostly free

Callers saw jobs wait for many seconds with nothing running although most of the service was idle: the free workers were held for a gang that waited for one that was in use.

Cause: the capacity for a planned gang is held as long as its last member has no room, for the whole remaining time of that run, against all tasks that would not end before. When less than half of a service is in use, accepted jobs have to start.

A step that has waited for 1 s without a running task now uses held capacity in a service of which less than half of the processors are in use, except between the planned start of the gang and the end of the bounded wait for it. Running tasks end in that time, so a flood of small tasks cannot pass the gang forever.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -99,6 +99,9 @@
     boot_time yields_until{};
     /// Planned starts that a gang has missed since its last start.
     std::uint32_t missed_starts = 0;
+    /// Has waited for long in a service that is mostly free: may use capacity that is
+    /// held for a gang, except while the gang is about to start.
+    bool passes_holds = false;
     boot_time not_before{};         ///< A gang that lost a member is placed after this.
     bool over_advice_limit = false; ///< Last wanted to request advice and could not.
     bool may_need_advice = true;    ///< Was not found to need no advice.
@@ -196,6 +199,11 @@
     /// Forecasts of the workers that waiting gangs may use, less the capacity held for
     /// the gangs that sort before the current step.
     std::map<worker_id, capacity_forecast> forecasts;
+    /// The same, less only what is held for gangs that are about to start.
+    std::map<worker_id, capacity_forecast> forecasts_to_pass;
+    /// Whether less than half of a service is in use, for the services that were asked
+    /// about.
+    std::map<service_name, bool> mostly_free;
     /// Plans of waiting gangs, by job and step.
     std::map<std::pair<job_key, std::uint32_t>, gang_plan> plans;
     std::map<task_kind, rejected_sizes> rejected; ///< By all workers.
@@ -381,7 +389,12 @@
     /// Plans a gang that does not fit now and holds capacity for it from the planned
     /// start on.
     void plan_waiting_gang(job_status& job, const step_key& key, decision_pass& pass);
-    capacity_forecast& forecast_of(const worker_status& worker, decision_pass& pass);
+    /// Makes the forecasts of the worker in \p pass unless they exist.
+    void add_forecasts(const worker_status& worker, decision_pass& pass) const;
+    bool is_mostly_free(const service_name& service, decision_pass& pass) const;
+    /// Returns whether the step may use capacity that is held for gangs.
+    bool may_pass_holds(const job_status& job, std::uint32_t step,
+                        decision_pass& pass) const;
     /// Expected end of a run, from its progress or else from the estimate of its step;
     /// empty if its job is unknown.
     std::optional<boot_time> expected_end(const task_ref& task, const run_record& run,
@@ -389,7 +402,7 @@
     /// Returns whether capacity of a worker that is free now may be used for \p run_time
     /// without delaying the gangs that it is held for.
     static bool keeps_holds(const decision_pass& pass, const worker_id& worker,
-                            const resources& size, duration run_time);
+                            const resources& size, duration run_time, bool passes_holds);
     /// Returns how many tasks of the step a worker without another barrier could start in
     /// this decision, apart from advice. \p tasks_there run on it already.
     static std::int64_t places_now(const worker_status& candidate, const job_status& job,
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -23,6 +23,9 @@
 constexpr duration max_start_delay = std::chrono::milliseconds(1500);
 constexpr duration yield_time = std::chrono::milliseconds(1000);
 constexpr std::uint32_t max_counted_misses = 3;
+/// A step that has waited for this long may use held capacity in a service that is mostly
+/// free.
+constexpr duration hold_patience = std::chrono::milliseconds(1000);
 /// A task may run on held capacity if it ends before the gang starts, even when it takes
 /// this many times its estimate.
 constexpr std::int64_t backfill_margin = 2;
@@ -102,27 +105,59 @@
     return std::max(end, now + overdue_run_time);
 }
 
-capacity_forecast& scheduler::implementation::forecast_of(const worker_status& worker,
-                                                          decision_pass& pass)
+void scheduler::implementation::add_forecasts(const worker_status& worker,
+                                              decision_pass& pass) const
 {
     const auto [found, added] = pass.forecasts.try_emplace(
         worker.info.id, pass.now, worker.info.capacity - worker.used);
-    if (added)
-        for (const auto& [task, run] : worker.runs)
+    if (!added)
+        return;
+    for (const auto& [task, run] : worker.runs)
+    {
+        const std::optional<boot_time> end = expected_end(task, run, pass.now);
+        if (end)
+            found->second.release(*end, run.size);
+    }
+    pass.forecasts_to_pass.emplace(worker.info.id, found->second);
+}
+
+bool scheduler::implementation::is_mostly_free(const service_name& service,
+                                               decision_pass& pass) const
+{
+    const auto [found, added] = pass.mostly_free.try_emplace(service);
+    if (!added)
+        return found->second;
+    millicores capacity;
+    millicores used;
+    for (const auto& [id, worker] : workers)
+        if (worker.has_entry && worker.info.service == service)
         {
-            const std::optional<boot_time> end = expected_end(task, run, pass.now);
-            if (end)
-                found->second.release(*end, run.size);
+            capacity += worker.info.capacity.processors;
+            used += worker.used.processors;
         }
+    found->second = used + used < capacity;
     return found->second;
 }
 
+bool scheduler::implementation::may_pass_holds(const job_status& job, std::uint32_t step,
+                                               decision_pass& pass) const
+{
+    const step_status& status = job.steps[step];
+    const bool waits = status.occupied == 0 || job.spec.steps[step].persistent;
+    return waits && status.waiting_since != boot_time() &&
+           pass.now - status.waiting_since >= hold_patience &&
+           is_mostly_free(policy_of(job).service, pass);
+}
+
 bool scheduler::implementation::keeps_holds(const decision_pass& pass,
                                             const worker_id& worker,
-                                            const resources& size, duration run_time)
+                                            const resources& size, duration run_time,
+                                            bool passes_holds)
 {
-    const auto forecast = pass.forecasts.find(worker);
-    return forecast == pass.forecasts.end() ||
+    const std::map<worker_id, capacity_forecast>& forecasts =
+        passes_holds ? pass.forecasts_to_pass : pass.forecasts;
+    const auto forecast = forecasts.find(worker);
+    return forecast == forecasts.end() ||
            forecast->second.fits(size, pass.now + run_time * backfill_margin);
 }
 
@@ -136,8 +171,10 @@
         return 0;
     const step_spec& spec = job.spec.steps[step];
     resources free_capacity = candidate.info.capacity - candidate.used;
-    const auto forecast = pass.forecasts.find(candidate.info.id);
-    if (forecast != pass.forecasts.end() && spec.estimate > duration::zero())
+    const std::map<worker_id, capacity_forecast>& forecasts =
+        job.steps[step].passes_holds ? pass.forecasts_to_pass : pass.forecasts;
+    const auto forecast = forecasts.find(candidate.info.id);
+    if (forecast != forecasts.end() && spec.estimate > duration::zero())
         free_capacity =
             forecast->second.least_free(pass.now + spec.estimate * backfill_margin);
     const std::int64_t fitting = tasks_that_fit(spec.size, free_capacity);
@@ -155,6 +192,8 @@
     const step_spec& spec = job.spec.steps[key.step];
     step_status& status = job.steps[key.step];
     const bool needs_ticket = policy_of(job).advice.has_value();
+    const std::map<worker_id, capacity_forecast>& forecasts =
+        status.passes_holds ? pass.forecasts_to_pass : pass.forecasts;
     std::vector<gang_candidate> candidates;
     for (const auto& [id, worker] : workers)
     {
@@ -164,8 +203,9 @@
             continue;
         const std::int64_t fitting = std::min<std::int64_t>(
             spec.count, tasks_that_fit(spec.size, worker.info.capacity));
+        add_forecasts(worker, pass);
         candidates.push_back(
-            {id, &forecast_of(worker, pass),
+            {id, &forecasts.at(id),
              spec.per_worker > 0
                  ? std::min(spec.per_worker, static_cast<std::uint32_t>(fitting))
                  : static_cast<std::uint32_t>(fitting),
@@ -178,9 +218,9 @@
     const duration renewal_time =
         needs_ticket ? policy_of(job).advice->answer_time(std::ssize(plan->members))
                      : duration::zero();
+    const duration start_delay = max_start_delay + renewal_time;
     const std::uint32_t longer = 1 + std::min(status.missed_starts, max_counted_misses);
-    if (status.held_from &&
-        pass.now - *status.held_from > (max_start_delay + renewal_time) * longer)
+    if (status.held_from && pass.now - *status.held_from > start_delay * longer)
     {
         ++status.missed_starts;
         status.held_from.reset();
@@ -191,9 +231,15 @@
     // A start that is put off again and again would let other tasks pass forever.
     status.held_from =
         std::min(plan->starts_at, status.held_from.value_or(plan->starts_at));
+    const bool is_about_to_start =
+        pass.now >= *status.held_from && pass.now - *status.held_from <= start_delay;
     for (const auto& [id, members] : plan->members)
         for (std::uint32_t member = 0; member < members; ++member)
+        {
             pass.forecasts.at(id).hold(*status.held_from, spec.size);
+            if (is_about_to_start)
+                pass.forecasts_to_pass.at(id).hold(*status.held_from, spec.size);
+        }
 }
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -85,7 +85,7 @@
         return worker_barrier::not_admitted;
     if (!spec.size.fits_in(candidate.info.capacity - candidate.used))
         return worker_barrier::full;
-    if (!keeps_holds(pass, id, spec.size, spec.estimate))
+    if (!keeps_holds(pass, id, spec.size, spec.estimate, status.passes_holds))
         return worker_barrier::held;
     if (candidate.observed_until > pass.now)
         return worker_barrier::observed;
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -105,7 +105,7 @@
         resources held_size = spec.size;
         if (assigned != assigned_capacity.end())
             held_size += assigned->second;
-        if (!keeps_holds(pass, id, held_size, spec.estimate))
+        if (!keeps_holds(pass, id, held_size, spec.estimate, status.passes_holds))
             return;
         if (spec.per_worker > 0)
         {
@@ -151,8 +151,9 @@
         }
         return best;
     }
-    rejected_sizes& rejected = pass.rejected[{policy_of(job).service, spec.label,
-                                              spec.gang, status.uses_quarantined}];
+    rejected_sizes& rejected =
+        pass.rejected[{policy_of(job).service, spec.label, spec.gang,
+                       status.uses_quarantined, status.passes_holds}];
     if (rejected.covers(spec.size, spec.estimate))
         return nullptr;
     ++pass.comparisons;
@@ -183,9 +184,12 @@
     kept = record;
     target.last_start_at = now;
     observe_suspect(target, kept, status, task, now);
-    const auto forecast = pass.forecasts.find(target.info.id);
-    if (forecast != pass.forecasts.end())
+    for (std::map<worker_id, capacity_forecast>* forecasts :
+         {&pass.forecasts, &pass.forecasts_to_pass})
     {
+        const auto forecast = forecasts->find(target.info.id);
+        if (forecast == forecasts->end())
+            continue;
         forecast->second.hold(now, record.size);
         forecast->second.release(now + job.spec.steps[task.step].estimate, record.size);
     }
@@ -342,6 +346,7 @@
         return;
     }
     step_status& status = job->steps[key.step];
+    status.passes_holds = may_pass_holds(*job, key.step, pass);
     const bool needs_ticket = policy_of(*job).advice.has_value();
     const bool is_gang = job->spec.steps[key.step].gang;
     const bool has_turn = status.turn_at == pass.now;
--- a/lib/cell/rejected_sizes.hpp
+++ b/lib/cell/rejected_sizes.hpp
@@ -18,6 +18,7 @@
     std::string label;
     bool gang = false;
     bool uses_quarantined = false;
+    bool passes_holds = false;
 
     friend auto operator<=>(const task_kind&, const task_kind&) = default;
 };
--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -306,6 +306,62 @@
     EXPECT_EQ(cell.workers.runs("next").size(), 8U) << cell.describe("next");
 }
 
+// Guards against idle workers that are held until the forecast end of a run.
+TEST(stuck_gang_test, gang_that_waits_for_a_slow_run_does_not_stop_others)
+{
+    advised_cell cell(12);
+    cell.submit(fleet::job("overdue", "plain", 1, 8, seconds(1)), seconds(30));
+    cell.simulate(milliseconds(500));
+    // Needs all workers, of which one is in use for much longer than expected.
+    cell.submit(gang_of("g", 12, 8, long_time), long_time);
+    cell.simulate(seconds(4));
+    cell.submit(fleet::job("next", "plain", 2, 8, seconds(2)), seconds(2));
+    cell.submit(gang_of("h", 3, 8, seconds(2)), seconds(2));
+    cell.simulate(seconds(8));
+    EXPECT_LE(cell.wait_of("next"), start_limit) << cell.describe("next");
+    EXPECT_LE(cell.wait_of("h"), start_limit) << cell.describe("h");
+}
+
+// Guards against a gang that holds part of the cell until a member's place is free, while
+// others wait and most of the cell is idle.
+TEST(stuck_gang_test, long_hold_for_one_busy_worker_does_not_stop_others)
+{
+    advised_cell cell(24);
+    cell.submit(fleet::job("busy", "plain", 1, 8, seconds(20)), seconds(20));
+    cell.simulate(milliseconds(500));
+    cell.submit(gang_of("g", 24, 8, long_time), long_time);
+    cell.simulate(seconds(4));
+    cell.submit(fleet::job("next", "plain", 2, 8, seconds(30)), seconds(30));
+    cell.submit(gang_of("h", 6, 8, seconds(30)), seconds(30));
+    cell.simulate(seconds(8));
+    EXPECT_LE(cell.wait_of("next"), start_limit) << cell.describe("next");
+    EXPECT_LE(cell.wait_of("h"), start_limit) << cell.describe("h");
+}
+
+// Guards against a gang that small tasks pass forever, on the few workers
+// of a cell that both may use.
+TEST(stuck_gang_test, flood_in_a_mostly_free_cell_does_not_pass_a_gang_for_long)
+{
+    advised_cell cell(16);
+    for (const char* worker : {"w0", "w1", "w2", "w3"})
+    {
+        cell.workers.info(worker).labels = {"shared"};
+        cell.workers.publish(worker);
+    }
+    for (int number = 0; number < 400; ++number)
+    {
+        job_spec task = fleet::job("f" + std::to_string(number), "plain", 1, 2);
+        task.steps[0].label = "shared";
+        cell.submit(task, milliseconds(700 + number % 7 * 100));
+    }
+    cell.simulate(seconds(4));
+    job_spec gang = gang_of("g", 4, 8);
+    gang.steps[0].label = "shared";
+    cell.submit(gang, seconds(1));
+    cell.simulate(seconds(12));
+    EXPECT_LE(cell.wait_of("g"), seconds(4)) << cell.describe("g");
+}
+
 // Guards against a step that waits for a host that died, while the others could ask.
 TEST(stuck_gang_test, lost_request_is_repeated_in_time)
 {
