Do not report a gang as kept out by the capacity held for itself

Callers saw `step waits` with reason room_held for a gang whose workers were free and whose tickets had expired, and looked for another gang.

Cause: the report asks at the end of the decision whether a worker has room that is not held, and the capacity held for the gang itself counted as held.

The workers and places of a gang's own plan for now no longer count as held, so the report goes on to the tickets.

Before: stuck_gang_test.gang_with_expired_tickets_is_not_reported_as_held_for_itself reads room_held; now tickets_expired.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -348,6 +348,9 @@
     /// step in this decision.
     worker_barrier start_barrier_of(const worker_status& candidate, const job_status& job,
                                     std::uint32_t step, const decision_pass& pass) const;
+    /// Number of tasks of a gang that its plan starts on the worker now.
+    static std::uint32_t planned_members(const step_key& key, const worker_id& worker,
+                                         const decision_pass& pass);
     barrier_counts count_barriers(const job_status& job, std::uint32_t step,
                                   const decision_pass& pass) const;
     pending_reason pending_reason_of(const job_status& job, std::uint32_t step,
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -69,6 +69,17 @@
                : pending_reason::workers_away;
 }
 
+std::uint32_t scheduler::implementation::planned_members(const step_key& key,
+                                                         const worker_id& worker,
+                                                         const decision_pass& pass)
+{
+    const auto plan = pass.plans.find({key.job, key.step});
+    if (plan == pass.plans.end() || plan->second.starts_at > pass.now)
+        return 0;
+    const auto members = plan->second.members.find(worker);
+    return members == plan->second.members.end() ? 0 : members->second;
+}
+
 worker_barrier
 scheduler::implementation::start_barrier_of(const worker_status& candidate,
                                             const job_status& job, std::uint32_t step,
@@ -85,7 +96,9 @@
         return worker_barrier::not_admitted;
     if (!spec.size.fits_in(candidate.info.capacity - candidate.used))
         return worker_barrier::full;
-    if (!keeps_holds(pass, id, spec.size, spec.estimate, status.passes_holds))
+    // What is held for the step itself does not keep it from the worker.
+    if (planned_members(key_of(job, step), id, pass) == 0 &&
+        !keeps_holds(pass, id, spec.size, spec.estimate, status.passes_holds))
         return worker_barrier::held;
     if (candidate.observed_until > pass.now)
         return worker_barrier::observed;
@@ -108,9 +121,10 @@
     for (const auto& [id, candidate] : workers)
     {
         const auto there = tasks_on_worker.find(id);
-        const std::int64_t places =
+        const std::int64_t places = std::max<std::int64_t>(
+            planned_members(key_of(job, step), id, pass),
             places_now(candidate, job, step,
-                       there == tasks_on_worker.end() ? 0 : there->second, pass);
+                       there == tasks_on_worker.end() ? 0 : there->second, pass));
         worker_barrier barrier = barrier_of(candidate, job, step, pass.now);
         if (barrier == worker_barrier::none)
             barrier = start_barrier_of(candidate, job, step, pass);
--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -109,6 +109,9 @@
                submitted_at_.at(job);
     }
 
+    /// The reason for which a step of the job was last reported to wait.
+    std::string reason_of(const std::string& job) const { return reasons_.at(job); }
+
     /// Describes the wait of a job for the messages of failed assertions.
     std::string describe(const std::string& job) const
     {
@@ -306,6 +309,19 @@
     EXPECT_EQ(cell.workers.runs("next").size(), 8U) << cell.describe("next");
 }
 
+// Guards against a report that blames the capacity that is held for the gang itself.
+TEST(stuck_gang_test, gang_with_expired_tickets_is_not_reported_as_held_for_itself)
+{
+    advised_cell cell(8);
+    cell.submit(fleet::job("busy", "plain", 8, 8, seconds(8)), seconds(8));
+    cell.simulate(milliseconds(100));
+    cell.submit(gang_of("g", 8, 8), seconds(1));
+    cell.simulate(seconds(3));
+    cell.delay_answers(long_time);
+    cell.simulate(seconds(6));
+    EXPECT_EQ(cell.reason_of("g"), "tickets_expired");
+}
+
 // Guards against idle workers that are held until the forecast end of a run.
 TEST(stuck_gang_test, gang_that_waits_for_a_slow_run_does_not_stop_others)
 {
