Renew more tickets of a planned gang than it needs

Callers saw a gang renew its ten tickets once a second without a start, while it had more admitted workers with room.

Cause: the plan names exactly as many workers as the gang needs, and only their tickets were renewed. When one of them is held for an earlier gang by the time of the answer, the gang does not start, its next plan names another worker, and the renewal begins again.

A planned gang now also renews tickets of other workers with room: two, and one for each four of its tasks. mixed_load_test looks for jobs that wait longer than 3 s in a cell that is mostly free, with room for them twice over, in loads of gangs and tasks with estimates that are wrong by half to twice.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -21,6 +21,9 @@
 /// Maximum number of workers whose expired tickets one request renews; a step with many
 /// waiting tasks may renew more, and a gang as many as it has tasks.
 constexpr std::size_t max_renewed = 6;
+/// A planned gang renews so many tickets, and for a quarter of its tasks, beyond those
+/// that it needs.
+constexpr std::size_t spare_tickets = 2;
 /// Maximum number of workers in one request that the advice service accepts.
 constexpr std::size_t max_request_workers = 100;
 /// Bounds for the number of steps of a queue that may request advice at the same time.
@@ -211,7 +214,20 @@
     const std::size_t renewal_limit =
         std::max(max_renewed + waiting / 4, spec.gang ? waiting : 0);
     if (is_planned)
+    {
         asked = tickets_to_renew(job, step, plan->second, now);
+        // Some of the planned workers may be in use when the answer arrives.
+        std::size_t spare = asked.empty() ? 0 : spare_tickets + waiting / 4;
+        for (const auto& [negated_slots, id] : renewable)
+        {
+            if (spare == 0)
+                break;
+            if (plan->second.members.contains(id))
+                continue;
+            asked.push_back(id);
+            --spare;
+        }
+    }
     else
         for (const auto& [negated_slots, id] : renewable)
         {
--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 
 namespace hawthornbeam::cell
@@ -61,6 +62,7 @@
     void submit(const job_spec& spec, duration run_time)
     {
         run_times_[spec.id.value()] = run_time;
+        specs_[spec.id.value()] = spec.steps[0];
         submitted_at_[spec.id.value()] = workers.clock.now();
         workers.submit(spec);
         // Jobs are sorted by the time of submission.
@@ -98,9 +100,15 @@
                     poll("w" + std::to_string(number));
             workers.store_changes();
             decide();
+            if (ticks_ % ticks_between_polls == 0)
+                watch_waiting_jobs();
         }
     }
 
+    /// Jobs without a start for longer than `start_limit` while the workers that
+    /// they may use had room for them twice over and most of the cell was free.
+    const std::map<std::string, std::string>& stuck_jobs() const { return stuck_jobs_; }
+
     /// Time from submission to the first start; the time until now if there was none.
     duration wait_of(const std::string& job) const
     {
@@ -132,6 +140,41 @@
                 event.at("reason").get<std::string>();
     }
 
+    void watch_waiting_jobs()
+    {
+        std::map<worker_id, std::int64_t> used;
+        std::int64_t used_in_all = 0;
+        for (const auto& [job, step] : specs_)
+            for (const auto& [worker, run] : workers.runs(job))
+            {
+                used[worker] += step.size.processors.value();
+                used_in_all += step.size.processors.value();
+            }
+        std::int64_t capacity = 0;
+        for (const worker_info& worker : workers.cell.workers())
+            capacity += worker.capacity.processors.value();
+        for (const auto& [job, step] : specs_)
+        {
+            std::int64_t places = 0;
+            const auto admitted = admitted_.find(job);
+            for (const worker_info& worker : workers.cell.workers())
+                if (!cut_off_.contains(worker.id.value()) &&
+                    (admitted == admitted_.end() || admitted->second.contains(worker.id)))
+                    places += (worker.capacity.processors.value() - used[worker.id]) /
+                              step.size.processors.value();
+            const bool could_start = !started_at_.contains(job) &&
+                                     !is_final(*workers.cell.state(job_key(job))) &&
+                                     places >= 2 * std::int64_t{step.count} &&
+                                     2 * used_in_all < capacity;
+            const auto [since, added] =
+                could_start_since_.try_emplace(job, workers.clock.now());
+            if (!could_start)
+                since->second = workers.clock.now();
+            else if (workers.clock.now() - since->second > start_limit)
+                stuck_jobs_.try_emplace(job, describe(job));
+        }
+    }
+
     void poll(const std::string& worker)
     {
         if (!cut_off_.contains(worker))
@@ -197,6 +240,9 @@
     std::map<std::string, std::string> reasons_;
     std::multimap<boot_time, advice_result> answers_;
     std::multimap<boot_time, run_ref> ends_;
+    std::map<std::string, step_spec> specs_;
+    std::map<std::string, boot_time> could_start_since_;
+    std::map<std::string, std::string> stuck_jobs_;
     duration answer_delay_{};
     bool lose_answers_ = false;
     std::set<std::string> lost_;
@@ -432,6 +478,52 @@
     EXPECT_LE(cell.wait_of("free"), seconds(5)) << cell.describe("free");
 }
 
+/// Seed of the jobs.
+class mixed_load_test : public testing::TestWithParam<std::uint32_t>
+{
+};
+
+// Guards against combinations of waiting gangs, wrong estimates and slow advice in which
+// a job waits for others that do not start either.
+TEST_P(mixed_load_test, no_job_waits_while_there_is_room_for_it_twice_over)
+{
+    std::mt19937 random(GetParam());
+    const auto pick = [&random](std::uint32_t min, std::uint32_t max)
+    { return std::uniform_int_distribution<std::uint32_t>(min, max)(random); };
+    const std::uint32_t count = pick(24, 72);
+    advised_cell cell(count);
+    cell.workers.cell.set_advice_hosts(60);
+    cell.delay_answers(milliseconds(pick(0, 4) * 100));
+    for (int number = 0; number < 80; ++number)
+    {
+        const std::string id = "j" + std::to_string(number);
+        const bool wide = pick(0, 2) == 0;
+        const duration run_time = milliseconds(pick(3, wide ? 80 : 30) * 100);
+        job_spec spec = fleet::job(id, pick(0, 3) == 0 ? "plain" : "advised",
+                                   wide ? pick(4, count / 4) : pick(1, 3), pick(1, 8),
+                                   run_time * pick(5, 20) / 10);
+        spec.steps[0].gang = wide || pick(0, 1) == 0;
+        if (spec.queue == queue_name("advised"))
+        {
+            const std::uint32_t share = pick(2, 10);
+            std::set<worker_id> admitted;
+            for (std::uint32_t worker = 0; worker < count; ++worker)
+                if (pick(1, 10) <= share)
+                    admitted.merge(range_of(worker, 1));
+            cell.admit(id, admitted);
+        }
+        if (number == 20)
+            cell.cut_off("w" + std::to_string(pick(0, count - 1)));
+        cell.submit(spec, run_time);
+        cell.simulate(milliseconds(pick(0, 30) * 20));
+    }
+    cell.simulate(seconds(10));
+    for (const auto& [job, described] : cell.stuck_jobs())
+        ADD_FAILURE() << described;
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, mixed_load_test, testing::Range(1U, 61U));
+
 } // namespace
 
 } // namespace hawthornbeam::cell
