--- a/unittests/cell/stuck_gang_test.cpp
+++ b/unittests/cell/stuck_gang_test.cpp
@@ -523,6 +523,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(seeds, mixed_load_test, testing::Range(1U, 61U));
+INSTANTIATE_TEST_SUITE_P(many_requests, mixed_load_test,
+                         testing::Values(183U, 310U, 390U));
 
 } // namespace
 
