Simulate failing jobs, faulty workers and a queue with advice

A new kind of failure, last in the enumeration so that seeds of earlier tests draw the same histories, lets all runs on a worker fail for 8 to 16 s; the check of liveness counts no room there meanwhile.

Six new tests by seed.

--- a/test/standins/cell_checker.hpp
+++ b/test/standins/cell_checker.hpp
@@ -61,6 +61,8 @@
     std::vector<std::pair<boot_time, resources>> capacity_changes = {};
     boot_time up_since = boot_time::min();
     boot_time up_until = boot_time::max(); ///< When its process ended.
+    /// Spans in which each run that starts there fails.
+    std::vector<std::pair<boot_time, boot_time>> faulty = {};
 };
 
 /// Recorded history of a cell, the input of the checker. Run events are in the order in
@@ -73,6 +75,7 @@
     std::map<cell::job_key, cell::job_spec> submitted;
     /// Tasks that crash each worker that runs them, with the age of the run at the crash.
     std::map<cell::task_ref, duration> crashing_tasks;
+    std::set<cell::task_ref> failing_tasks; ///< Tasks of which each run fails.
     std::vector<caller_answer> answers;
     std::vector<reported_state> reported_states;
     /// Times at which a failure was injected or ended. Rules with a time bound don't
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -15,7 +15,6 @@
 using std::chrono::seconds;
 
 constexpr std::size_t host_count = 4;
-constexpr std::size_t worker_count = 6;
 constexpr std::int64_t cores_of_worker = 8;
 /// Processor shares of a host, in thousandths of a processor.
 constexpr std::uint32_t large_host_share = 500;
@@ -31,6 +30,11 @@
 /// Added for long tasks: covers three consecutive steps, each with one failed run.
 constexpr duration extra_completion_time = seconds(90);
 
+/// Times of the advice service. It admits one in this many workers for a step.
+constexpr advice_policy advice_times{milliseconds(200), milliseconds(5),
+                                     milliseconds(2000)};
+constexpr std::size_t workers_per_admitted = 3;
+
 /// Prints the log lines of the instances when HAWTHORNBEAM_TRACE is set, so that a
 /// failing seed can be traced.
 std::function<void(const std::string&)> trace_log_sink()
@@ -120,8 +124,13 @@
     queue.attempts = 3;
     queue.stretch = 2;
     queue.objective = seconds(1);
+    if (shape.has_advice)
+    {
+        queue.advice = advice_times;
+        workers_.require_tickets(queue);
+    }
     history_.queues[queue.name] = queue;
-    for (std::size_t number = 0; number < worker_count; ++number)
+    for (std::size_t number = 0; number < shape.workers; ++number)
         workers_.add("w" + std::to_string(number), cores_of_worker);
     hosts_.resize(host_count);
     for (std::size_t number = 0; number < host_count; ++number)
@@ -325,6 +334,9 @@
         schedule(time, [this] { network_.heal_all(); });
         return workers_.restrict_to({chosen_host}, worker, loop_.clock().now() + time);
     }
+    case cell_failure::worker_fails_runs:
+        return workers_.fail_runs(worker, loop_.clock().now() +
+                                              milliseconds(8000 + random_.below(8000)));
     }
 }
 
@@ -385,11 +397,42 @@
             step.per_worker = 2;
         if (number > 0)
             step.after = {static_cast<std::uint32_t>(number - 1)};
+        if (shape_.has_advice)
+            choose_admitted_workers(job.id, static_cast<std::uint32_t>(number), step);
         job.steps.push_back(std::move(step));
     }
     return job;
 }
 
+void cell_simulation::choose_admitted_workers(const job_key& job, std::uint32_t number,
+                                              step_spec& step)
+{
+    std::vector<worker_id> all = workers_.ids();
+    std::set<worker_id>& admitted = history_.admitted[{job, number}];
+    while (admitted.size() < shape_.workers / workers_per_admitted)
+        admitted.insert(all[random_.below(all.size())]);
+    if (!step.gang)
+        return;
+    std::uint64_t on_worker = static_cast<std::uint64_t>(
+        millicores(cores_of_worker * 1000).value() / step.size.processors.value());
+    if (step.per_worker > 0)
+        on_worker = std::min<std::uint64_t>(on_worker, step.per_worker);
+    step.count =
+        static_cast<std::uint32_t>(2 + random_.below(on_worker * admitted.size() - 1));
+}
+
+void cell_simulation::choose_failing_task(const job_spec& job)
+{
+    if (shape_.jobs_per_failing_job == 0 ||
+        random_.below(shape_.jobs_per_failing_job) != 0)
+        return;
+    const std::uint32_t step =
+        static_cast<std::uint32_t>(random_.below(job.steps.size()));
+    const std::uint32_t index =
+        static_cast<std::uint32_t>(random_.below(job.steps[step].count));
+    history_.failing_tasks.insert({job.id, step, index});
+}
+
 void cell_simulation::choose_crashing_task(const job_spec& job)
 {
     if (shape_.jobs_per_crashing_job == 0 ||
@@ -564,6 +607,7 @@
                      pending->job = make_job();
                      history_.submitted[pending->job.id] = pending->job;
                      choose_crashing_task(pending->job);
+                     choose_failing_task(pending->job);
                      submit(pending);
                  });
     schedule_resizes(load_time);
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -41,10 +41,11 @@
     worker_restarts_at_once,
     worker_cut_off_beyond_lease,
     owner_cut_off_with_workers,
-    host_unheard_beside_worker
+    host_unheard_beside_worker,
+    worker_fails_runs
 };
 
-inline constexpr std::size_t cell_failures = 24;
+inline constexpr std::size_t cell_failures = 25;
 /// Numbers of the first kinds, from which earlier tests draw by seed. They stay as they
 /// are, so that the seeds of these tests give the same histories.
 inline constexpr std::size_t first_cell_failures = 19;
@@ -71,6 +72,13 @@
     duration resize_period{};
     /// Maximum number of ends that a worker lists at a time.
     std::size_t max_listed_ends = 500;
+    /// One in this many jobs, on average, has a task of which each run fails; 0 means no
+    /// job.
+    std::uint64_t jobs_per_failing_job = 0;
+    std::size_t workers = 6;
+    /// Whether the queue has an advice service, which admits a third of the workers for
+    /// each step. Gangs are then as wide as these workers allow, or less.
+    bool has_advice = false;
 };
 
 /// Simulates one cell; equal seeds give equal histories.
@@ -129,6 +137,12 @@
     job_spec make_job();
     /// Lets one task of the job crash its workers, for some of the jobs.
     void choose_crashing_task(const job_spec& job);
+    /// Lets each run of one task of the job fail, for some of the jobs.
+    void choose_failing_task(const job_spec& job);
+    /// Chooses the workers that the advice service admits for \p step of \p job, and the
+    /// width of a gang.
+    void choose_admitted_workers(const job_key& job, std::uint32_t number,
+                                 step_spec& step);
     /// Changes capacities of workers during the load, and restores them at its end.
     void schedule_resizes(duration load_time);
     void submit(const std::shared_ptr<pending_submission>& pending);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -250,6 +250,84 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+/// Jobs that fail on all workers, beside others that do not.
+class failing_jobs_test : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+    static void play(std::vector<cell_failure> failures)
+    {
+        constexpr cell_shape failing_jobs{.submit_period = std::chrono::milliseconds(300),
+                                          .jobs_per_failing_job = 2};
+        cell_simulation simulation(GetParam(), failing_jobs);
+        simulation.run(seconds(20), failures);
+        expect_all_cell_rules_kept(simulation);
+    }
+    /// Returns one failure of this kind, and up to two of any.
+    static std::vector<cell_failure> with_others(cell_failure kind)
+    {
+        random_source random(GetParam());
+        std::vector<cell_failure> failures{kind};
+        for (std::size_t each = 0; each < GetParam() % 3; ++each)
+            failures.push_back(
+                static_cast<cell_failure>(random.below(first_cell_failures)));
+        return failures;
+    }
+};
+
+// Guards against taking failures of the work for failures of workers.
+TEST_P(failing_jobs_test, do_not_keep_other_jobs_from_starting)
+{
+    play({});
+}
+
+// Guards against a new owner that takes the failures it inherits for those of workers.
+TEST_P(failing_jobs_test, do_not_keep_other_jobs_from_starting_when_the_owner_changes)
+{
+    play(with_others(cell_failure::owner_killed));
+}
+
+// Guards against leaving out sound workers together with faulty ones.
+TEST_P(failing_jobs_test, do_not_hide_which_workers_are_faulty)
+{
+    play(std::vector<cell_failure>(1 + GetParam() % 2, cell_failure::worker_fails_runs));
+}
+
+// Guards against workers that stay left out after they have become sound.
+TEST_P(failing_jobs_test, and_faulty_workers_keep_all_cell_rules_under_failures)
+{
+    play(with_others(cell_failure::worker_fails_runs));
+}
+
+class advised_queue_test : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+    static void play(std::vector<cell_failure> failures)
+    {
+        constexpr cell_shape advised_gangs{.workers = 12, .has_advice = true};
+        cell_simulation simulation(GetParam(), advised_gangs);
+        simulation.run(seconds(20), failures);
+        expect_all_cell_rules_kept(simulation);
+    }
+};
+
+// Guards against gangs that wait for workers which the advice service does not admit, or
+// that keep others from asking.
+TEST_P(advised_queue_test, starts_gangs_as_wide_as_the_admitted_workers)
+{
+    play({});
+}
+
+// Guards against steps that wait for an answer which was lost with its host.
+TEST_P(advised_queue_test, starts_steps_whose_requests_are_lost)
+{
+    random_source random(GetParam());
+    std::vector<cell_failure> failures{GetParam() % 2 == 0 ? cell_failure::owner_killed
+                                                           : cell_failure::host_killed};
+    for (std::size_t each = 0; each < GetParam() % 3; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(first_cell_failures)));
+    play(failures);
+}
+
 class changing_capacity_test : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -329,6 +407,15 @@
 INSTANTIATE_TEST_SUITE_P(seeds, crashing_tasks_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, failing_jobs_test,
+                         testing::Range(std::uint64_t{1}, seed_count() + 1));
+
+INSTANTIATE_TEST_SUITE_P(regressions, advised_queue_test,
+                         testing::Values(67, 80, 174, 288));
+
+INSTANTIATE_TEST_SUITE_P(seeds, advised_queue_test,
+                         testing::Range(std::uint64_t{1}, seed_count() + 1));
+
 INSTANTIATE_TEST_SUITE_P(seeds, changing_capacity_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -27,6 +27,10 @@
 constexpr duration entry_retention = std::chrono::milliseconds(4500);
 /// Time until the process of a worker that a task has crashed starts again.
 constexpr duration restart_time = std::chrono::milliseconds(3000);
+/// Maximum number of calls of one host that wait at the advice service.
+constexpr std::size_t max_waiting_calls = 32;
+/// Part of its time after which a run on a faulty worker fails.
+constexpr std::int64_t faulty_run_divisor = 10;
 
 std::int64_t whole_ms(duration time)
 {
@@ -196,6 +200,8 @@
         return command_outcome::superseded;
     if (clock_of(worker) > command.deadline)
         return command_outcome::late;
+    if (!is_permitted(worker, command))
+        return command_outcome::no_ticket;
     extend_lease(worker, command.deadline);
     run_event event;
     event.at = loop_.clock().now();
@@ -210,7 +216,11 @@
     const step_spec& step = step_of(task);
     added.work_time = std::chrono::duration_cast<duration>(step.estimate *
                                                            (0.7 + 0.6 * random_.unit()));
-    added.will_fail = random_.unit() < failure_probability;
+    const bool is_faulty = loop_.clock().now() < worker.fails_runs_until;
+    if (is_faulty)
+        added.work_time /= faulty_run_divisor;
+    added.will_fail = random_.unit() < failure_probability || is_faulty ||
+                      history_.failing_tasks.contains(task);
     if (!step.gang)
     {
         start_work(worker, task);
@@ -223,6 +233,57 @@
     return command_outcome::accepted;
 }
 
+bool simulated_workers::is_permitted(const simulated_worker& worker,
+                                     const start_command& command) const
+{
+    if (!ticket_queue_)
+        return true;
+    const auto found = tickets_.find(command.permission);
+    return found != tickets_.end() && found->second.worker == worker.info.id &&
+           found->second.incarnation == worker.info.incarnation &&
+           found->second.job == command.run.task.job &&
+           found->second.step == command.run.task.step &&
+           loop_.clock().now() < found->second.valid_until;
+}
+
+std::optional<duration> simulated_workers::queue_advice(const advice_command& command,
+                                                        std::size_t host)
+{
+    const boot_time now = loop_.clock().now();
+    std::vector<boot_time>& waiting = advice_answers_[host];
+    std::erase_if(waiting, [now](boot_time each) { return each <= now; });
+    if (!ticket_queue_ || waiting.size() >= max_waiting_calls)
+        return std::nullopt;
+    const boot_time begin = waiting.empty() ? now : waiting.back();
+    waiting.push_back(begin +
+                      ticket_queue_->advice->answer_time(std::ssize(command.workers)));
+    return waiting.back() - now;
+}
+
+advice_result simulated_workers::advise(const advice_command& command)
+{
+    advice_result result;
+    result.job = command.job;
+    result.step = command.step;
+    result.answered = true;
+    result.asked = command.workers;
+    result.valid_ms = whole_ms(ticket_queue_->advice->valid);
+    const std::set<worker_id>& admitted =
+        history_.admitted.at({command.job, command.step});
+    for (const worker_id& each : command.workers)
+    {
+        const auto worker = workers_.find(each);
+        if (!admitted.contains(each) || worker == workers_.end())
+            continue;
+        const ticket issued("t" + std::to_string(tickets_.size()));
+        tickets_[issued] = {each, worker->second.info.incarnation, command.job,
+                            command.step,
+                            loop_.clock().now() + ticket_queue_->advice->valid};
+        result.tickets.emplace_back(each, issued);
+    }
+    return result;
+}
+
 /// Starts the work of a gang when all members of one run have started.
 void simulated_workers::start_complete_gang(const task_ref& task)
 {
@@ -363,6 +424,7 @@
     restarted.info.incarnation =
         worker_incarnation(restarted.info.incarnation.value() + 1000);
     restarted.info.draining = false;
+    restarted.fails_runs_until = boot_time();
     restarted.token = fence_token();
     restarted.last_end = 0;
     restarted.lease_until = boot_time();
@@ -427,6 +489,15 @@
     return worker.replaced ? command_outcome::other_worker : command_outcome::no_listener;
 }
 
+void simulated_workers::fail_runs(const worker_id& id, boot_time until)
+{
+    simulated_worker& worker = workers_.at(id);
+    if (!worker.up)
+        return;
+    worker.fails_runs_until = std::max(worker.fails_runs_until, until);
+    record_of(worker).faulty.emplace_back(loop_.clock().now(), until);
+}
+
 void simulated_workers::cut_off(const worker_id& id, boot_time until)
 {
     workers_.at(id).cut_off_until = until;
@@ -618,14 +689,24 @@
         std::move(done));
 }
 
-void simulated_port::advise(const advice_command& command, duration /*timeout*/,
+void simulated_port::advise(const advice_command& command, duration timeout,
                             std::function<void(advice_result)> done)
 {
+    const std::optional<duration> wait = workers_.queue_advice(command, host_);
+    if (wait && *wait < timeout)
+        return workers_.schedule(loop_, *wait,
+                                 [&instance_loop = instance_loop_, &workers = workers_,
+                                  command, done = std::move(done)]
+                                 {
+                                     const advice_result result = workers.advise(command);
+                                     workers.schedule(instance_loop, link_delay,
+                                                      [done, result] { done(result); });
+                                 });
     advice_result refused;
     refused.job = command.job;
     refused.step = command.step;
     refused.asked = command.workers;
-    workers_.schedule(instance_loop_, link_delay,
+    workers_.schedule(instance_loop_, wait ? timeout : link_delay,
                       [done = std::move(done), refused] { done(refused); });
 }
 
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -35,6 +35,15 @@
     command_outcome start(const start_command& command, fence_token token);
     command_outcome stop(const stop_command& command, fence_token token);
 
+    // The advice service. It admits the workers that the history names, and answers the
+    // calls of each host one after the other.
+    /// Lets starts of this queue need a ticket, issued with the policy's times.
+    void require_tickets(const queue_policy& queue) { ticket_queue_ = queue; }
+    /// Accepts a call from \p host. Returns the time until its answer, or nothing if too
+    /// many calls of the host wait.
+    std::optional<duration> queue_advice(const advice_command& command, std::size_t host);
+    advice_result advise(const advice_command& command);
+
     // Injected failures.
     /// Ends the worker with all of its runs; a new incarnation starts after \p pause.
     void crash(const worker_id& id, duration pause);
@@ -44,6 +53,8 @@
     void end_process(const worker_id& id, duration pause, bool new_id);
     /// Changes the capacity that the worker's entry shows.
     void resize(const worker_id& id, std::int64_t cores);
+    /// Lets all runs that start on the worker until \p until fail after a short time.
+    void fail_runs(const worker_id& id, boot_time until);
     /// Leaves calls to the worker unanswered until \p until; its runs continue.
     void cut_off(const worker_id& id, boot_time until);
     /// Until \p until, only these hosts reach the worker.
@@ -112,12 +123,23 @@
         boot_time restricted_until{};
         boot_time resets_until{};
         boot_time delay_commands_until{};
+        boot_time fails_runs_until{};
         timer_handle lease_timer;
         /// Restarts a crashed worker, or ends a draining one.
         timer_handle restart_timer;
     };
 
+    struct issued_ticket
+    {
+        worker_id worker;
+        worker_incarnation incarnation;
+        job_key job;
+        std::uint32_t step = 0;
+        boot_time valid_until{};
+    };
+
     void restart(const worker_id& id);
+    bool is_permitted(const simulated_worker& worker, const start_command& command) const;
     /// Returns the record of the worker's present incarnation.
     standins::worker_record& record_of(const simulated_worker& worker);
     /// Fails the polls that wait at the worker.
@@ -145,6 +167,10 @@
     std::uint64_t last_call_ = 0;
     std::uint64_t last_new_id_ = 0;
     std::size_t max_listed_ends_ = 500;
+    std::optional<queue_policy> ticket_queue_; ///< Empty if no start needs a ticket.
+    std::map<ticket, issued_ticket> tickets_;
+    /// Times at which the calls of each host will be answered, in their order.
+    std::map<std::size_t, std::vector<boot_time>> advice_answers_;
 };
 
 /// Reaches the workers for one instance, over connections with a delay of 1 ms.
--- a/unittests/standins/liveness_checker_test.cpp
+++ b/unittests/standins/liveness_checker_test.cpp
@@ -183,6 +183,10 @@
      [](cell_history& history) {
          history.failures = {{at(-9000), at(-4000)}};
      }},
+    {"worker_faulty_long_before",
+     [](cell_history& history) {
+         history.workers[0].faulty = {{at(-9000), at(-4000)}};
+     }},
     {"run_lost_long_before",
      [](cell_history& history)
      {
@@ -263,6 +267,12 @@
          history.workers[0].draining_since = at(1000);
          history.workers[1].draining_since = at(2000);
      }},
+    {"workers_are_faulty",
+     [](cell_history& history)
+     {
+         history.workers[0].faulty = {{at(-9000), at(-2000)}};
+         history.workers[1].faulty = {{at(1000), at(2000)}};
+     }},
     {"workers_have_just_started",
      [](cell_history& history)
      {
