Count a job as waiting until a worker shows that it has begun

Cause: a job counted as begun from the order of its first start, also when the start got no answer, was refused or stopped. Now it has begun when the worker accepts a start, lists the run or lists its end; the shown state and hawthornbeam_job_wait_seconds follow the same evidence.

Evidence: counted_start_test failed before for starts whose answer is lost, that are lost, and that are refused (waiting 0 instead of 1).

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -127,7 +127,7 @@
 {
     job_spec spec;
     bool inherited = false;
-    bool started = false;
+    bool started = false; ///< A run has begun; an order alone does not show that.
     job_state state = job_state::queued;
     bool final_stored = false;
     boot_time submitted{};
@@ -232,6 +232,7 @@
     void open_ready_steps(const job_status& job);
     /// \p reason is logged.
     void finish_job(job_status& job, job_state state, const char* reason);
+    /// Records that a run of the job has begun, as its worker has shown.
     void record_started(job_status& job, boot_time now);
     void stop_runs(const job_status& job, std::uint32_t step);
     void task_done(job_status& job, const task_ref& task);
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -307,7 +307,12 @@
     if (is_final(job->state) || status->done)
         return request_stop(worker.info.id, task);
     if (record.started_here)
+    {
+        record_started(*job, now);
         status->crashes.add_survival(now - record.command_sent_at);
+    }
+    job->started = true;
+    job->state = job_state::running;
     adopt_run(worker, record, *job, task);
 }
 
@@ -327,8 +332,6 @@
     }
     status.run_worker = worker.info.id;
     ++job.steps[task.step].occupied;
-    job.started = true;
-    job.state = job_state::running;
 }
 
 void scheduler::implementation::handle_unlisted_runs(worker_status& worker,
@@ -457,6 +460,9 @@
         record->second.position = std::max(record->second.position, result.position);
         if (record->second.phase == run_phase::starting)
             record->second.phase = run_phase::running;
+        job_status* job = self.find_job(result.run.task.job);
+        if (job != nullptr && !is_final(job->state))
+            self.record_started(*job, now);
         return;
     }
     if (result.outcome == command_outcome::unanswered)
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -197,7 +197,6 @@
     status.last_run = run;
     ++step.occupied;
     step.waiting_since = boot_time();
-    record_started(job, now);
     metrics.add("hawthornbeam_starts_ordered_total", {{"queue", job.spec.queue.value()}});
     start_command command;
     command.worker = target.info.id;
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -39,6 +39,46 @@
     EXPECT_EQ(workers.cell.state(job_key("a")), job_state::done);
 }
 
+/// What becomes of the only start of a job, and whether the job then counts as waiting.
+class counted_start_test : public testing::TestWithParam<std::pair<delivery, bool>>
+{
+protected:
+    static std::uint64_t waiting(const fleet& workers)
+    {
+        return workers.cell.depths().at(0).waiting;
+    }
+};
+
+// Guards against a count of waiting jobs that leaves out those whose start was ordered
+// and has not happened.
+TEST_P(counted_start_test, job_waits_until_a_worker_shows_that_a_run_has_begun)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    EXPECT_EQ(waiting(workers), 1U);
+    workers.decide(GetParam().first);
+    EXPECT_EQ(waiting(workers), GetParam().second ? 1U : 0U);
+    EXPECT_EQ(workers.cell.state(job_key("a")),
+              GetParam().second ? job_state::queued : job_state::running);
+}
+
+INSTANTIATE_TEST_SUITE_P(deliveries, counted_start_test,
+                         testing::Values(std::pair(delivery::executed, false),
+                                         std::pair(delivery::answer_lost, true),
+                                         std::pair(delivery::lost, true),
+                                         std::pair(delivery::refused, true)));
+
+TEST(scheduler_test, listed_run_whose_start_was_not_answered_ends_the_wait_of_its_job)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1));
+    workers.decide(delivery::answer_lost);
+    workers.poll_all();
+    EXPECT_EQ(workers.cell.depths().at(0).waiting, 0U);
+}
+
 TEST(scheduler_test, step_starts_only_after_all_tasks_of_its_predecessor)
 {
     fleet workers(2);
