Bound probations in time, and compare settled failures and services alike

A probation now ends 4 s after its quarantine. - Failures that were settled against a worker were never compared with the others. Tasks that fail their first run anywhere and then succeed left sound workers out: 6.8 of 16 at a share of 30%. They now count only if the worker has clearly more of them than the others. - Lasting tasks may fail at any time and never succeed, so their workers looked worse than those of batch jobs: 31 quarantines of sound workers in 60 s. Their failures do not count any more; a restart still avoids the worker of the last one. - A gang that no worker can parse was ordered again every 50 ms, since its pause was that of a task (600 starts in 10 s). It pauses for 1 s.

--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -510,6 +510,8 @@
     if (result.outcome == command_outcome::no_room)
         worker.paused_until = std::max(worker.paused_until, now + limits.answer_limit);
     restart_gang(*job, task.step, result.run.run, now);
+    if (result.outcome == command_outcome::invalid)
+        step.not_before = now + invalid_start_pause;
 }
 
 void scheduler::observe(const advice_result& result, boot_time now)
--- a/lib/cell/outlier_detector.cpp
+++ b/lib/cell/outlier_detector.cpp
@@ -16,27 +16,20 @@
 constexpr std::size_t failures_to_quarantine = 3;
 /// The same for a worker in quarantine to stay there, and for one on probation.
 constexpr std::size_t failures_of_suspect = 2;
-/// Successes in a row that end a probation.
+/// Successes in a row that end a probation, and the longest time that it takes.
 constexpr std::size_t probation_successes = 3;
+constexpr duration probation_time = std::chrono::seconds(4);
 /// Successes in a row after which the next quarantine is shorter again.
 constexpr std::size_t successes_to_forgive = 8;
-/// An open failure counts if the failing share of the worker's runs is more than this
-/// many times that of the others.
-constexpr double open_failure_ratio = 2;
+/// Failures count if their share of the worker's runs is more than this many times that
+/// of the others.
+constexpr double failure_ratio = 2;
 /// Duration of the first quarantine, and limit of the doublings (16 s).
 constexpr duration first_quarantine = std::chrono::seconds(2);
 constexpr std::uint32_t max_doublings = 3;
 /// Number of failed tasks that are remembered; the oldest are dropped.
 constexpr std::size_t max_failed_tasks = 4096;
 
-template <class Value>
-void push_bounded(std::deque<Value>& window, const Value& value)
-{
-    window.push_back(value);
-    if (window.size() > end_window)
-        window.pop_front();
-}
-
 } // namespace
 
 outlier_detector::worker_record& outlier_detector::record_of(const worker_id& id,
@@ -45,9 +38,9 @@
     worker_record& worker = workers_[id];
     if (worker.quarantined_until != boot_time() && worker.quarantined_until <= now)
     {
+        worker.probation_until = worker.quarantined_until + probation_time;
         worker.quarantined_until = boot_time();
-        worker.on_probation = true;
-        worker.settled.clear();
+        clear_settled(worker);
         worker.open.clear();
         clear_recent(worker);
     }
@@ -80,6 +73,27 @@
     worker.failed_count = 0;
 }
 
+void outlier_detector::add_settled(worker_record& worker, const task_ref& task,
+                                   bool failed)
+{
+    worker.settled.push_back({task, failed});
+    ++settled_ends_;
+    settled_failures_ += failed ? 1U : 0U;
+    if (worker.settled.size() <= end_window)
+        return;
+    settled_failures_ -= worker.settled.front().failed ? 1U : 0U;
+    --settled_ends_;
+    worker.settled.pop_front();
+}
+
+void outlier_detector::clear_settled(worker_record& worker)
+{
+    settled_ends_ -= worker.settled.size();
+    settled_failures_ -= static_cast<std::size_t>(
+        std::ranges::count(worker.settled, true, &settled_end::failed));
+    worker.settled.clear();
+}
+
 void outlier_detector::settle(worker_record& worker, const task_ref& task)
 {
     std::erase_if(worker.open,
@@ -110,10 +124,21 @@
 bool outlier_detector::fails_more_than_others(const worker_record& worker) const
 {
     return static_cast<double>(worker.failed_count) >
-           open_failure_ratio * others_failing(worker) *
+           failure_ratio * others_failing(worker) *
                static_cast<double>(worker.failed.size());
 }
 
+bool outlier_detector::is_blamed_more_than_others(const worker_record& worker) const
+{
+    const std::size_t own = static_cast<std::size_t>(
+        std::ranges::count(worker.settled, true, &settled_end::failed));
+    const std::size_t others = settled_ends_ - worker.settled.size();
+    return others == 0 ||
+           static_cast<double>(own * others) >
+               failure_ratio *
+                   static_cast<double>((settled_failures_ - own) * worker.settled.size());
+}
+
 bool outlier_detector::failed_on_sound_worker(const std::set<worker_id>& failed_on,
                                               const worker_id& worker,
                                               boot_time now) const
@@ -124,13 +149,13 @@
                                    const auto other = workers_.find(id);
                                    return id != worker && other != workers_.end() &&
                                           other->second.quarantined_until <= now &&
-                                          !other->second.on_probation &&
+                                          other->second.probation_until <= now &&
                                           !fails_more_than_others(other->second);
                                });
 }
 
 outlier_detector::evidence outlier_detector::weigh(const worker_record& worker,
-                                                   bool with_open)
+                                                   bool with_open, bool with_settled)
 {
     // Open failures take the places of the oldest settled ends in the window.
     const std::size_t open = with_open ? worker.open.size() : 0;
@@ -139,7 +164,7 @@
     std::size_t failures = open;
     for (std::size_t each = worker.settled.size() - settled; each < worker.settled.size();
          ++each)
-        if (worker.settled[each].failed)
+        if (worker.settled[each].failed && with_settled)
         {
             ++failures;
             jobs.insert(worker.settled[each].task.job);
@@ -150,11 +175,12 @@
     return {settled + open, failures, jobs.size()};
 }
 
-bool outlier_detector::is_suspect(const worker_record& worker, bool is_quarantined) const
+bool outlier_detector::is_suspect(const worker_record& worker, boot_time now) const
 {
-    const evidence found =
-        weigh(worker, is_quarantined || fails_more_than_others(worker));
-    const std::size_t needed = is_quarantined || worker.on_probation
+    const bool is_quarantined = worker.quarantined_until > now;
+    const evidence found = weigh(worker, is_quarantined || fails_more_than_others(worker),
+                                 is_quarantined || is_blamed_more_than_others(worker));
+    const std::size_t needed = is_quarantined || worker.probation_until > now
                                    ? failures_of_suspect
                                    : failures_to_quarantine;
     // The window of a worker in quarantine may hold the runs of one wide job only.
@@ -174,7 +200,7 @@
 {
     worker_record& worker = record_of(id, now);
     const bool is_quarantined = worker.quarantined_until > now;
-    if (is_suspect(worker, is_quarantined) == is_quarantined)
+    if (is_suspect(worker, now) == is_quarantined)
         return;
     if (is_quarantined)
     {
@@ -188,7 +214,7 @@
         worker.quarantined_until =
             now + first_quarantine * (1U << std::min(worker.quarantines, max_doublings));
         ++worker.quarantines;
-        worker.on_probation = false;
+        worker.probation_until = boot_time();
         worker.successes = 0;
     }
     quarantine_change change;
@@ -209,10 +235,10 @@
     std::vector<quarantine_change> changes;
     worker_record& record = record_of(worker, now);
     add_recent(record, false);
-    push_bounded(record.settled, {task, false});
+    add_settled(record, task, false);
     ++record.successes;
     if (record.successes == probation_successes)
-        record.on_probation = false;
+        record.probation_until = boot_time();
     if (record.successes % successes_to_forgive == 0 && record.quarantines > 0 &&
         record.quarantined_until <= now)
         --record.quarantines;
@@ -226,7 +252,7 @@
             if (other == worker || blamed == workers_.end())
                 continue;
             settle(blamed->second, task);
-            push_bounded(blamed->second.settled, {task, true});
+            add_settled(blamed->second, task, true);
             judge(other, now, changes);
         }
         failed_tasks_.erase(failed);
@@ -246,7 +272,7 @@
     track(worker, task);
     const std::set<worker_id>& failed_on = failed_tasks_.at(task);
     if (!failed_on_sound_worker(failed_on, worker, now))
-        push_bounded(record.open, {task, record.last_end});
+        record.open.push_back({task, record.last_end});
     for (const worker_id& other : failed_on)
     {
         const auto cleared = workers_.find(other);
@@ -260,19 +286,22 @@
     return changes;
 }
 
-bool outlier_detector::is_on_probation(const worker_id& worker) const
+bool outlier_detector::is_on_probation(const worker_id& worker, boot_time now) const
 {
     const auto found = workers_.find(worker);
+    if (found == workers_.end())
+        return false;
     // The record of a quarantine that has ended is updated with the next end.
-    return found != workers_.end() &&
-           (found->second.on_probation || found->second.quarantined_until != boot_time());
+    const boot_time quarantined_until = found->second.quarantined_until;
+    return found->second.probation_until > now ||
+           (quarantined_until != boot_time() && quarantined_until + probation_time > now);
 }
 
-bool outlier_detector::has_failures(const worker_id& worker) const
+bool outlier_detector::has_failures(const worker_id& worker, boot_time now) const
 {
     const auto found = workers_.find(worker);
     return found != workers_.end() &&
-           (is_on_probation(worker) || !found->second.open.empty() ||
+           (is_on_probation(worker, now) || !found->second.open.empty() ||
             std::ranges::any_of(found->second.settled, &settled_end::failed));
 }
 
@@ -282,6 +311,7 @@
     if (found == workers_.end())
         return;
     clear_recent(found->second);
+    clear_settled(found->second);
     workers_.erase(found);
 }
 
--- a/lib/cell/outlier_detector.hpp
+++ b/lib/cell/outlier_detector.hpp
@@ -28,7 +28,8 @@
 /// worker when the task then succeeds on another one, and against the task when it fails
 /// on another one too that is not suspect. Until then it counts against the worker only
 /// if clearly more runs fail there than on the other workers. A worker with several
-/// failures of different jobs is quarantined, and then on probation until runs succeed.
+/// failures of different jobs, and clearly more than the others have, is quarantined, and
+/// then on probation for a while or until runs succeed.
 class outlier_detector
 {
 public:
@@ -38,11 +39,12 @@
     /// Records a run that has failed or made no progress.
     std::vector<quarantine_change> record_failure(const worker_id& worker,
                                                   const task_ref& task, boot_time now);
-    /// Returns whether a worker whose quarantine has ended has yet to show successes.
-    bool is_on_probation(const worker_id& worker) const;
+    /// Returns whether a worker whose quarantine has ended has yet to show successes. It
+    /// need not show them for ever, since it may get no runs.
+    bool is_on_probation(const worker_id& worker, boot_time now) const;
     /// Returns whether the worker is on probation or has failures among its latest runs
     /// that may be its own.
-    bool has_failures(const worker_id& worker) const;
+    bool has_failures(const worker_id& worker, boot_time now) const;
     /// Drops what is known of a worker that has left.
     void forget(const worker_id& worker);
     /// Sets the number of workers, of which at most half are in quarantine at a time.
@@ -71,7 +73,7 @@
         std::uint64_t last_end = 0;   ///< Number of the latest end.
         std::uint32_t quarantines = 0;
         boot_time quarantined_until{};
-        bool on_probation = false;
+        boot_time probation_until{};
         std::size_t successes = 0; ///< Since the latest quarantine or failure.
     };
 
@@ -93,13 +95,17 @@
     /// Returns whether clearly more of the worker's latest runs have failed than of those
     /// on the other workers.
     bool fails_more_than_others(const worker_record& worker) const;
+    /// The same for the failures that were settled as those of workers.
+    bool is_blamed_more_than_others(const worker_record& worker) const;
+    void add_settled(worker_record& worker, const task_ref& task, bool failed);
+    void clear_settled(worker_record& worker);
     /// Returns whether the task has failed on a worker other than \p worker that is not
     /// itself suspect.
     bool failed_on_sound_worker(const std::set<worker_id>& failed_on,
                                 const worker_id& worker, boot_time now) const;
-    /// Counts the latest settled ends of the worker and, \p with_open, its open failures.
-    static evidence weigh(const worker_record& worker, bool with_open);
-    bool is_suspect(const worker_record& worker, bool is_quarantined) const;
+    /// Counts the latest ends of the worker, and its open and settled failures.
+    static evidence weigh(const worker_record& worker, bool with_open, bool with_settled);
+    bool is_suspect(const worker_record& worker, boot_time now) const;
     /// Starts or lifts the quarantine of a known worker.
     void judge(const worker_id& id, boot_time now,
                std::vector<quarantine_change>& changes);
@@ -111,6 +117,8 @@
     std::deque<task_ref> tasks_by_age_; ///< Oldest first; bounds failed_tasks_.
     std::size_t recent_ends_ = 0;       ///< Sums over all workers.
     std::size_t recent_failures_ = 0;
+    std::size_t settled_ends_ = 0;
+    std::size_t settled_failures_ = 0;
     std::size_t worker_count_ = 0;
 };
 
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -67,7 +67,7 @@
         candidate.quarantined_until > now ||
         (candidate.quarantined_until != boot_time() &&
          (spec.gang || candidate.runs.size() >= max_runs_on_probation) &&
-         outliers.is_on_probation(info.id));
+         outliers.is_on_probation(info.id, now));
     return (is_left_out && !job.steps[step].uses_quarantined) ||
                    candidate.paused_until > now
                ? worker_barrier::quarantined
@@ -129,7 +129,7 @@
         if (failed_on.contains(id))
             score += failed_penalty;
         // A gang, and a task that has failed before, have attempts to lose.
-        if ((spec.gang || !failed_on.empty()) && outliers.has_failures(id))
+        if ((spec.gang || !failed_on.empty()) && outliers.has_failures(id, pass.now))
             score += failures_penalty;
         if (candidate.quarantined_until > pass.now)
             score += quarantined_penalty;
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -147,8 +147,16 @@
                                               boot_time now)
 {
     const task_ref unit = failing_unit(job, task);
+    std::set<worker_id>& failed_on = job.steps[unit.step].tasks[unit.index].failed_on;
+    if (job.spec.steps[unit.step].persistent)
+    {
+        // Such tasks may fail at any time, and never succeed.
+        if (failed)
+            failed_on = {worker};
+        return;
+    }
     if (failed)
-        job.steps[unit.step].tasks[unit.index].failed_on.insert(worker);
+        failed_on.insert(worker);
     outliers.set_workers(static_cast<std::size_t>(std::ranges::count_if(
         workers, [](const std::pair<const worker_id, worker_status>& entry)
         { return entry.second.has_entry; })));
--- a/unittests/cell/faulty_work_test.cpp
+++ b/unittests/cell/faulty_work_test.cpp
@@ -231,6 +231,45 @@
     }
 }
 
+// Guards against sound workers that are left out for the failures of a lasting task.
+TEST(quarantine_test, failures_of_lasting_tasks_do_not_count_against_workers)
+{
+    fleet workers(4);
+    workers.add_queue("q", 0, 5, 10, seconds(60));
+    for (const char* id : {"a", "b", "c"})
+    {
+        job_spec lasting = fleet::job(id, "q", 1, 1);
+        lasting.steps[0].persistent = true;
+        workers.submit(lasting);
+    }
+    for (int round = 0; round < 20; ++round)
+    {
+        workers.advance(tick);
+        EXPECT_EQ(workers.decide().starts.size(), 3U) << "round " << round;
+        workers.end_all(run_end::failed);
+        workers.poll_all();
+    }
+    EXPECT_EQ(workers.metrics.counter("hawthornbeam_quarantines_total", {}), 0);
+}
+
+// Guards against a gang that no worker can parse and that is ordered without a pause.
+TEST(quarantine_test, gang_that_no_worker_accepts_is_started_once_a_second)
+{
+    fleet workers(4);
+    workers.add_queue("q", 0, 5, 10, seconds(60));
+    job_spec gang = fleet::job("g", "q", 2, 1);
+    gang.steps[0].gang = true;
+    workers.submit(gang);
+    std::size_t starts = 0;
+    for (int round = 0; round < 30; ++round)
+    {
+        workers.advance(tick);
+        workers.poll_all();
+        starts += workers.decide(delivery::invalid).starts.size();
+    }
+    EXPECT_LE(starts, 6U);
+}
+
 // Guards against a task that never starts because all workers that could run it are
 // quarantined.
 TEST(quarantine_test, task_that_only_quarantined_workers_can_run_starts_in_time)
--- a/unittests/cell/outlier_detector_test.cpp
+++ b/unittests/cell/outlier_detector_test.cpp
@@ -103,6 +103,10 @@
         ends_case{"fails_a_wide_job_after_others",
                   "a:1- a:2- a:3- a:4- a:4.1- a:4.2- a:4.3- a:4.4- a:4.5- a:4.6- a:4.7-",
                   {"a"}},
+        ends_case{"tasks_fail_once_on_all_workers",
+                  "a:1- b:1+ b:2- c:2+ c:3- a:3+ a:4- b:4+ b:5- c:5+ c:6- a:6+ "
+                  "a:7- b:7+ b:8- c:8+ c:9- a:9+ a:10- b:10+",
+                  {}},
         ends_case{"failures_are_old",
                   "a:1- a:2- a:3+ a:4+ a:5+ a:6+ a:7+ a:8+ a:9+ a:10- a:11-",
                   {}},
@@ -143,6 +147,18 @@
     EXPECT_TRUE(ends.quarantined().empty());
 }
 
+// Guards against a worker that never gets rid of its probation since it gets no runs.
+TEST(quarantine_end_test, probation_ends_without_runs)
+{
+    outlier_detector detector;
+    const boot_time start{seconds(100)};
+    detector.set_workers(10);
+    for (const char* job : {"1", "2", "3"})
+        detector.record_failure(worker_id("a"), task_ref{job_key(job), 0, 0}, start);
+    EXPECT_TRUE(detector.is_on_probation(worker_id("a"), start + milliseconds(2100)));
+    EXPECT_FALSE(detector.is_on_probation(worker_id("a"), start + milliseconds(6100)));
+}
+
 // Guards against quarantines that stay long for ever after a few faults.
 TEST(quarantine_end_test, becomes_short_again_after_successful_runs)
 {
