Adopt runs that were listed before their job was known

Callers saw a task run twice at once after a change of the owner: a new owner started a task again while its run went on.

A poll may list a run of a job that the new owner has not read yet. The owner recorded such a run with the worker, but not with the task when it learned of the job, until the worker's next poll. A decision between the two placed the task on another worker: all expected workers had been polled, so inherited jobs were free to start.

Adding a job now records the listed runs with its tasks and gives them the size of their step.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -279,6 +279,11 @@
                            const worker_id& counted_on) const;
     /// Handles the end of a run that was listed before its job was known.
     void apply_early_end(const worker_id& worker, const ended_task& end);
+    /// Records the runs that were listed before the job was known.
+    void adopt_listed_runs(job_status& job);
+    /// Changes the capacity that a run uses on its worker.
+    static void resize_run(worker_status& worker, run_record& record,
+                           const resources& size);
     /// Records a listed run as the run of its task, or stops it when the task has a run
     /// on another worker.
     void adopt_run(worker_status& worker, run_record& record, job_status& job,
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -220,6 +220,7 @@
     ++self.open_job_count;
     self.set_due(inserted->second);
     self.open_ready_steps(inserted->second);
+    self.adopt_listed_runs(inserted->second);
     const auto early = self.early_ends.find(id);
     if (early == self.early_ends.end())
         return true;
@@ -230,6 +231,23 @@
     return true;
 }
 
+void scheduler::implementation::adopt_listed_runs(job_status& job)
+{
+    const task_ref first{job.spec.id, 0, 0};
+    for (auto& [id, worker] : workers)
+        for (auto run = worker.runs.lower_bound(first);
+             run != worker.runs.end() && run->first.job == job.spec.id; ++run)
+        {
+            auto& [task, record] = *run;
+            task_status* status = find_task(&job, task);
+            if (status == nullptr)
+                continue;
+            resize_run(worker, record, job.spec.steps[task.step].size);
+            status->last_run = std::max(status->last_run, record.run);
+            adopt_run(worker, record, job, task);
+        }
+}
+
 void scheduler::implementation::apply_early_end(const worker_id& worker,
                                                 const ended_task& end)
 {
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -281,9 +281,7 @@
     // as using the whole capacity of the worker.
     const resources size =
         status != nullptr ? job->spec.steps[task.step].size : worker.info.capacity;
-    worker.used -= record.size;
-    worker.used += size;
-    record.size = size;
+    resize_run(worker, record, size);
     record.run = listed.run.run;
     record.listed = true;
     if (record.phase == run_phase::starting)
@@ -316,6 +314,14 @@
     adopt_run(worker, record, *job, task);
 }
 
+void scheduler::implementation::resize_run(worker_status& worker, run_record& record,
+                                           const resources& size)
+{
+    worker.used -= record.size;
+    worker.used += size;
+    record.size = size;
+}
+
 void scheduler::implementation::adopt_run(worker_status& worker, run_record& record,
                                           job_status& job, const task_ref& task)
 {
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -203,6 +203,25 @@
     EXPECT_EQ(successor.take_changes().final_jobs.size(), 1U);
 }
 
+// A new owner may read a job after it has polled the worker that runs the job's tasks,
+// and decide before the next poll.
+TEST(scheduler_test, runs_listed_before_their_job_is_known_are_not_started_again)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    const job_spec spec = fleet::job("a", "q", 2, 1);
+    workers.submit(spec);
+    ASSERT_EQ(workers.decide().starts.size(), 2U);
+
+    scheduler successor{scheduler_limits(), workers.log, workers.metrics};
+    workers.hand_over_to(successor);
+    for (const char* worker : {"w0", "w1"})
+        successor.observe(workers.look(worker), workers.clock.now());
+    successor.add_job(spec, true, workers.clock.now());
+    EXPECT_TRUE(successor.decide(workers.clock.now()).starts.empty());
+    EXPECT_EQ(successor.state(spec.id), job_state::running);
+}
+
 // The former owner may have started an inherited task on any worker that it used.
 TEST(scheduler_test, inherited_tasks_wait_until_every_worker_was_polled)
 {
