Hold new jobs too until their cancels have been read

A receiver that has not learned of the new owner reports a cancel to the former one. The new owner then finds it only in the store, like the cancels of inherited jobs, but it held only inherited jobs until it had read the changes since its listing: jobs that were stored after its claim counted as new and started at once. On a link that takes seconds for these changes the later steps of such a job started long after its cancel.

Each job that is added from the listing on is held until the changes since the listing were read. Jobs known before a repeated listing are not held any more: their cancels are reported or followed as before.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -110,9 +110,10 @@
     /// Adds workers on which a former owner may have started runs. Tasks of inherited
     /// jobs wait until each of them was polled or any lease that it can have has expired.
     void expect_workers(const std::vector<worker_id>& workers, boot_time now);
-    /// While \p held is true, inherited jobs start no tasks, because their cancels may
-    /// not have been read yet.
-    void set_inherited_held(bool held);
+    /// Jobs that are added from now on start no tasks until release_added_jobs(), because
+    /// their cancels may not have been read yet.
+    void hold_added_jobs();
+    void release_added_jobs();
     /// Returns the workers that have an entry or may still have runs.
     std::vector<worker_info> workers() const;
     /// Allows starts on a worker. The store must already name the worker as used, so that
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -127,6 +127,7 @@
 {
     job_spec spec;
     bool inherited = false;
+    bool held = false;    ///< See hold_added_jobs().
     bool started = false; ///< A run has begun; an order alone does not show that.
     job_state state = job_state::queued;
     bool final_stored = false;
@@ -464,7 +465,7 @@
     std::set<step_key> open_steps; ///< Ready steps that may have waiting tasks.
     std::set<worker_id> unsettled; ///< Workers that may have unknown runs.
     boot_time expected_at{};       ///< When expect_workers() was called.
-    bool inherited_held = false;   ///< See set_inherited_held().
+    bool added_jobs_held = false;  ///< See hold_added_jobs().
     /// Ended runs whose job another instance stored and this owner has not read yet.
     std::map<job_key, std::vector<std::pair<worker_id, ended_task>>> early_ends;
     outlier_detector outliers;
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -205,6 +205,7 @@
         return false;
     job_status status;
     status.inherited = inherited;
+    status.held = self.added_jobs_held;
     status.submitted = submitted;
     for (const step_spec& step : job.steps)
     {
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -61,6 +61,10 @@
             handle_term(item);
         else if (item.key == queues_key)
             handle_queues(item);
+    // The pages of the listing are not one snapshot: a cancel may have been stored after
+    // its page was read. Jobs are held until the cancels since then are read, also new
+    // jobs: a cancel may have been reported to the former owner only.
+    cell.hold_added_jobs();
     for (const store_item& item : listing.items)
         handle_item(item, ends, cancels);
     for (const stored_end& end : ends)
@@ -80,9 +84,6 @@
     const bool first = !loaded;
     loaded = true;
     loading = false;
-    // The pages of the listing are not one snapshot: a cancel may have been stored after
-    // its page was read. Inherited jobs are held until the changes since then are read.
-    cell.set_inherited_held(true);
     follow();
     for (wire::accepted_job& accepted : std::exchange(early_jobs, {}))
         add_job(std::move(accepted.job), !accepted.is_new);
@@ -293,7 +294,7 @@
         for (const job_key& job : cancels)
             cancel(job, "change");
     }
-    cell.set_inherited_held(false);
+    cell.release_added_jobs();
     advance_position(answer.value());
     schedule_decision();
 }
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -145,7 +145,7 @@
     const step_status& status = job.steps[step];
     if (!queues.contains(job.spec.queue))
         return pending_reason::queue_unknown;
-    if (job.inherited && inherited_held)
+    if (job.held)
         return pending_reason::cancels_not_read;
     if (job.inherited && !unsettled.empty())
         return pending_reason::former_runs;
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -294,7 +294,7 @@
         // place_step() removes the keys of jobs that have ended.
         if (job == nullptr || is_final(job->state) ||
             (queues.contains(job->spec.queue) &&
-             !(job->inherited && (inherited_held || !unsettled.empty()))))
+             !job->held && !(job->inherited && !unsettled.empty())))
             startable.push_back(key);
         else
             job->steps[key.step].considered_at = now;
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -49,9 +49,17 @@
     }
 }
 
-void scheduler::set_inherited_held(bool held)
+void scheduler::hold_added_jobs()
 {
-    implementation_->inherited_held = held;
+    implementation_->added_jobs_held = true;
+}
+
+void scheduler::release_added_jobs()
+{
+    if (!std::exchange(implementation_->added_jobs_held, false))
+        return;
+    for (auto& [id, job] : implementation_->jobs)
+        job.held = false;
 }
 
 std::vector<worker_info> scheduler::workers() const
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -918,6 +918,28 @@
     EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
 }
 
+// The cancel of a new job may have been reported to the former owner only.
+TEST_F(owner_test, new_job_cancelled_while_the_jobs_were_read_does_not_start)
+{
+    state.put("cell/workers", encode(std::vector<worker_id>{worker_id("w")}), lease_id());
+    state.page_items = 1;
+    store.page_time = milliseconds(150);
+    configure();
+    cell->start();
+    // The key of the cancel sorts before the keys of the second page.
+    loop.advance(milliseconds(200));
+    ++state.revision;
+    state.put("cell/cancel/a", "", lease_id());
+    report("a", {}, {{fleet::job("a", "q", 1, 1), true}});
+    for (int step = 0; step < 300; ++step)
+    {
+        report("a", report_with(poll({latest_assignment(), 1})));
+        loop.advance(milliseconds(10));
+    }
+    EXPECT_TRUE(sent_starts().empty());
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
+}
+
 // On a slow link the answer to a read of many changes arrives after the default time-out.
 TEST_F(owner_test, changes_that_arrive_slowly_are_applied)
 {
