Store the owner itself among the instances of the cell

Callers saw a task run twice at once, and again after it had ended as done: a former owner and its successor both started it.

While the store does not answer an owner, its claim counts as confirmed when all known instances answer. A new owner learns them from the record of its predecessor, which listed the instances that the predecessor had heard, but not the predecessor. So the host that had lost the claim in an island was not waited for: it claimed the cell again and extended the lease of a worker that only it reached, while its successor, cut off from the store and confirmed by the others, counted that lease as ended and started the worker's tasks elsewhere.

The record now contains its writer too. The former owner then counts as silent like any other instance, until its host reports again.

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -107,7 +107,10 @@
 {
     bool changed = false;
     if (from == parts.self)
-        changed = evidence.remove_at(report.address);
+    {
+        changed = evidence.remove_at(report.address) || own_address != report.address;
+        own_address = report.address;
+    }
     else if (report.leaving)
         changed = evidence.remove_instance(from);
     else
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -189,6 +189,8 @@
         bool queues = false;
         bool instances = false;
     };
+    /// Returns the instances that a later owner has to hear, this one included.
+    std::vector<known_instance> instances_to_store() const;
     /// Writes the records of workers, queues and instances if they have changed.
     void write_records();
     void handle_records_conflict(const std::vector<store_item>& current);
@@ -209,6 +211,7 @@
     bool resigned = false;
     std::map<instance_id, agent_state> agents;
     claim_evidence evidence;
+    endpoint own_address;        ///< As in the last report of this instance.
     bool claim_confirmed = true; ///< As logged last.
     std::map<worker_id, worker_route> routes;
     std::uint64_t last_assignment = 0;
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -439,6 +439,14 @@
         writer.remove(batch.ends_key);
 }
 
+std::vector<known_instance> owner::implementation::instances_to_store() const
+{
+    std::vector<known_instance> listed = evidence.instances();
+    if (own_address != endpoint())
+        listed.push_back({parts.self, own_address});
+    return listed;
+}
+
 void owner::implementation::write_records()
 {
     if (writing_records || records_retry_due ||
@@ -466,7 +474,7 @@
     {
         change.expect.push_back({std::string(instances_key), instances_revision});
         change.puts.push_back(
-            {std::string(instances_key), encode(evidence.instances()), lease_id()});
+            {std::string(instances_key), encode(instances_to_store()), lease_id()});
     }
     written_records written;
     if (std::exchange(workers_changed, false))
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -6,6 +6,8 @@
 #include "lib/cell/stored_form.hpp"
 #include "memory_store.hpp"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace hawthornbeam::cell
@@ -261,6 +263,21 @@
     EXPECT_EQ(stored.value().size(), 2U);
 }
 
+// Guards against a next owner that counts leases as ended while this host, unheard, has
+// claimed the cell again and extends them.
+TEST_F(owner_test, instances_stored_for_the_next_owner_include_this_one)
+{
+    start();
+    report("self");
+    loop.advance(milliseconds(500));
+    const result<std::vector<known_instance>> stored =
+        decode_instances(state.items.at("cell/instances").value);
+    ASSERT_TRUE(stored);
+    EXPECT_TRUE(std::ranges::any_of(
+        stored.value(), [](const known_instance& each)
+        { return each.id == instance_id("self") && each.address == endpoint("self"); }));
+}
+
 // Guards against tasks that wait in an outage of the store although their runs would end
 // before a successor could start them.
 TEST_F(owner_test, starts_tasks_that_end_with_their_lease_before_a_successor_acts)
