--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -245,9 +245,6 @@
         is_planned ? plan->second.starts_at > now || status.yields_until > now
                    : renewed_slots < static_cast<std::int64_t>(waiting);
     const bool names_full_workers = !is_planned && (status.asked.empty() || spec.gang);
-    // A gang whose first request found too few workers asks about more each time.
-    const std::size_t min_added =
-        spec.gang ? std::max(min_asked, status.asked.size()) : min_asked;
     std::size_t added = 0;
     if (needs_more)
     {
@@ -256,7 +253,7 @@
             2.0 * (static_cast<double>(waiting) - static_cast<double>(renewed_slots));
         for (const auto& [negated_slots, tie_breaker, id] : unknown)
         {
-            if (added >= max_asked || (added >= min_added && expected >= needed) ||
+            if (added >= max_asked || (added >= min_asked && expected >= needed) ||
                 (negated_slots == 0 && !names_full_workers))
                 break;
             asked.push_back(id);
