Take every adopted run for the beginning of its job

Since a job counts as begun by evidence, runs that were listed before their job was known were adopted without it: a new owner showed the job as queued. The evidence is now recorded where a run is adopted.

--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -309,8 +309,6 @@
         record_started(*job, now);
         status->crashes.add_survival(now - record.command_sent_at);
     }
-    job->started = true;
-    job->state = job_state::running;
     adopt_run(worker, record, *job, task);
 }
 
@@ -338,6 +336,8 @@
     }
     status.run_worker = worker.info.id;
     ++job.steps[task.step].occupied;
+    job.started = true;
+    job.state = job_state::running;
 }
 
 void scheduler::implementation::handle_unlisted_runs(worker_status& worker,
