--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -293,8 +293,8 @@
         job_status* job = find_job(key.job);
         // place_step() removes the keys of jobs that have ended.
         if (job == nullptr || is_final(job->state) ||
-            (queues.contains(job->spec.queue) &&
-             !job->held && !(job->inherited && !unsettled.empty())))
+            (queues.contains(job->spec.queue) && !job->held &&
+             !(job->inherited && !unsettled.empty())))
             startable.push_back(key);
         else
             job->steps[key.step].considered_at = now;
