--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -223,6 +223,7 @@
 
 void owner::implementation::refuse_advice(const advice_command& command, boot_time now)
 {
+    parts.metrics.add("hawthornbeam_advice_requests_refused_total", {});
     advice_result refused;
     refused.job = command.job;
     refused.step = command.step;
