Show how long decisions take and how old the list of workers is

The three hypotheses of docs/incidents/late-decisions.md need it: the time that decisions take (hawthornbeam_decision_seconds, a line for each second in which they take a quarter of the time), the comparisons of steps with all workers that they make, and since when changes of the workers' entries may be missing (hawthornbeam_worker_list_age_seconds, a line when the list gets old and when it is current again). No decision depends on them.

A follower of a prefix knows the latter: what the store had accepted when a call was sent is contained in its answer, and a watch that has waited for its whole time without a change saw all that came meanwhile.

--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -23,6 +23,9 @@
     /// entries cannot be parsed are left out.
     virtual void start(std::function<void(const std::vector<worker_info>&)> changed) = 0;
     virtual void stop() = 0;
+    /// The list contains all changes that the platform had published by this time. Zero
+    /// before the first list.
+    virtual boot_time current_until() const = 0;
 };
 
 /// Dependencies and settings of an owner.
--- a/include/hawthornbeam/cell/prefix_follower.hpp
+++ b/include/hawthornbeam/cell/prefix_follower.hpp
@@ -40,6 +40,9 @@
     void start();
     /// Skips changes up to \p revision, which the caller already knows.
     void advance_to(kv_revision revision);
+    /// All changes that the store had accepted by this time have been reported. Zero
+    /// before the first listing.
+    boot_time reported_until() const;
 
 private:
     class implementation;
--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -144,6 +144,7 @@
     if (status.advice_requested_at)
         std::erase_if(status.asked, [&status](const worker_id& id)
                       { return !status.tickets.contains(id); });
+    ++pass.advice_comparisons;
     std::vector<worker_id> asked = workers_to_ask(job, key, pass);
     const bool may_request = status.may_request_at == pass.now;
     status.may_need_advice = !asked.empty() && !may_request;
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -24,6 +24,10 @@
 /// Lateness of a periodic decision that is logged, since the host cannot keep up. It is
 /// half of the time after which an agent counts as lost.
 constexpr duration late_decision_threshold = agent_timeout / 2;
+/// Share of the time that decisions may take, in percent, before it is logged.
+constexpr std::int64_t busy_threshold = 25;
+/// Age of the list of workers that is logged. Its source is asked about once a second.
+constexpr duration old_worker_list_threshold = std::chrono::milliseconds(1500);
 /// Bytes of starts in one message, well below the frame size of the inner protocol: a
 /// message that exceeds it is not sent.
 constexpr std::size_t max_start_bytes = std::size_t{256} << 10U;
@@ -269,8 +273,37 @@
     if (!loaded || stopping)
         return send_commands();
     const boot_time now = parts.loop.clock().now();
+    check_worker_list(now);
     if (!check_claim(now))
         return send_commands();
+    decide_now(now);
+    const boot_time end = parts.loop.clock().now();
+    parts.metrics.observe("hawthornbeam_decision_seconds", {}, end - now);
+    const std::optional<decision_load> load = pacer.record(now, end);
+    if (load && load->busy_percent() >= busy_threshold)
+        parts.log.info(
+            "owner", "decisions take long",
+            {{"busy_percent", load->busy_percent()},
+             {"decisions", std::uint64_t{load->decisions}},
+             {"longest_ms", std::int64_t{load->longest / std::chrono::milliseconds(1)}},
+             {"open_jobs", std::uint64_t{cell.open_jobs()}}});
+}
+
+void owner::implementation::check_worker_list(boot_time now)
+{
+    const duration age = now - parts.directory.current_until();
+    const bool is_old = age > old_worker_list_threshold;
+    if (is_old == std::exchange(worker_list_is_old, is_old))
+        return;
+    if (is_old)
+        parts.log.warning("owner", "list of workers is old",
+                          {{"age_ms", std::int64_t{age / std::chrono::milliseconds(1)}}});
+    else
+        parts.log.info("owner", "list of workers is current again", {});
+}
+
+void owner::implementation::decide_now(boot_time now)
+{
     cell.confirm_claim(confirmed_at());
     cell.set_advice_hosts(hosts_for_long_advice(now));
     decisions decided = cell.decide(now);
@@ -351,6 +384,9 @@
     parts.metrics.set_gauge("hawthornbeam_open_jobs", {},
                             static_cast<double>(cell.open_jobs()));
     parts.metrics.set_gauge("hawthornbeam_settled", {}, cell.is_settled() ? 1 : 0);
+    parts.metrics.set_gauge(
+        "hawthornbeam_worker_list_age_seconds", {},
+        std::chrono::duration<double>(now - parts.directory.current_until()).count());
     for (const queue_depth& depth : depths)
         parts.metrics.set_gauge("hawthornbeam_waiting_jobs",
                                 {{"queue", depth.queue.value()}},
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -5,6 +5,7 @@
 
 #include "change_writer.hpp"
 #include "claim_evidence.hpp"
+#include "decision_pacer.hpp"
 #include "hawthornbeam/cell/owner.hpp"
 #include "stored_form.hpp"
 
@@ -98,6 +99,10 @@
     void record_lateness();
     void schedule_decision();
     void decide();
+    /// Decides, without regard to the time it takes.
+    void decide_now(boot_time now);
+    /// Logs each change between a current list of workers and an old one.
+    void check_worker_list(boot_time now);
     report_receipt handle_report(const instance_id& from, wire::cell_report report);
     /// Adds a job, whether it was reported by an instance or read from the store, and
     /// applies a cancel that arrived before it.
@@ -246,7 +251,9 @@
     /// Revision and time of the first in the current series of answers without changes.
     std::optional<std::pair<kv_revision, boot_time>> unchanged_since;
 
-    boot_time last_decision_tick{}; ///< Last run of the decision timer.
+    decision_pacer pacer;
+    bool worker_list_is_old = false; ///< As logged last.
+    boot_time last_decision_tick{};  ///< Last run of the decision timer.
     bool decision_due = false;
     bool store_due = false;
     timer_handle early_decision_timer;
--- a/lib/cell/prefix_follower.cpp
+++ b/lib/cell/prefix_follower.cpp
@@ -26,10 +26,10 @@
     }
 
     void list();
-    void handle_listing(const result<store_listing>& answer);
+    void handle_listing(const result<store_listing>& answer, boot_time sent);
     void watch();
     void schedule_watch(duration pause);
-    void handle_changes(const result<store_changes>& answer);
+    void handle_changes(const result<store_changes>& answer, boot_time sent);
 
     event_loop& loop;
     cell_store& store;
@@ -37,21 +37,24 @@
     times intervals;
     events handlers;
     kv_revision position; ///< Revision after which the next watch continues.
+    boot_time reported_until{};
     timer_handle next_call;
 };
 
 void prefix_follower::implementation::list()
 {
     store.list(prefix,
-               [weak = weak_from_this()](const result<store_listing>& answer)
+               [weak = weak_from_this(),
+                sent = loop.clock().now()](const result<store_listing>& answer)
                {
                    const std::shared_ptr<implementation> self = weak.lock();
                    if (self)
-                       self->handle_listing(answer);
+                       self->handle_listing(answer, sent);
                });
 }
 
-void prefix_follower::implementation::handle_listing(const result<store_listing>& answer)
+void prefix_follower::implementation::handle_listing(const result<store_listing>& answer,
+                                                     boot_time sent)
 {
     if (!answer)
     {
@@ -59,6 +62,7 @@
         return;
     }
     position = answer.value().at;
+    reported_until = sent;
     handlers.listed(answer.value());
     schedule_watch(intervals.pause);
 }
@@ -66,11 +70,12 @@
 void prefix_follower::implementation::watch()
 {
     store.watch(prefix, position, watch_times{intervals.wait},
-                [weak = weak_from_this()](const result<store_changes>& answer)
+                [weak = weak_from_this(),
+                 sent = loop.clock().now()](const result<store_changes>& answer)
                 {
                     const std::shared_ptr<implementation> self = weak.lock();
                     if (self)
-                        self->handle_changes(answer);
+                        self->handle_changes(answer, sent);
                 });
 }
 
@@ -81,7 +86,8 @@
     next_call = loop.after(pause, [this] { watch(); });
 }
 
-void prefix_follower::implementation::handle_changes(const result<store_changes>& answer)
+void prefix_follower::implementation::handle_changes(const result<store_changes>& answer,
+                                                     boot_time sent)
 {
     if (!answer)
         return schedule_watch(retry_delay);
@@ -91,6 +97,12 @@
     // so an answer without changes does not advance the position.
     if (!answer.value().events.empty())
         position = std::max(position, answer.value().at);
+    // A watch that has waited for its whole time without a change saw all that came
+    // meanwhile.
+    const boot_time waited_until = sent + intervals.wait;
+    const bool has_waited =
+        answer.value().events.empty() && loop.clock().now() >= waited_until;
+    reported_until = has_waited ? waited_until : sent;
     handlers.changed(answer.value().events);
     schedule_watch(intervals.pause);
 }
@@ -114,4 +126,9 @@
     implementation_->position = std::max(implementation_->position, revision);
 }
 
+boot_time prefix_follower::reported_until() const
+{
+    return implementation_->reported_until;
+}
+
 } // namespace hawthornbeam::cell
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -25,13 +25,18 @@
 class manual_worker_directory final : public worker_directory
 {
 public:
+    explicit manual_worker_directory(const clock_source& source) : clock(source) {}
+
     void start(std::function<void(const std::vector<worker_info>&)> handler) override
     {
         changed_handler = std::move(handler);
         changed_handler(workers);
     }
     void stop() override { changed_handler = nullptr; }
+    boot_time current_until() const override { return frozen_at.value_or(clock.now()); }
 
+    const clock_source& clock;
+    std::optional<boot_time> frozen_at; ///< Set: no later changes arrive.
     std::vector<worker_info> workers;
     std::function<void(const std::vector<worker_info>&)> changed_handler;
 };
@@ -186,7 +191,7 @@
     memory_store_state state{loop};
     memory_store store{state};
     late_store observed{store};
-    manual_worker_directory directory;
+    manual_worker_directory directory{loop.clock()};
     std::vector<std::pair<endpoint, wire::cell_commands>> sent;
     std::vector<fence_token> superseding_tokens;
     std::optional<boot_time> store_confirmed_at; ///< Empty: at any time.
--- a/unittests/cell/prefix_follower_test.cpp
+++ b/unittests/cell/prefix_follower_test.cpp
@@ -111,6 +111,20 @@
     EXPECT_EQ(changes, (std::vector<std::string>{"1", "2"}));
 }
 
+TEST_F(prefix_follower_test, reports_until_when_no_change_can_be_missing)
+{
+    EXPECT_EQ(follower.reported_until(), boot_time());
+    follower.start();
+    loop.advance(seconds(5));
+    EXPECT_LE(loop.clock().now() - follower.reported_until(), milliseconds(1100));
+    store.condition = store_condition::refusing;
+    loop.advance(seconds(5));
+    EXPECT_GE(loop.clock().now() - follower.reported_until(), milliseconds(3900));
+    store.condition = store_condition::well;
+    loop.advance(seconds(2));
+    EXPECT_LE(loop.clock().now() - follower.reported_until(), milliseconds(1100));
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -713,9 +713,12 @@
 void simulated_directory::start(
     std::function<void(const std::vector<worker_info>&)> changed)
 {
-    poll_ =
-        instance_loop_.every(directory_update_period, [this, changed = std::move(changed)]
-                             { changed(workers_.entries()); });
+    poll_ = instance_loop_.every(directory_update_period,
+                                 [this, changed = std::move(changed)]
+                                 {
+                                     current_until_ = instance_loop_.clock().now();
+                                     changed(workers_.entries());
+                                 });
 }
 
 void simulated_directory::stop()
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -209,11 +209,13 @@
 
     void start(std::function<void(const std::vector<worker_info>&)> changed) override;
     void stop() override;
+    boot_time current_until() const override { return current_until_; }
 
 private:
     event_loop& instance_loop_;
     simulated_workers& workers_;
     timer_handle poll_;
+    boot_time current_until_{};
 };
 
 } // namespace hawthornbeam::cell
