Compare few waiting steps with all workers in one decision

Each comparison searched three trees by the worker's id and sorted all workers. With 300 to 600 jobs waiting a decision took 70 to 100 ms of an owner with half a core, and decisions 80 to 90 % of its time. Reports, the watch of the workers' entries, the configuration and the counts waited behind them.

A step that needs no advice is compared again after 100 ms, a refused request is made again after 50 ms, and a decision makes at most 32 comparisons; those that it leaves out follow in the next one, since the ones before them then have an open request or a pause. Both pauses are far below the answer times of slow advice. A comparison walks the sorted containers once.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Requests to the advice service.
 #include "cell_state.hpp"
+#include "sorted_walk.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -13,8 +14,8 @@
 
 /// Bounds for the number of workers without known advice in one request to the advice
 /// service.
-constexpr std::size_t min_asked = 8;
-constexpr std::size_t max_asked = 40;
+constexpr std::ptrdiff_t min_asked = 8;
+constexpr std::ptrdiff_t max_asked = 40;
 /// Fraction of the requested workers for which the advice service is assumed to issue a
 /// ticket.
 constexpr double expected_allowed_fraction = 0.35;
@@ -37,6 +38,11 @@
 /// Maximum number of the other steps of a queue that find out in one decision whether
 /// they need advice although they may not request it yet.
 constexpr std::size_t max_checked = 64;
+/// Maximum number of steps that one decision compares with all workers to find out
+/// whether they need advice. The others follow in the next decisions.
+constexpr std::size_t max_advice_comparisons = 32;
+/// A step that was found to need no advice is compared again after this time.
+constexpr duration advice_check_pause = std::chrono::milliseconds(100);
 /// The tickets of a planned gang are renewed so long before its start, and are valid for
 /// this long after it.
 constexpr duration renewal_lead = std::chrono::milliseconds(200);
@@ -133,6 +139,9 @@
         open_steps.erase(key);
         return;
     }
+    if (pass.now < status.advice_check_after ||
+        pass.advice_comparisons >= max_advice_comparisons)
+        return;
     request_advice(job, key, pass);
 }
 
@@ -150,7 +159,10 @@
     status.may_need_advice = !asked.empty() && !may_request;
     status.over_advice_limit = status.may_need_advice;
     if (asked.empty())
+    {
         status.advice_checked_at = pass.now;
+        status.advice_check_after = pass.now + advice_check_pause;
+    }
     else if (may_request)
         send_advice_request(key, std::move(asked), pass);
 }
@@ -164,8 +176,12 @@
     const step_status& status = job.steps[step];
     const step_spec& spec = job.spec.steps[step];
     const std::size_t waiting = waiting_tasks(status);
-    std::vector<std::tuple<std::int64_t, std::size_t, worker_id>> unknown;
-    std::vector<std::pair<std::int64_t, worker_id>> renewable;
+    const service_name& service = policy_of(job).service;
+    const auto plan = pass.plans.find({key.job, step});
+    const bool is_planned = plan != pass.plans.end();
+    const bool names_full_workers = !is_planned && (status.asked.empty() || spec.gang);
+    std::vector<std::tuple<std::int64_t, std::size_t, const worker_id*>> unknown;
+    std::vector<std::pair<std::int64_t, const worker_id*>> renewable;
     std::int64_t ticketed_slots = 0;
     // The tickets of a gang have to be valid together when the answer arrives.
     const boot_time answered_at =
@@ -179,37 +195,46 @@
     // Otherwise, steps that send requests at the same time would get tickets for the same
     // workers and wait for each other.
     const std::hash<std::string> hash_string;
+    sorted_walk<std::map<worker_id, permission>> permissions(status.tickets);
+    sorted_walk<std::set<worker_id>> asked_before(status.asked);
+    sorted_walk<std::map<worker_id, capacity_forecast>> forecasts(
+        status.passes_holds ? pass.forecasts_to_pass : pass.forecasts);
     for (const auto& [id, candidate] : workers)
     {
-        if (!can_run(candidate, job, step, now))
+        if (barrier_of(candidate, service, job, step, now) != worker_barrier::none)
+            continue;
+        const std::pair<const worker_id, permission>* permitted = permissions.find(id);
+        if (permitted == nullptr && asked_before.find(id) != nullptr)
             continue;
         const auto there = tasks_on_worker.find(id);
-        const std::int64_t free_slots =
-            places_now(candidate, job, step,
-                       there == tasks_on_worker.end() ? 0 : there->second, pass);
-        const auto permitted = status.tickets.find(id);
-        if (permitted == status.tickets.end())
+        const std::pair<const worker_id, capacity_forecast>* forecast =
+            forecasts.find(id);
+        const std::int64_t free_slots = places_now(
+            candidate, spec, there == tasks_on_worker.end() ? 0 : there->second,
+            forecast == nullptr ? nullptr : &forecast->second, now);
+        if (permitted == nullptr)
         {
-            if (!status.asked.contains(id))
+            if (free_slots > 0 || names_full_workers)
                 unknown.emplace_back(-free_slots,
-                                     hash_string(job.spec.id.value() + id.value()), id);
-        }
-        else
-        {
-            if (permitted->second.until > now)
-                ticketed_slots += free_slots;
-            if (permitted->second.until > answered_at)
-                lasting_slots += free_slots;
-            else if (free_slots > 0)
-                renewable.emplace_back(-free_slots, id);
+                                     hash_string(job.spec.id.value() + id.value()), &id);
+            continue;
         }
+        if (permitted->second.until > now)
+            ticketed_slots += free_slots;
+        if (permitted->second.until > answered_at)
+            lasting_slots += free_slots;
+        else if (free_slots > 0)
+            renewable.emplace_back(-free_slots, &id);
     }
     if (ticketed_slots >= static_cast<std::int64_t>(waiting))
         return {};
-    std::ranges::sort(unknown);
-    std::ranges::sort(renewable);
-    const auto plan = pass.plans.find({key.job, step});
-    const bool is_planned = plan != pass.plans.end();
+    std::ranges::partial_sort(unknown,
+                              std::next(unknown.begin(), std::ssize(unknown) > max_asked
+                                                             ? max_asked
+                                                             : std::ssize(unknown)));
+    std::ranges::sort(renewable, {},
+                      [](const std::pair<std::int64_t, const worker_id*>& each)
+                      { return std::pair(each.first, std::cref(*each.second)); });
     std::vector<worker_id> asked;
     std::int64_t renewed_slots = lasting_slots;
     const std::size_t renewal_limit =
@@ -223,9 +248,9 @@
         {
             if (spare == 0)
                 break;
-            if (plan->second.members.contains(id))
+            if (plan->second.members.contains(*id))
                 continue;
-            asked.push_back(id);
+            asked.push_back(*id);
             --spare;
         }
     }
@@ -235,7 +260,7 @@
             if (asked.size() >= renewal_limit ||
                 renewed_slots >= static_cast<std::int64_t>(2 * waiting))
                 break;
-            asked.push_back(id);
+            asked.push_back(*id);
             renewed_slots -= negated_slots;
         }
     // Request advice about more workers only when the waiting tasks do not fit on those
@@ -245,8 +270,7 @@
     const bool needs_more =
         is_planned ? plan->second.starts_at > now || status.yields_until > now
                    : renewed_slots < static_cast<std::int64_t>(waiting);
-    const bool names_full_workers = !is_planned && (status.asked.empty() || spec.gang);
-    std::size_t added = 0;
+    std::ptrdiff_t added = 0;
     if (needs_more)
     {
         double expected = 0;
@@ -254,10 +278,9 @@
             2.0 * (static_cast<double>(waiting) - static_cast<double>(renewed_slots));
         for (const auto& [negated_slots, tie_breaker, id] : unknown)
         {
-            if (added >= max_asked || (added >= min_asked && expected >= needed) ||
-                (negated_slots == 0 && !names_full_workers))
+            if (added >= max_asked || (added >= min_asked && expected >= needed))
                 break;
-            asked.push_back(id);
+            asked.push_back(*id);
             expected -= static_cast<double>(negated_slots) * expected_allowed_fraction;
             ++added;
         }
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -107,6 +107,8 @@
     bool may_need_advice = true;    ///< Was not found to need no advice.
     /// Last answer, or when the step last needed no advice.
     boot_time advice_checked_at{};
+    /// Before this, it does not find out again whether it needs advice.
+    boot_time advice_check_after{};
     /// Latest decision in which it may find out whether it needs advice, and may also
     /// request it.
     boot_time may_check_at{};
@@ -374,6 +376,10 @@
     /// advice, room and suspect tasks.
     worker_barrier barrier_of(const worker_status& candidate, const job_status& job,
                               std::uint32_t step, boot_time now) const;
+    /// The same for a queue whose workers are those of \p service.
+    worker_barrier barrier_of(const worker_status& candidate, const service_name& service,
+                              const job_status& job, std::uint32_t step,
+                              boot_time now) const;
     bool can_run(const worker_status& candidate, const job_status& job,
                  std::uint32_t step, boot_time now) const;
     /// Computes `due` and `value_lost_at`.
@@ -420,6 +426,10 @@
     static std::int64_t places_now(const worker_status& candidate, const job_status& job,
                                    std::uint32_t step, std::uint32_t tasks_there,
                                    const decision_pass& pass);
+    /// The same for a worker with this forecast, which is nullptr if no gang may use it.
+    static std::int64_t places_now(const worker_status& candidate, const step_spec& spec,
+                                   std::uint32_t tasks_there,
+                                   const capacity_forecast* forecast, boot_time now);
     /// Number of tasks of the step on each worker.
     static std::map<worker_id, std::uint32_t> count_tasks(const step_status& step);
     /// Returns the best worker for the task with this index in its step, or nullptr when
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -167,16 +167,25 @@
                                                    std::uint32_t tasks_there,
                                                    const decision_pass& pass)
 {
-    if (candidate.observed_until > pass.now)
-        return 0;
-    const step_spec& spec = job.spec.steps[step];
-    resources free_capacity = candidate.info.capacity - candidate.used;
     const std::map<worker_id, capacity_forecast>& forecasts =
         job.steps[step].passes_holds ? pass.forecasts_to_pass : pass.forecasts;
     const auto forecast = forecasts.find(candidate.info.id);
-    if (forecast != forecasts.end() && spec.estimate > duration::zero())
-        free_capacity =
-            forecast->second.least_free(pass.now + spec.estimate * backfill_margin);
+    return places_now(candidate, job.spec.steps[step], tasks_there,
+                      forecast == forecasts.end() ? nullptr : &forecast->second,
+                      pass.now);
+}
+
+std::int64_t scheduler::implementation::places_now(const worker_status& candidate,
+                                                   const step_spec& spec,
+                                                   std::uint32_t tasks_there,
+                                                   const capacity_forecast* forecast,
+                                                   boot_time now)
+{
+    if (candidate.observed_until > now)
+        return 0;
+    resources free_capacity = candidate.info.capacity - candidate.used;
+    if (forecast != nullptr && spec.estimate > duration::zero())
+        free_capacity = forecast->least_free(now + spec.estimate * backfill_margin);
     const std::int64_t fitting = tasks_that_fit(spec.size, free_capacity);
     if (spec.per_worker == 0)
         return fitting;
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -21,6 +21,8 @@
 constexpr duration unhealthy_pause = std::chrono::seconds(2);
 /// A task whose start the worker could not parse is started again after this time.
 constexpr duration invalid_start_pause = std::chrono::seconds(1);
+/// A request for advice that no host answered is made again after this time.
+constexpr duration refused_advice_pause = std::chrono::milliseconds(50);
 /// Maximum number of abandoned starts kept for a worker. More starts are abandoned only
 /// when the worker is unreachable, and then it gets no new ones.
 constexpr std::size_t max_abandoned = 256;
@@ -529,6 +531,7 @@
     step.advice_requested_at.reset();
     step.may_need_advice = true;
     step.advice_checked_at = now;
+    step.advice_check_after = result.answered ? boot_time() : now + refused_advice_pause;
     if (!result.answered)
     {
         for (const worker_id& id : result.asked)
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -50,10 +50,19 @@
                                                      const job_status& job,
                                                      std::uint32_t step,
                                                      boot_time now) const
+{
+    return barrier_of(candidate, policy_of(job).service, job, step, now);
+}
+
+worker_barrier scheduler::implementation::barrier_of(const worker_status& candidate,
+                                                     const service_name& service,
+                                                     const job_status& job,
+                                                     std::uint32_t step,
+                                                     boot_time now) const
 {
     const step_spec& spec = job.spec.steps[step];
     const worker_info& info = candidate.info;
-    if (!candidate.has_entry || info.service != policy_of(job).service ||
+    if (!candidate.has_entry || info.service != service ||
         !spec.size.fits_in(info.capacity) ||
         (!spec.label.empty() &&
          std::ranges::find(info.labels, spec.label) == info.labels.end()))
--- /dev/null
+++ b/unittests/cell/decision_cost_test.cpp
@@ -0,0 +1,110 @@
+/// \file
+/// Tests that the cost of a decision does not grow with the number of waiting steps.
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Why the steps of a cell wait.
+struct waiting_steps
+{
+    std::string name;
+    bool gang = false;
+    bool hosts_take_requests = true;
+    bool cell_is_full = false;
+};
+
+void PrintTo(const waiting_steps& value, std::ostream* out)
+{
+    *out << value.name;
+}
+
+class decision_cost_test : public testing::TestWithParam<waiting_steps>
+{
+protected:
+    decision_cost_test()
+    {
+        queue_policy busy;
+        busy.name = queue_name("busy");
+        busy.service = service_name("pool");
+        queue_policy advised = busy;
+        advised.name = queue_name("advised");
+        advised.advice = advice_policy{milliseconds(100), milliseconds(1), seconds(2)};
+        cell.cell.configure({busy, advised});
+        cell.cell.set_advice_hosts(hosts);
+    }
+
+    /// Decides and answers requests for advice, all of which permit no worker.
+    void decide()
+    {
+        cell.advance(milliseconds(20));
+        const decisions decided = cell.decide();
+        for (const advice_command& command : decided.advice)
+        {
+            advice_result answer;
+            answer.job = command.job;
+            answer.step = command.step;
+            answer.asked = command.workers;
+            answer.answered = GetParam().hosts_take_requests;
+            cell.cell.observe(answer, cell.clock.now());
+        }
+    }
+
+    double comparisons() const
+    {
+        return cell.metrics.counter("hawthornbeam_step_comparisons_total", {});
+    }
+
+    static constexpr std::size_t workers = 100;
+    static constexpr std::uint32_t hosts = 30;
+    static constexpr int jobs = 400;
+    static constexpr int decisions_counted = 50;
+    static constexpr double max_comparisons = jobs / 10.0;
+
+    fleet cell{workers};
+};
+
+TEST_P(decision_cost_test, waiting_steps_do_not_use_up_the_time_of_the_owner)
+{
+    if (GetParam().cell_is_full)
+    {
+        cell.submit(fleet::job("busy", "busy", workers, 8, seconds(1000)));
+        cell.decide();
+        cell.poll_all();
+    }
+    for (int number = 0; number < jobs; ++number)
+    {
+        job_spec spec = fleet::job("j" + std::to_string(number), "advised", 2, 8);
+        spec.steps[0].gang = GetParam().gang;
+        cell.submit(spec);
+    }
+    cell.poll_all();
+    decide();
+    const double before = comparisons();
+    for (int decision = 0; decision < decisions_counted; ++decision)
+        decide();
+    EXPECT_LE((comparisons() - before) / decisions_counted, max_comparisons);
+    EXPECT_GT(comparisons(), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds, decision_cost_test,
+    testing::Values(waiting_steps{"tasks_that_no_worker_may_run"},
+                    waiting_steps{"tasks_in_a_full_cell", false, true, true},
+                    waiting_steps{"tasks_whose_requests_no_host_takes", false, false},
+                    waiting_steps{"gangs_that_no_worker_may_run", true},
+                    waiting_steps{"gangs_in_a_full_cell", true, true, true},
+                    waiting_steps{"gangs_whose_requests_no_host_takes", true, false}),
+    [](const testing::TestParamInfo<waiting_steps>& each) { return each.param.name; });
+
+} // namespace
+
+} // namespace hawthornbeam::cell
