Leave an owner as much time for other work as its decisions take

Cause: a decision was due 10 ms after any input. All work of an owner shares one loop, so the share of a decision in its time had no bound: each report that waited asked for the next decision before the others were handled. Class: work that is triggered by input and not limited to a share.

Evidence: owner_test.slow_decisions_leave_time_for_other_work fails without the pause (decisions of 40 ms take 5.96 of 6.47 s) and passes with it; so do the three cases of decision_pause_test.

After a decision the next one begins no sooner than after the same time again, 200 ms at most, since a process that was suspended is not busy. Decisions that take 1 ms are due after 10 ms as before.

--- a/lib/cell/decision_pacer.cpp
+++ b/lib/cell/decision_pacer.cpp
@@ -10,6 +10,9 @@
 {
 
 constexpr duration report_period = std::chrono::milliseconds(1000);
+/// Longest time between two decisions. A decision may seem to take long because the
+/// process was suspended.
+constexpr duration max_pause = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -21,6 +24,7 @@
 std::optional<decision_load> decision_pacer::record(boot_time begin, boot_time end)
 {
     const duration took = end - begin;
+    not_before_ = end + std::min(took, max_pause);
     if (period_begin_ == boot_time())
         period_begin_ = begin;
     ++load_.decisions;
--- a/lib/cell/decision_pacer.hpp
+++ b/lib/cell/decision_pacer.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Measures how much of an owner's time its decisions take.
+/// Bounds how much of an owner's time its decisions take.
 #ifndef HAWTHORNBEAM_LIB_CELL_DECISION_PACER_HPP
 #define HAWTHORNBEAM_LIB_CELL_DECISION_PACER_HPP
 
@@ -24,15 +24,19 @@
 };
 
 /// All work of an owner shares one event loop: reports, changes of the store and calls of
-/// clients wait while it decides.
+/// clients wait while it decides. After a decision, as much time as it took is left for
+/// them.
 class decision_pacer
 {
 public:
     /// Records a decision. Returns the load of the period of a second that it ends, if it
     /// ends one.
     std::optional<decision_load> record(boot_time begin, boot_time end);
+    /// The next decision may begin at this time.
+    boot_time not_before() const { return not_before_; }
 
 private:
+    boot_time not_before_{};
     boot_time period_begin_{};
     decision_load load_;
 };
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -69,12 +69,15 @@
                 early_workers = listed;
         });
     last_decision_tick = parts.loop.clock().now();
-    decision_timer = parts.loop.every(decision_period,
-                                      [this]
-                                      {
-                                          record_lateness();
-                                          decide();
-                                      });
+    decision_timer =
+        parts.loop.every(decision_period,
+                         [this]
+                         {
+                             record_lateness();
+                             if (parts.loop.clock().now() < pacer.not_before())
+                                 return schedule_decision();
+                             decide();
+                         });
     broadcast_timer = parts.loop.every(broadcast_period, [this] { broadcast(); });
     load_timer = parts.loop.every(reload_period, [this] { follow(); });
     load();
@@ -97,7 +100,8 @@
     if (decision_due)
         return;
     decision_due = true;
-    early_decision_timer = parts.loop.after(decision_delay,
+    const duration pause = pacer.not_before() - parts.loop.clock().now();
+    early_decision_timer = parts.loop.after(std::max(decision_delay, pause),
                                             [this]
                                             {
                                                 decision_due = false;
--- a/unittests/cell/decision_pacer_test.cpp
+++ b/unittests/cell/decision_pacer_test.cpp
@@ -26,6 +26,40 @@
     EXPECT_NEAR(static_cast<double>(load->busy_percent()), 22, 2);
 }
 
+/// A decision and the pause that has to follow it.
+struct timed_decision
+{
+    const char* name;
+    milliseconds took;
+    milliseconds pause;
+};
+
+void PrintTo(const timed_decision& value, std::ostream* out)
+{
+    *out << value.name;
+}
+
+class decision_pause_test : public testing::TestWithParam<timed_decision>
+{
+};
+
+TEST_P(decision_pause_test, slow_decisions_leave_time_for_other_work)
+{
+    decision_pacer pacer;
+    EXPECT_LE(pacer.not_before(), start);
+    const boot_time end = start + GetParam().took;
+    pacer.record(start, end);
+    EXPECT_EQ(pacer.not_before() - end, GetParam().pause);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    decisions, decision_pause_test,
+    testing::Values(timed_decision{"instant", milliseconds(0), milliseconds(0)},
+                    timed_decision{"slow", milliseconds(80), milliseconds(80)},
+                    timed_decision{"suspended", milliseconds(5000), milliseconds(200)}),
+    [](const testing::TestParamInfo<timed_decision>& each)
+    { return std::string(each.param.name); });
+
 } // namespace
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -80,7 +80,12 @@
                         done(current_token);
                 },
                 [this](fence_token higher) { superseding_tokens.push_back(higher); },
-                [this] { return store_confirmed_at.value_or(loop.clock().now()); }},
+                [this]
+                {
+                    loop.skip(decision_delay);
+                    delayed += decision_delay;
+                    return store_confirmed_at.value_or(loop.clock().now());
+                }},
             fence_token(first_token));
     }
     void start()
@@ -196,6 +201,8 @@
     std::vector<fence_token> superseding_tokens;
     std::optional<boot_time> store_confirmed_at; ///< Empty: at any time.
     std::set<endpoint> silent_agents;            ///< Do not answer commands.
+    duration decision_delay{};                   ///< Time that a decision takes twice.
+    duration delayed{};                          ///< Time that decisions have taken.
     std::set<endpoint> unreachable_agents;       ///< Commands to them fail.
     fence_token current_token{first_token};
     std::unique_ptr<owner> cell = make_owner();
@@ -204,6 +211,22 @@
 // Guards against an owner in an island that goes on while another instance may have
 // claimed the cell.
 TEST_F(owner_test, starts_nothing_while_an_instance_may_have_claimed_the_cell)
+TEST_F(owner_test, slow_decisions_leave_time_for_other_work)
+{
+    start();
+    const boot_time begin = loop.clock().now();
+    for (int step = 0; step < 100; ++step)
+    {
+        report("a");
+        decision_delay = milliseconds(20);
+        loop.advance(milliseconds(10));
+        decision_delay = duration::zero();
+    }
+    const duration elapsed = loop.clock().now() - begin;
+    EXPECT_GT(delayed, duration::zero());
+    EXPECT_LE(delayed, elapsed * 6 / 10);
+}
+
 {
     start();
     report("b");
