Start nothing that a worker may begin after it has announced to leave

Cause: the owner ordered starts on its list of workers however old that was. The watch gave up after 1.4 s and began again 0.15 s later, for as long as it took, and a start may be executed 1.5 s after the decision; nothing added the three up. Class: an order that rests on a view whose age nobody bounds.

The follower of the entries knows until when its list is complete. A start now gets a deadline on the worker's clock that lies within the drain limit of that time, so that the worker itself refuses it later, whatever delays the order. With less than 250 ms left nothing starts, and steps wait with the reason worker_list_old. While the store answers neither this host nor any other, no entry can be stored, and starts go on as before.

--- a/include/hawthornbeam/cell/owner.hpp
+++ b/include/hawthornbeam/cell/owner.hpp
@@ -49,6 +49,8 @@
     std::function<void(fence_token)> superseded;
     /// Returns when the store last confirmed the claim; see claim::confirmed_at().
     std::function<boot_time()> confirmed_by_store;
+    /// Returns whether the store fails to answer this host.
+    std::function<bool()> store_is_failing;
 };
 
 /// Owner of a cell. When the instance renews its claim without another owner in between,
--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -21,6 +21,8 @@
     duration max_lease = std::chrono::seconds(6);
     /// A worker does not execute a start later than this after the decision.
     duration start_deadline = std::chrono::milliseconds(1500);
+    /// No worker starts a task later than this after its entry was stored as draining.
+    duration drain_limit = std::chrono::milliseconds(2000);
     /// A start or stop that got no answer for this long is followed by a stop, whose
     /// answer shows that the run can no longer begin.
     duration answer_limit = std::chrono::milliseconds(800);
@@ -138,6 +140,9 @@
     /// Records that no other instance owned the cell at this time. Later on another owner
     /// may have extended leases, so none counts as expired that had not ended by then.
     void confirm_claim(boot_time at);
+    /// update_worker() has been called for all entries that were stored by \p at. Starts
+    /// are executed only while no later entry can forbid them.
+    void confirm_workers(boot_time at);
 
     /// Decides on starts, stops and requests to the advice service.
     decisions decide(boot_time now);
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -198,6 +198,8 @@
 struct decision_pass
 {
     boot_time now{};
+    boot_time latest_start{}; ///< See latest_start() of the scheduler.
+    bool may_start = true;    ///< Starts have enough time to reach their workers.
     decisions out;
     /// Forecasts of the workers that waiting gangs may use, less the capacity held for
     /// the gangs that sort before the current step.
@@ -327,6 +329,8 @@
     /// allowance for starts in flight and clock drift.
     bool lease_has_ended(const worker_status& worker, boot_time at) const;
     void expire_workers(boot_time now);
+    /// Time after which a worker does not execute a start that is ordered now.
+    boot_time latest_start(boot_time now) const;
     /// Records that the worker cannot have a run that is unknown to this owner.
     void mark_settled(const worker_id& id, boot_time now);
     /// Sends stops without an answer again.
@@ -466,7 +470,8 @@
     scheduler_limits limits;
     const logger& log;
     metrics_registry& metrics;
-    boot_time claim_confirmed_at = boot_time::max(); ///< See confirm_claim().
+    boot_time claim_confirmed_at = boot_time::max();   ///< See confirm_claim().
+    boot_time workers_confirmed_at = boot_time::max(); ///< See confirm_workers().
     run_number former_runs; ///< Highest number that an earlier term can have used.
     std::map<queue_name, queue_policy> queues;
     /// Queues that are not configured any more, the first removed one first. Jobs that
--- a/lib/cell/node_ownership.cpp
+++ b/lib/cell/node_ownership.cpp
@@ -61,7 +61,8 @@
                         self->claim.superseded(higher_token);
                 });
         },
-        [this] { return claim.confirmed_at(); }};
+        [this] { return claim.confirmed_at(); },
+        [this] { return store.is_failing(); }};
     parts.metrics.add("hawthornbeam_takeovers_total", {});
     hand_over_not_before =
         std::max(hand_over_not_before, parts.loop.clock().now() + share_comparison_delay);
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -306,9 +306,18 @@
         parts.log.info("owner", "list of workers is current again", {});
 }
 
+boot_time owner::implementation::workers_confirmed_at(boot_time now) const
+{
+    // While the store answers nobody, it stores no entry.
+    const bool store_is_away =
+        parts.store_is_failing() && agents_with_store_access().empty();
+    return store_is_away ? now : parts.directory.current_until();
+}
+
 void owner::implementation::decide_now(boot_time now)
 {
     cell.confirm_claim(confirmed_at());
+    cell.confirm_workers(workers_confirmed_at(now));
     cell.set_advice_hosts(hosts_for_long_advice(now));
     decisions decided = cell.decide(now);
     for (start_command& command : decided.starts)
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -101,6 +101,8 @@
     void decide();
     /// Decides, without regard to the time it takes.
     void decide_now(boot_time now);
+    /// The list of workers contains all entries that were stored by this time.
+    boot_time workers_confirmed_at(boot_time now) const;
     /// Logs each change between a current list of workers and an old one.
     void check_worker_list(boot_time now);
     report_receipt handle_report(const instance_id& from, wire::cell_report report);
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -24,11 +24,12 @@
 const char* to_string(pending_reason reason)
 {
     static constexpr std::array<const char*, pending_reasons> names{
-        "queue_unknown", "cancels_not_read",   "former_runs",      "gang_restarts",
-        "step_limit",    "no_suitable_worker", "workers_away",     "workers_quarantined",
-        "advice_limit",  "advice_requested",   "not_admitted",     "tickets_expired",
-        "no_room",       "room_held",          "workers_observed", "task_spread",
-        "not_placed"};
+        "queue_unknown",      "cancels_not_read", "worker_list_old",
+        "former_runs",        "gang_restarts",    "step_limit",
+        "no_suitable_worker", "workers_away",     "workers_quarantined",
+        "advice_limit",       "advice_requested", "not_admitted",
+        "tickets_expired",    "no_room",          "room_held",
+        "workers_observed",   "task_spread",      "not_placed"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -147,6 +148,8 @@
         return pending_reason::queue_unknown;
     if (job.held)
         return pending_reason::cancels_not_read;
+    if (!pass.may_start)
+        return pending_reason::worker_list_old;
     if (job.inherited && !unsettled.empty())
         return pending_reason::former_runs;
     const bool is_gang = job.spec.steps[step].gang;
--- a/lib/cell/pending.hpp
+++ b/lib/cell/pending.hpp
@@ -32,6 +32,7 @@
 {
     queue_unknown,       ///< The owner does not know the queue of the job.
     cancels_not_read,    ///< A new owner has not read all cancels yet.
+    worker_list_old,     ///< Workers may be draining that this owner does not know of.
     former_runs,         ///< A former owner may have started the tasks.
     gang_restarts,       ///< The gang has lost a member; its other runs are ending.
     step_limit,          ///< More steps wait than one decision considers.
@@ -48,7 +49,7 @@
     task_spread,         ///< They run as many tasks of the step as they may.
     not_placed           ///< None of these: there is room for the task.
 };
-inline constexpr std::size_t pending_reasons = 17;
+inline constexpr std::size_t pending_reasons = 18;
 
 /// Returns the lower-case name.
 const char* to_string(pending_reason reason);
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -26,6 +26,8 @@
 /// A worker on probation gets no gangs and no start beside this many runs.
 constexpr std::size_t max_runs_on_probation = 3;
 constexpr duration quarantine_check_period = std::chrono::milliseconds(300);
+/// A start needs this time to reach its worker by way of an agent.
+constexpr duration min_start_time = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -212,7 +214,7 @@
     command.address = target.info.address;
     command.run = {task, run};
     command.payload = job.spec.payload;
-    const duration since = now - target.clock_at + limits.start_deadline;
+    const duration since = pass.latest_start - target.clock_at;
     command.deadline =
         worker_time(target.clock.value() +
                     std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
@@ -361,7 +363,8 @@
     // A waiting gang is planned also without tickets.
     const bool lacks_tickets =
         needs_ticket && !is_gang && status.tickets_until <= pass.now;
-    if (has_turn || (!lacks_tickets && is_within_limits(*job, key.step, pass)))
+    if (pass.may_start &&
+        (has_turn || (!lacks_tickets && is_within_limits(*job, key.step, pass))))
     {
         const std::size_t compared = pass.comparisons;
         place_waiting_tasks(*job, key, pass);
@@ -388,6 +391,8 @@
     self.update_lateness(now);
     decision_pass pass;
     pass.now = now;
+    pass.latest_start = self.latest_start(now);
+    pass.may_start = pass.latest_start - now >= min_start_time;
     self.take_turns(now);
     const std::vector<step_key> startable = self.find_startable(now);
     self.permit_requests(startable, now);
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -8,6 +8,15 @@
 namespace hawthornbeam::cell
 {
 
+namespace
+{
+
+/// Part of the drain limit that allows for the drift of a worker's clock and the lag of
+/// its reading.
+constexpr duration drain_margin = std::chrono::milliseconds(100);
+
+} // namespace
+
 void scheduler::update_worker(const worker_info& worker, boot_time now)
 {
     worker_status& status = implementation_->find_or_add_worker(worker.id, now);
@@ -101,6 +110,20 @@
     implementation_->claim_confirmed_at = at;
 }
 
+void scheduler::confirm_workers(boot_time at)
+{
+    implementation_->workers_confirmed_at = at;
+}
+
+boot_time scheduler::implementation::latest_start(boot_time now) const
+{
+    const boot_time by_deadline = now + limits.start_deadline;
+    if (workers_confirmed_at >= now)
+        return by_deadline;
+    return std::min(by_deadline,
+                    workers_confirmed_at + limits.drain_limit - drain_margin);
+}
+
 void scheduler::implementation::mark_settled(const worker_id& id, boot_time now)
 {
     if (unsettled.erase(id) == 0 || !unsettled.empty())
--- a/unittests/adapter/adapter_test.cpp
+++ b/unittests/adapter/adapter_test.cpp
@@ -31,6 +31,7 @@
 hold-max-ms = 10000
 kill-grace-ms = 900
 grace-s = 6
+drain-ms = 2000
 [platform]
 address = "10.200.1.7:8169"
 )";
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -51,11 +51,12 @@
     host(std::uint64_t seed, event_loop& simulation_loop,
          standins::memory_network& network, memory_store_state& store_state,
          simulated_workers& workers, std::size_t number, std::uint64_t incarnation,
-         bool is_small, const std::function<void(const std::string&)>& log_sink)
+         bool is_small, duration worker_list_period,
+         const std::function<void(const std::string&)>& log_sink)
         : id("h" + std::to_string(number) + "." + std::to_string(incarnation)),
           address("h" + std::to_string(number) + ":1"), loop(network.loop_of(id)),
           store(store_state, loop), port(simulation_loop, loop, workers, number),
-          directory(loop, workers),
+          directory(loop, workers, worker_list_period),
           peers(network.make_peers(id, wire::peer_address(address.value()))),
           random(seed * 1000 + number * 100 + incarnation),
           log(loop.clock(), id.value(), log_sink ? log_level::info : log_level::error,
@@ -144,9 +145,9 @@
     const std::uint64_t incarnation =
         hosts_[number] ? hosts_[number]->incarnation + 1 : 1;
     hosts_[number].reset();
-    hosts_[number] =
-        std::make_unique<host>(random_.next(), loop_, network_, store_, workers_, number,
-                               incarnation, is_small(number), log_sink_);
+    hosts_[number] = std::make_unique<host>(
+        random_.next(), loop_, network_, store_, workers_, number, incarnation,
+        is_small(number), shape_.worker_list_period, log_sink_);
     hosts_[number]->incarnation = incarnation;
     hosts_[number]->instance->configure({history_.queues.begin()->second});
     hosts_[number]->instance->start();
@@ -565,6 +566,20 @@
     return jobs.size();
 }
 
+void cell_simulation::schedule_drains(duration load_time)
+{
+    if (shape_.drain_period == duration::zero())
+        return;
+    for (duration at = shape_.drain_period; at < load_time; at += shape_.drain_period)
+        schedule(at,
+                 [this]
+                 {
+                     const std::vector<worker_id> all = workers_.ids();
+                     workers_.drain(all[random_.below(all.size())],
+                                    milliseconds(2500 + random_.below(4000)));
+                 });
+}
+
 void cell_simulation::schedule_resizes(duration load_time)
 {
     if (shape_.resize_period <= duration::zero())
@@ -611,6 +626,7 @@
                      submit(pending);
                  });
     schedule_resizes(load_time);
+    schedule_drains(load_time);
     loop_.advance(
         load_time + completion_time +
         (shape_.steps_per_long_step > 0 ? extra_completion_time : duration::zero()));
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -70,6 +70,10 @@
     std::uint64_t jobs_per_crashing_job = 0;
     /// Mean time between two changes of a worker's capacity; zero means no changes.
     duration resize_period{};
+    /// Time between two updates of the lists of workers that the instances have.
+    duration worker_list_period = std::chrono::milliseconds(250);
+    /// Mean time between two workers that begin to drain; zero means none does.
+    duration drain_period{};
     /// Maximum number of ends that a worker lists at a time.
     std::size_t max_listed_ends = 500;
     /// One in this many jobs, on average, has a task of which each run fails; 0 means no
@@ -145,6 +149,8 @@
                                  step_spec& step);
     /// Changes capacities of workers during the load, and restores them at its end.
     void schedule_resizes(duration load_time);
+    /// Lets workers drain during the load, without any failure.
+    void schedule_drains(duration load_time);
     void submit(const std::shared_ptr<pending_submission>& pending);
     void handle_answer(const std::shared_ptr<pending_submission>& pending,
                        verdict outcome);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 void expect_all_cell_rules_kept(const cell_simulation& simulation)
@@ -150,6 +151,24 @@
     play(cell_failure::host_unheard_beside_worker);
 }
 
+class late_worker_list_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(late_worker_list_test, draining_workers_get_no_late_starts)
+{
+    cell_shape shape;
+    shape.worker_list_period = milliseconds(3500);
+    shape.drain_period = milliseconds(2500);
+    shape.submit_period = milliseconds(300);
+    cell_simulation simulation(GetParam(), shape);
+    simulation.run(seconds(20), {});
+    expect_all_cell_rules_kept(simulation);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, late_worker_list_test,
+                         testing::Range(std::uint64_t{1}, std::uint64_t{9}));
+
 class unequal_hosts_test : public testing::TestWithParam<std::uint64_t>
 {
 };
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -85,7 +85,8 @@
                     loop.skip(decision_delay);
                     delayed += decision_delay;
                     return store_confirmed_at.value_or(loop.clock().now());
-                }},
+                },
+                [this] { return store_fails; }},
             fence_token(first_token));
     }
     void start()
@@ -102,6 +103,7 @@
         message.token = current_token;
         message.address = endpoint(agent);
         message.share = 250;
+        message.store_unanswered_ms = store_unanswered_ms;
         message.report = std::move(observed);
         message.accepted = std::move(accepted);
         cell->handle_report(instance_id(agent), std::move(message));
@@ -200,9 +202,11 @@
     std::vector<std::pair<endpoint, wire::cell_commands>> sent;
     std::vector<fence_token> superseding_tokens;
     std::optional<boot_time> store_confirmed_at; ///< Empty: at any time.
-    std::set<endpoint> silent_agents;            ///< Do not answer commands.
+    std::uint32_t store_unanswered_ms = 0;       ///< As agents report it.
+    bool store_fails = false;                    ///< The store does not answer this host.
     duration decision_delay{};                   ///< Time that a decision takes twice.
     duration delayed{};                          ///< Time that decisions have taken.
+    std::set<endpoint> silent_agents;            ///< Do not answer commands.
     std::set<endpoint> unreachable_agents;       ///< Commands to them fail.
     fence_token current_token{first_token};
     std::unique_ptr<owner> cell = make_owner();
@@ -210,7 +214,6 @@
 
 // Guards against an owner in an island that goes on while another instance may have
 // claimed the cell.
-TEST_F(owner_test, starts_nothing_while_an_instance_may_have_claimed_the_cell)
 TEST_F(owner_test, slow_decisions_leave_time_for_other_work)
 {
     start();
@@ -227,6 +230,7 @@
     EXPECT_LE(delayed, elapsed * 6 / 10);
 }
 
+TEST_F(owner_test, starts_nothing_while_an_instance_may_have_claimed_the_cell)
 {
     start();
     report("b");
@@ -250,6 +254,53 @@
     EXPECT_EQ(sent_starts().size(), 1U) << "all instances have answered";
 }
 
+/// What an owner can know about the workers after their list has stopped changing.
+struct old_list
+{
+    const char* name;
+    bool store_answers_owner;
+    bool store_answers_others;
+    std::size_t starts;
+};
+
+void PrintTo(const old_list& value, std::ostream* out)
+{
+    *out << value.name;
+}
+
+class old_worker_list_test : public owner_test,
+                             public testing::WithParamInterface<old_list>
+{
+};
+
+TEST_P(old_worker_list_test, workers_that_may_be_draining_get_no_starts)
+{
+    start();
+    report("a", report_with(poll({latest_assignment(), 1})));
+    directory.frozen_at = loop.clock().now();
+    store_fails = !GetParam().store_answers_owner;
+    store_unanswered_ms = GetParam().store_answers_others ? 0 : 2000;
+    for (int tenths = 0; tenths < 18; ++tenths)
+    {
+        report("a", report_with(poll({latest_assignment(), 2})));
+        loop.advance(milliseconds(100));
+    }
+    submit("late");
+    EXPECT_EQ(sent_starts().size(), GetParam().starts);
+    directory.frozen_at.reset();
+    report("a", report_with(poll({latest_assignment(), 3})));
+    loop.advance(milliseconds(200));
+    EXPECT_EQ(sent_starts().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    lists, old_worker_list_test,
+    testing::Values(old_list{"changes_are_handled_late", true, true, 0},
+                    old_list{"store_turns_the_owner_away", false, true, 0},
+                    old_list{"store_answers_nobody", false, false, 1}),
+    [](const testing::TestParamInfo<old_list>& each)
+    { return std::string(each.param.name); });
+
 // Guards against an owner that is confirmed by those instances alone which are cut off
 // with it.
 TEST_F(owner_test, instance_that_only_the_former_owner_has_heard_counts_as_silent)
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -720,4 +720,23 @@
     EXPECT_LE(workers.max_millicores(), 8000);
 }
 
+TEST(scheduler_test, no_start_is_executed_after_a_draining_worker_may_refuse_work)
+{
+    fleet cell(1);
+    cell.add_queue("q", 0);
+    cell.advance(milliseconds(1000));
+    cell.poll_all();
+    const scheduler_limits limits;
+    const boot_time now = cell.clock.now();
+    const worker_time worker_now = cell.look("w0").clock;
+    cell.cell.confirm_workers(now - milliseconds(1200));
+    cell.submit(fleet::job("j", "q", 1, 1));
+    const decisions decided = cell.decide();
+    ASSERT_EQ(decided.starts.size(), 1U);
+    const duration left =
+        milliseconds(decided.starts[0].deadline.value() - worker_now.value());
+    EXPECT_LE(left, limits.drain_limit - milliseconds(1200));
+    EXPECT_GE(left, milliseconds(250));
+}
+
 } // namespace hawthornbeam::cell
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -21,8 +21,6 @@
 constexpr double failure_probability = 0.05;
 /// Maximum delay of a command that is executed late.
 constexpr duration max_command_delay = std::chrono::milliseconds(8000);
-/// Period at which instances read the list of workers.
-constexpr duration directory_update_period = std::chrono::milliseconds(250);
 /// Time for which the entry of an ended worker stays listed: three heartbeats.
 constexpr duration entry_retention = std::chrono::milliseconds(4500);
 /// Time until the process of a worker that a task has crashed starts again.
@@ -713,7 +711,7 @@
 void simulated_directory::start(
     std::function<void(const std::vector<worker_info>&)> changed)
 {
-    poll_ = instance_loop_.every(directory_update_period,
+    poll_ = instance_loop_.every(period_,
                                  [this, changed = std::move(changed)]
                                  {
                                      current_until_ = instance_loop_.clock().now();
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -202,8 +202,10 @@
 class simulated_directory final : public worker_directory
 {
 public:
-    simulated_directory(event_loop& instance_loop, simulated_workers& workers)
-        : instance_loop_(instance_loop), workers_(workers)
+    /// Updates the list once in \p period.
+    simulated_directory(event_loop& instance_loop, simulated_workers& workers,
+                        duration period)
+        : instance_loop_(instance_loop), workers_(workers), period_(period)
     {
     }
 
@@ -214,6 +216,7 @@
 private:
     event_loop& instance_loop_;
     simulated_workers& workers_;
+    duration period_;
     timer_handle poll_;
     boot_time current_until_{};
 };
