Let steps that sort last be compared for advice too

Cause: with the limit on comparisons, a decision compared the first 32 steps by their order.

Evidence: decision_cost_test.steps_before_it_do_not_keep_a_step_from_asking_ for_advice fails without the change in six of six cases: a step of lower priority has not asked after 50 decisions.

24 comparisons go by order and 8 to steps that have their turn, which each open step gets about twice a second; a turn that finds these 8 used may still use one of the 24.

--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -38,9 +38,11 @@
 /// Maximum number of the other steps of a queue that find out in one decision whether
 /// they need advice although they may not request it yet.
 constexpr std::size_t max_checked = 64;
-/// Maximum number of steps that one decision compares with all workers to find out
-/// whether they need advice. The others follow in the next decisions.
-constexpr std::size_t max_advice_comparisons = 32;
+/// Maximum numbers of steps that one decision compares with all workers to find out
+/// whether they need advice: in their order, and besides those that have their turn, so
+/// that no step waits for all that sort before it. The others follow in later decisions.
+constexpr std::size_t max_ordered_comparisons = 24;
+constexpr std::size_t max_turn_comparisons = 8;
 /// A step that was found to need no advice is compared again after this time.
 constexpr duration advice_check_pause = std::chrono::milliseconds(100);
 /// The tickets of a planned gang are renewed so long before its start, and are valid for
@@ -139,8 +141,13 @@
         open_steps.erase(key);
         return;
     }
-    if (pass.now < status.advice_check_after ||
-        pass.advice_comparisons >= max_advice_comparisons)
+    if (pass.now < status.advice_check_after)
+        return;
+    if (status.turn_at == pass.now && pass.turn_comparisons < max_turn_comparisons)
+        ++pass.turn_comparisons;
+    else if (pass.ordered_comparisons < max_ordered_comparisons)
+        ++pass.ordered_comparisons;
+    else
         return;
     request_advice(job, key, pass);
 }
@@ -153,7 +160,6 @@
     if (status.advice_requested_at)
         std::erase_if(status.asked, [&status](const worker_id& id)
                       { return !status.tickets.contains(id); });
-    ++pass.advice_comparisons;
     std::vector<worker_id> asked = workers_to_ask(job, key, pass);
     const bool may_request = status.may_request_at == pass.now;
     status.may_need_advice = !asked.empty() && !may_request;
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -213,8 +213,10 @@
     std::map<std::pair<job_key, std::uint32_t>, gang_plan> plans;
     std::map<task_kind, rejected_sizes> rejected; ///< By all workers.
     std::size_t comparisons = 0; ///< How often a task was compared with all workers.
-    /// How often a step was compared with all workers to find out whom to ask about.
-    std::size_t advice_comparisons = 0;
+    /// Steps that were compared with all workers to find out whom to ask about: in their
+    /// order, and because they had their turn.
+    std::size_t ordered_comparisons = 0;
+    std::size_t turn_comparisons = 0;
     /// Number of steps that count against the limits, by need of advice and gang.
     std::map<std::pair<bool, bool>, std::size_t> considered;
 };
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -400,7 +400,8 @@
         self.place_step(key, pass);
     self.report_pending(pass);
     self.metrics.add("hawthornbeam_step_comparisons_total", {},
-                     static_cast<double>(pass.comparisons + pass.advice_comparisons));
+                     static_cast<double>(pass.comparisons + pass.ordered_comparisons +
+                                         pass.turn_comparisons));
     decisions& out = pass.out;
     out.stops = std::exchange(self.stops, {});
     for (const stop_command& stop : out.stops)
--- a/unittests/cell/decision_cost_test.cpp
+++ b/unittests/cell/decision_cost_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet.hpp"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace hawthornbeam::cell
 {
@@ -38,7 +39,10 @@
         queue_policy advised = busy;
         advised.name = queue_name("advised");
         advised.advice = advice_policy{milliseconds(100), milliseconds(1), seconds(2)};
-        cell.cell.configure({busy, advised});
+        queue_policy background = advised;
+        background.name = queue_name("background");
+        background.priority = 1;
+        cell.cell.configure({busy, advised, background});
         cell.cell.set_advice_hosts(hosts);
     }
 
@@ -54,10 +58,16 @@
             answer.step = command.step;
             answer.asked = command.workers;
             answer.answered = GetParam().hosts_take_requests;
+            jobs_asked_about.insert(command.job);
             cell.cell.observe(answer, cell.clock.now());
         }
     }
 
+    bool asked(const std::string& job) const
+    {
+        return jobs_asked_about.contains(job_key(job));
+    }
+
     double comparisons() const
     {
         return cell.metrics.counter("hawthornbeam_step_comparisons_total", {});
@@ -70,6 +80,7 @@
     static constexpr double max_comparisons = jobs / 10.0;
 
     fleet cell{workers};
+    std::set<job_key> jobs_asked_about;
 };
 
 TEST_P(decision_cost_test, waiting_steps_do_not_use_up_the_time_of_the_owner)
@@ -95,6 +106,21 @@
     EXPECT_GT(comparisons(), before);
 }
 
+TEST_P(decision_cost_test, steps_before_it_do_not_keep_a_step_from_asking_for_advice)
+{
+    for (int number = 0; number < jobs; ++number)
+    {
+        job_spec spec = fleet::job("j" + std::to_string(number), "advised", 2, 8);
+        spec.steps[0].gang = GetParam().gang;
+        cell.submit(spec);
+    }
+    cell.submit(fleet::job("last", "background", 2, 1));
+    cell.poll_all();
+    for (int decision = 0; decision < decisions_counted && !asked("last"); ++decision)
+        decide();
+    EXPECT_TRUE(asked("last"));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     kinds, decision_cost_test,
     testing::Values(waiting_steps{"tasks_that_no_worker_may_run"},
