--- a/lib/cell/advice.cpp
+++ b/lib/cell/advice.cpp
@@ -234,13 +234,11 @@
     }
     if (ticketed_slots >= static_cast<std::int64_t>(waiting))
         return {};
-    std::ranges::partial_sort(unknown,
-                              std::next(unknown.begin(), std::ssize(unknown) > max_asked
-                                                             ? max_asked
-                                                             : std::ssize(unknown)));
+    const std::ptrdiff_t named = std::min(max_asked, std::ssize(unknown));
+    std::ranges::partial_sort(unknown, std::next(unknown.begin(), named));
     std::ranges::sort(renewable, {},
                       [](const std::pair<std::int64_t, const worker_id*>& each)
-                      { return std::pair(each.first, std::cref(*each.second)); });
+                      { return std::tie(each.first, *each.second); });
     std::vector<worker_id> asked;
     std::int64_t renewed_slots = lasting_slots;
     const std::size_t renewal_limit =
