--- a/unittests/cell/sorted_walk_test.cpp
+++ b/unittests/cell/sorted_walk_test.cpp
@@ -55,7 +55,8 @@
     containers, sorted_walk_test,
     testing::Values(lookup_case{"empty", {}, {1, 2}, {}},
                     lookup_case{"all_present", {1, 2, 3}, {1, 2, 3}, {1, 2, 3}},
-                    lookup_case{"gaps_on_both_sides", {2, 5, 9}, {1, 2, 4, 9, 10}, {2, 9}},
+                    lookup_case{
+                        "gaps_on_both_sides", {2, 5, 9}, {1, 2, 4, 9, 10}, {2, 9}},
                     lookup_case{"equal_keys", {4}, {4, 4, 5}, {4, 4}}),
     [](const testing::TestParamInfo<lookup_case>& each)
     { return std::string(each.param.name); });
