--- a/unittests/cell/prefix_follower_test.cpp
+++ b/unittests/cell/prefix_follower_test.cpp
@@ -111,6 +111,18 @@
     EXPECT_EQ(changes, (std::vector<std::string>{"1", "2"}));
 }
 
+TEST_F(prefix_follower_test, changes_that_take_long_to_transfer_are_not_asked_for_forever)
+{
+    follower.start();
+    loop.advance(milliseconds(500));
+    state.page_items = 5;
+    store.page_time = milliseconds(500);
+    for (int number = 0; number < 20; ++number)
+        put("a/" + std::to_string(number), "new");
+    loop.advance(seconds(6));
+    EXPECT_EQ(values.size(), 20U);
+}
+
 TEST_F(prefix_follower_test, reports_until_when_no_change_can_be_missing)
 {
     EXPECT_EQ(follower.reported_until(), boot_time());
