Ask for counts of waiting jobs in the simulation, and check them

All hosts are asked every 0.3 s in every simulated history, without drawing from its random numbers, so that seeds give the same histories as before. An answer may not be less than half of the jobs that were accepted 5 s before and have not begun, unless a failure lasts or has just ended. The checker rejects the forged history waiting_jobs_left_out_of_a_count. late_commands_test lets all workers execute commands late without any other failure.

--- a/test/standins/cell_checker.cpp
+++ b/test/standins/cell_checker.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t max_starts_after_crashes = 2;
 /// `contact-ms` and one heartbeat: the time after which a reduced capacity counts.
 constexpr duration capacity_notice = std::chrono::milliseconds(4500);
+/// `visible_ms` and 2 s: a job that was accepted so long ago has to be counted as waiting
+/// until it begins.
+constexpr duration count_notice = std::chrono::milliseconds(5000);
 /// Longest time from the injection of a failure to its end. The history doesn't pair the
 /// two, so each disturbance counts as the start of a failure of this length.
 constexpr duration max_failure_duration = std::chrono::milliseconds(7000);
@@ -96,6 +99,7 @@
                 check_stopped_after_cancel(ref, each, history_.ended_at);
         check_refused_jobs();
         check_reported_states();
+        check_reported_counts();
         return std::move(broken_rules_);
     }
 
@@ -483,6 +487,54 @@
                 report("LOST", job, "accepted, but no query reported its end");
     }
 
+    /// A job waits from its acceptance until its first run starts. Cancelled and failed
+    /// jobs are left out.
+    void check_reported_counts()
+    {
+        std::map<job_key, boot_time> accepted;
+        std::map<job_key, boot_time> begun;
+        for (const caller_answer& each : history_.answers)
+            if (!each.cancel && each.outcome == cell::verdict::done)
+                accepted.emplace(each.job, each.at);
+        for (const run_event& each : history_.run_events)
+            if (each.type == run_event::kind::started)
+                begun.emplace(each.run.task.job, each.at);
+        for (const caller_answer& each : history_.answers)
+            if (each.cancel)
+                accepted.erase(each.job);
+        for (const reported_state& each : history_.reported_states)
+            if (each.found && is_final(each.state) && !begun.contains(each.job))
+                accepted.erase(each.job);
+        for (const reported_count& each : history_.reported_counts)
+        {
+            const std::ptrdiff_t waiting = std::ranges::count_if(
+                accepted,
+                [&](const std::pair<const job_key, boot_time>& job)
+                {
+                    const auto start = begun.find(job.first);
+                    return history_.submitted.at(job.first).queue == each.queue &&
+                           each.at - job.second > count_notice &&
+                           (start == begun.end() || start->second > each.at);
+                });
+            if (2 * each.waiting < static_cast<std::uint64_t>(waiting) &&
+                !is_failing(each.at))
+                broken_rules_.push_back(
+                    {"MIXED", fmt::format("{} jobs of {} are said to wait, {} do",
+                                          each.waiting, each.queue.value(), waiting)});
+        }
+    }
+
+    /// Returns whether a failure lasted at that time or shortly before it.
+    bool is_failing(boot_time at) const
+    {
+        const std::function<bool(boot_time)> is_near = [at](boot_time each)
+        { return each <= at && at - each < undisturbed_time; };
+        return std::ranges::any_of(disturbances_, is_near) ||
+               std::ranges::any_of(
+                   history_.failures, [at](const std::pair<boot_time, boot_time>& each)
+                   { return each.first <= at && at - each.second < undisturbed_time; });
+    }
+
     void check_reported_state(const reported_state& each, const job_spec& spec)
     {
         if (!each.found)
--- a/test/standins/cell_checker.hpp
+++ b/test/standins/cell_checker.hpp
@@ -52,6 +52,14 @@
     cell::job_state state = cell::job_state::queued;
 };
 
+/// A host's answer to the question how many jobs of a queue wait.
+struct reported_count
+{
+    boot_time at{};
+    cell::queue_name queue;
+    std::uint64_t waiting = 0;
+};
+
 /// One incarnation of a worker, as described by its entry.
 struct worker_record
 {
@@ -78,6 +86,7 @@
     std::set<cell::task_ref> failing_tasks; ///< Tasks of which each run fails.
     std::vector<caller_answer> answers;
     std::vector<reported_state> reported_states;
+    std::vector<reported_count> reported_counts;
     /// Times at which a failure was injected or ended. Rules with a time bound don't
     /// apply shortly after them.
     std::vector<boot_time> disturbances;
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -24,6 +24,8 @@
 /// A caller's time-out for one attempt, and the number of its attempts.
 constexpr duration caller_timeout = seconds(3);
 constexpr int max_attempts = 6;
+/// Time between two questions to all hosts how many jobs wait.
+constexpr duration count_query_period = milliseconds(300);
 /// Time in which all jobs end after the load: it covers the longest lease, a takeover,
 /// and the work of a full cell.
 constexpr duration completion_time = seconds(45);
@@ -557,6 +559,19 @@
         query(job);
 }
 
+void cell_simulation::query_counts()
+{
+    for (const auto& [name, policy] : history_.queues)
+        for (const std::unique_ptr<host>& each : hosts_)
+        {
+            if (!each->up || each->loop.is_paused())
+                continue;
+            const std::optional<std::uint64_t> waiting = each->instance->waiting(name);
+            if (waiting)
+                history_.reported_counts.push_back({loop_.clock().now(), name, *waiting});
+        }
+}
+
 std::size_t cell_simulation::accepted() const
 {
     std::set<job_key> jobs;
@@ -627,6 +642,11 @@
                  });
     schedule_resizes(load_time);
     schedule_drains(load_time);
+    for (duration at{}; at < load_time + completion_time; at += count_query_period)
+        schedule(at, [this] { query_counts(); });
+    if (shape_.has_late_commands)
+        for (const worker_id& each : workers_.ids())
+            workers_.delay_commands(each, loop_.clock().now() + load_time / 2);
     loop_.advance(
         load_time + completion_time +
         (shape_.steps_per_long_step > 0 ? extra_completion_time : duration::zero()));
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -74,6 +74,8 @@
     duration worker_list_period = std::chrono::milliseconds(250);
     /// Mean time between two workers that begin to drain; zero means none does.
     duration drain_period{};
+    /// Whether all workers execute commands late during the first half of the load.
+    bool has_late_commands = false;
     /// Maximum number of ends that a worker lists at a time.
     std::size_t max_listed_ends = 500;
     /// One in this many jobs, on average, has a task of which each run fails; 0 means no
@@ -157,6 +159,8 @@
     void cancel(const job_key& job);
     void query(const job_key& job);
     void query_unended_jobs();
+    /// Asks each host how many jobs wait.
+    void query_counts();
     void record_disturbance();
     /// Runs \p action after \p delay; the simulation owns the timer.
     void schedule(duration delay, std::function<void()> action);
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -166,6 +166,22 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+class late_commands_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(late_commands_test, jobs_whose_starts_come_late_are_counted_as_waiting)
+{
+    cell_shape shape;
+    shape.has_late_commands = true;
+    cell_simulation simulation(GetParam(), shape);
+    simulation.run(seconds(24), {});
+    expect_all_cell_rules_kept(simulation);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, late_commands_test,
+                         testing::Range(std::uint64_t{1}, std::uint64_t{9}));
+
 INSTANTIATE_TEST_SUITE_P(seeds, late_worker_list_test,
                          testing::Range(std::uint64_t{1}, std::uint64_t{9}));
 
--- a/unittests/standins/cell_checker_test.cpp
+++ b/unittests/standins/cell_checker_test.cpp
@@ -305,6 +305,15 @@
              history.reported_states.begin(),
              {at(1), job_key("forged"), true, job_state::queued});
      }},
+    {"waiting_jobs_left_out_of_a_count", "MIXED",
+     [](cell_history& history)
+     {
+         for (run_event& each : history.run_events)
+             each.at += seconds(8);
+         history.reported_states.back().at += seconds(8);
+         history.reported_states.erase(std::next(history.reported_states.begin()));
+         history.reported_counts = {{at(6000), queue_name("q"), 0}};
+     }},
     {"accepted_job_reported_unknown", "LOST",
      [](cell_history& history) { history.reported_states[0].found = false; }},
     {"accepted_job_never_ended", "LOST",
