Take the longer transfer times of watches back

What callers would have seen: CONFIG, a 404 of an older configuration 2.9 s after the newer one was acknowledged.

Cause: the configuration is followed by the same code as the workers. A watch that begins while the store is silent has no answer to wait for, but its time had grown to 2.8 s, and nothing else asked until that had passed. A long transfer and a silent store look the same to the follower.

--- a/lib/cell/prefix_follower.cpp
+++ b/lib/cell/prefix_follower.cpp
@@ -12,8 +12,6 @@
 
 /// Delay after a failed call; short, since the store often answers again within a second.
 constexpr duration retry_delay = std::chrono::milliseconds(150);
-/// Upper limit for the transfer timeout of a watch.
-constexpr duration max_transfer = std::chrono::milliseconds(2800);
 
 } // namespace
 
@@ -42,7 +40,6 @@
     events handlers;
     kv_revision position; ///< Revision after which the next watch continues.
     boot_time reported_until{};
-    duration transfer = watch_times().transfer; ///< Transfer timeout of the next watch.
     timer_handle next_call;
 };
 
@@ -74,7 +71,7 @@
 
 void prefix_follower::implementation::watch()
 {
-    store.watch(prefix, position, watch_times{intervals.wait, transfer},
+    store.watch(prefix, position, watch_times{intervals.wait},
                 [weak = weak_from_this(),
                  sent = loop.clock().now()](const result<store_changes>& answer)
                 {
@@ -95,12 +92,7 @@
                                                      boot_time sent)
 {
     if (!answer)
-    {
-        // The next answer contains all changes since the last one received.
-        transfer = std::min(2 * transfer, max_transfer);
         return schedule_watch(retry_delay);
-    }
-    transfer = watch_times().transfer;
     if (answer.value().history_lost)
         return list();
     // The store may end a waiting watch early and omit changes that occurred meanwhile,
