--- a/lib/cell/decision_pacer.cpp
+++ b/lib/cell/decision_pacer.cpp
@@ -10,8 +10,8 @@
 {
 
 constexpr duration report_period = std::chrono::milliseconds(1000);
-/// Longest time between two decisions. A decision may seem to take long because the
-/// process was suspended.
+/// Longest pause after a decision. One that seems to take longer may have been suspended
+/// with its process.
 constexpr duration max_pause = std::chrono::milliseconds(200);
 
 } // namespace
