Log which incarnation answers, and what ends a silent lease

New lines: another incarnation answered, lease ended, ends missing; the line worker restarted has the incarnations and the silence. New counters: hawthornbeam_ends_missing_total and hawthornbeam_worker_restarts_total. No decision changes.

Run: the log schema, agent, scheduler and restart tests of package cell pass.

--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -70,7 +70,10 @@
     void acknowledge(const acknowledge_command& command);
     void poll(const worker_id& id);
     void schedule_poll(const worker_id& id, duration delay);
-    void handle_poll(const worker_id& id, end_number acknowledged, poll_answer answer);
+    void handle_poll(const worker_id& id, const poll_call& call, poll_answer answer);
+    /// Logs that another incarnation has answered than the one that the call was for.
+    void log_other_incarnation(const assigned_worker& worker, const poll_call& call,
+                               const poll_result& poll) const;
     void start(const start_command& command);
     void stop_run(const stop_command& command);
     void request_advice(const advice_command& command);
@@ -170,17 +173,32 @@
     const event_position sent_position{worker.assignment, event_count};
     port.poll(call,
               [weak = weak_from_this(), id, sent_position, command_token = token,
-               acknowledged = call.acknowledged](poll_answer answer)
+               call](poll_answer answer)
               {
                   const std::shared_ptr<implementation> self = weak.lock();
                   if (!self || self->token != command_token)
                       return;
                   answer.poll.sent_position = sent_position;
-                  self->handle_poll(id, acknowledged, std::move(answer));
+                  self->handle_poll(id, call, std::move(answer));
               });
 }
 
-void agent::implementation::handle_poll(const worker_id& id, end_number acknowledged,
+void agent::implementation::log_other_incarnation(const assigned_worker& worker,
+                                                  const poll_call& call,
+                                                  const poll_result& poll) const
+{
+    const std::int64_t lease_ms =
+        call.lease_until ? call.lease_until->value() - poll.clock.value() : 0;
+    log.info("agent", "another incarnation answered",
+             {{"worker", call.worker.value()},
+              {"incarnation", poll.incarnation.value()},
+              {"expected", worker.incarnation.value()},
+              {"clock_ms", poll.clock.value()},
+              {"lease_ms", lease_ms},
+              {"acknowledged", call.acknowledged.value()}});
+}
+
+void agent::implementation::handle_poll(const worker_id& id, const poll_call& call,
                                         poll_answer answer)
 {
     const auto found = workers.find(id);
@@ -225,13 +243,15 @@
     poll.worker = id;
     if (poll.incarnation != worker.incarnation)
     {
+        if (worker.clock_read_at != boot_time())
+            log_other_incarnation(worker, call, poll);
         worker.incarnation = poll.incarnation;
         worker.last_acknowledged = end_number();
         worker.last_dropped = end_number();
         worker.last_listed = end_number();
     }
     else
-        worker.last_dropped = std::max(worker.last_dropped, acknowledged);
+        worker.last_dropped = std::max(worker.last_dropped, call.acknowledged);
     const bool first = worker.clock_read_at == boot_time();
     worker.clock = poll.clock;
     worker.clock_read_at = loop.clock().now();
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -169,10 +169,11 @@
     worker_incarnation incarnation;
     worker_time clock; ///< Value read at or before clock_at.
     boot_time clock_at{};
-    boot_time contact_at{};    ///< Last poll; before the first one, when it was added.
-    bool ends_complete = true; ///< Whether the last poll listed all ends.
-    end_number processed;      ///< Last ended run that was handled.
-    end_number covered;        ///< Last ended run that was passed on for storing.
+    boot_time contact_at{};      ///< Last poll; before the first one, when it was added.
+    boot_time answering_since{}; ///< First poll of this incarnation by this owner.
+    bool ends_complete = true;   ///< Whether the last poll listed all ends.
+    end_number processed;        ///< Last ended run that was handled.
+    end_number covered;          ///< Last ended run that was passed on for storing.
     std::map<task_ref, run_record> runs;
     std::deque<abandoned_start> abandoned; ///< Of this incarnation, oldest first.
     resources used;
@@ -270,6 +271,9 @@
     /// Gives up the runs of a worker whose longest lease has expired. If its address
     /// refused connections since the last answer, it has probably crashed.
     void expire_runs(worker_status& worker, boot_time now);
+    /// Logs and counts the ends between the last one that was handled and \p listed: the
+    /// worker has dropped them although this owner has not handled them.
+    void report_missing_ends(const worker_status& worker, end_number listed) const;
     void request_stop(const worker_id& worker, const task_ref& task);
     /// Stops a run whose start got no answer, also if the former incarnation was told to.
     void stop_uncertain_start(worker_status& worker, const task_ref& task, boot_time now);
--- a/lib/cell/incarnations.cpp
+++ b/lib/cell/incarnations.cpp
@@ -51,9 +51,17 @@
     for (const auto& [task, record] : worker.runs)
         if (judge_run(record, evidence) == run_fate::lost)
             lost.push_back(task);
-    if (!lost.empty())
-        give_up_runs(worker, lost, worker.refused_since != boot_time(), "lease ended",
-                     now);
+    if (lost.empty())
+        return;
+    log.info("cell", "lease ended",
+             {{"worker", worker.info.id.value()},
+              {"incarnation", worker.incarnation.value()},
+              {"runs", std::uint64_t{lost.size()}},
+              {"silent_ms",
+               std::int64_t{(now - worker.contact_at) / std::chrono::milliseconds(1)}},
+              {"known_ms", std::int64_t{(worker.contact_at - worker.answering_since) /
+                                        std::chrono::milliseconds(1)}}});
+    give_up_runs(worker, lost, worker.refused_since != boot_time(), "lease ended", now);
 }
 
 void scheduler::implementation::end_incarnation(
@@ -104,7 +112,12 @@
     {
         log.warning("cell", "worker restarted",
                     {{"worker", poll.worker.value()},
+                     {"incarnation", poll.incarnation.value()},
+                     {"former", worker.incarnation.value()},
+                     {"silent_ms", std::int64_t{(now - worker.contact_at) /
+                                                std::chrono::milliseconds(1)}},
                      {"runs", std::uint64_t{worker.runs.size()}}});
+        metrics.add("hawthornbeam_worker_restarts_total", {});
         run_evidence evidence;
         evidence.kind = evidence_kind::other_incarnation;
         evidence.sent_position = poll.sent_position;
@@ -128,6 +141,7 @@
         }
     }
     worker.incarnation = poll.incarnation;
+    worker.answering_since = now;
     worker.processed = end_number();
     worker.covered = end_number();
 }
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -206,6 +206,18 @@
         count_end(worker, *job, end, now);
 }
 
+void scheduler::implementation::report_missing_ends(const worker_status& worker,
+                                                    end_number listed) const
+{
+    const std::uint64_t missing = listed.value() - worker.processed.value() - 1;
+    log.warning("cell", "ends missing",
+                {{"worker", worker.info.id.value()},
+                 {"incarnation", worker.incarnation.value()},
+                 {"after", worker.processed.value()},
+                 {"ends", missing}});
+    metrics.add("hawthornbeam_ends_missing_total", {}, static_cast<double>(missing));
+}
+
 void scheduler::implementation::log_uncounted_end(const worker_status& worker,
                                                   const ended_task& end,
                                                   const worker_id& counted_on) const
@@ -407,6 +419,8 @@
     if (worker.process_ended && poll.incarnation == worker.incarnation &&
         poll.sent_position <= worker.contact_position)
         return;
+    // A former owner may have acknowledged ends of an incarnation that is new here.
+    const bool knows_ends = worker.polled || worker.process_ended;
     if (poll.incarnation != worker.incarnation)
         self.begin_incarnation(worker, poll, now);
     else if (worker.process_ended)
@@ -428,6 +442,8 @@
     {
         if (end.number <= worker.processed)
             continue;
+        if (knows_ends && end.number > worker.processed.next())
+            self.report_missing_ends(worker, end.number);
         self.handle_end(worker, end, now);
         worker.processed = end.number;
     }
