Show that runs on a restarted worker are given up too early

A worker that restarts under its id takes calls that were meant for its former life. The deadline of a poll or start is then a time far ahead on its new clock, and it grants its longest lease, 10 s; the owner assumes the 6 s that were asked for.

--- /dev/null
+++ b/unittests/cell/restarted_worker_lease_test.cpp
@@ -0,0 +1,115 @@
+/// \file
+/// Tests how long the owner waits for the runs of a worker that may have restarted under
+/// its id before it fell silent.
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace hawthornbeam::cell
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What a worker shows of a run before it falls silent.
+enum class last_contact
+{
+    listed,         ///< It has answered for long, and lists the run.
+    listed_as_new,  ///< It has just restarted, and lists the run.
+    start_accepted, ///< No poll has followed the answer to the start.
+    start_not_answered
+};
+
+struct silent_worker_case
+{
+    last_contact contact;
+    duration waits;    ///< The task starts nowhere else within this time after it.
+    duration gives_up; ///< The task has started elsewhere by then.
+};
+
+class restarted_worker_lease_test : public testing::TestWithParam<silent_worker_case>
+{
+protected:
+    /// Lets only the other worker answer until \p silence after the last answer of the
+    /// silent one. Returns the number of starts meanwhile.
+    std::size_t starts_within(duration silence)
+    {
+        std::size_t starts = 0;
+        while (workers.clock.now() < last_answer + silence)
+        {
+            workers.advance(milliseconds(100));
+            workers.poll(other);
+            starts += workers.decide().starts.size();
+        }
+        return starts;
+    }
+
+    fleet workers{2};
+    std::string other;
+    boot_time last_answer{};
+};
+
+// Guards against running a task twice when a call that was meant for a former incarnation
+// has extended the lease of the present one to the longest that the worker grants.
+TEST_P(restarted_worker_lease_test, run_is_given_up_after_the_lease_that_it_may_hold)
+{
+    workers.add_queue("q", 0);
+    workers.advance(seconds(30));
+    workers.poll_all();
+    if (GetParam().contact == last_contact::listed_as_new)
+    {
+        workers.restart("w0");
+        workers.restart("w1");
+        workers.advance(milliseconds(500));
+        workers.poll_all();
+    }
+    last_answer = workers.clock.now();
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(60)));
+    const decisions first = workers.decide(
+        GetParam().contact == last_contact::start_not_answered ? delivery::answer_lost
+                                                               : delivery::executed);
+    ASSERT_EQ(first.starts.size(), 1U);
+    other = first.starts[0].worker == worker_id("w0") ? "w1" : "w0";
+    if (GetParam().contact <= last_contact::listed_as_new)
+        workers.poll_all();
+    EXPECT_EQ(starts_within(GetParam().waits), 0U);
+    EXPECT_EQ(starts_within(GetParam().gives_up), 1U);
+}
+
+// A worker grants 10 s, of which 6 s are asked for, until 2 s after an answer. Its clock
+// is up to 2 % slow, and calls come up to 12 s late.
+INSTANTIATE_TEST_SUITE_P(
+    contacts, restarted_worker_lease_test,
+    testing::Values(silent_worker_case{last_contact::listed, milliseconds(8100),
+                                       milliseconds(8400)},
+                    silent_worker_case{last_contact::listed_as_new, milliseconds(23600),
+                                       milliseconds(24700)},
+                    silent_worker_case{last_contact::start_accepted, milliseconds(12200),
+                                       milliseconds(13300)},
+                    silent_worker_case{last_contact::start_not_answered,
+                                       milliseconds(12200), milliseconds(13300)}));
+
+// Guards against runs that a former owner has started on a worker which restarted unseen.
+TEST(unreachable_worker_lease_test, inherited_tasks_wait_for_the_lease_that_it_may_hold)
+{
+    fleet workers(2, false);
+    workers.add_queue("q", 0);
+    workers.cell.expect_workers({worker_id("w0"), worker_id("w1")}, workers.clock.now());
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    for (duration waited{}; waited < milliseconds(12100); waited += milliseconds(100))
+    {
+        workers.poll("w0");
+        EXPECT_TRUE(workers.decide().starts.empty()) << "after " << waited.count();
+        workers.advance(milliseconds(100));
+    }
+    workers.advance(milliseconds(300));
+    workers.poll("w0");
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
+} // namespace
+
+} // namespace hawthornbeam::cell
