Wait for the lease that a restarted worker may hold

Cause: the deadline of a lease is a time on the clock of one incarnation. A poll or start that reaches the next one carries a time on another clock; where that lies ahead, the worker grants its longest lease, 10 s, from then on. The owner assumed the 6 s that its agents ask for, and 2 s more.

Change: lease_bound decides how long a silent worker is waited for. Runs that an incarnation known for long has listed keep their bound of 8.2 s. Runs of one that has followed another wait for the last call that was meant for the former one, executed up to 12 s late, and the longest lease. Runs that no poll has listed may belong to an incarnation that nobody has seen: 13.1 s. At a change of the owner a worker that has not answered is waited for up to 12.2 s if its process is young by its entry, else 8.2 s as before.

Tests: the simulated workers grant 10 s like the users' and have the time of day of their start as incarnation; a new failure restarts a worker and cuts it off. Existing expectations of 8.2 s for a run that no poll has listed are 13.1 s now, and one for a worker without an entry 11 s instead of 10 s.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -19,6 +19,8 @@
 {
     /// Longest lease that an agent requests from a worker.
     duration max_lease = std::chrono::seconds(6);
+    /// Longest lease that a worker grants, whatever deadline a call carries.
+    duration max_granted_lease = std::chrono::seconds(10);
     /// A worker does not execute a start later than this after the decision.
     duration start_deadline = std::chrono::milliseconds(1500);
     /// No worker starts a task later than this after its entry was stored as draining.
@@ -104,8 +106,10 @@
     /// Removes a job whose final state is stored.
     void forget(const job_key& job);
 
-    /// Adds a worker or updates its description.
-    void update_worker(const worker_info& worker, boot_time now);
+    /// Adds a worker or updates its description. \p started_at is the start of its
+    /// process as far as the clocks agree, or zero if it is unknown.
+    void update_worker(const worker_info& worker, boot_time now,
+                       boot_time started_at = boot_time());
     /// Handles the removal of a worker's entry from the list of workers. The worker may
     /// keep its runs until its lease expires.
     void remove_worker(const worker_id& worker, boot_time now);
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -6,6 +6,7 @@
 #include "crash_blame.hpp"
 #include "gang_plan.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
+#include "lease_bound.hpp"
 #include "outlier_detector.hpp"
 #include "pending.hpp"
 #include "rejected_sizes.hpp"
@@ -19,9 +20,6 @@
 namespace hawthornbeam::cell
 {
 
-/// A command without an answer may still be executed up to this long after it was sent.
-inline constexpr duration late_command_limit = std::chrono::milliseconds(12000);
-
 /// Numbers that one term can give to the runs of a task.
 inline constexpr std::uint32_t runs_per_term = 100'000;
 
@@ -154,6 +152,7 @@
 struct worker_status
 {
     worker_info info;
+    boot_time started_at{}; ///< Start of its process; see update_worker().
     bool has_entry = false; ///< Has an entry in the list of workers.
     bool allowed = false;   ///< The store names it as used, so tasks may start.
     bool polled = false;    ///< This owner has polled its current incarnation.
@@ -171,9 +170,11 @@
     boot_time clock_at{};
     boot_time contact_at{};      ///< Last poll; before the first one, when it was added.
     boot_time answering_since{}; ///< First poll of this incarnation by this owner.
-    bool ends_complete = true;   ///< Whether the last poll listed all ends.
-    end_number processed;        ///< Last ended run that was handled.
-    end_number covered;          ///< Last ended run that was passed on for storing.
+    /// Until then, this incarnation may execute calls that were meant for an earlier one.
+    boot_time misdirected_until{};
+    bool ends_complete = true; ///< Whether the last poll listed all ends.
+    end_number processed;      ///< Last ended run that was handled.
+    end_number covered;        ///< Last ended run that was passed on for storing.
     std::map<task_ref, run_record> runs;
     std::deque<abandoned_start> abandoned; ///< Of this incarnation, oldest first.
     resources used;
@@ -268,9 +269,10 @@
     /// has \p crashed.
     void give_up_runs(worker_status& worker, const std::vector<task_ref>& lost,
                       bool crashed, const char* reason, boot_time now);
-    /// Gives up the runs of a worker whose longest lease has expired. If its address
-    /// refused connections since the last answer, it has probably crashed.
-    void expire_runs(worker_status& worker, boot_time now);
+    /// Gives up the runs of a silent worker whose leases had ended at \p confirmed_at. If
+    /// its address refused connections since the last answer, it has probably crashed.
+    void expire_runs(worker_status& worker, const lease_bound& leases,
+                     boot_time confirmed_at, boot_time now);
     /// Logs and counts the ends between the last one that was handled and \p listed: the
     /// worker has dropped them although this owner has not handled them.
     void report_missing_ends(const worker_status& worker, end_number listed) const;
@@ -331,9 +333,6 @@
     /// if they were free.
     bool needs_quarantined(const job_status& job, std::uint32_t step,
                            boot_time now) const;
-    /// Returns whether every lease that the worker can have had expired by then, with
-    /// allowance for starts in flight and clock drift.
-    bool lease_has_ended(const worker_status& worker, boot_time at) const;
     void expire_workers(boot_time now);
     /// Time after which a worker does not execute a start that is ordered now.
     boot_time latest_start(boot_time now) const;
--- a/lib/cell/incarnations.cpp
+++ b/lib/cell/incarnations.cpp
@@ -43,10 +43,13 @@
     }
 }
 
-void scheduler::implementation::expire_runs(worker_status& worker, boot_time now)
+void scheduler::implementation::expire_runs(worker_status& worker,
+                                            const lease_bound& leases,
+                                            boot_time confirmed_at, boot_time now)
 {
     run_evidence evidence;
     evidence.kind = evidence_kind::lease_expired;
+    evidence.later_leases_expired = confirmed_at > leases.other;
     std::vector<task_ref> lost;
     for (const auto& [task, record] : worker.runs)
         if (judge_run(record, evidence) == run_fate::lost)
@@ -57,6 +60,7 @@
              {{"worker", worker.info.id.value()},
               {"incarnation", worker.incarnation.value()},
               {"runs", std::uint64_t{lost.size()}},
+              {"kept", std::uint64_t{worker.runs.size() - lost.size()}},
               {"silent_ms",
                std::int64_t{(now - worker.contact_at) / std::chrono::milliseconds(1)}},
               {"known_ms", std::int64_t{(worker.contact_at - worker.answering_since) /
@@ -140,6 +144,11 @@
             stop_uncertain_start(worker, each.run.task, now);
         }
     }
+    // Calls of former owners are refused from now on.
+    worker.misdirected_until =
+        worker.incarnation == worker_incarnation()
+            ? now
+            : std::max(now, misdirected_calls_end(worker.contact_at));
     worker.incarnation = poll.incarnation;
     worker.answering_since = now;
     worker.processed = end_number();
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -27,17 +27,23 @@
 /// Number of instances that are sent to agents as peers: enough that one of them is up
 /// after a failure.
 constexpr std::size_t max_peers = 8;
+/// Upper limit for the age of a worker's process that is computed from its entry.
+constexpr std::chrono::milliseconds max_process_age = std::chrono::hours(1);
 
 } // namespace
 
 void owner::implementation::handle_workers(const std::vector<worker_info>& listed)
 {
     const boot_time now = parts.loop.clock().now();
+    const std::int64_t wall_ms = parts.loop.clock().wall_now().time_since_epoch().count();
     std::set<worker_id> present;
     for (const worker_info& info : listed)
     {
         present.insert(info.id);
-        cell.update_worker(info, now);
+        const std::chrono::milliseconds age(std::clamp(wall_ms - info.incarnation.value(),
+                                                       -max_process_age.count(),
+                                                       max_process_age.count()));
+        cell.update_worker(info, now, now - age);
         worker_route& route = routes[info.id];
         if (route.address != info.address)
         {
--- a/lib/cell/run_evidence.cpp
+++ b/lib/cell/run_evidence.cpp
@@ -65,7 +65,9 @@
     case evidence_kind::unlisted:
         return judge_unlisted(run, evidence);
     case evidence_kind::lease_expired:
-        return run_fate::lost;
+        // A run that was not listed may have begun in a later incarnation.
+        return run.listed || evidence.later_leases_expired ? run_fate::lost
+                                                           : run_fate::open;
     }
     return run_fate::open;
 }
--- a/lib/cell/run_evidence.hpp
+++ b/lib/cell/run_evidence.hpp
@@ -42,7 +42,8 @@
     other_worker,      ///< Another worker answers at the worker's address.
     other_incarnation, ///< The first poll of a later incarnation.
     unlisted,          ///< A poll of the incarnation that should have the run.
-    lease_expired      ///< The longest lease that the worker can have has expired.
+    /// The longest lease that the incarnation which answered last can have has expired.
+    lease_expired
 };
 
 struct run_evidence
@@ -53,6 +54,8 @@
     bool ends_complete = true;
     /// A start without an answer has been sent long enough ago to be stopped.
     bool answer_overdue = false;
+    /// The longest lease that a later incarnation can have has expired as well.
+    bool later_leases_expired = false;
 };
 
 /// What has become of a run.
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-void scheduler::update_worker(const worker_info& worker, boot_time now)
+void scheduler::update_worker(const worker_info& worker, boot_time now,
+                              boot_time started_at)
 {
     worker_status& status = implementation_->find_or_add_worker(worker.id, now);
     if (status.has_entry && worker.draining && !status.info.draining)
@@ -26,6 +27,7 @@
     if (status.info.address != worker.address)
         status.ended_unpolled_since = boot_time();
     status.info = worker;
+    status.started_at = started_at;
     status.has_entry = true;
 }
 
@@ -97,14 +99,6 @@
     return implementation_->unsettled.empty();
 }
 
-bool scheduler::implementation::lease_has_ended(const worker_status& worker,
-                                                boot_time at) const
-{
-    const duration since_contact = at - worker.contact_at;
-    const duration longest_lease = limits.max_lease + max_unconfirmed_time;
-    return since_contact * (1 - limits.clock_drift) > longest_lease;
-}
-
 void scheduler::confirm_claim(boot_time at)
 {
     implementation_->claim_confirmed_at = at;
@@ -147,7 +141,12 @@
         const bool has_left = !worker.has_entry &&
                               (worker.polled || worker.process_ended) &&
                               worker.runs.empty() && worker.abandoned.empty();
-        if (!has_left && !lease_has_ended(worker, confirmed_at))
+        const lease_bound leases =
+            bound_leases(limits, {worker.polled, worker.contact_at,
+                                  worker.misdirected_until, worker.started_at});
+        if (!has_left && confirmed_at > leases.listed)
+            expire_runs(worker, leases, confirmed_at, now);
+        if (!has_left && confirmed_at <= leases.other)
         {
             ++entry;
             continue;
@@ -157,7 +156,6 @@
                         {{"worker", entry->first.value()},
                          {"runs", std::uint64_t{worker.runs.size()}}});
         mark_settled(entry->first, now);
-        expire_runs(worker, now);
         worker.polled = false;
         if (worker.has_entry)
         {
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -139,6 +139,7 @@
             static_cast<std::uint32_t>(settings_.processor_share * 1000),
             cell::scheduler_limits()};
         parts.limits.max_lease = std::min(settings_.max_lease, max_worker_lease);
+        parts.limits.max_granted_lease = settings_.max_lease;
         parts.limits.drain_limit = settings_.drain_limit;
         node_ = std::make_unique<cell::node>(parts);
         return true;
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -337,6 +337,17 @@
         schedule(time, [this] { network_.heal_all(); });
         return workers_.restrict_to({chosen_host}, worker, loop_.clock().now() + time);
     }
+    case cell_failure::worker_restarts_and_is_cut_off:
+    {
+        // The next incarnation takes calls that were meant for the former one, and is cut
+        // off before or soon after its first answer.
+        workers_.crash(worker, milliseconds(20 + random_.below(1000)));
+        const duration pause = milliseconds(1000 + random_.below(2500));
+        const duration time = beyond_lease();
+        record_long_disturbance(pause + time);
+        return schedule(pause, [this, worker, time]
+                        { workers_.cut_off(worker, loop_.clock().now() + time); });
+    }
     case cell_failure::worker_fails_runs:
         return workers_.fail_runs(worker, loop_.clock().now() +
                                               milliseconds(8000 + random_.below(8000)));
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -42,10 +42,11 @@
     worker_cut_off_beyond_lease,
     owner_cut_off_with_workers,
     host_unheard_beside_worker,
-    worker_fails_runs
+    worker_fails_runs,
+    worker_restarts_and_is_cut_off
 };
 
-inline constexpr std::size_t cell_failures = 25;
+inline constexpr std::size_t cell_failures = 26;
 /// Numbers of the first kinds, from which earlier tests draw by seed. They stay as they
 /// are, so that the seeds of these tests give the same histories.
 inline constexpr std::size_t first_cell_failures = 19;
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -145,6 +145,13 @@
     play(cell_failure::owner_cut_off_with_workers);
 }
 
+// Guards against giving up the runs of a worker whose present incarnation holds a lease
+// that was asked for on the clock of its former one.
+TEST_P(long_failure_test, runs_of_a_restarted_worker_do_not_outlive_the_wait_for_it)
+{
+    play(cell_failure::worker_restarts_and_is_cut_off);
+}
+
 // Guards against leases that are extended by an agent whose reports the owner misses.
 TEST_P(long_failure_test, agent_that_nobody_hears_does_not_extend_leases)
 {
--- a/unittests/cell/crash_blame_test.cpp
+++ b/unittests/cell/crash_blame_test.cpp
@@ -165,7 +165,7 @@
     workers.advance(milliseconds(20));
     if (GetParam())
         workers.end_process("w0", false);
-    workers.advance(milliseconds(8200));
+    workers.advance(milliseconds(13100));
     workers.decide();
     EXPECT_EQ(workers.store_changes().ends.size(), GetParam() ? 1U : 0U);
 }
@@ -184,7 +184,7 @@
     const std::string lost = first.starts[0].worker.value();
     const std::string other = lost == "w0" ? "w1" : "w0";
     workers.end_process(lost, false);
-    workers.advance(milliseconds(8200));
+    workers.advance(milliseconds(13100));
     workers.poll(other);
     workers.decide();
     workers.advance(milliseconds(1000));
--- a/unittests/cell/ended_process_test.cpp
+++ b/unittests/cell/ended_process_test.cpp
@@ -59,7 +59,7 @@
 {
     const std::string lost = start();
     workers.end_process(lost, false);
-    workers.advance(milliseconds(8200));
+    workers.advance(milliseconds(13100));
     EXPECT_EQ(workers.decide().starts.size(), 0U) << "the other worker is silent, too";
     workers.poll(lost == "w0" ? "w1" : "w0");
     EXPECT_EQ(workers.decide().starts.size(), 1U);
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -784,7 +784,7 @@
     directory.changed_handler({});
     loop.advance(seconds(5));
     EXPECT_EQ(stored_workers().size(), 1U);
-    loop.advance(seconds(5));
+    loop.advance(seconds(6));
     EXPECT_TRUE(stored_workers().empty());
 }
 
--- a/unittests/cell/restarted_worker_lease_test.cpp
+++ b/unittests/cell/restarted_worker_lease_test.cpp
@@ -92,17 +92,32 @@
                     silent_worker_case{last_contact::start_not_answered,
                                        milliseconds(12200), milliseconds(13300)}));
 
-// Guards against runs that a former owner has started on a worker which restarted unseen.
-TEST(unreachable_worker_lease_test, inherited_tasks_wait_for_the_lease_that_it_may_hold)
+/// Age of a worker's process at a change of the owner, as its entry shows it.
+struct unreachable_worker_case
+{
+    duration age;
+    duration waits; ///< Inherited tasks start nowhere within this time.
+};
+
+class unreachable_worker_lease_test
+    : public testing::TestWithParam<unreachable_worker_case>
+{
+};
+
+// Guards against running a task twice that a former owner has started on a worker soon
+// after its restart.
+TEST_P(unreachable_worker_lease_test, inherited_tasks_wait_for_the_lease_it_may_hold)
 {
     fleet workers(2, false);
     workers.add_queue("q", 0);
-    workers.cell.expect_workers({worker_id("w0"), worker_id("w1")}, workers.clock.now());
+    const boot_time begun = workers.clock.now();
+    workers.cell.expect_workers({worker_id("w0"), worker_id("w1")}, begun);
+    workers.cell.update_worker(workers.info("w1"), begun, begun - GetParam().age);
     workers.submit(fleet::job("a", "q", 1, 1), true);
-    for (duration waited{}; waited < milliseconds(12100); waited += milliseconds(100))
+    while (workers.clock.now() < begun + GetParam().waits)
     {
         workers.poll("w0");
-        EXPECT_TRUE(workers.decide().starts.empty()) << "after " << waited.count();
+        EXPECT_TRUE(workers.decide().starts.empty());
         workers.advance(milliseconds(100));
     }
     workers.advance(milliseconds(300));
@@ -110,6 +125,14 @@
     EXPECT_EQ(workers.decide().starts.size(), 1U);
 }
 
+// Calls for the former process come until 2.8 s after the start; clocks differ by 3 s.
+INSTANTIATE_TEST_SUITE_P(
+    ages, unreachable_worker_lease_test,
+    testing::Values(unreachable_worker_case{seconds(1), milliseconds(12200)},
+                    unreachable_worker_case{seconds(-20), milliseconds(12200)},
+                    unreachable_worker_case{seconds(6), milliseconds(10000)},
+                    unreachable_worker_case{seconds(30), milliseconds(8100)}));
+
 } // namespace
 
 } // namespace hawthornbeam::cell
--- a/unittests/cell/run_evidence_test.cpp
+++ b/unittests/cell/run_evidence_test.cpp
@@ -115,7 +115,13 @@
                       {restarted, after_answer},
                       run_fate::lost},
         evidence_case{
-            "lease_expired", answered_run(), {lease_expired, {}}, run_fate::lost},
+            "lease_expired_listed", listed_start(), {lease_expired, {}}, run_fate::lost},
+        evidence_case{
+            "lease_expired", answered_run(), {lease_expired, {}}, run_fate::open},
+        evidence_case{"later_leases_expired",
+                      answered_run(),
+                      {lease_expired, {}, true, false, true},
+                      run_fate::lost},
         evidence_case{
             "unlisted", answered_run(), {unlisted, after_answer}, run_fate::lost},
         evidence_case{"unlisted_with_ends_missing",
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -13,7 +13,7 @@
 /// Bounds from the users' documentation: `kill-grace-ms`, `gang-ms` and `hold-max-ms`.
 constexpr duration stop_grace = std::chrono::milliseconds(400);
 constexpr duration gang_wait = std::chrono::milliseconds(3000);
-constexpr duration max_lease = std::chrono::milliseconds(6000);
+constexpr duration max_lease = std::chrono::milliseconds(10000);
 /// One-way delay between an instance and a worker, and the instance's time-out.
 constexpr duration link_delay = std::chrono::milliseconds(1);
 constexpr duration command_timeout = std::chrono::milliseconds(700);
@@ -49,7 +49,8 @@
     added.info.id = worker_id(name);
     added.info.address = endpoint(name + ":1");
     added.info.service = service_name("pool");
-    added.info.incarnation = worker_incarnation(1000);
+    added.info.incarnation =
+        worker_incarnation(loop_.clock().wall_now().time_since_epoch().count());
     added.info.capacity =
         resources{millicores(cores * 1000), byte_count(std::int64_t{32} << 30U),
                   accelerator_count()};
@@ -420,7 +421,7 @@
     restarted.up = true;
     restarted.process_ended = false;
     restarted.info.incarnation =
-        worker_incarnation(restarted.info.incarnation.value() + 1000);
+        worker_incarnation(loop_.clock().wall_now().time_since_epoch().count());
     restarted.info.draining = false;
     restarted.fails_runs_until = boot_time();
     restarted.token = fence_token();
