Count the crash of a silent worker once against all of its runs

What callers would see: a job failed as one that crashes its workers, although it does not (LOST).

Cause: listed runs of a silent worker are given up before the others. If its address had refused connections, both times counted as a crash, and each time the blame was divided among fewer runs: a run that is alone is taken for the cause. Now the runs of such a worker are given up together, when the longest wait is over.

--- a/lib/cell/incarnations.cpp
+++ b/lib/cell/incarnations.cpp
@@ -54,7 +54,9 @@
     for (const auto& [task, record] : worker.runs)
         if (judge_run(record, evidence) == run_fate::lost)
             lost.push_back(task);
-    if (lost.empty())
+    const bool crashed = worker.refused_since != boot_time();
+    // The blame for a crash is shared by all runs, so they are given up together.
+    if (lost.empty() || (crashed && lost.size() < worker.runs.size()))
         return;
     log.info("cell", "lease ended",
              {{"worker", worker.info.id.value()},
@@ -65,7 +67,7 @@
                std::int64_t{(now - worker.contact_at) / std::chrono::milliseconds(1)}},
               {"known_ms", std::int64_t{(worker.contact_at - worker.answering_since) /
                                         std::chrono::milliseconds(1)}}});
-    give_up_runs(worker, lost, worker.refused_since != boot_time(), "lease ended", now);
+    give_up_runs(worker, lost, crashed, "lease ended", now);
 }
 
 void scheduler::implementation::end_incarnation(
--- a/unittests/cell/restarted_worker_lease_test.cpp
+++ b/unittests/cell/restarted_worker_lease_test.cpp
@@ -92,6 +92,33 @@
                     silent_worker_case{last_contact::start_not_answered,
                                        milliseconds(12200), milliseconds(13300)}));
 
+// Guards against blaming a run alone for a crash because those beside it are given up
+// later.
+TEST(silent_worker_crash_test, is_counted_once_against_all_runs)
+{
+    fleet workers(1);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("listed", "q", 1, 1, seconds(60)));
+    ASSERT_EQ(workers.decide().starts.size(), 1U);
+    workers.poll_all();
+    workers.submit(fleet::job("not listed", "q", 1, 1, seconds(60)));
+    ASSERT_EQ(workers.decide().starts.size(), 1U);
+    workers.advance(milliseconds(20));
+    workers.end_process("w0", false);
+    std::vector<stored_end> ends;
+    for (duration silence{}; silence < seconds(14); silence += milliseconds(100))
+    {
+        workers.advance(milliseconds(100));
+        workers.decide();
+        const std::vector<stored_end> stored = workers.store_changes().ends;
+        EXPECT_TRUE(stored.empty() || ends.empty());
+        ends.insert(ends.end(), stored.begin(), stored.end());
+    }
+    ASSERT_EQ(ends.size(), 2U);
+    for (const stored_end& each : ends)
+        EXPECT_NE(each.outcome, run_end::crashed);
+}
+
 /// Age of a worker's process at a change of the owner, as its entry shows it.
 struct unreachable_worker_case
 {
