--- a/unittests/cell/restarted_worker_lease_test.cpp
+++ b/unittests/cell/restarted_worker_lease_test.cpp
@@ -181,6 +181,24 @@
                     unreachable_worker_case{seconds(6), milliseconds(10000)},
                     unreachable_worker_case{seconds(30), milliseconds(8100)}));
 
+// Guards against runs that a former owner has started on a worker which restarted unseen.
+TEST(unseen_restart_lease_test, inherited_tasks_wait_for_the_lease_that_it_may_hold)
+{
+    fleet workers(2, false);
+    workers.add_queue("q", 0);
+    workers.cell.expect_workers({worker_id("w0"), worker_id("w1")}, workers.clock.now());
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    for (duration waited{}; waited < milliseconds(12100); waited += milliseconds(100))
+    {
+        workers.poll("w0");
+        EXPECT_TRUE(workers.decide().starts.empty()) << "after " << waited.count();
+        workers.advance(milliseconds(100));
+    }
+    workers.advance(milliseconds(300));
+    workers.poll("w0");
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
