Log how long an owner has waited for a worker that it never polled

After a takeover, "expected worker not polled" did not say how long the owner had waited, nor which incarnation the worker's entry showed. No logic is changed.

--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -154,7 +154,10 @@
         if (unsettled.contains(entry->first))
             log.warning("cell", "expected worker not polled",
                         {{"worker", entry->first.value()},
-                         {"runs", std::uint64_t{worker.runs.size()}}});
+                         {"runs", std::uint64_t{worker.runs.size()}},
+                         {"entry_incarnation", worker.info.incarnation.value()},
+                         {"waited_ms", std::int64_t{(now - expected_at) /
+                                                    std::chrono::milliseconds(1)}}});
         mark_settled(entry->first, now);
         worker.polled = false;
         if (worker.has_entry)
