Show that a new owner waits too short after an unseen restart

Two failures of the simulation join what no failure joined before: a worker that restarts with its former entry, takes calls that were meant for its former life and is cut off, and an owner that is killed around that time, alone or with another host.

--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -348,12 +348,36 @@
         return schedule(pause, [this, worker, time]
                         { workers_.cut_off(worker, loop_.clock().now() + time); });
     }
+    case cell_failure::owner_killed_after_unseen_restart:
+        return kill_owner_after_unseen_restart(worker, std::nullopt);
+    case cell_failure::owner_and_host_killed_after_unseen_restart:
+        return kill_owner_after_unseen_restart(worker, chosen_host);
     case cell_failure::worker_fails_runs:
         return workers_.fail_runs(worker, loop_.clock().now() +
                                               milliseconds(8000 + random_.below(8000)));
     }
 }
 
+void cell_simulation::kill_owner_after_unseen_restart(const worker_id& worker,
+                                                      std::optional<std::size_t> other)
+{
+    const duration time = beyond_lease();
+    record_long_disturbance(seconds(3) + time);
+    workers_.crash(worker, milliseconds(20 + random_.below(300)));
+    workers_.delay_entry(worker, loop_.clock().now() + time);
+    const duration until_cut = milliseconds(500 + random_.below(2000));
+    schedule(until_cut, [this, worker, time]
+             { workers_.cut_off(worker, loop_.clock().now() + time); });
+    const duration pause = milliseconds(20 + random_.below(2000));
+    schedule(until_cut + milliseconds(random_.below(1000)),
+             [this, other, pause]
+             {
+                 kill_host(owner(), pause);
+                 if (other)
+                     kill_host(*other, pause);
+             });
+}
+
 void cell_simulation::cut_off_together(const std::set<std::size_t>& hosts,
                                        const std::set<worker_id>& workers, duration time)
 {
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -10,6 +10,7 @@
 #include "test/standins/memory_peer_network.hpp"
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace hawthornbeam::cell
@@ -43,10 +44,12 @@
     owner_cut_off_with_workers,
     host_unheard_beside_worker,
     worker_fails_runs,
-    worker_restarts_and_is_cut_off
+    worker_restarts_and_is_cut_off,
+    owner_killed_after_unseen_restart,
+    owner_and_host_killed_after_unseen_restart
 };
 
-inline constexpr std::size_t cell_failures = 26;
+inline constexpr std::size_t cell_failures = 28;
 /// Numbers of the first kinds, from which earlier tests draw by seed. They stay as they
 /// are, so that the seeds of these tests give the same histories.
 inline constexpr std::size_t first_cell_failures = 19;
@@ -137,6 +140,10 @@
     /// workers; they reach each other.
     void cut_off_together(const std::set<std::size_t>& hosts,
                           const std::set<worker_id>& workers, duration time);
+    /// Lets a worker restart with the entry of its former incarnation, take calls and be
+    /// cut off. The owner is killed around that time, and with it \p other.
+    void kill_owner_after_unseen_restart(const worker_id& worker,
+                                         std::optional<std::size_t> other);
     /// Returns a time that is longer than the wait for an unreachable worker.
     duration beyond_lease();
     /// Records a failure that lasts longer than the checker expects of one.
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -152,6 +152,19 @@
     play(cell_failure::worker_restarts_and_is_cut_off);
 }
 
+// Guards against a new owner that gives up a run which the former one has started on a
+// worker whose restart no entry shows yet.
+TEST_P(long_failure_test, new_owner_waits_for_the_lease_after_an_unseen_restart)
+{
+    play(cell_failure::owner_killed_after_unseen_restart);
+}
+
+// Guards against a new owner that takes the calls of a lost agent for known.
+TEST_P(long_failure_test, new_owner_waits_for_the_calls_of_an_agent_that_was_lost)
+{
+    play(cell_failure::owner_and_host_killed_after_unseen_restart);
+}
+
 // Guards against leases that are extended by an agent whose reports the owner misses.
 TEST_P(long_failure_test, agent_that_nobody_hears_does_not_extend_leases)
 {
@@ -441,7 +454,7 @@
 INSTANTIATE_TEST_SUITE_P(seeds, worker_contact_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
-INSTANTIATE_TEST_SUITE_P(regressions, long_failure_test, testing::Values(272));
+INSTANTIATE_TEST_SUITE_P(regressions, long_failure_test, testing::Values(272, 103));
 
 INSTANTIATE_TEST_SUITE_P(seeds, long_failure_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -432,6 +432,13 @@
     history_.workers.back().up_since = restarted.started_at;
 }
 
+void simulated_workers::delay_entry(const worker_id& id, boot_time until)
+{
+    simulated_worker& worker = workers_.at(id);
+    worker.late_entry = worker.info;
+    worker.entry_late_until = until;
+}
+
 void simulated_workers::reset_polls(simulated_worker& worker)
 {
     std::map<std::uint64_t, waiting_poll> waiting;
@@ -571,8 +578,11 @@
 std::vector<worker_info> simulated_workers::entries() const
 {
     std::vector<worker_info> listed;
+    const boot_time now = loop_.clock().now();
     for (const auto& [id, worker] : workers_)
-        if (worker.up || loop_.clock().now() < worker.entry_listed_until)
+        if (worker.late_entry && now < worker.entry_late_until)
+            listed.push_back(*worker.late_entry);
+        else if (worker.up || now < worker.entry_listed_until)
             listed.push_back(worker.info);
     return listed;
 }
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -47,6 +47,9 @@
     // Injected failures.
     /// Ends the worker with all of its runs; a new incarnation starts after \p pause.
     void crash(const worker_id& id, duration pause);
+    /// Until \p until, the entry that the worker has now stays listed, whatever becomes
+    /// of its process.
+    void delay_entry(const worker_id& id, boot_time until);
     /// Ends the process of the worker, so that its address refuses connections. A process
     /// starts there after \p pause, under the same id or a new one. The entry of the
     /// ended worker stays listed for a while.
@@ -109,6 +112,8 @@
         bool process_ended = false;     ///< Its address answers, if it is not cut off.
         bool replaced = false;          ///< Another worker has its address.
         boot_time entry_listed_until{}; ///< Of a worker whose process has ended.
+        std::optional<worker_info> late_entry; ///< Listed until `entry_late_until`.
+        boot_time entry_late_until{};
         fence_token token;
         boot_time started_at{};
         boot_time lease_until{};
