Count the calls of all agents in the bound for a silent worker

The bound for a worker that a new owner has not polled rests on the last call that can have extended its lease. Four cases lacked calls: a ledger without runs of the worker was not reported although its polls extend the lease; an agent that the store does not name any more was not heard; a worker that came back to an agent kept the time of a call to it long ago, so that runs just listed could be dropped as old; and a start without an answer was dropped by a poll that was sent before it could no longer be executed.

Ledgers now report each worker called within 25 s, all reports count, an answer that lists runs counts as a call, and the time of sending decides.

--- a/lib/cell/agent.cpp
+++ b/lib/cell/agent.cpp
@@ -187,10 +187,10 @@
              {"reason", is_confirmed ? "answers not counted" : "claim not confirmed"}});
     worker.lease_extended = call.lease_until.has_value();
     const event_position sent_position{worker.assignment, event_count};
-    const std::uint64_t ledger_position =
+    const sent_poll recorded =
         ledger.record_poll(id, worker.lease_extended, worker.poll_sent_at);
     port.poll(call,
-              [weak = weak_from_this(), id, sent_position, ledger_position,
+              [weak = weak_from_this(), id, sent_position, recorded,
                command_token = token, call](poll_answer answer)
               {
                   const std::shared_ptr<implementation> self = weak.lock();
@@ -198,7 +198,7 @@
                       return;
                   answer.poll.worker = id;
                   if (answer.outcome == command_outcome::accepted)
-                      self->ledger.record_poll_answer(answer.poll, ledger_position,
+                      self->ledger.record_poll_answer(answer.poll, recorded,
                                                       self->loop.clock().now());
                   if (self->token != command_token)
                       return;
--- a/lib/cell/call_ledger.cpp
+++ b/lib/cell/call_ledger.cpp
@@ -60,13 +60,13 @@
     }
 }
 
-std::uint64_t call_ledger::record_poll(const worker_id& worker, bool extends_lease,
-                                       boot_time now)
+sent_poll call_ledger::record_poll(const worker_id& worker, bool extends_lease,
+                                   boot_time now)
 {
     remove_old(now);
     if (extends_lease)
         workers_[worker].last_call_at = now;
-    return ++position_;
+    return {++position_, now};
 }
 
 void call_ledger::record_shown(called_worker& worker, const run_ref& run,
@@ -77,28 +77,29 @@
         known->shown_position = std::max(known->shown_position, position);
 }
 
-void call_ledger::record_poll_answer(const poll_result& poll, std::uint64_t sent_position,
+void call_ledger::record_poll_answer(const poll_result& poll, const sent_poll& sent,
                                      boot_time now)
 {
     called_worker& worker = workers_[poll.worker];
-    // A worker that this agent has not called yet has the lease of an earlier agent.
-    if (worker.last_call_at == boot_time())
+    // An earlier agent may have extended the lease of what runs there.
+    if (!poll.running.empty() || worker.last_call_at == boot_time())
         worker.last_call_at = now;
     // An end counts as a run until the worker has dropped it: it may not be stored yet.
     for (const running_task& each : poll.running)
-        record_shown(worker, each.run, sent_position, now);
+        record_shown(worker, each.run, sent.position, now);
     for (const ended_task& each : poll.ended)
-        record_shown(worker, each.run, sent_position, now);
+        record_shown(worker, each.run, sent.position, now);
     if (!poll.ends_complete)
         return;
-    run_count_ -= std::erase_if(
-        worker.runs,
-        [now, sent_position](const std::pair<const task_ref, known_run>& each)
-        {
-            const known_run& run = each.second;
-            return run.shown_position == 0 ? now - run.sent_at > late_command_limit
-                                           : run.shown_position < sent_position;
-        });
+    run_count_ -=
+        std::erase_if(worker.runs,
+                      [&sent](const std::pair<const task_ref, known_run>& each)
+                      {
+                          const known_run& run = each.second;
+                          return run.shown_position == 0
+                                     ? sent.at - run.sent_at > late_command_limit
+                                     : run.shown_position < sent.position;
+                      });
 }
 
 void call_ledger::remove_old(boot_time now)
@@ -125,7 +126,7 @@
     for (const auto& [id, worker] : workers_)
     {
         const duration age = now - worker.last_call_at;
-        if (worker.runs.empty() || age > call_retention)
+        if (age > call_retention)
             continue;
         worker_calls& added = listed.workers.emplace_back();
         added.worker = id;
--- a/lib/cell/call_ledger.hpp
+++ b/lib/cell/call_ledger.hpp
@@ -15,22 +15,29 @@
 /// call may have been executed late, and has then set the longest lease.
 inline constexpr duration call_retention = std::chrono::seconds(25);
 
+/// A poll that was sent.
+struct sent_poll
+{
+    std::uint64_t position = 0; ///< In the order of the calls and answers of the agent.
+    boot_time at{};
+};
+
 /// The runs that each worker may have, as its answers and the calls to it show. It holds
 /// calls for all owners that have commanded the agent.
 class call_ledger
 {
 public:
-    /// Keeps at most \p max_runs; see is_complete().
+    /// Keeps at most \p max_runs runs. With more, calls() is incomplete.
     explicit call_ledger(std::size_t max_runs) : max_runs_(max_runs) {}
 
     /// Records a start that is sent now.
     void record_start(const worker_id& worker, const run_ref& run, boot_time now);
     void record_start_answer(const worker_id& worker, const run_ref& run,
                              command_outcome outcome);
-    /// Records a poll that is sent now. Returns its position, for record_poll_answer().
-    std::uint64_t record_poll(const worker_id& worker, bool extends_lease, boot_time now);
-    /// Records the answer to the poll that was sent at \p sent_position.
-    void record_poll_answer(const poll_result& poll, std::uint64_t sent_position,
+    /// Records a poll that is sent now.
+    sent_poll record_poll(const worker_id& worker, bool extends_lease, boot_time now);
+    /// Records the answer to a poll.
+    void record_poll_answer(const poll_result& poll, const sent_poll& sent,
                             boot_time now);
 
     /// Returns the calls that may still have an effect, for a new owner.
--- a/lib/cell/former_run_tracker.cpp
+++ b/lib/cell/former_run_tracker.cpp
@@ -16,11 +16,9 @@
 bool former_run_tracker::record_calls(const instance_id& agent, const former_calls& calls,
                                       boot_time now)
 {
-    if (!calls.complete || awaited_.erase(agent) == 0)
-        return false;
     for (const worker_calls& each : calls.workers)
         add(each, now - std::chrono::milliseconds(each.last_call_ms));
-    return true;
+    return calls.complete && awaited_.erase(agent) > 0;
 }
 
 void former_run_tracker::restore_calls(const std::vector<worker_calls>& calls,
--- a/lib/cell/former_run_tracker.hpp
+++ b/lib/cell/former_run_tracker.hpp
@@ -22,8 +22,8 @@
     void expect_worker(const worker_id& worker) { unsettled_.insert(worker); }
     /// Names the agents through which former owners may have started runs.
     void expect_agents(std::set<instance_id> agents);
-    /// Handles the calls of an agent, received at \p now. Returns whether it was expected
-    /// and could report all of its calls.
+    /// Handles the calls of an agent, received at \p now, whether it was expected or not.
+    /// Returns whether it was, and could report all of its calls.
     bool record_calls(const instance_id& agent, const former_calls& calls, boot_time now);
     /// Handles calls that a former owner has stored. How long ago they were sent is not
     /// known; \p now is the latest time.
--- a/unittests/cell/call_ledger_test.cpp
+++ b/unittests/cell/call_ledger_test.cpp
@@ -32,13 +32,13 @@
     {
         ledger.record_start_answer(worker, run(index, number), outcome);
     }
-    /// Sends a poll and returns its position.
-    std::uint64_t send_poll(bool extends_lease = true)
+    /// Sends a poll.
+    sent_poll send_poll(bool extends_lease = true)
     {
         return ledger.record_poll(worker, extends_lease, now);
     }
     /// Answers a poll with these tasks.
-    void answer_poll(std::uint64_t position, const std::vector<std::uint32_t>& running,
+    void answer_poll(const sent_poll& sent, const std::vector<std::uint32_t>& running,
                      const std::vector<std::uint32_t>& ended = {}, bool complete = true)
     {
         poll_result poll;
@@ -49,7 +49,7 @@
         for (const std::uint32_t each : ended)
             poll.ended.push_back(
                 {end_number(each + 1), run(each), run_end::done, checkpoint()});
-        ledger.record_poll_answer(poll, position, now);
+        ledger.record_poll_answer(poll, sent, now);
     }
     void poll(const std::vector<std::uint32_t>& running,
               const std::vector<std::uint32_t>& ended = {}, bool complete = true)
@@ -126,7 +126,7 @@
     {"answer_later_than_a_poll_that_was_sent_before",
      [](ledger_scene& scene)
      {
-         const std::uint64_t sent = scene.send_poll();
+         const sent_poll sent = scene.send_poll();
          scene.start(1);
          scene.answer(1, command_outcome::accepted);
          scene.answer_poll(sent, {});
@@ -182,6 +182,26 @@
          scene.poll({});
      },
      {}},
+    {"start_that_may_have_been_executed_after_the_poll_was_sent",
+     [](ledger_scene& scene)
+     {
+         scene.start(1);
+         scene.now += milliseconds(11500);
+         const sent_poll sent = scene.send_poll();
+         scene.now += seconds(1);
+         scene.answer_poll(sent, {});
+     },
+     {1}},
+    {"run_of_a_worker_that_was_called_long_ago_and_by_others_since",
+     [](ledger_scene& scene)
+     {
+         scene.start(1);
+         scene.now += seconds(24);
+         scene.answer_poll(scene.send_poll(false), {1});
+         scene.now += seconds(2);
+         scene.send_poll(false);
+     },
+     {1}},
     {"silent_worker_whose_lease_may_last",
      [](ledger_scene& scene)
      {
@@ -227,6 +247,16 @@
     EXPECT_EQ(calls.workers[0].last_call_ms, 500U);
 }
 
+// Guards against a bound that lacks the calls of an agent which knows of no run there.
+TEST(call_ledger_time_test, is_reported_without_runs_too)
+{
+    ledger_scene scene;
+    scene.poll({});
+    const former_calls calls = scene.ledger.calls(scene.now);
+    ASSERT_EQ(calls.workers.size(), 1U);
+    EXPECT_TRUE(calls.workers[0].tasks.empty());
+}
+
 // Guards against a full ledger that is taken for a complete one.
 TEST(full_call_ledger_test, reports_that_calls_are_missing)
 {
--- a/unittests/cell/former_run_tracker_test.cpp
+++ b/unittests/cell/former_run_tracker_test.cpp
@@ -13,10 +13,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class former_runs_test : public testing::Test
+class former_run_tracker_test : public testing::Test
 {
 protected:
-    former_runs_test()
+    former_run_tracker_test()
     {
         former.expect_worker(worker_id("w1"));
         former.expect_worker(worker_id("w2"));
@@ -37,7 +37,7 @@
 };
 
 // Guards against taking an unknown set of agents for an empty one.
-TEST_F(former_runs_test, any_task_may_have_one_while_the_agents_are_unknown)
+TEST_F(former_run_tracker_test, any_task_may_have_one_while_the_agents_are_unknown)
 {
     EXPECT_FALSE(record("a", calls("w1", 1)));
     EXPECT_TRUE(former.may_have_run(task(2)));
@@ -45,7 +45,7 @@
 }
 
 // Guards against taking the calls of some agents for those of all.
-TEST_F(former_runs_test, any_task_may_have_one_until_each_agent_has_reported)
+TEST_F(former_run_tracker_test, any_task_may_have_one_until_each_agent_has_reported)
 {
     former.expect_agents({instance_id("a"), instance_id("b")});
     EXPECT_TRUE(record("a", calls("w1", 1)));
@@ -59,15 +59,25 @@
     EXPECT_FALSE(former.may_have_run(job_key("j"), 0));
 }
 
+// Guards against dropping the calls of an agent that was named before.
+TEST_F(former_run_tracker_test, task_that_an_unexpected_agent_reports_may_have_one)
+{
+    former.expect_agents({instance_id("a")});
+    EXPECT_FALSE(record("earlier", calls("w1", 1)));
+    EXPECT_TRUE(record("a", {true, {}}));
+    EXPECT_TRUE(former.may_have_run(task(1)));
+}
+
 // Guards against taking the report of a full ledger for one of all calls.
-TEST_F(former_runs_test, any_task_may_have_one_when_an_agent_could_not_keep_its_calls)
+TEST_F(former_run_tracker_test,
+       any_task_may_have_one_when_an_agent_could_not_keep_its_calls)
 {
     former.expect_agents({instance_id("a")});
     EXPECT_FALSE(record("a", {false, {}}));
     EXPECT_TRUE(former.may_have_run(task(1)));
 }
 
-TEST_F(former_runs_test, task_waits_for_each_worker_that_may_have_it)
+TEST_F(former_run_tracker_test, task_waits_for_each_worker_that_may_have_it)
 {
     former.expect_agents({instance_id("a"), instance_id("b")});
     record("a", calls("w1", 1));
@@ -79,7 +89,7 @@
     EXPECT_FALSE(former.settle(worker_id("w2")));
 }
 
-TEST_F(former_runs_test, calls_of_a_settled_worker_do_not_count)
+TEST_F(former_run_tracker_test, calls_of_a_settled_worker_do_not_count)
 {
     former.expect_agents({instance_id("a")});
     former.settle(worker_id("w1"));
@@ -88,7 +98,7 @@
 }
 
 // Guards against waiting only for the call of the agent that reports first.
-TEST_F(former_runs_test, latest_call_of_all_agents_counts)
+TEST_F(former_run_tracker_test, latest_call_of_all_agents_counts)
 {
     former.expect_agents({instance_id("a"), instance_id("b")});
     record("a", calls("w1", 1, 4000));
@@ -96,6 +106,8 @@
     record("b", calls("w1", 1, 1000));
     EXPECT_EQ(former.last_call_at(worker_id("w1")), now - milliseconds(1000));
     EXPECT_EQ(former.last_call_at(worker_id("w2")), std::nullopt);
+    record("c", {true, {{worker_id("w1"), 500, {}}}});
+    EXPECT_EQ(former.last_call_at(worker_id("w1")), now - milliseconds(500));
 }
 
 } // namespace
