Allow tasks on a worker whose entry returns

An idle worker whose entry goes and returns within 0.4 s got a new record that allowed no tasks, while its agent and the stored records stayed as they were, so that nothing allowed them again (LOST). owner_test.worker_whose_entry_returns_gets_tasks failed on. The owner now decides for all workers each time that it assigns them, as it did for each list of workers before.

--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -130,6 +130,7 @@
 {
     if (!loaded)
         return;
+    allow_workers();
     std::set<instance_id> named;
     for (auto& [id, route] : routes)
     {
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -576,6 +576,27 @@
     EXPECT_EQ(sent_starts().size(), 1U);
 }
 
+// Guards against a worker that gets no tasks any more because its entry was away for a
+// moment.
+TEST_F(owner_test, worker_whose_entry_returns_gets_tasks)
+{
+    start();
+    report("a", report_with(poll({latest_assignment(), 1})));
+    loop.advance(milliseconds(390));
+    const std::vector<worker_info> listed = std::exchange(directory.workers, {});
+    directory.changed_handler(directory.workers);
+    loop.advance(milliseconds(200));
+    directory.workers = listed;
+    directory.changed_handler(directory.workers);
+    for (int tenths = 0; tenths < 10; ++tenths)
+    {
+        report("a", report_with(poll({latest_assignment(), 2})));
+        loop.advance(milliseconds(100));
+    }
+    submit("x");
+    EXPECT_EQ(sent_starts().size(), 1U);
+}
+
 /// What the agents of the former owner report, beside a worker that nobody reaches.
 struct takeover_case
 {
