Name the agents of former owners until none of their calls can act

An agent that had lost a worker was forgotten 4.5 s later, when the deadline of its starts had passed; in a next incarnation of the worker the deadline does nothing, and calls come up to 12 s late. It is named until a poll that was sent 12 s later.

An owner that found no record of agents, or one that it could not read, waited itself, but wrote a record of its own agents at once, which its successor took for that of all. The record says now whether it is complete, and is written with the first record of workers.

The changed times of agent_without_workers_is_named_* and record_of_agents_is_incomplete_while_earlier_ones_are_unknown failed before. refused_connections_do_not_settle_a_worker asserts again that nothing starts up to the bound.

--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -244,7 +244,7 @@
         if (route != routes.end() &&
             poll.sent_position.assignment == route->second.assignment)
         {
-            forget_former_agents(route->second, poll, now);
+            forget_previous_agents(route->second, poll, now);
             cell.observe(poll, now);
         }
         else
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -24,10 +24,9 @@
 /// Number of instances that are sent to agents as peers: enough that one of them is up
 /// after a failure.
 constexpr std::size_t max_peers = 8;
-/// After this time, a poll that is answered was sent when no start of an agent that had
-/// the worker before could be executed any more: it covers the deadline of a start, its
-/// time-out and the longest poll.
-constexpr duration last_start_limit = std::chrono::milliseconds(4500);
+/// A poll that is answered this long after a worker was taken from an agent was sent when
+/// no start of that agent could be executed any more.
+constexpr duration last_start_limit = late_command_limit + std::chrono::seconds(2);
 /// Calls for former owners are stored this long after a takeover, when most workers have
 /// been polled.
 constexpr duration former_calls_delay = std::chrono::milliseconds(500);
@@ -130,38 +129,30 @@
 {
     if (!loaded)
         return;
-    allow_workers();
     std::set<instance_id> named;
     for (auto& [id, route] : routes)
     {
         if (!route.agent.empty())
             named.insert(route.agent);
-        std::erase_if(route.former_agents,
+        std::erase_if(route.previous_agents,
                       [now](const std::pair<const instance_id, boot_time>& each)
                       { return now - each.second > call_retention; });
-        for (const auto& [agent, left_at] : route.former_agents)
+        for (const auto& [agent, left_at] : route.previous_agents)
             named.insert(agent);
     }
     for (const auto& [id, state] : agents)
         if (id != parts.self && state.is_usable(now))
             named.insert(id);
-    // Once every worker has seen the token of this owner, calls for former owners have no
-    // effect any more.
-    const bool calls_end = cell.is_settled() && !calls_to_store.empty();
-    if (cell.is_settled())
-    {
-        former_agents.clear();
-        calls_to_store.clear();
-    }
-    store_former_calls(now);
+    clear_former_agents(now);
     named.insert(former_agents.begin(), former_agents.end());
-    if (named == agents_to_store && !calls_end)
-        return;
+    if (named != agents_to_store)
+        agents_changed = true;
     agents_to_store = std::move(named);
-    agents_changed = true;
     std::erase_if(stored_agents, [this](const instance_id& id)
                   { return !agents_to_store.contains(id); });
-    schedule_store();
+    allow_workers();
+    if (agents_changed)
+        schedule_store();
 }
 
 void owner::implementation::assign_workers()
@@ -221,8 +212,18 @@
     return &outbox[route->second.agent];
 }
 
-void owner::implementation::store_former_calls(boot_time now)
+void owner::implementation::clear_former_agents(boot_time now)
 {
+    // Once every worker has seen the token of this owner, calls for former owners have no
+    // effect any more.
+    if (cell.is_settled())
+    {
+        agents_changed =
+            agents_changed || !former_agents_known || !calls_to_store.empty();
+        former_agents_known = true;
+        former_agents.clear();
+        calls_to_store.clear();
+    }
     if (former_agents.empty() || now - loaded_at < former_calls_delay)
         return;
     std::optional<std::vector<worker_calls>> known = cell.known_calls();
@@ -231,22 +232,21 @@
     calls_to_store = std::move(*known);
     former_agents.clear();
     agents_changed = true;
-    schedule_store();
 }
 
 void owner::implementation::unassign(worker_route& route)
 {
     if (!route.agent.empty())
-        route.former_agents[route.agent] = parts.loop.clock().now();
+        route.previous_agents[route.agent] = parts.loop.clock().now();
     route.agent = instance_id();
 }
 
-void owner::implementation::forget_former_agents(worker_route& route,
-                                                 const poll_result& poll, boot_time now)
+void owner::implementation::forget_previous_agents(worker_route& route,
+                                                   const poll_result& poll, boot_time now)
 {
     if (!poll.ends_complete)
         return;
-    std::erase_if(route.former_agents,
+    std::erase_if(route.previous_agents,
                   [now](const std::pair<const instance_id, boot_time>& each)
                   { return now - each.second > last_start_limit; });
 }
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -83,7 +83,7 @@
     std::uint64_t assignment = 0;
     /// Agents that had the worker before, with the times when it was assigned to others.
     /// They may know of runs that a poll of the present agent has not listed.
-    std::map<instance_id, boot_time> former_agents;
+    std::map<instance_id, boot_time> previous_agents;
 };
 
 class owner::implementation : public std::enable_shared_from_this<implementation>
@@ -135,14 +135,15 @@
     /// Decides which agents the store has to name, and allows starts on the workers of
     /// those that it names.
     void update_stored_agents(boot_time now);
-    /// Stores the calls for former owners instead of the names of their agents.
-    void store_former_calls(boot_time now);
+    /// Forgets the agents of former owners once their calls have no effect any more, or
+    /// are known and can be stored instead.
+    void clear_former_agents(boot_time now);
     /// Takes the worker from its agent, if it has one.
     void unassign(worker_route& route);
     /// Forgets the agents that had the worker before its present one, whose poll has
     /// listed all runs that they may have started.
-    static void forget_former_agents(worker_route& route, const poll_result& poll,
-                                     boot_time now);
+    static void forget_previous_agents(worker_route& route, const poll_result& poll,
+                                       boot_time now);
     bool may_start_on(const worker_id& worker, const worker_route& route) const;
     void allow_workers();
     /// Pending commands to the agent of a worker; nullptr if no agent is assigned.
@@ -272,6 +273,9 @@
     std::set<instance_id> former_agents;
     std::set<instance_id> stored_agents;
     std::set<instance_id> agents_to_store;
+    /// Whether the agents of former owners are known. If not, a successor has to wait as
+    /// well, until all expected workers are settled.
+    bool former_agents_known = false;
     std::vector<worker_calls> calls_to_store; ///< Of agents that were named before.
     bool agents_changed = false;
     bool queues_changed = true;              ///< Since they were stored.
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -259,7 +259,9 @@
     stored_agents = former_agents;
     agents_to_store = former_agents;
     calls_to_store = known.value().calls;
-    cell.expect_agents(former_agents);
+    former_agents_known = known.value().complete;
+    if (former_agents_known)
+        cell.expect_agents(former_agents);
 }
 
 void owner::implementation::handle_former_calls(const instance_id& from,
@@ -493,6 +495,8 @@
     if (writing_records || records_retry_due ||
         !(workers_changed || agents_changed || queues_changed || instances_changed))
         return;
+    // A successor must not find workers without a record of agents.
+    agents_changed = agents_changed || agents_revision == kv_revision();
     // A transaction without an answer may be executed after a later one. Its expectation
     // of the records' revisions fails then.
     store_transaction change;
@@ -510,7 +514,8 @@
         change.expect.push_back({std::string(agents_key), agents_revision});
         change.puts.push_back(
             {std::string(agents_key),
-             encode(agents_record{{agents_to_store.begin(), agents_to_store.end()},
+             encode(agents_record{former_agents_known,
+                                  {agents_to_store.begin(), agents_to_store.end()},
                                   calls_to_store}),
              lease_id()});
     }
--- a/lib/cell/stored_form.cpp
+++ b/lib/cell/stored_form.cpp
@@ -26,8 +26,8 @@
 template <class Archive>
 void serialize(Archive& archive, agents_record& value)
 {
-    auto& [agents, calls] = value;
-    members(archive, agents, calls);
+    auto& [complete, agents, calls] = value;
+    members(archive, complete, agents, calls);
 }
 
 namespace
--- a/lib/cell/stored_form.hpp
+++ b/lib/cell/stored_form.hpp
@@ -62,6 +62,8 @@
 /// Value of agents_key.
 struct agents_record
 {
+    /// False if earlier owners may have used agents that are not known.
+    bool complete = true;
     std::vector<instance_id> agents;
     /// Calls of agents that are not named any more, on workers that were not polled
     /// since.
--- a/unittests/cell/ended_process_test.cpp
+++ b/unittests/cell/ended_process_test.cpp
@@ -183,7 +183,7 @@
     cut_off.id = worker_id("cut off");
     workers.cell.expect_workers({cut_off.id}, workers.clock.now());
     workers.cell.update_worker(cut_off, workers.clock.now());
-    for (int polls = 0; polls < 30; ++polls)
+    for (int polls = 0; polls < 48; ++polls)
     {
         workers.cell.observe(
             refused_poll{cut_off.id, cut_off.address, event_position{1, 1}, false, 0},
@@ -194,7 +194,7 @@
         workers.poll_all();
         EXPECT_TRUE(workers.decide().starts.empty()) << "after " << polls << " polls";
     }
-    workers.advance(milliseconds(5000));
+    workers.advance(milliseconds(500));
     workers.poll_all();
     EXPECT_EQ(workers.decide().starts.size(), 1U);
 }
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -517,13 +517,13 @@
     report("a", report_with(poll({latest_assignment(), 1})));
     loop.advance(milliseconds(500));
     // The worker is assigned to "b" 1.5 s after the last report of "a".
-    for (int tenths = 0; tenths < 55; ++tenths)
+    for (int tenths = 0; tenths < 150; ++tenths)
     {
         report("b", report_with(poll({latest_assignment(), 2})));
         loop.advance(milliseconds(100));
     }
     EXPECT_TRUE(stored_agents().contains(instance_id("a")));
-    for (int tenths = 0; tenths < 20; ++tenths)
+    for (int tenths = 0; tenths < 15; ++tenths)
     {
         report("b", report_with(poll({latest_assignment(), 3})));
         loop.advance(milliseconds(100));
@@ -538,7 +538,8 @@
     state.put("cell/workers",
               encode(std::vector<worker_id>{worker_id("silent"), worker_id("w")}),
               lease_id());
-    state.put("cell/agents", encode(agents_record{{instance_id("a")}, {}}), lease_id());
+    state.put("cell/agents", encode(agents_record{true, {instance_id("a")}, {}}),
+              lease_id());
     configure();
     cell->start();
     agent_report observed;
@@ -597,6 +598,27 @@
     EXPECT_EQ(sent_starts().size(), 1U);
 }
 
+// Guards against a second takeover that takes the agents of one owner for those of all.
+TEST_F(owner_test, record_of_agents_is_incomplete_while_earlier_ones_are_unknown)
+{
+    state.put("cell/workers",
+              encode(std::vector<worker_id>{worker_id("silent"), worker_id("w")}),
+              lease_id());
+    start();
+    const std::function<void(int)> pass_tenths = [this](int tenths)
+    {
+        for (int tenth = 0; tenth < tenths; ++tenth)
+        {
+            report("a", report_with(poll({latest_assignment(), 1})));
+            loop.advance(milliseconds(100));
+        }
+    };
+    pass_tenths(20);
+    EXPECT_FALSE(decode_agents(state.items.at("cell/agents").value).value().complete);
+    pass_tenths(120);
+    EXPECT_TRUE(decode_agents(state.items.at("cell/agents").value).value().complete);
+}
+
 /// What the agents of the former owner report, beside a worker that nobody reaches.
 struct takeover_case
 {
@@ -622,7 +644,7 @@
               encode(std::vector<worker_id>{worker_id("silent"), worker_id("w")}),
               lease_id());
     state.put("cell/agents",
-              encode(agents_record{{instance_id("a"), instance_id("b")}, {}}),
+              encode(agents_record{true, {instance_id("a"), instance_id("b")}, {}}),
               lease_id());
     configure();
     cell->start();
