Hold no inherited job again once all workers were settled

An owner that reads its records again, because the store has dropped changes, expects all workers again. While an agent of a former owner was gone for good, its calls stayed unknown, so that all inherited jobs waited once more until each worker was polled or expired. After the first time that all were settled this owner knows every run itself. no_task_may_have_one_once_every_worker_was_settled guards it: it expects false where the tracker answered true for any task while an agent was awaited.

Adds the line "former agents read", which shows whose calls a takeover waits for.

--- a/lib/cell/former_run_tracker.cpp
+++ b/lib/cell/former_run_tracker.cpp
@@ -63,6 +63,12 @@
         task->second.erase(worker);
         task = task->second.empty() ? tasks_.erase(task) : std::next(task);
     }
+    // From now on this owner knows all runs, also on workers that are expected again.
+    if (unsettled_.empty())
+    {
+        agents_known_ = true;
+        awaited_.clear();
+    }
     return true;
 }
 
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -260,6 +260,10 @@
     agents_to_store = former_agents;
     calls_to_store = known.value().calls;
     former_agents_known = known.value().complete;
+    parts.log.info("owner", "former agents read",
+                   {{"agents", std::uint64_t{former_agents.size()}},
+                    {"complete", former_agents_known ? 1 : 0},
+                    {"workers", std::uint64_t{calls_to_store.size()}}});
     if (former_agents_known)
         cell.expect_agents(former_agents);
 }
--- a/unittests/cell/former_run_tracker_test.cpp
+++ b/unittests/cell/former_run_tracker_test.cpp
@@ -59,6 +59,17 @@
     EXPECT_FALSE(former.may_have_run(job_key("j"), 0));
 }
 
+// Guards against inherited jobs that all wait again when the owner reads its records
+// again while an agent of a former owner is gone for good.
+TEST_F(former_run_tracker_test, no_task_may_have_one_once_every_worker_was_settled)
+{
+    former.expect_agents({instance_id("gone")});
+    former.settle(worker_id("w1"));
+    former.settle(worker_id("w2"));
+    former.expect_worker(worker_id("w1"));
+    EXPECT_FALSE(former.may_have_run(task(1)));
+}
+
 // Guards against dropping the calls of an agent that was named before.
 TEST_F(former_run_tracker_test, task_that_an_unexpected_agent_reports_may_have_one)
 {
