Keep a worker with its agent when a former agent answers late

The name was passed as a reference to the field that assign() clears first, so that the worker was left without an agent for up to 0.4 s. answer_of_a_former_agent_leaves_the_worker_with_its_agent failed before.

--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -269,7 +269,8 @@
         return result;
     // A result from a former agent cannot be ordered with the polls of the current agent.
     // After a new assignment, the current agent sends polls that reflect the command.
-    assign(result.worker, route->second, route->second.agent);
+    const instance_id agent = route->second.agent;
+    assign(result.worker, route->second, agent);
     result.position = event_position{route->second.assignment, 0};
     return result;
 }
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -619,6 +619,59 @@
     EXPECT_TRUE(decode_agents(state.items.at("cell/agents").value).value().complete);
 }
 
+class late_result_test : public owner_test
+{
+protected:
+    /// Starts a task on "w" by way of "a", and lets the owner stop it because the start
+    /// gets no answer.
+    void stop_unanswered_start()
+    {
+        start();
+        report("a", report_with(poll({latest_assignment(), 1})));
+        loop.advance(milliseconds(500));
+        submit("x");
+        ASSERT_EQ(sent_starts().size(), 1U);
+        for (int tenths = 0; tenths < 15; ++tenths)
+        {
+            report("a", report_with(poll({latest_assignment(), 2})));
+            loop.advance(milliseconds(100));
+        }
+    }
+    /// Lets "a", which has the worker no more, report the answer to the stop.
+    void answer_stop()
+    {
+        agent_report observed;
+        command_result& stopped = observed.results.emplace_back();
+        stopped.worker = worker_id("w");
+        stopped.run = sent_starts().front().run;
+        stopped.stop = true;
+        report("a", observed);
+    }
+    /// Lets this agent poll the worker, which shows no run.
+    void poll_by(const std::string& agent, int tenths)
+    {
+        for (int tenth = 0; tenth < tenths; ++tenth)
+        {
+            report(agent, report_with(poll({latest_assignment(), 3})));
+            loop.advance(milliseconds(100));
+        }
+    }
+};
+
+// Guards against taking a worker from its agent when the former one answers late.
+TEST_F(late_result_test, answer_of_a_former_agent_leaves_the_worker_with_its_agent)
+{
+    stop_unanswered_start();
+    poll_by("b", 20);
+    answer_stop();
+    sent.clear();
+    loop.advance(milliseconds(20));
+    ASSERT_FALSE(sent.empty());
+    EXPECT_EQ(sent.front().first, endpoint("b"));
+    ASSERT_EQ(sent.front().second.commands.assignments.size(), 1U);
+    EXPECT_TRUE(sent.front().second.commands.assignments[0].assigned);
+}
+
 /// What the agents of the former owner report, beside a worker that nobody reaches.
 struct takeover_case
 {
