Start a task again whose stop was answered while its worker had no agent

The answer to a stop came from a former agent while the worker had none, so that it kept a position that no poll can exceed: the run stayed as being stopped for ever.

The result takes a new place in the order now, before all polls of the next agent.

--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -264,13 +264,17 @@
 command_result owner::implementation::ordered_by_polls(command_result result)
 {
     const auto route = routes.find(result.worker);
-    if (route == routes.end() || route->second.agent.empty() ||
-        result.position.assignment == route->second.assignment)
+    if (route == routes.end() ||
+        (!route->second.agent.empty() &&
+         result.position.assignment == route->second.assignment))
         return result;
     // A result from a former agent cannot be ordered with the polls of the current agent.
     // After a new assignment, the current agent sends polls that reflect the command.
     const instance_id agent = route->second.agent;
-    assign(result.worker, route->second, agent);
+    if (agent.empty())
+        route->second.assignment = ++last_assignment;
+    else
+        assign(result.worker, route->second, agent);
     result.position = event_position{route->second.assignment, 0};
     return result;
 }
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -658,6 +658,19 @@
     }
 };
 
+// Guards against a task that never starts again because its stop was answered while the
+// worker had no agent, so that no poll seemed to be newer than the answer.
+TEST_F(late_result_test, stop_answered_without_an_agent_releases_the_task)
+{
+    stop_unanswered_start();
+    loop.advance(seconds(2));
+    directory.workers[0].address = endpoint("10.0.0.2:1");
+    directory.changed_handler(directory.workers);
+    answer_stop();
+    poll_by("a", 10);
+    EXPECT_EQ(sent_starts().size(), 2U);
+}
+
 // Guards against taking a worker from its agent when the former one answers late.
 TEST_F(late_result_test, answer_of_a_former_agent_leaves_the_worker_with_its_agent)
 {
