Balance workers over agents at once

After a takeover in which the store turned most hosts away, one agent had reported to the new owner, so that it got all workers: since the owner's agent takes none beside another one.

agents_that_report_later_get_their_share_of_the_workers_at_once failed with one move in a call.

--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -186,22 +186,29 @@
         assign(id, route, least_loaded->first);
         least_loaded->second += 1.0 / agents.at(route.agent).processor_share;
     }
-    // Balance the load: each call moves at most one worker from the most loaded agent to
-    // the least loaded one, which may be new.
-    const auto [least_loaded, most_loaded] = std::ranges::minmax_element(
-        load, {},
-        [](const std::pair<const instance_id, double>& entry) { return entry.second; });
-    const double min_difference = 1.0 / agents.at(least_loaded->first).processor_share +
-                                  1.0 / agents.at(most_loaded->first).processor_share;
-    if (most_loaded->second - least_loaded->second <= min_difference)
-        return;
+    balance_workers(load);
+}
+
+void owner::implementation::balance_workers(std::map<instance_id, double>& load)
+{
     for (auto& [id, route] : routes)
-        if (route.agent == most_loaded->first)
-        {
-            outbox[route.agent].assignments.push_back({id, route.address, 0, false});
-            assign(id, route, least_loaded->first);
-            return schedule_decision();
-        }
+    {
+        const auto [least_loaded, most_loaded] = std::ranges::minmax_element(
+            load, {},
+            [](const std::pair<const instance_id, double>& entry)
+            { return entry.second; });
+        const double released = 1.0 / agents.at(most_loaded->first).processor_share;
+        const double added = 1.0 / agents.at(least_loaded->first).processor_share;
+        if (most_loaded->second - least_loaded->second <= released + added)
+            return;
+        if (route.agent != most_loaded->first)
+            continue;
+        outbox[route.agent].assignments.push_back({id, route.address, 0, false});
+        assign(id, route, least_loaded->first);
+        most_loaded->second -= released;
+        least_loaded->second += added;
+        schedule_decision();
+    }
 }
 
 agent_commands* owner::implementation::commands_for(const worker_id& worker)
@@ -264,9 +271,8 @@
 command_result owner::implementation::ordered_by_polls(command_result result)
 {
     const auto route = routes.find(result.worker);
-    if (route == routes.end() ||
-        (!route->second.agent.empty() &&
-         result.position.assignment == route->second.assignment))
+    if (route == routes.end() || (!route->second.agent.empty() &&
+                                  result.position.assignment == route->second.assignment))
         return result;
     // A result from a former agent cannot be ordered with the polls of the current agent.
     // After a new assignment, the current agent sends polls that reflect the command.
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -130,6 +130,9 @@
     /// Assigns each worker to an agent, and lets the store name the agents.
     void assign_workers();
     void distribute_workers(boot_time now);
+    /// Moves workers from the most loaded agents to the least loaded ones. \p load is
+    /// that of each agent.
+    void balance_workers(std::map<instance_id, double>& load);
     /// Expected load of each agent that workers may be assigned to: none so far.
     std::map<instance_id, double> assignable_agents(boot_time now) const;
     /// Decides which agents the store has to name, and allows starts on the workers of
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -619,6 +619,33 @@
     EXPECT_TRUE(decode_agents(state.items.at("cell/agents").value).value().complete);
 }
 
+// Guards against an agent that has to poll all workers for seconds because it was the
+// first one to report to a new owner.
+TEST_F(owner_test, agents_that_report_later_get_their_share_of_the_workers_at_once)
+{
+    const worker_info first = directory.workers[0];
+    for (int number = 1; number < 12; ++number)
+    {
+        directory.workers.push_back(first);
+        directory.workers.back().id = worker_id("w" + std::to_string(number));
+    }
+    start();
+    report("b");
+    report("c");
+    loop.advance(milliseconds(500));
+    std::map<worker_id, endpoint> agent_of;
+    for (const auto& [agent, message] : sent)
+        for (const assign_command& command : message.commands.assignments)
+            if (command.assigned)
+                agent_of[command.worker] = agent;
+    std::map<endpoint, std::size_t> workers_of;
+    for (const auto& [worker, agent] : agent_of)
+        ++workers_of[agent];
+    EXPECT_EQ(workers_of.size(), 3U);
+    for (const auto& [agent, count] : workers_of)
+        EXPECT_LE(count, 5U) << agent.value();
+}
+
 class late_result_test : public owner_test
 {
 protected:
