--- a/unittests/wire/aggregate.hpp
+++ b/unittests/wire/aggregate.hpp
@@ -6,6 +6,7 @@
 #include "hawthornbeam/support/random_source.hpp"
 #include "hawthornbeam/wire/messages.hpp"
 
+#include <optional>
 #include <tuple>
 
 namespace hawthornbeam::wire
@@ -87,6 +88,11 @@
     return a.size() == b.size();
 }
 template <class T>
+bool equal_fields(const std::optional<T>& a, const std::optional<T>& b)
+{
+    return a.has_value() == b.has_value() && (!a || equal_fields(*a, *b));
+}
+template <class T>
 bool equal_fields(const T& a, const T& b)
 {
     if constexpr (equality_comparable<T>)
@@ -177,6 +183,15 @@
         fill_random(random, element);
 }
 template <class T>
+void fill_random(random_source& random, T& value);
+template <class T>
+void fill_random(random_source& random, std::optional<T>& value)
+{
+    value.reset();
+    if (random.below(2) == 1)
+        fill_random(random, value.emplace());
+}
+template <class T>
 void fill_random(random_source& random, T& value)
 {
     if constexpr (std::is_same_v<T, bool>)
