--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -11,7 +11,7 @@
 using standins::run_event;
 
 /// Bounds from the users' documentation: `kill-grace-ms`, `gang-ms` and `hold-max-ms`.
-constexpr duration stop_grace = std::chrono::milliseconds(400);
+constexpr duration stop_grace = std::chrono::milliseconds(900);
 constexpr duration gang_wait = std::chrono::milliseconds(3000);
 constexpr duration max_lease = std::chrono::milliseconds(10000);
 /// One-way delay between an instance and a worker, and the instance's time-out.
