Execute late commands up to 12 s late in the simulation

The users' pages let a command without an answer be executed up to 12 s later, and the product assumes that (late_command_limit). The simulated workers executed it at most 8 s late.

--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -20,7 +20,7 @@
 /// Probability that a run fails by itself, without an injected failure.
 constexpr double failure_probability = 0.05;
 /// Maximum delay of a command that is executed late.
-constexpr duration max_command_delay = std::chrono::milliseconds(8000);
+constexpr duration max_command_delay = std::chrono::milliseconds(12000);
 /// Time for which the entry of an ended worker stays listed: three heartbeats.
 constexpr duration entry_retention = std::chrono::milliseconds(4500);
 /// Time until the process of a worker that a task has crashed starts again.
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -66,7 +66,7 @@
     /// Resets all connections to the worker until \p until; its runs continue. New
     /// connections are refused as by a host whose process has ended.
     void reset_connections(const worker_id& id, boot_time until);
-    /// Until \p until, commands are executed up to 8 s late and are not answered.
+    /// Until \p until, commands are executed up to 12 s late and are not answered.
     void delay_commands(const worker_id& id, boot_time until);
     /// Marks the worker as draining in its entry; it exits after \p pause, and its next
     /// incarnation starts 3 s later.
