Execute polls late in the simulation while a worker delays commands

A worker may execute any call late and without an answer; in the simulation polls were executed at once or never. A late poll may extend a lease or drop ends long after it was sent, also in the next incarnation. While a worker delays commands, polls now come up to 12 s late. Their delays come from a random source of their own, so that histories without late calls stay.

No check is changed here.

What this change costs: since silent workers get fewer starts, fewer commands are executed late.

--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -19,7 +19,7 @@
 constexpr duration command_timeout = std::chrono::milliseconds(700);
 /// Probability that a run fails by itself, without an injected failure.
 constexpr double failure_probability = 0.05;
-/// Maximum delay of a command that is executed late.
+/// Maximum delay of a command or poll that is executed late.
 constexpr duration max_command_delay = std::chrono::milliseconds(12000);
 /// Time for which the entry of an ended worker stays listed: three heartbeats.
 constexpr duration entry_retention = std::chrono::milliseconds(4500);
@@ -27,6 +27,8 @@
 constexpr duration restart_time = std::chrono::milliseconds(3000);
 /// Maximum number of calls of one host that wait at the advice service.
 constexpr std::size_t max_waiting_calls = 32;
+/// Added to the seed of the workers for the delays of late polls.
+constexpr std::uint64_t poll_delay_seed = 1'000'003;
 /// Part of its time after which a run on a faulty worker fails.
 constexpr std::int64_t faulty_run_divisor = 10;
 
@@ -39,7 +41,7 @@
 
 simulated_workers::simulated_workers(event_loop& loop, std::uint64_t seed,
                                      standins::cell_history& history)
-    : loop_(loop), random_(seed), history_(history)
+    : loop_(loop), random_(seed), poll_delays_(seed + poll_delay_seed), history_(history)
 {
 }
 
@@ -568,11 +570,21 @@
 }
 
 duration simulated_workers::command_delay(const worker_id& id)
+{
+    return call_delay(id, random_);
+}
+
+duration simulated_workers::poll_delay(const worker_id& id)
+{
+    return call_delay(id, poll_delays_);
+}
+
+duration simulated_workers::call_delay(const worker_id& id, random_source& random) const
 {
     if (loop_.clock().now() >= workers_.at(id).delay_commands_until)
         return duration::zero();
     return duration(static_cast<std::int64_t>(
-        random_.unit() * static_cast<double>(max_command_delay.count())));
+        random.unit() * static_cast<double>(max_command_delay.count())));
 }
 
 std::vector<worker_info> simulated_workers::entries() const
@@ -626,6 +638,14 @@
     }
     if (workers_.is_cut_off(call.worker, host_))
         return;
+    const duration delay = workers_.poll_delay(call.worker);
+    if (delay > duration::zero())
+        return workers_.schedule(loop_, delay,
+                                 [&workers = workers_, host = host_, call]
+                                 {
+                                     if (!workers.is_cut_off(call.worker, host))
+                                         workers.poll(call, [](const poll_answer&) {});
+                                 });
     workers_.schedule(
         loop_, link_delay,
         [&instance_loop = instance_loop_, &workers = workers_, host = host_, call, once]
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -66,7 +66,8 @@
     /// Resets all connections to the worker until \p until; its runs continue. New
     /// connections are refused as by a host whose process has ended.
     void reset_connections(const worker_id& id, boot_time until);
-    /// Until \p until, commands are executed up to 12 s late and are not answered.
+    /// Until \p until, commands and polls are executed up to 12 s late and are not
+    /// answered.
     void delay_commands(const worker_id& id, boot_time until);
     /// Marks the worker as draining in its entry; it exits after \p pause, and its next
     /// incarnation starts 3 s later.
@@ -82,6 +83,8 @@
     void schedule(event_loop& loop, duration delay, std::function<void()> action);
     /// Returns the delay of the next command to this worker, normally zero.
     duration command_delay(const worker_id& id);
+    /// Returns the delay of the next poll of this worker, normally zero.
+    duration poll_delay(const worker_id& id);
     /// Records that a command was executed late; the checker then extends its time
     /// bounds.
     void record_late_command();
@@ -144,6 +147,7 @@
     };
 
     void restart(const worker_id& id);
+    duration call_delay(const worker_id& id, random_source& random) const;
     bool is_permitted(const simulated_worker& worker, const start_command& command) const;
     /// Returns the record of the worker's present incarnation.
     standins::worker_record& record_of(const simulated_worker& worker);
@@ -166,6 +170,7 @@
 
     event_loop& loop_;
     random_source random_;
+    random_source poll_delays_; ///< Apart, so that other draws do not depend on polls.
     standins::cell_history& history_;
     std::map<worker_id, simulated_worker> workers_;
     std::map<std::uint64_t, timer_handle> scheduled_calls_;
