Give each simulated incarnation a clock of its own

The clock of a worker's process may begin anywhere; in the simulation it began at 0, so a deadline on the former clock always lay ahead. It is now up to 5,000 s ahead of or behind the time, drawn for each incarnation, so that such a deadline lies far ahead (the longest lease) or behind (no lease; a start is refused). The offsets come from a random source of their own, so that the other draws stay.

--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -29,6 +29,10 @@
 constexpr std::size_t max_waiting_calls = 32;
 /// Added to the seed of the workers for the delays of late polls.
 constexpr std::uint64_t poll_delay_seed = 1'000'003;
+/// The clock of a new incarnation is ahead of or behind the time by at most this.
+constexpr duration max_clock_offset = std::chrono::seconds(5000);
+/// Added to the seed of the workers for the clocks of their incarnations.
+constexpr std::uint64_t clock_seed = 2'000'003;
 /// Part of its time after which a run on a faulty worker fails.
 constexpr std::int64_t faulty_run_divisor = 10;
 
@@ -41,7 +45,8 @@
 
 simulated_workers::simulated_workers(event_loop& loop, std::uint64_t seed,
                                      standins::cell_history& history)
-    : loop_(loop), random_(seed), poll_delays_(seed + poll_delay_seed), history_(history)
+    : loop_(loop), random_(seed), clocks_(seed + clock_seed),
+      poll_delays_(seed + poll_delay_seed), history_(history)
 {
 }
 
@@ -56,7 +61,7 @@
     added.info.capacity =
         resources{millicores(cores * 1000), byte_count(std::int64_t{32} << 30U),
                   accelerator_count()};
-    added.started_at = loop_.clock().now();
+    begin_incarnation(added);
     history_.workers.push_back({added.info});
     history_.workers.back().up_since = added.started_at;
 }
@@ -90,16 +95,24 @@
     return history_.submitted.at(task.job).steps.at(task.step);
 }
 
+void simulated_workers::begin_incarnation(simulated_worker& worker)
+{
+    worker.started_at = loop_.clock().now();
+    const double behind = 2 * clocks_.unit() - 1;
+    worker.clock_zero = boot_time(std::chrono::milliseconds(static_cast<std::int64_t>(
+        behind * static_cast<double>(whole_ms(max_clock_offset)))));
+}
+
 worker_time simulated_workers::clock_of(const simulated_worker& worker) const
 {
-    return worker_time(whole_ms(loop_.clock().now() - worker.started_at));
+    return worker_time(whole_ms(loop_.clock().now() - worker.clock_zero));
 }
 
 void simulated_workers::extend_lease(simulated_worker& worker, worker_time until)
 {
     const boot_time now = loop_.clock().now();
     const boot_time requested_until = std::min(
-        worker.started_at + std::chrono::milliseconds(until.value()), now + max_lease);
+        worker.clock_zero + std::chrono::milliseconds(until.value()), now + max_lease);
     worker.lease_until = std::max(worker.lease_until, requested_until);
     const worker_id id = worker.info.id;
     worker.lease_timer = loop_.after(
@@ -429,7 +442,7 @@
     restarted.token = fence_token();
     restarted.last_end = 0;
     restarted.lease_until = boot_time();
-    restarted.started_at = loop_.clock().now();
+    begin_incarnation(restarted);
     history_.workers.push_back({restarted.info});
     history_.workers.back().up_since = restarted.started_at;
 }
@@ -473,7 +486,7 @@
                             worker_id(id.value() + "." + std::to_string(++last_new_id_));
                         simulated_worker& added = workers_[info.id];
                         added.info = info;
-                        added.started_at = loop_.clock().now();
+                        begin_incarnation(added);
                         history_.workers.push_back({info});
                         history_.workers.back().up_since = added.started_at;
                     });
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -119,6 +119,7 @@
         boot_time entry_late_until{};
         fence_token token;
         boot_time started_at{};
+        boot_time clock_zero{}; ///< Time at which the incarnation's clock shows 0.
         boot_time lease_until{};
         std::map<task_ref, simulated_run> runs;
         std::map<task_ref, run_number> last_ended_runs;
@@ -147,6 +148,8 @@
     };
 
     void restart(const worker_id& id);
+    /// Lets an incarnation begin now, with a clock unrelated to that of the former one.
+    void begin_incarnation(simulated_worker& worker);
     duration call_delay(const worker_id& id, random_source& random) const;
     bool is_permitted(const simulated_worker& worker, const start_command& command) const;
     /// Returns the record of the worker's present incarnation.
@@ -170,6 +173,7 @@
 
     event_loop& loop_;
     random_source random_;
+    random_source clocks_;      ///< Apart, so that other draws do not depend on clocks.
     random_source poll_delays_; ///< Apart, so that other draws do not depend on polls.
     standins::cell_history& history_;
     std::map<worker_id, simulated_worker> workers_;
