Keep polls prompt where only commands are late in the simulation

late_commands_test delays the commands to all workers for 12 s and expects starts meanwhile. Polls are late beside late commands only in the failure commands_late, which records itself as one.

--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -302,7 +302,10 @@
     case cell_failure::commands_late:
         for (const worker_id& each : all_workers)
             if (random_.below(2) == 0)
+            {
                 workers_.delay_commands(each, failure_end);
+                workers_.delay_polls(each, failure_end);
+            }
         return;
     case cell_failure::worker_drains:
         return workers_.drain(worker, milliseconds(2500 + random_.below(4000)));
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -545,6 +545,11 @@
     workers_.at(id).delay_commands_until = until;
 }
 
+void simulated_workers::delay_polls(const worker_id& id, boot_time until)
+{
+    workers_.at(id).delay_polls_until = until;
+}
+
 void simulated_workers::drain(const worker_id& id, duration pause)
 {
     simulated_worker& worker = workers_.at(id);
@@ -584,17 +589,17 @@
 
 duration simulated_workers::command_delay(const worker_id& id)
 {
-    return call_delay(id, random_);
+    return call_delay(workers_.at(id).delay_commands_until, random_);
 }
 
 duration simulated_workers::poll_delay(const worker_id& id)
 {
-    return call_delay(id, poll_delays_);
+    return call_delay(workers_.at(id).delay_polls_until, poll_delays_);
 }
 
-duration simulated_workers::call_delay(const worker_id& id, random_source& random) const
+duration simulated_workers::call_delay(boot_time until, random_source& random) const
 {
-    if (loop_.clock().now() >= workers_.at(id).delay_commands_until)
+    if (loop_.clock().now() >= until)
         return duration::zero();
     return duration(static_cast<std::int64_t>(
         random.unit() * static_cast<double>(max_command_delay.count())));
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -66,9 +66,10 @@
     /// Resets all connections to the worker until \p until; its runs continue. New
     /// connections are refused as by a host whose process has ended.
     void reset_connections(const worker_id& id, boot_time until);
-    /// Until \p until, commands and polls are executed up to 12 s late and are not
-    /// answered.
+    /// Until \p until, commands are executed up to 12 s late and are not answered.
     void delay_commands(const worker_id& id, boot_time until);
+    /// The same for polls. Nobody reaches such a worker.
+    void delay_polls(const worker_id& id, boot_time until);
     /// Marks the worker as draining in its entry; it exits after \p pause, and its next
     /// incarnation starts 3 s later.
     void drain(const worker_id& id, duration pause);
@@ -132,6 +133,7 @@
         boot_time restricted_until{};
         boot_time resets_until{};
         boot_time delay_commands_until{};
+        boot_time delay_polls_until{};
         boot_time fails_runs_until{};
         timer_handle lease_timer;
         /// Restarts a crashed worker, or ends a draining one.
@@ -150,7 +152,7 @@
     void restart(const worker_id& id);
     /// Lets an incarnation begin now, with a clock unrelated to that of the former one.
     void begin_incarnation(simulated_worker& worker);
-    duration call_delay(const worker_id& id, random_source& random) const;
+    duration call_delay(boot_time until, random_source& random) const;
     bool is_permitted(const simulated_worker& worker, const start_command& command) const;
     /// Returns the record of the worker's present incarnation.
     standins::worker_record& record_of(const simulated_worker& worker);
