Show how many agents of former owners have not reported

The gauge hawthornbeam_awaited_agents tells a takeover that waits for all workers, because an agent has ended with its ledger, from one that waits for a few tasks.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -165,6 +165,8 @@
     /// Handles the completed write of \p batch; state() then shows its final states.
     void stored(const pending_changes& batch, boot_time now);
 
+    /// Returns the number of expected agents that have not reported their calls.
+    std::size_t awaited_agents() const;
     /// Returns whether no expected worker can still have a run that is unknown to this
     /// owner.
     bool is_settled() const;
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -405,6 +405,8 @@
     parts.metrics.set_gauge("hawthornbeam_open_jobs", {},
                             static_cast<double>(cell.open_jobs()));
     parts.metrics.set_gauge("hawthornbeam_settled", {}, cell.is_settled() ? 1 : 0);
+    parts.metrics.set_gauge("hawthornbeam_awaited_agents", {},
+                            static_cast<double>(cell.awaited_agents()));
     parts.metrics.set_gauge(
         "hawthornbeam_worker_list_age_seconds", {},
         std::chrono::duration<double>(now - parts.directory.current_until()).count());
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -128,6 +128,11 @@
         found->second.allowed = allowed;
 }
 
+std::size_t scheduler::awaited_agents() const
+{
+    return implementation_->former.awaited_agents();
+}
+
 bool scheduler::is_settled() const
 {
     return implementation_->former.is_settled();
