--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -446,7 +446,7 @@
 
 // Seeds that failed before; docs/recovery.md describes the faults.
 INSTANTIATE_TEST_SUITE_P(regressions, overlapping_cell_failures_test,
-                         testing::Values(307, 523, 643, 1189, 1477));
+                         testing::Values(307, 523, 643, 1189, 1477, 894));
 
 INSTANTIATE_TEST_SUITE_P(seeds, overlapping_cell_failures_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
