--- a/lib/cell/former_run_tracker.hpp
+++ b/lib/cell/former_run_tracker.hpp
@@ -25,8 +25,8 @@
     /// Handles the calls of an agent, received at \p now, whether it was expected or not.
     /// Returns whether it was, and could report all of its calls.
     bool record_calls(const instance_id& agent, const former_calls& calls, boot_time now);
-    /// Handles calls that a former owner has stored. How long ago they were sent is not
-    /// known; \p now is the latest time.
+    /// Handles calls that a former owner has stored. The time at which they were sent is
+    /// not stored, so they count as sent at \p now.
     void restore_calls(const std::vector<worker_calls>& calls, boot_time now);
     /// Returns the tasks that may have a run on an expected worker, for a later owner.
     std::vector<worker_calls> calls() const;
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -133,7 +133,7 @@
     /// Moves workers from the most loaded agents to the least loaded ones. \p load is
     /// that of each agent.
     void balance_workers(std::map<instance_id, double>& load);
-    /// Expected load of each agent that workers may be assigned to: none so far.
+    /// Returns the agents that workers may be assigned to, each with a load of zero.
     std::map<instance_id, double> assignable_agents(boot_time now) const;
     /// Decides which agents the store has to name, and allows starts on the workers of
     /// those that it names.
