--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -454,7 +454,7 @@
 INSTANTIATE_TEST_SUITE_P(seeds, worker_contact_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
-INSTANTIATE_TEST_SUITE_P(regressions, long_failure_test, testing::Values(272, 103));
+INSTANTIATE_TEST_SUITE_P(regressions, long_failure_test, testing::Values(272, 103, 1105));
 
 INSTANTIATE_TEST_SUITE_P(seeds, long_failure_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
