Refuse bodies over the limit before they are collected

What callers saw: one client that announces or just sends a body far over the limit takes a process beyond the memory of its machine, at any path, method and port; a chunked body is read without end and never answered.

Cause: both servers received requests through libsoup, which calls its handler once a body is whole, and has then collected it twice. The limit was compared after that, at hawthornbeamd for one method only. hawthornd answered early, but libsoup reads the announced rest all the same.

The new package `server` receives requests for both daemons. Its admission decides on the bytes of the header, on the announced length, on each chunk and on a timer, without a network; a table says how each refusal ends. A refused request was never handled, so 413 stays true. Bodies are collected once, in the server, and are not kept after a refusal.

--- a/lib/api/exchange.cpp
+++ b/lib/api/exchange.cpp
@@ -46,14 +46,18 @@
 
 } // namespace
 
-exchange::exchange(SoupServerMessage* message, std::map<std::string, std::string> query,
+std::string problem_text(const problem& details)
+{
+    return dump(problem_json(details));
+}
+
+exchange::exchange(const received_request& request,
+                   std::map<std::string, std::string> query,
                    std::function<void(unsigned)> finished)
-    : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))), query_(std::move(query)),
-      finished_(std::move(finished))
+    : message_(SOUP_SERVER_MESSAGE(g_object_ref(request.message))), body_(request.body),
+      query_(std::move(query)), finished_(std::move(finished))
 {
-    // A message must not be unpaused after its connection has been closed.
     closed_signal_ = g_signal_connect(message_, "finished", G_CALLBACK(on_closed), this);
-    soup_server_message_pause(message_);
 }
 
 exchange::~exchange()
@@ -81,15 +85,9 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
-std::string exchange::body() const
+const std::string& exchange::body() const
 {
-    GBytes* bytes =
-        soup_message_body_flatten(soup_server_message_get_request_body(message_));
-    gsize size = 0;
-    const char* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-    std::string copy(data == nullptr ? "" : data, size);
-    g_bytes_unref(bytes);
-    return copy;
+    return body_;
 }
 
 std::string exchange::parameter(const std::string& name) const
@@ -113,10 +111,7 @@
     const std::string request = header("X-Request-Id");
     if (!request.empty())
         set_header("X-Request-Id", request);
-    soup_server_message_set_status(message_, status, nullptr);
-    soup_server_message_set_response(message_, content_type, SOUP_MEMORY_COPY,
-                                     text.data(), text.size());
-    soup_server_message_unpause(message_);
+    http_server::respond(message_, status, content_type, text);
     finished_(status);
 }
 
--- a/lib/api/exchange.hpp
+++ b/lib/api/exchange.hpp
@@ -3,6 +3,7 @@
 #ifndef HAWTHORNBEAM_LIB_API_EXCHANGE_HPP
 #define HAWTHORNBEAM_LIB_API_EXCHANGE_HPP
 
+#include "hawthornbeam/server/http_server.hpp"
 #include "hawthornbeam/support/result.hpp"
 #include "lib/api/access.hpp"
 
@@ -12,10 +13,6 @@
 #include <string>
 #include <vector>
 
-// Forward declaration of a libsoup type; libsoup chose the reserved name.
-// NOLINTNEXTLINE(bugprone-reserved-identifier)
-typedef struct _SoupServerMessage SoupServerMessage;
-
 namespace hawthornbeam
 {
 
@@ -39,14 +36,14 @@
 public:
     /// \p finished runs once, when a response is given or the client closes the
     /// connection.
-    exchange(SoupServerMessage* message, std::map<std::string, std::string> query,
+    exchange(const received_request& request, std::map<std::string, std::string> query,
              std::function<void(unsigned status)> finished);
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
     ~exchange();
 
     std::string header(const char* name) const;
-    std::string body() const;
+    const std::string& body() const;
     /// Returns a query parameter; empty when absent.
     std::string parameter(const std::string& name) const;
 
@@ -66,11 +63,14 @@
 
     SoupServerMessage* message_;
     unsigned long closed_signal_ = 0;
+    std::string body_;
     std::map<std::string, std::string> query_;
     std::function<void(unsigned)> finished_;
     bool answered_ = false;
 };
 
+/// Serializes \p details as the body of an error response.
+std::string problem_text(const problem& details);
 /// Returns the problem document for the error \p failure of a failed operation.
 problem problem_of(const error& failure);
 
--- /dev/null
+++ b/test/clients/clients_test.py
@@ -0,0 +1,250 @@
+#!/usr/bin/env python3
+"""Tests with ill-behaved clients: `clients_test.py NAME`. Each case starts one daemon with
+lowered limits, plays a small crowd against it, and checks that the process lives, that its
+memory and its open descriptors stay bounded and that an ordinary request is answered. The
+docstring of a scenario names the failure it guards against."""
+
+import os
+import signal
+import sys
+
+import crowd
+from crowd import PIECE, CHUNK, close_crowd, connect, head, open_crowd, send_to_all
+from daemons import (CONTROL_MEMORY_BYTES, MEMORY_IS_CHECKED, MIB, QUEUE_HOST, QUEUE_PREFIX,
+                     Hawthornbeamd, Hawthornd)
+from cluster import end_on_signals, wait_for
+
+JOB_PATH = QUEUE_PREFIX + "00000000000000aa"
+BODY_LIMIT = 16 << 10
+REQUEST_MEMORY = MIB
+
+OVERSIZED = 48 * MIB
+FRAMINGS = {
+    "announced": (f"Content-Length: {OVERSIZED}", [PIECE] * (OVERSIZED // len(PIECE))),
+    "chunked": ("Transfer-Encoding: chunked", [CHUNK] * (OVERSIZED // len(PIECE))),
+}
+# Port, method and path.
+HAWTHORNBEAMD_TARGETS = [
+    ("client", "POST", JOB_PATH), ("client", "GET", JOB_PATH), ("client", "DELETE", JOB_PATH),
+    ("client", "PUT", "/unknown"), ("client", "POST", "/metrics"),
+    ("ready", "GET", "/hawthornbeam/ready"), ("ready", "POST", JOB_PATH),
+    ("metrics", "GET", "/metrics"),
+]
+HAWTHORND_TARGETS = [("client", "POST", "/v1/jobs"), ("client", "GET", "/readyz"),
+                     ("client", "PUT", "/v1/table"), ("client", "POST", "/unknown")]
+
+DESCRIPTOR_LIMIT = 100
+# Descriptors that must stay free for the process's own calls and files.
+FREE_DESCRIPTORS = 10
+IDLE_CROWD = 110
+UNFINISHED_REQUESTS = {
+    "nothing": b"",
+    "part of a request line": b"POST /q0",
+    "part of a body": head("POST", JOB_PATH, QUEUE_HOST, "Content-Length: 100") + b"{",
+    "a whole request": head("GET", QUEUE_PREFIX, QUEUE_HOST),
+}
+
+UNFINISHED_BODY = MIB
+UNFINISHED_CROWD = 96
+UNFINISHED_MEMORY = 4 * MIB
+
+STOPPED_CROWD = 60
+
+MACHINE_MEMORY_BYTES = 260 * MIB
+TASKS_PER_STEP = 100000
+STEPS = 30
+
+
+def check_process(daemon, memory_bound):
+    if not daemon.is_alive():
+        raise AssertionError(f"the process ended with {daemon.process.returncode}")
+    if not MEMORY_IS_CHECKED:
+        return
+    peak = daemon.peak_memory_bytes()
+    print(f"  peak memory {peak / MIB:.1f} MiB, bound {memory_bound / MIB:.1f} MiB", flush=True)
+    if peak > memory_bound:
+        raise AssertionError(f"peak memory of {peak} bytes, more than {memory_bound}")
+
+
+def oversized_bodies(start, targets):
+    """Guards against bodies far over the limit that are collected or read to their end."""
+    failures = []
+    for port, method, path in targets:
+        for framing, (field, body) in FRAMINGS.items():
+            name = f"{method} {path} at the {port} port, {framing}"
+            print(name, flush=True)
+            with start() as daemon:
+                client = connect(daemon.addresses[port])
+                request = [head(method, path, QUEUE_HOST, field), *body]
+                [sent] = send_to_all([client], request)
+                print(f"  {sent / MIB:.1f} MiB taken", flush=True)
+                try:
+                    check_process(daemon, CONTROL_MEMORY_BYTES + REQUEST_MEMORY)
+                    if sent == sum(len(part) for part in request):
+                        raise AssertionError("the whole body was read")
+                    client.close()
+                    daemon.run_ordinary_job()
+                except AssertionError as failure:
+                    failures.append(f"{name}: {failure}")
+    return failures
+
+
+def oversized_bodies_hawthornbeamd():
+    """Guards against bodies far over the limit, at any port, method and path."""
+    return oversized_bodies(lambda: Hawthornbeamd(BODY_LIMIT, REQUEST_MEMORY),
+                            HAWTHORNBEAMD_TARGETS)
+
+
+def oversized_bodies_hawthornd():
+    """Guards against bodies far over the limit, at any method and path."""
+    return oversized_bodies(lambda: Hawthornd(BODY_LIMIT), HAWTHORND_TARGETS)
+
+
+def readable_refusal():
+    """Guards against a refused body whose sender cannot read why, or is kept connected."""
+    failures = []
+    for start in (lambda: Hawthornbeamd(BODY_LIMIT, REQUEST_MEMORY),
+                  lambda: Hawthornd(BODY_LIMIT)):
+        with start() as daemon:
+            for framing, (field, body) in FRAMINGS.items():
+                client = connect(daemon.addresses["client"])
+                send_to_all([client], [head("POST", JOB_PATH, QUEUE_HOST, field), body[0]])
+                status = crowd.read_status(client)
+                closed = crowd.wait_until_closed(client)
+                client.close()
+                print(f"{framing}: status {status}, closed {closed}", flush=True)
+                if status != 413 or not closed:
+                    failures.append(f"{type(daemon).__name__}, {framing}: status {status}, "
+                                    f"closed {closed}")
+            daemon.run_ordinary_job()
+    return failures
+
+
+def unfinished_bodies():
+    """Guards against unfinished requests, each inside the limit, that exhaust the memory
+    together."""
+    failures = []
+    framings = {
+        "announced": (f"Content-Length: {UNFINISHED_BODY}",
+                      [b"x" * (UNFINISHED_BODY - 1)]),
+        "chunked": ("Transfer-Encoding: chunked",
+                    [CHUNK] * (UNFINISHED_BODY // len(PIECE) - 1)),
+    }
+    for framing, (field, body) in framings.items():
+        with Hawthornbeamd(UNFINISHED_BODY, UNFINISHED_MEMORY) as daemon:
+            clients = open_crowd(daemon.addresses["client"], UNFINISHED_CROWD)
+            send_to_all(clients, [head("POST", JOB_PATH, QUEUE_HOST, field), *body])
+            print(framing, flush=True)
+            try:
+                daemon.run_ordinary_job()
+                check_process(daemon, CONTROL_MEMORY_BYTES + UNFINISHED_MEMORY)
+                close_crowd(clients)
+                daemon.run_ordinary_job()
+                check_process(daemon, CONTROL_MEMORY_BYTES + UNFINISHED_MEMORY)
+            except AssertionError as failure:
+                failures.append(f"{framing}: {failure}")
+            finally:
+                close_crowd(clients)
+    return failures
+
+
+def idle_connections(start, ports):
+    """Guards against a crowd that takes all descriptors, so that nobody else is served
+    while it stays or after it has gone."""
+    failures = []
+    for port in ports:
+        for name, sent in UNFINISHED_REQUESTS.items():
+            print(f"{port} port, {name}", flush=True)
+            with start() as daemon:
+                before = daemon.descriptors()
+                clients = open_crowd(daemon.addresses[port], IDLE_CROWD)
+                send_to_all(clients, [sent])
+                try:
+                    check_descriptors(daemon, before, clients)
+                except AssertionError as failure:
+                    failures.append(f"{port} port, {name}: {failure}")
+                finally:
+                    close_crowd(clients)
+    return failures
+
+
+def check_descriptors(daemon, before, clients):
+    wait_for("a readiness check is answered while the crowd stays", daemon.is_ready)
+    daemon.run_ordinary_job()
+    used = daemon.descriptors()
+    close_crowd(clients)
+    wait_for("a readiness check is answered after the crowd", daemon.is_ready)
+    daemon.run_ordinary_job()
+    wait_for("the descriptors of the crowd are closed",
+             lambda: daemon.descriptors() <= before + FREE_DESCRIPTORS)
+    print(f"  descriptors: {before} before, {used} beside the crowd, "
+          f"{daemon.descriptors()} after it", flush=True)
+    check_process(daemon, CONTROL_MEMORY_BYTES + REQUEST_MEMORY)
+    if used > DESCRIPTOR_LIMIT - FREE_DESCRIPTORS:
+        raise AssertionError(f"{used} of {DESCRIPTOR_LIMIT} descriptors in use")
+
+
+def idle_connections_hawthornbeamd():
+    """Guards against a crowd that takes all descriptors of hawthornbeamd."""
+    return idle_connections(
+        lambda: Hawthornbeamd(BODY_LIMIT, REQUEST_MEMORY, descriptors=DESCRIPTOR_LIMIT),
+        ["client", "ready", "metrics"])
+
+
+def idle_connections_hawthornd():
+    """Guards against a crowd that takes all descriptors of hawthornd."""
+    return idle_connections(lambda: Hawthornd(BODY_LIMIT, DESCRIPTOR_LIMIT), ["client"])
+
+
+def listen_queue():
+    """Guards against a queue of new connections so short that a crowd fills it."""
+    failures = []
+    for start in (Hawthornbeamd, Hawthornd):
+        with start() as daemon:
+            daemon.process.send_signal(signal.SIGSTOP)
+            try:
+                clients = open_crowd(daemon.addresses["client"], STOPPED_CROWD)
+                sent = send_to_all(clients, [b"G"])
+            finally:
+                daemon.process.send_signal(signal.SIGCONT)
+            close_crowd(clients)
+            established = sum(sent)
+            print(f"{type(daemon).__name__}: {established} of {STOPPED_CROWD} connections "
+                  "were taken up", flush=True)
+            if established != STOPPED_CROWD:
+                failures.append(f"{type(daemon).__name__}: {established} connections")
+            daemon.run_ordinary_job()
+    return failures
+
+
+def many_tasks():
+    """Guards against a small job whose tasks exhaust the memory of the owner."""
+    with Hawthornbeamd(body_bytes=256 << 10) as daemon:
+        step = {"count": TASKS_PER_STEP, "cpu": 1000, "mem-mb": 100}
+        status = daemon.status("POST", JOB_PATH, {"spec": "work", "steps": [step] * STEPS})
+        print(f"the job was answered {status}", flush=True)
+        daemon.run_ordinary_job()
+        check_process(daemon, MACHINE_MEMORY_BYTES)
+    return []
+
+
+SCENARIOS = {one.__name__: one for one in (
+    oversized_bodies_hawthornbeamd, oversized_bodies_hawthornd, readable_refusal,
+    unfinished_bodies, idle_connections_hawthornbeamd, idle_connections_hawthornd,
+    listen_queue, many_tasks)}
+
+
+def main():
+    if len(sys.argv) != 2 or sys.argv[1] not in SCENARIOS:
+        sys.exit("usage: clients_test.py " + "|".join(SCENARIOS))
+    end_on_signals()
+    failures = SCENARIOS[sys.argv[1]]()
+    for failure in failures:
+        print("FAILED", failure)
+    sys.stdout.flush()
+    # Ends without waiting for the threads that serve the stand-ins.
+    os._exit(1 if failures else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -151,8 +151,8 @@
 {
     BOOST_OUTCOME_TRY(open_network());
     result<std::unique_ptr<adapter::ingress>> opened = adapter::ingress::open(
-        {loop_, *node_, configuration_, log_, metrics_}, settings_.client_address,
-        settings_.readiness_address,
+        {loop_, *node_, configuration_, log_, metrics_, admission_limits()},
+        settings_.client_address, settings_.readiness_address,
         cell::endpoint(
             fmt::format("{}:{}", settings_.ip, absl::GetFlag(FLAGS_metrics_port))));
     if (!opened)
--- a/unittests/cell/log_schema_test.cpp
+++ b/unittests/cell/log_schema_test.cpp
@@ -68,7 +68,8 @@
     std::set<event_name> events;
     const std::regex call(
         R"re(log_?(?:\(\))?\.(?:debug|info|warning|error)\(\s*"([a-z]+)",\s*"([^"]+)")re");
-    for (const char* directory : {"lib/cell", "platform", "tools/hawthornbeamd"})
+    for (const char* directory :
+         {"lib/cell", "lib/server", "platform", "tools/hawthornbeamd"})
         for (const std::filesystem::directory_entry& file :
              std::filesystem::directory_iterator(
                  std::filesystem::path(HAWTHORNBEAM_SOURCE) / directory))
