Bound the memory that all unfinished requests hold together

What callers saw: a crowd in which each client stays inside the limit of bodies, but does not finish its request, takes a process beyond the memory of its machine, and holds it as long as it likes.

Cause: nothing bounded what unfinished requests hold together, nor how long a request may arrive.

Bodies are charged to an account from their announcement, or chunk by chunk, until their response is sent; the first 8 KiB of each are free, so that ordinary jobs are served while others hold all of it. A request that does not fit is not read, the smallest goes on first, and after a second either the slowest request that holds memory is refused with 408 or, if only handled ones hold it, the waiting one with 503 before anything was sent on. A request that is larger than the account is served alone, so a single one inside the limit of bodies is never refused. The account is an eighth of the memory of the process; limits.request-memory-bytes and most_request_memory_bytes replace it.

--- a/include/hawthornbeam/server/admission.hpp
+++ b/include/hawthornbeam/server/admission.hpp
@@ -60,7 +60,7 @@
         std::numeric_limits<std::size_t>::max(), std::numeric_limits<std::size_t>::max()};
     /// Bytes that the bodies of all unfinished requests may hold, except small_body_bytes
     /// of each. A request is unfinished until its response is sent.
-    std::size_t request_memory_bytes = std::numeric_limits<std::size_t>::max();
+    std::size_t request_memory_bytes = std::size_t{32} << 20U;
     /// Leading bytes of a body that are not charged, so that small requests are served
     /// while large ones hold all of the memory.
     std::size_t small_body_bytes = std::size_t{8} << 10U;
@@ -79,6 +79,15 @@
     duration min_receive_time = std::chrono::seconds(1);
 };
 
+/// Resources of a process that its limits are derived from.
+struct process_resources
+{
+    std::size_t memory_bytes = 0;
+};
+
+/// Returns limits that leave most of the memory to other uses.
+admission_limits limits_for(const process_resources& available);
+
 /// What happens to a request of which a further part has arrived.
 struct request_verdict
 {
--- a/include/hawthornbeam/settings/settings.hpp
+++ b/include/hawthornbeam/settings/settings.hpp
@@ -53,6 +53,8 @@
     std::uint16_t partitions = 64; ///< Must be equal on all instances.
     std::size_t max_body_bytes = std::size_t{256} << 10U;
     std::size_t max_open_requests = 10000;
+    /// Bytes that unfinished requests may hold; 32 MiB by default.
+    std::optional<std::size_t> request_memory_bytes;
     double max_requests_per_second = 1000; ///< Limit per token.
     duration drain_limit = std::chrono::seconds(30);
     std::uint64_t seed = 0; ///< Zero derives a seed from the clock.
--- a/lib/api/http_api.cpp
+++ b/lib/api/http_api.cpp
@@ -12,8 +12,18 @@
 namespace
 {
 
+/// Memory that limits on clients are derived from; docs/design.md, section 1.
+constexpr std::size_t default_memory_bytes = std::size_t{256} << 20U;
 constexpr std::int64_t retry_after_ms = 1000;
 
+admission_limits client_limits(const instance_settings& settings)
+{
+    admission_limits limits = limits_for({default_memory_bytes});
+    limits.request_memory_bytes =
+        settings.request_memory_bytes.value_or(limits.request_memory_bytes);
+    return limits;
+}
+
 error_code code_of(const refusal_rule& rule)
 {
     return rule.why == refusal::request_too_slow ? error_code::deadline_exceeded
@@ -42,7 +52,7 @@
 public:
     explicit implementation(const parts& given)
         : services(given), handlers(given), access(given.settings),
-          server({given.loop, given.log, given.metrics}, admission_limits(),
+          server({given.loop, given.log, given.metrics}, client_limits(given.settings),
                  make_policy())
     {
     }
--- a/lib/server/admission.cpp
+++ b/lib/server/admission.cpp
@@ -26,6 +26,9 @@
     {refusal::connection_replaced, "connection_replaced", 0, ""},
 }};
 
+/// Fraction of the memory of a process, as a divisor.
+constexpr std::size_t request_memory_divisor = 8;
+
 constexpr request_verdict proceed{};
 constexpr request_verdict wait{request_verdict::action::wait, refusal()};
 
@@ -48,6 +51,14 @@
     return rule;
 }
 
+admission_limits limits_for(const process_resources& available)
+{
+    admission_limits limits;
+    limits.request_memory_bytes = available.memory_bytes / request_memory_divisor;
+    limits.response_memory_bytes = limits.request_memory_bytes;
+    return limits;
+}
+
 class admission::implementation
 {
 public:
--- a/lib/settings/settings.cpp
+++ b/lib/settings/settings.cpp
@@ -136,6 +136,16 @@
         target = static_cast<T>(*value);
 }
 
+/// The same for a value whose default depends on other things.
+void read_integer(toml_table_reader& reader, std::string_view key, std::int64_t min,
+                  std::int64_t max, std::optional<std::size_t>& target)
+{
+    const std::optional<std::int64_t> value =
+        reader.integer(key, presence::optional, min, max);
+    if (value)
+        target = static_cast<std::size_t>(*value);
+}
+
 void read_limits(toml_table_reader& reader, instance_settings& settings)
 {
     read_integer(reader, "partitions", 1, 4096, settings.partitions);
@@ -143,6 +153,8 @@
     // together with the frame header.
     read_integer(reader, "most_body_bytes", 1024, 1000000, settings.max_body_bytes);
     read_integer(reader, "most_open_requests", 1, 1000000, settings.max_open_requests);
+    read_integer(reader, "most_request_memory_bytes", 65536, 1000000000000,
+                 settings.request_memory_bytes);
     settings.max_requests_per_second =
         reader.number("most_requests_per_second", presence::optional, 0.1, 1e6)
             .value_or(settings.max_requests_per_second);
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -61,6 +61,15 @@
 Exit codes: 0 normal exit, or settings without findings; 1 startup failed; 2 invalid
 command line or settings.)";
 
+admission_limits client_limits(const adapter::process_settings& settings)
+{
+    admission_limits limits =
+        limits_for({static_cast<std::size_t>(settings.memory.value())});
+    limits.request_memory_bytes =
+        settings.request_memory_bytes.value_or(limits.request_memory_bytes);
+    return limits;
+}
+
 /// Owns and connects all components of the daemon.
 class process
 {
@@ -151,7 +160,7 @@
 {
     BOOST_OUTCOME_TRY(open_network());
     result<std::unique_ptr<adapter::ingress>> opened = adapter::ingress::open(
-        {loop_, *node_, configuration_, log_, metrics_, admission_limits()},
+        {loop_, *node_, configuration_, log_, metrics_, client_limits(settings_)},
         settings_.client_address, settings_.readiness_address,
         cell::endpoint(
             fmt::format("{}:{}", settings_.ip, absl::GetFlag(FLAGS_metrics_port))));
