Keep descriptors for readiness checks and the process's own calls

What callers saw: 100 idle connections under `ulimit -n 100` took every descriptor. After the crowd had closed, the process answered nobody, on any port that had been connected to meanwhile, until it was restarted. With enough descriptors only 11 new connections a second were taken up.

Cause, traced on: libsoup's listener stops watching its socket after one failed accept. With the crowd gone, 16 descriptors in use and the process waiting in ppoll, 11 connections stayed in the queue of the client port and one in that of the readiness port; the metrics port, to which nobody had connected during the shortage, still answered. The queues were libsoup's default of 10. Besides, libsoup leaves a connection open, in CLOSE_WAIT, that its client closes after its first request.

Connections are admitted by class. Callers and monitors (readiness, metrics) together get half of the descriptors, and at most so many that their receive buffers take a quarter of the memory; monitors have theirs. At the limit a new connection replaces an idle one, else the slowest unfinished one of over a second, never one whose request is handled. Calls to workers, peers and the store have shares of the other half.

--- a/include/hawthornbeam/server/admission.hpp
+++ b/include/hawthornbeam/server/admission.hpp
@@ -9,7 +9,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -56,8 +55,7 @@
 struct admission_limits
 {
     /// Connections of each class.
-    std::size_t max_connections[client_class_count] = {
-        std::numeric_limits<std::size_t>::max(), std::numeric_limits<std::size_t>::max()};
+    std::size_t max_connections[client_class_count] = {1024, 32};
     /// Bytes that the bodies of all unfinished requests may hold, except small_body_bytes
     /// of each. A request is unfinished until its response is sent.
     std::size_t request_memory_bytes = std::size_t{32} << 20U;
@@ -83,9 +81,13 @@
 struct process_resources
 {
     std::size_t memory_bytes = 0;
+    std::size_t descriptors = 0;
 };
 
-/// Returns limits that leave most of the memory to other uses.
+/// Receive buffer of the kernel for each connection, in bytes.
+inline constexpr std::size_t receive_buffer_bytes = std::size_t{32} << 10U;
+
+/// Returns limits that leave half of the descriptors and of the memory to other uses.
 admission_limits limits_for(const process_resources& available);
 
 /// What happens to a request of which a further part has arrived.
--- a/include/hawthornbeam/server/http_server.hpp
+++ b/include/hawthornbeam/server/http_server.hpp
@@ -21,6 +21,9 @@
 namespace hawthornbeam
 {
 
+/// Returns how many descriptors the process may open.
+std::size_t descriptor_limit();
+
 /// A request whose body has been received.
 struct received_request
 {
--- a/include/hawthornbeam/settings/settings.hpp
+++ b/include/hawthornbeam/settings/settings.hpp
@@ -53,7 +53,9 @@
     std::uint16_t partitions = 64; ///< Must be equal on all instances.
     std::size_t max_body_bytes = std::size_t{256} << 10U;
     std::size_t max_open_requests = 10000;
-    /// Bytes that unfinished requests may hold; 32 MiB by default.
+    /// Connections of clients, and bytes that their unfinished requests may hold. The
+    /// defaults are derived from the limit on descriptors, and 32 MiB.
+    std::optional<std::size_t> max_connections;
     std::optional<std::size_t> request_memory_bytes;
     double max_requests_per_second = 1000; ///< Limit per token.
     duration drain_limit = std::chrono::seconds(30);
--- a/lib/api/http_api.cpp
+++ b/lib/api/http_api.cpp
@@ -18,9 +18,12 @@
 
 admission_limits client_limits(const instance_settings& settings)
 {
-    admission_limits limits = limits_for({default_memory_bytes});
+    admission_limits limits = limits_for({default_memory_bytes, descriptor_limit()});
     limits.request_memory_bytes =
         settings.request_memory_bytes.value_or(limits.request_memory_bytes);
+    std::size_t& connections =
+        limits.max_connections[static_cast<std::size_t>(client_class::callers)];
+    connections = settings.max_connections.value_or(connections);
     return limits;
 }
 
--- a/lib/load/transport.cpp
+++ b/lib/load/transport.cpp
@@ -14,7 +14,7 @@
 {
 public:
     soup_load_transport(event_loop& loop, const logger& log, std::uint32_t max_open)
-        : client_(loop, log, max_open)
+        : client_(loop, log, {max_open})
     {
     }
 
--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -20,9 +20,6 @@
 /// How long requests to a host avoid kept connections after a timeout, in clients that
 /// use kept connections for all requests.
 constexpr duration kept_connection_suspicion_time = std::chrono::milliseconds(1500);
-/// Total for all hosts; below the usual limit on open files.
-constexpr int max_connections = 4096;
-
 struct http_call
 {
     http_call() : cancellable(g_cancellable_new()) {}
@@ -68,11 +65,11 @@
     delete static_cast<call_pointer*>(data);
 }
 
-SoupSession* create_session(unsigned connections_per_host)
+SoupSession* create_session(const connection_limits& limits)
 {
     SoupSession* session = soup_session_new_with_options(
-        "max-conns", max_connections, "max-conns-per-host",
-        static_cast<int>(connections_per_host), "idle-timeout",
+        "max-conns", static_cast<int>(limits.total), "max-conns-per-host",
+        static_cast<int>(limits.per_host), "idle-timeout",
         static_cast<guint>(max_idle_time.count()), "timeout", 0U, nullptr);
     // Platform addresses are always reached directly; ignore proxies set in the
     // environment.
@@ -85,10 +82,9 @@
 class http_client::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    implementation(event_loop& loop, const logger& log, unsigned connections_per_host,
+    implementation(event_loop& loop, const logger& log, const connection_limits& limits,
                    connection_use use)
-        : loop_(loop), log_(log), use_(use),
-          session_(create_session(connections_per_host))
+        : loop_(loop), log_(log), use_(use), session_(create_session(limits))
     {
     }
     implementation(const implementation&) = delete;
@@ -273,11 +269,10 @@
 }
 
 http_client::http_client(event_loop& loop, const logger& log,
-                         unsigned connections_per_host, connection_use use)
-    : implementation_(
-          std::make_shared<implementation>(loop, log, connections_per_host, use))
+                         const connection_limits& limits, connection_use use)
+    : implementation_(std::make_shared<implementation>(loop, log, limits, use))
 {
-    assert(connections_per_host > 0 && "at least one connection per host is required");
+    assert(limits.per_host > 0 && limits.total > 0 && "a connection is required");
 }
 
 http_client::~http_client()
--- a/lib/platform/http_client.hpp
+++ b/lib/platform/http_client.hpp
@@ -36,6 +36,13 @@
            ///< connection breaks, so the receiver must tolerate duplicates.
 };
 
+/// Limits on the connections of a client.
+struct connection_limits
+{
+    unsigned per_host = 1;
+    unsigned total = 4096; ///< Below the usual limit on descriptors.
+};
+
 /// Status and body of a complete response, including responses with an error status.
 struct http_reply
 {
@@ -52,7 +59,7 @@
 public:
     using callback = std::function<void(result<http_reply>)>;
 
-    http_client(event_loop& loop, const logger& log, unsigned connections_per_host,
+    http_client(event_loop& loop, const logger& log, const connection_limits& limits,
                 connection_use use = connection_use::fresh);
     /// Cancels pending calls; their callbacks do not run.
     ~http_client();
--- a/lib/platform/http_host_list.cpp
+++ b/lib/platform/http_host_list.cpp
@@ -40,7 +40,7 @@
 
 http_host_list::http_host_list(event_loop& loop, const logger& log, std::string base_url,
                                duration timeout)
-    : implementation_(new implementation{std::move(base_url), timeout, {loop, log, 2}})
+    : implementation_(new implementation{std::move(base_url), timeout, {loop, log, {2}}})
 {
 }
 
--- a/lib/platform/http_kv_service.cpp
+++ b/lib/platform/http_kv_service.cpp
@@ -59,7 +59,7 @@
     implementation(event_loop& loop, const logger& log, std::string base_url,
                    http_kv_options options)
         : base_url_(std::move(base_url)), options_(options),
-          client_(loop, log, options.max_connections)
+          client_(loop, log, {options.max_connections})
     {
     }
 
--- a/lib/platform/http_worker_gateway.cpp
+++ b/lib/platform/http_worker_gateway.cpp
@@ -139,7 +139,7 @@
 {
 public:
     implementation(event_loop& loop, const logger& log, http_worker_options options)
-        : options_(options), client_(loop, log, options.max_connections)
+        : options_(options), client_(loop, log, {options.max_connections})
     {
     }
 
--- a/lib/server/admission.cpp
+++ b/lib/server/admission.cpp
@@ -26,8 +26,13 @@
     {refusal::connection_replaced, "connection_replaced", 0, ""},
 }};
 
-/// Fraction of the memory of a process, as a divisor.
+/// Fractions of the resources of a process, as divisors.
+constexpr std::size_t client_descriptor_divisor = 2;
+constexpr std::size_t receive_buffer_divisor = 4;
 constexpr std::size_t request_memory_divisor = 8;
+constexpr std::size_t max_monitor_connections = 32;
+/// Monitors get one descriptor for so many of the callers.
+constexpr std::size_t callers_per_monitor = 4;
 
 constexpr request_verdict proceed{};
 constexpr request_verdict wait{request_verdict::action::wait, refusal()};
@@ -53,7 +58,16 @@
 
 admission_limits limits_for(const process_resources& available)
 {
+    const std::size_t by_descriptors = available.descriptors / client_descriptor_divisor;
+    const std::size_t by_memory =
+        available.memory_bytes / receive_buffer_divisor / receive_buffer_bytes;
+    const std::size_t connections =
+        std::max<std::size_t>(2, std::min(by_descriptors, by_memory));
     admission_limits limits;
+    const std::size_t monitors = std::clamp<std::size_t>(
+        connections / callers_per_monitor, 1, max_monitor_connections);
+    limits.max_connections[index_of(client_class::monitors)] = monitors;
+    limits.max_connections[index_of(client_class::callers)] = connections - monitors;
     limits.request_memory_bytes = available.memory_bytes / request_memory_divisor;
     limits.response_memory_bytes = limits.request_memory_bytes;
     return limits;
--- a/lib/server/http_server.cpp
+++ b/lib/server/http_server.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <libsoup/soup.h>
 #include <map>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace hawthornbeam
@@ -31,6 +32,15 @@
 
 } // namespace
 
+std::size_t descriptor_limit()
+{
+    rlimit limit{};
+    const int failed = getrlimit(RLIMIT_NOFILE, &limit);
+    assert(failed == 0 && "the limit on descriptors can be read");
+    static_cast<void>(failed);
+    return static_cast<std::size_t>(limit.rlim_cur);
+}
+
 class http_server::implementation
 {
 public:
@@ -534,8 +544,8 @@
     { self.accept(std::move(socket), of); };
     handlers.failed = [&self, of](const std::string& reason)
     { self.report_failed_accept(of, reason); };
-    result<std::unique_ptr<wire::listener>> opened =
-        wire::listener::open(self.loop, address.get(), 0, std::move(handlers));
+    result<std::unique_ptr<wire::listener>> opened = wire::listener::open(
+        self.loop, address.get(), receive_buffer_bytes, std::move(handlers));
     if (!opened)
         return opened.error();
     self.listeners.push_back(std::move(opened).value());
--- a/lib/settings/settings.cpp
+++ b/lib/settings/settings.cpp
@@ -153,6 +153,7 @@
     // together with the frame header.
     read_integer(reader, "most_body_bytes", 1024, 1000000, settings.max_body_bytes);
     read_integer(reader, "most_open_requests", 1, 1000000, settings.max_open_requests);
+    read_integer(reader, "most_connections", 1, 1000000, settings.max_connections);
     read_integer(reader, "most_request_memory_bytes", 65536, 1000000000000,
                  settings.request_memory_bytes);
     settings.max_requests_per_second =
--- a/lib/wire/listener.cpp
+++ b/lib/wire/listener.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+/// Connections that the kernel completes before they are accepted.
+constexpr int listen_backlog = 1024;
 /// Limit on connections accepted in one dispatch, so that a crowd cannot block the event
 /// loop.
 constexpr int max_accepts_per_dispatch = 16;
@@ -31,6 +33,7 @@
         return make_error(error_code::unavailable,
                           "cannot create a socket: " + failure.message());
     g_socket_set_blocking(socket.get(), FALSE);
+    g_socket_set_listen_backlog(socket.get(), listen_backlog);
     // The kernel doubles the size, for its own data. Accepted sockets inherit it.
     if (receive_buffer > 0)
         g_socket_set_option(socket.get(), SOL_SOCKET, SO_RCVBUF,
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -39,6 +39,11 @@
 /// Number of connections to the store. More than the watches, the writes of a receiver
 /// and those of an owner together, so that none waits for a connection.
 constexpr unsigned store_connections = 32;
+/// Fractions of the descriptors, as divisors, for connections to workers, and for those
+/// to peers and from them. Clients take half of the descriptors.
+constexpr std::size_t runner_descriptor_divisor = 4;
+constexpr std::size_t peer_descriptor_divisor = 16;
+constexpr std::size_t min_connections = 16;
 /// While stopping, the process serves requests for at least this fraction of its grace
 /// time.
 constexpr double min_serving_fraction = 0.5;
@@ -61,12 +66,27 @@
 Exit codes: 0 normal exit, or settings without findings; 1 startup failed; 2 invalid
 command line or settings.)";
 
+/// Returns how many descriptors the process may open.
+std::size_t max_descriptors(const adapter::process_settings& settings)
+{
+    return std::min(settings.max_descriptors, descriptor_limit());
+}
+
+unsigned descriptor_share(const adapter::process_settings& settings, std::size_t divisor)
+{
+    return static_cast<unsigned>(
+        std::max(min_connections, max_descriptors(settings) / divisor));
+}
+
 admission_limits client_limits(const adapter::process_settings& settings)
 {
-    admission_limits limits =
-        limits_for({static_cast<std::size_t>(settings.memory.value())});
+    admission_limits limits = limits_for(
+        {static_cast<std::size_t>(settings.memory.value()), max_descriptors(settings)});
     limits.request_memory_bytes =
         settings.request_memory_bytes.value_or(limits.request_memory_bytes);
+    std::size_t& connections =
+        limits.max_connections[static_cast<std::size_t>(client_class::callers)];
+    connections = settings.max_client_connections.value_or(connections);
     return limits;
 }
 
@@ -77,8 +97,11 @@
     process(glib_event_loop& loop, const logger& log,
             const adapter::process_settings& settings, std::uint64_t seed)
         : loop_(loop), log_(log), settings_(settings), random_(seed),
-          store_http_(loop, log, store_connections, connection_use::kept),
-          runner_http_(loop, log, connections_per_host, connection_use::kept),
+          store_http_(loop, log, {store_connections}, connection_use::kept),
+          runner_http_(loop, log,
+                       {connections_per_host,
+                        descriptor_share(settings, runner_descriptor_divisor)},
+                       connection_use::kept),
           store_(loop.clock(), store_http_, metrics_, settings.store_address),
           runners_(runner_http_, metrics_, settings.advice_address),
           registry_(loop, store_, log),
@@ -120,6 +143,7 @@
     options.self = instance_id(fmt::format("{}.{:08x}", settings_.host_name,
                                            static_cast<std::uint32_t>(random_.next())));
     options.listen_ip = settings_.ip;
+    options.max_connections = descriptor_share(settings_, peer_descriptor_divisor);
     error last_error = make_error(error_code::unavailable, "the port range is empty");
     // A process that is shutting down may still have a port open, so try all of them.
     for (std::uint32_t port = settings_.first_peer_port; port <= settings_.last_peer_port;
--- a/unittests/adapter/runner_client_test.cpp
+++ b/unittests/adapter/runner_client_test.cpp
@@ -36,7 +36,7 @@
 {
     loopback local;
     metrics_registry metrics;
-    http_client client(local.loop, local.log, 4, connection_use::kept);
+    http_client client(local.loop, local.log, {4}, connection_use::kept);
     runner_client runners(client, metrics, cell::endpoint("127.0.0.1:1"));
     std::vector<exchange_pointer> unanswered;
     std::optional<http_endpoint> server;
@@ -123,7 +123,7 @@
 
     loopback local;
     metrics_registry metrics;
-    http_client client{local.loop, local.log, 4, connection_use::kept};
+    http_client client{local.loop, local.log, {4}, connection_use::kept};
     runner_client runners{client, metrics, cell::endpoint("127.0.0.1:1")};
     std::function<void(const exchange_pointer&)> handle =
         [](const exchange_pointer& exchange) { exchange->reply(200, "{}"); };
--- a/unittests/platform/bindings_test.cpp
+++ b/unittests/platform/bindings_test.cpp
@@ -112,7 +112,7 @@
     /// Posts \p body to the control port of the stand-ins and returns the status.
     unsigned change_faults(const std::string& body)
     {
-        http_client client(loop, log, 1);
+        http_client client(loop, log, {1});
         const result<http_reply> reply = wait<http_reply>(
             [&](http_client::callback done)
             {
--- a/unittests/server/admission_test.cpp
+++ b/unittests/server/admission_test.cpp
@@ -282,4 +282,38 @@
     EXPECT_EQ(admitted.connections(client_class::callers), 3U);
 }
 
+struct resources_case
+{
+    const char* name;
+    process_resources available;
+    std::size_t callers;
+    std::size_t monitors;
+    std::size_t request_memory_bytes;
+};
+
+class limits_test : public testing::TestWithParam<resources_case>
+{
+};
+
+TEST_P(limits_test, leave_half_of_the_resources)
+{
+    const resources_case& given = GetParam();
+    const admission_limits limits = limits_for(given.available);
+    EXPECT_EQ(limits.max_connections[0], given.callers);
+    EXPECT_EQ(limits.max_connections[1], given.monitors);
+    EXPECT_EQ(limits.request_memory_bytes, given.request_memory_bytes);
+    const std::size_t connections = given.callers + given.monitors;
+    EXPECT_LE(connections, std::max<std::size_t>(2, given.available.descriptors / 2));
+    EXPECT_LE(connections * receive_buffer_bytes + given.request_memory_bytes,
+              given.available.memory_bytes / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    processes, limits_test,
+    testing::Values(
+        resources_case{"of_a_small_host", {260U << 20U, 4100}, 2018, 32, 34078720},
+        resources_case{"with_few_descriptors", {260U << 20U, 100}, 38, 12, 34078720},
+        resources_case{"with_little_memory", {8U << 20U, 4100}, 48, 16, 1U << 20U}),
+    [](const testing::TestParamInfo<resources_case>& info) { return info.param.name; });
+
 } // namespace
