Pause the listener for peers while the process has no descriptors

What showed: a process without free descriptors used a whole core as soon as another instance opened a connection to it.

Cause, traced on with strace: 8,477 failing accepts a second. The listening socket stays readable while an accept fails, and the source of the listener fired again at once; 2.67 s of processor time in 3 s after one connection to the peer port, 0.06 s before it.

Peers now share the listener of the HTTP servers, which pauses for 0.1 s after a failure. A connection without a hello may come from anyone, so it is closed first when a new one needs room, in place of a peer that was quiet for longer.

Evidence: beside_a_crowd_without_hello failed before (the quiet peer was closed), listener_test bounds the failures in 1,000 iterations of the loop.

--- a/lib/wire/tcp_implementation.hpp
+++ b/lib/wire/tcp_implementation.hpp
@@ -5,6 +5,7 @@
 
 #include "connection.hpp"
 #include "hawthornbeam/wire/peer_network.hpp"
+#include "listener.hpp"
 
 #include <map>
 #include <unordered_map>
@@ -54,15 +55,14 @@
     ~implementation() { shut_down(); }
 
     result<bool> listen();
-    std::uint16_t port() const { return local_port(listener_.get()); }
+    std::uint16_t port() const { return listener_->port(); }
     void call(const peer_address& to, const request& message, duration deadline,
               reply_callback done);
     void serve(request_handler handler) { handler_ = std::move(handler); }
     const traffic& traffic_totals() const { return traffic_; }
 
 private:
-    static gboolean on_acceptable(GSocket* socket, GIOCondition condition, gpointer data);
-    void accept_connection();
+    void accept_connection(object_ptr<GSocket> socket);
     bool evict_idle_incoming();
     bool evict_idle_outgoing();
     std::shared_ptr<outgoing_peer> connect_to(const peer_address& to);
@@ -87,8 +87,7 @@
     connection::limits limits_;
     traffic traffic_;
     request_handler handler_;
-    object_ptr<GSocket> listener_;
-    GSource* acceptor_ = nullptr;
+    std::unique_ptr<listener> listener_;
     std::map<peer_address, std::shared_ptr<outgoing_peer>> outgoing_;
     std::map<std::uint64_t, std::shared_ptr<incoming_peer>> incoming_;
     std::uint64_t next_request_id_ = 1;
--- a/lib/wire/tcp_incoming.cpp
+++ b/lib/wire/tcp_incoming.cpp
@@ -23,38 +23,22 @@
     if (!address)
         return make_error(error_code::invalid_input,
                           "not an IP address: " + settings_.listen_ip);
-    gio_error fault;
-    listener_.reset(g_socket_new(g_socket_address_get_family(address.get()),
-                                 G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
-                                 fault.out()));
-    if (!listener_ || !g_socket_bind(listener_.get(), address.get(), TRUE, fault.out()))
-        return make_error(error_code::unavailable,
-                          fmt::format("cannot bind {}:{}: {}", settings_.listen_ip,
-                                      settings_.port, fault.message()));
-    g_socket_set_blocking(listener_.get(), FALSE);
-    if (!g_socket_listen(listener_.get(), fault.out()))
-        return make_error(error_code::unavailable, "cannot listen: " + fault.message());
-    acceptor_ = g_socket_create_source(listener_.get(), G_IO_IN, nullptr);
-    g_source_set_callback(
-        acceptor_, reinterpret_cast<GSourceFunc>(reinterpret_cast<void*>(&on_acceptable)),
-        this, nullptr);
-    g_source_attach(acceptor_, nullptr);
+    listener::events handlers;
+    handlers.accepted = [this](object_ptr<GSocket> socket)
+    { accept_connection(std::move(socket)); };
+    handlers.failed = [this](const std::string& reason) {
+        log_.warning("wire", "cannot accept connections", {{"reason", reason}});
+    };
+    result<std::unique_ptr<listener>> opened =
+        listener::open(loop_, address.get(), 0, std::move(handlers));
+    if (!opened)
+        return opened.error();
+    listener_ = std::move(opened).value();
     return true;
 }
 
-gboolean tcp_peer_network::implementation::on_acceptable(GSocket* /*socket*/,
-                                                         GIOCondition /*condition*/,
-                                                         gpointer data)
+void tcp_peer_network::implementation::accept_connection(object_ptr<GSocket> socket)
 {
-    static_cast<implementation*>(data)->accept_connection();
-    return G_SOURCE_CONTINUE;
-}
-
-void tcp_peer_network::implementation::accept_connection()
-{
-    object_ptr<GSocket> socket(g_socket_accept(listener_.get(), nullptr, nullptr));
-    if (!socket)
-        return;
     if (!evict_idle_incoming())
     {
         log_.warning("wire", "connection refused, all connections are in use",
@@ -89,13 +73,16 @@
 {
     if (incoming_.size() < settings_.max_connections)
         return true;
+    // Connections without a hello may come from anyone, so they go first.
     std::optional<std::uint64_t> victim;
-    boot_time oldest = boot_time::max();
+    std::pair<bool, boot_time> best{true, boot_time::max()};
     for (const auto& [key, peer] : incoming_)
     {
-        if (!peer->open_requests.empty() || peer->link->last_received() >= oldest)
+        const std::pair<bool, boot_time> rank{peer->link->is_ready(),
+                                              peer->link->last_received()};
+        if (!peer->open_requests.empty() || rank >= best)
             continue;
-        oldest = peer->link->last_received();
+        best = rank;
         victim = key;
     }
     if (!victim)
--- a/lib/wire/tcp_peer_network.cpp
+++ b/lib/wire/tcp_peer_network.cpp
@@ -31,13 +31,7 @@
 {
     closing_ = true;
     lifetime_.reset();
-    if (acceptor_ != nullptr)
-    {
-        g_source_destroy(acceptor_);
-        g_source_unref(acceptor_);
-    }
-    if (listener_)
-        g_socket_close(listener_.get(), nullptr);
+    listener_.reset();
     for (const auto& [key, peer] : incoming_)
         peer->link->close();
     incoming_.clear();
--- /dev/null
+++ b/unittests/wire/listener_test.cpp
@@ -0,0 +1,70 @@
+/// \file
+/// Accepting connections while the process has no descriptors left.
+#include "lib/wire/listener.hpp"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace hawthornbeam::wire
+{
+namespace
+{
+
+/// Leaves the process no free descriptor until it is destroyed.
+class descriptor_shortage
+{
+public:
+    descriptor_shortage()
+    {
+        const int lowest_free = ::dup(STDERR_FILENO);
+        ::close(lowest_free);
+        ::getrlimit(RLIMIT_NOFILE, &former_);
+        const rlimit lowered{static_cast<rlim_t>(lowest_free), former_.rlim_max};
+        EXPECT_EQ(::setrlimit(RLIMIT_NOFILE, &lowered), 0);
+    }
+    descriptor_shortage(const descriptor_shortage&) = delete;
+    descriptor_shortage& operator=(const descriptor_shortage&) = delete;
+    ~descriptor_shortage() { ::setrlimit(RLIMIT_NOFILE, &former_); }
+
+private:
+    rlimit former_{};
+};
+
+// Guards against a listener that never accepts again after a failure, and against one
+// that uses all processor time while it fails.
+TEST(listener_test, accepts_again_after_a_shortage_of_descriptors_without_spinning)
+{
+    constexpr int iterations = 1000;
+    glib_event_loop loop;
+    int accepted = 0;
+    int failed = 0;
+    const object_ptr<GSocketAddress> address = make_socket_address("127.0.0.1", 0);
+    result<std::unique_ptr<listener>> opened =
+        listener::open(loop, address.get(), 0,
+                       {[&accepted](object_ptr<GSocket> /*socket*/) { ++accepted; },
+                        [&failed](const std::string& /*reason*/) { ++failed; }});
+    ASSERT_TRUE(opened);
+    const int client = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(opened.value()->port());
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(
+        ::connect(client, reinterpret_cast<const sockaddr*>(&target), sizeof(target)), 0);
+    {
+        const descriptor_shortage shortage;
+        for (int i = 0; i < iterations || failed == 0; ++i)
+            g_main_context_iteration(nullptr, FALSE);
+        EXPECT_EQ(accepted, 0);
+        EXPECT_LT(failed, iterations / 10);
+    }
+    while (accepted == 0)
+        g_main_context_iteration(nullptr, TRUE);
+    ::close(client);
+}
+
+} // namespace
+} // namespace hawthornbeam::wire
--- a/unittests/wire/tcp_peer_network_test.cpp
+++ b/unittests/wire/tcp_peer_network_test.cpp
@@ -357,6 +357,23 @@
     EXPECT_EQ(call_and_wait(*client, server->port()), std::nullopt);
 }
 
+// Guards against a crowd that has sent no hello and takes the connections of peers.
+TEST_F(tcp_peer_network_test,
+       quiet_peer_keeps_its_connection_beside_a_crowd_without_hello)
+{
+    network_ptr server = open("server");
+    raw_peer quiet;
+    quiet.connect(server->port());
+    quiet.send_hello(protocol_version);
+    quiet.send(encode_frame(frame{frame_kind::request, 1, 1000, "nonsense"}));
+    run_until([&] { return logged("malformed request"); });
+    raw_peer crowd[6];
+    for (raw_peer& peer : crowd)
+        peer.connect(server->port());
+    run_until([&] { return crowd[0].is_closed() && crowd[1].is_closed(); });
+    EXPECT_FALSE(quiet.is_closed());
+}
+
 // Guards against a malformed request that closes the connection of its sender, which
 // would fail its other requests.
 TEST_F(tcp_peer_network_test, malformed_request_does_not_close_the_connection)
