Bound the responses that are read from the platform

What showed, in a search for the same class of fault: the HTTP client collected responses of any size, so that one answer of the store, a worker or the advice service could take a process beyond the memory of its host.

The client reads bodies in parts of 16 KiB and gives up beyond 32 MiB, 20 times a page of a listing: the connection closes, and the call fails with outcome_unknown, as a call whose response is cut off.

Evidence: response_limit_test with 48 MiB; before, the response was delivered whole.

--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -2,6 +2,7 @@
 /// HTTP client based on libsoup.
 #include "lib/platform/http_client.hpp"
 
+#include <array>
 #include <cassert>
 #include <fmt/format.h>
 #include <libsoup/soup.h>
@@ -20,6 +21,10 @@
 /// How long requests to a host avoid kept connections after a timeout, in clients that
 /// use kept connections for all requests.
 constexpr duration kept_connection_suspicion_time = std::chrono::milliseconds(1500);
+/// Limit on the body of a response, far above the largest page of a listing.
+constexpr std::size_t max_response_bytes = std::size_t{32} << 20U;
+constexpr std::size_t read_buffer_bytes = std::size_t{16} << 10U;
+
 struct http_call
 {
     http_call() : cancellable(g_cancellable_new()) {}
@@ -101,10 +106,22 @@
         std::weak_ptr<implementation> client;
         call_pointer call;
         SoupMessage* message;
+        GInputStream* stream = nullptr; ///< Of the body of the response.
+        std::string body;
+        std::array<char, read_buffer_bytes> buffer;
+
+        ~completion()
+        {
+            g_clear_object(&stream);
+            g_object_unref(message);
+        }
     };
 
-    static void handle_response(GObject* session, GAsyncResult* async_result,
-                                gpointer data);
+    static void handle_header(GObject* session, GAsyncResult* async_result,
+                              gpointer data);
+    static void handle_body(GObject* stream, GAsyncResult* async_result, gpointer data);
+    static void read_body(std::unique_ptr<completion> response);
+    static void fail(const completion& response, GError* failure);
     SoupMessage* build_message(const http_request& request, const call_pointer& call);
     bool needs_fresh_connection(const http_request& request, const std::string& host);
     void time_out(const call_pointer& call);
@@ -143,9 +160,12 @@
         return;
     }
     call->timeout = loop_.after(request.timeout, [this, call] { time_out(call); });
-    soup_session_send_and_read_async(session_, message, G_PRIORITY_DEFAULT,
-                                     call->cancellable, handle_response,
-                                     new completion{self, call, message});
+    std::unique_ptr<completion> response = std::make_unique<completion>();
+    response->client = self;
+    response->call = call;
+    response->message = message;
+    soup_session_send_async(session_, message, G_PRIORITY_DEFAULT, call->cancellable,
+                            handle_header, response.release());
 }
 
 SoupMessage* http_client::implementation::build_message(const http_request& request,
@@ -192,37 +212,65 @@
     return false;
 }
 
-void http_client::implementation::handle_response(GObject* session,
-                                                  GAsyncResult* async_result,
-                                                  gpointer data)
+void http_client::implementation::handle_header(GObject* session,
+                                                GAsyncResult* async_result, gpointer data)
 {
-    const std::unique_ptr<completion> completed(static_cast<completion*>(data));
+    std::unique_ptr<completion> response(static_cast<completion*>(data));
     GError* failure = nullptr;
-    GBytes* body =
-        soup_session_send_and_read_finish(SOUP_SESSION(session), async_result, &failure);
-    const std::shared_ptr<implementation> client = completed->client.lock();
-    const call_pointer& call = completed->call;
-    const unsigned status = soup_message_get_status(completed->message);
-    g_object_unref(completed->message);
+    response->stream =
+        soup_session_send_finish(SOUP_SESSION(session), async_result, &failure);
     if (failure != nullptr)
+        return fail(*response, failure);
+    read_body(std::move(response));
+}
+
+void http_client::implementation::read_body(std::unique_ptr<completion> response)
+{
+    completion& reading = *response;
+    g_input_stream_read_async(reading.stream, reading.buffer.data(),
+                              reading.buffer.size(), G_PRIORITY_DEFAULT,
+                              reading.call->cancellable, handle_body, response.release());
+}
+
+void http_client::implementation::handle_body(GObject* stream, GAsyncResult* async_result,
+                                              gpointer data)
+{
+    std::unique_ptr<completion> response(static_cast<completion*>(data));
+    GError* failure = nullptr;
+    const gssize size =
+        g_input_stream_read_finish(G_INPUT_STREAM(stream), async_result, &failure);
+    if (size < 0)
+        return fail(*response, failure);
+    response->body.append(response->buffer.data(), static_cast<std::size_t>(size));
+    if (response->body.size() > max_response_bytes)
     {
-        const error_code code =
-            call->sent ? error_code::outcome_unknown : error_code::unavailable;
-        error reported_error =
-            make_error(code, call->description + ": " + failure->message);
-        reported_error.no_listener =
-            g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != 0;
-        g_error_free(failure);
-        if (client)
-            client->finish(call, std::move(reported_error));
-        return;
+        // Makes libsoup close the connection instead of reading the rest.
+        g_cancellable_cancel(response->call->cancellable);
+        return fail(*response,
+                    g_error_new_literal(G_IO_ERROR, G_IO_ERROR_MESSAGE_TOO_LARGE,
+                                        "the response is too large"));
     }
-    gsize size = 0;
-    const char* bytes = static_cast<const char*>(g_bytes_get_data(body, &size));
-    http_reply reply{status, size == 0 ? std::string() : std::string(bytes, size)};
-    g_bytes_unref(body);
+    if (size > 0)
+        return read_body(std::move(response));
+    const std::shared_ptr<implementation> client = response->client.lock();
+    if (client)
+        client->finish(response->call,
+                       http_reply{soup_message_get_status(response->message),
+                                  std::move(response->body)});
+}
+
+void http_client::implementation::fail(const completion& response, GError* failure)
+{
+    const call_pointer& call = response.call;
+    const error_code code =
+        call->sent ? error_code::outcome_unknown : error_code::unavailable;
+    error reported_error = make_error(code, call->description + ": " + failure->message);
+    reported_error.no_listener =
+        g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) != 0;
+    g_error_free(failure);
+    const std::shared_ptr<implementation> client = response.client.lock();
     if (client)
-        client->finish(call, std::move(reply));
+        client->finish(call, std::move(reported_error));
 }
 
 void http_client::implementation::time_out(const call_pointer& call)
