Refuse announced lengths that cannot be represented

What showed, in trials with malformed requests: each request with a negative Content-Length made GLib write an unstructured line to the log, without bound. The length was taken for zero.

Such a length now counts as larger than any limit, and is refused with 413 before libsoup uses it.

Evidence: refused_request_test with negative and beyond_all_numbers.

--- a/lib/server/http_server.cpp
+++ b/lib/server/http_server.cpp
@@ -292,10 +292,11 @@
                                      FALSE);
     one->path = g_uri_get_path(soup_server_message_get_uri(message));
     SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+    // Lengths that libsoup cannot represent are negative, and so the largest here.
     std::optional<std::uint64_t> announced;
     if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_CHUNKED)
-        announced = static_cast<std::uint64_t>(
-            std::max<goffset>(0, soup_message_headers_get_content_length(headers)));
+        announced =
+            static_cast<std::uint64_t>(soup_message_headers_get_content_length(headers));
     self.carry_out(*one, self.admitted.header_received(one->id, announced,
                                                        self.policy.max_body_bytes(),
                                                        self.loop.clock().now()));
--- a/test/clients/clients_test.py
+++ b/test/clients/clients_test.py
@@ -6,6 +6,8 @@
 
 import os
 import signal
+import socket
+import struct
 import sys
 import time
 
@@ -51,6 +53,26 @@
 
 STOPPED_CROWD = 60
 
+LARGE_CHUNK = b"ffffffffffffffff\r\n" + b"x" * 30000
+MALFORMED_REQUESTS = [
+    b"OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /\r\n\r\n",
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    b"GET /%00%ff HTTP/1.1\r\nHost: \xff\r\n\r\n",
+    b"GET \x00 HTTP/1.1\r\n\r\n",
+    b"\r\n" * 50,
+    head("GET", "/", QUEUE_HOST, *["a: b"] * 3000),
+    head("GET", QUEUE_PREFIX, QUEUE_HOST) * 300,
+    head("POST", JOB_PATH, QUEUE_HOST, "Content-Length: -5") + b"x",
+    head("POST", JOB_PATH, QUEUE_HOST, "Content-Length: 18446744073709551615") + b"x",
+    head("POST", JOB_PATH, QUEUE_HOST, "Expect: 100-continue", "Content-Length: 5"),
+    head("POST", JOB_PATH, QUEUE_HOST, "Transfer-Encoding: gzip") + b"x",
+    head("POST", JOB_PATH, QUEUE_HOST, "Transfer-Encoding: chunked") + b"zz\r\n",
+    head("POST", JOB_PATH, QUEUE_HOST, "Transfer-Encoding: chunked") + LARGE_CHUNK,
+    head("POST", JOB_PATH, QUEUE_HOST, "Transfer-Encoding: chunked") + b"1\r\nx\r\n" * 20000,
+]
+
 MACHINE_MEMORY_BYTES = 260 * MIB
 TASKS_PER_STEP = 100000
 STEPS = 30
@@ -219,6 +241,37 @@
     return failures
 
 
+def malformed_requests():
+    """Guards against a request that ends the process, or that keeps its connection."""
+    for start in (lambda: Hawthornbeamd(BODY_LIMIT), lambda: Hawthornd(BODY_LIMIT)):
+        with start() as daemon:
+            before = daemon.descriptors()
+            for port in daemon.addresses:
+                for sent in MALFORMED_REQUESTS:
+                    for ending in ("closed", "half closed", "reset"):
+                        send_and_leave(daemon.addresses[port], sent, ending)
+            daemon.run_ordinary_job()
+            wait_for("the descriptors of the clients are closed",
+                     lambda: daemon.descriptors() <= before + FREE_DESCRIPTORS)
+            check_process(daemon, CONTROL_MEMORY_BYTES + REQUEST_MEMORY)
+    return []
+
+
+def send_and_leave(address, sent, ending):
+    client = connect(address)
+    try:
+        client.sendall(sent)
+        if ending == "half closed":
+            client.shutdown(socket.SHUT_WR)
+            crowd.wait_until_closed(client)
+        elif ending == "reset":
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except OSError:
+        pass  # The server may refuse what is sent before it is sent.
+    finally:
+        client.close()
+
+
 def many_tasks():
     """Guards against a small job whose tasks exhaust the memory of the owner."""
     with Hawthornbeamd(body_bytes=256 << 10) as daemon:
@@ -235,7 +288,7 @@
 SCENARIOS = {one.__name__: one for one in (
     oversized_bodies_hawthornbeamd, oversized_bodies_hawthornd, readable_refusal,
     unfinished_bodies, idle_connections_hawthornbeamd, idle_connections_hawthornd,
-    listen_queue, many_tasks)}
+    listen_queue, malformed_requests, many_tasks)}
 
 
 def main():
--- a/unittests/server/http_server_test.cpp
+++ b/unittests/server/http_server_test.cpp
@@ -253,22 +253,28 @@
 
 INSTANTIATE_TEST_SUITE_P(
     requests, refused_request_test,
-    testing::Values(refused_case{"announced",
-                                 "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: "
-                                 "90001\r\n\r\nx",
-                                 "413"},
-                    refused_case{"kept",
-                                 "GET /a HTTP/1.1\r\nHost: a\r\nContent-Length: "
-                                 "90001\r\n\r\n",
-                                 "413"},
-                    refused_case{"chunked",
-                                 "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
-                                 "chunked\r\n\r\n15f91\r\n" +
-                                     std::string(90001, 'x'),
-                                 "413"},
-                    refused_case{"header",
-                                 "GET /a HTTP/1.1\r\nA: " + std::string(40000, 'x'),
-                                 "431"}),
+    testing::Values(
+        refused_case{"announced",
+                     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                     "90001\r\n\r\nx",
+                     "413"},
+        refused_case{"kept",
+                     "GET /a HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                     "90001\r\n\r\n",
+                     "413"},
+        refused_case{"negative",
+                     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\nx", "413"},
+        refused_case{"beyond_all_numbers",
+                     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                     "18446744073709551615\r\n\r\nx",
+                     "413"},
+        refused_case{"chunked",
+                     "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n15f91\r\n" +
+                         std::string(90001, 'x'),
+                     "413"},
+        refused_case{"header", "GET /a HTTP/1.1\r\nA: " + std::string(40000, 'x'),
+                     "431"}),
     [](const testing::TestParamInfo<refused_case>& info) { return info.param.name; });
 
 } // namespace
