Charge requests with the memory that they take until they are answered

Cause: only the bytes of the body were charged, but until a job is answered its parsed form, its stored form in base64 and the copies of that for the call to the store exist too.

A byte of a body is charged as four. A request that then exceeds the account is still served, alone.

--- a/include/hawthornbeam/server/admission.hpp
+++ b/include/hawthornbeam/server/admission.hpp
@@ -56,9 +56,12 @@
 {
     /// Connections of each class.
     std::size_t max_connections[client_class_count] = {1024, 32};
-    /// Bytes that the bodies of all unfinished requests may hold, except small_body_bytes
-    /// of each. A request is unfinished until its response is sent.
+    /// Memory that all unfinished requests may take, except small ones. A request is
+    /// unfinished until its response is sent.
     std::size_t request_memory_bytes = std::size_t{32} << 20U;
+    /// Memory that a byte of a body takes at most until its request is answered: in the
+    /// parsed job, in its stored form in base64, and in copies of that for a call.
+    std::size_t memory_per_body_byte = 4;
     /// Leading bytes of a body that are not charged, so that small requests are served
     /// while large ones hold all of the memory.
     std::size_t small_body_bytes = std::size_t{8} << 10U;
--- a/lib/server/admission.cpp
+++ b/lib/server/admission.cpp
@@ -109,6 +109,12 @@
     void enter(entry one, phase next, boot_time since);
     /// Charges up to \p wanted bytes in total, at once or after a wait.
     request_verdict charge(entry one, std::size_t wanted, boot_time now);
+    /// Returns the charge for a body.
+    std::size_t memory_for(std::size_t body_bytes) const
+    {
+        return (body_bytes - std::min(body_bytes, limits.small_body_bytes)) *
+               limits.memory_per_body_byte;
+    }
     bool has_room(std::size_t bytes) const;
     void release(connection& one);
     void resume_waiting();
@@ -319,9 +325,8 @@
         return proceed;
     if (*announced_bytes > max_body_bytes)
         return refuse(refusal::body_too_large);
-    const std::size_t announced = static_cast<std::size_t>(*announced_bytes);
-    const std::size_t small = self.limits.small_body_bytes;
-    return self.charge(found, announced - std::min(announced, small), now);
+    return self.charge(found, self.memory_for(static_cast<std::size_t>(*announced_bytes)),
+                       now);
 }
 
 request_verdict admission::body_received(connection_id id, std::size_t bytes,
@@ -335,8 +340,7 @@
     state.body_bytes += bytes;
     if (state.body_bytes > state.max_body_bytes)
         return refuse(refusal::body_too_large);
-    const std::size_t small = self.limits.small_body_bytes;
-    return self.charge(found, state.body_bytes - std::min(state.body_bytes, small), now);
+    return self.charge(found, self.memory_for(state.body_bytes), now);
 }
 
 void admission::request_received(connection_id id)
--- a/test/clients/clients_test.py
+++ b/test/clients/clients_test.py
@@ -4,12 +4,15 @@
 memory and its open descriptors stay bounded and that an ordinary request is answered. The
 docstring of a scenario names the failure it guards against."""
 
+import json
 import os
 import signal
 import socket
 import struct
 import sys
+import threading
 import time
+from collections import Counter
 
 import crowd
 from crowd import PIECE, CHUNK, close_crowd, connect, head, open_crowd, send_to_all
@@ -50,6 +53,7 @@
 UNFINISHED_BODY = MIB
 UNFINISHED_CROWD = 96
 UNFINISHED_MEMORY = 4 * MIB
+LABEL_BYTES = 2048
 
 STOPPED_CROWD = 60
 
@@ -172,6 +176,35 @@
     return failures
 
 
+def unanswered_jobs():
+    """Guards against whole requests that exhaust the memory while the store is silent."""
+    step = {"count": 1, "cpu": 100, "mem-mb": 10, "requires": "x" * LABEL_BYTES}
+    job = json.dumps({"spec": "work", "steps": [step] * (UNFINISHED_BODY // LABEL_BYTES - 64)})
+    with Hawthornbeamd(UNFINISHED_BODY, UNFINISHED_MEMORY) as daemon:
+        daemon.store.answers.clear()
+        clients = open_crowd(daemon.addresses["client"], UNFINISHED_CROWD)
+        for number, client in enumerate(clients):
+            request = head("POST", f"{QUEUE_PREFIX}{number:016x}", QUEUE_HOST,
+                           f"Content-Length: {len(job)}") + job.encode()
+            client.setblocking(True)
+            client.settimeout(crowd.STALL_S)
+            threading.Thread(target=send_quietly, args=(client, request), daemon=True).start()
+        answered = [crowd.read_status(client) for client in clients]
+        print("answers:", sorted(Counter(answered).items(), key=str), flush=True)
+        close_crowd(clients)
+        daemon.store.answers.set()
+        daemon.run_ordinary_job()
+        check_process(daemon, CONTROL_MEMORY_BYTES + UNFINISHED_MEMORY)
+    return []
+
+
+def send_quietly(client, request):
+    try:
+        client.sendall(request)
+    except OSError:
+        pass  # The server may refuse the request before it is sent.
+
+
 def idle_connections(start, ports):
     """Guards against a crowd that takes all descriptors, so that nobody else is served
     while it stays or after it has gone."""
@@ -287,7 +320,7 @@
 
 SCENARIOS = {one.__name__: one for one in (
     oversized_bodies_hawthornbeamd, oversized_bodies_hawthornd, readable_refusal,
-    unfinished_bodies, idle_connections_hawthornbeamd, idle_connections_hawthornd,
+    unfinished_bodies, unanswered_jobs, idle_connections_hawthornbeamd, idle_connections_hawthornd,
     listen_queue, malformed_requests, many_tasks)}
 
 
--- a/test/clients/platform_standin.py
+++ b/test/clients/platform_standin.py
@@ -58,6 +58,8 @@
         self.revision = FIRST_REVISION
         self.leases = {}  # id -> [time to live in s, end]
         self.changed = threading.Condition()
+        self.answers = threading.Event()  # While it is cleared, transactions get no answer.
+        self.answers.set()
         self.calls = {"kv-key": self.key, "kv-range": self.range, "kv-watch": self.watch,
                       "kv-txn": self.transact, "kv-lease": self.lease,
                       "kv-keep": self.keep, "kv-lease-end": self.end_lease}
@@ -104,6 +106,8 @@
             arguments.update(json.loads(body))
         if lease:
             arguments["lease"] = int(lease)
+        if name == "kv-txn":
+            self.answers.wait()
         with self.changed:
             return self.calls[name](arguments) if name in self.calls else (404, None)
 
--- a/unittests/server/admission_test.cpp
+++ b/unittests/server/admission_test.cpp
@@ -22,6 +22,7 @@
     limits.max_connections[0] = 3;
     limits.max_connections[1] = 1;
     limits.request_memory_bytes = 100 * kib;
+    limits.memory_per_body_byte = 1;
     limits.small_body_bytes = 8 * kib;
     limits.max_header_bytes = 16 * kib;
     limits.receive_timeout = seconds(30);
@@ -119,6 +120,16 @@
     EXPECT_EQ(verdict.next, action::proceed);
 }
 
+TEST_F(admission_test, body_is_charged_with_what_its_request_takes_until_it_is_answered)
+{
+    admission_limits limits = small_limits();
+    limits.memory_per_body_byte = 4;
+    admission bounded(limits);
+    bounded.open(connection_id(1), client_class::callers, now);
+    bounded.header_received(connection_id(1), 18 * kib, max_body_bytes, now);
+    EXPECT_EQ(bounded.request_bytes(), 40 * kib);
+}
+
 TEST_F(admission_test, request_larger_than_the_memory_is_served_alone)
 {
     const connection_id id = announce(200 * kib);
--- a/unittests/server/http_server_test.cpp
+++ b/unittests/server/http_server_test.cpp
@@ -69,6 +69,7 @@
     http_server_test()
     {
         limits.request_memory_bytes = 100000;
+        limits.memory_per_body_byte = 1;
         limits.small_body_bytes = 1000;
         limits.memory_wait = std::chrono::minutes(10);
         limits.max_connections[0] = 2;
