--- a/test/clients/clients_test.py
+++ b/test/clients/clients_test.py
@@ -11,7 +11,6 @@
 import struct
 import sys
 import threading
-import time
 from collections import Counter
 
 import crowd
@@ -80,7 +79,6 @@
 MACHINE_MEMORY_BYTES = 260 * MIB
 TASKS_PER_STEP = 100000
 STEPS = 30
-LATE_AFTER_S = 5
 
 
 def check_process(daemon, memory_bound):
@@ -311,8 +309,6 @@
         step = {"count": TASKS_PER_STEP, "cpu": 1000, "mem-mb": 100}
         status = daemon.status("POST", JOB_PATH, {"spec": "work", "steps": [step] * STEPS})
         print(f"the job was answered {status}", flush=True)
-        # Until the large job is late, a younger one of its queue waits for its turn.
-        time.sleep(LATE_AFTER_S)
         daemon.run_ordinary_job()
         check_process(daemon, MACHINE_MEMORY_BYTES)
     return []
--- a/test/clients/daemons.py
+++ b/test/clients/daemons.py
@@ -101,7 +101,11 @@
                  f"--metrics_port={metrics_port}"],
                 stdout=log, stderr=subprocess.STDOUT, preexec_fn=self.prepare,
                 env={**os.environ, "GSETTINGS_BACKEND": "memory"})
-        wait_for("the queue is served", self.serves)
+        try:
+            wait_for("the queue is served", self.serves)
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def prepare(self):
@@ -164,6 +168,14 @@
 
     def __enter__(self):
         self.cluster.__enter__()
+        try:
+            self.restart_with_limits()
+        except BaseException:
+            self.cluster.close()
+            raise
+        return self
+
+    def restart_with_limits(self):
         instance = self.cluster.instances[0]
         instance.process.kill()
         instance.process.wait()
@@ -179,7 +191,6 @@
         self.cluster.put_table([{"partner": "andes", "kind": "web", "workload": "request",
                                  "urgency": 0}], 0)
         self.cluster.wait_table(1)
-        return self
 
     def run_ordinary_job(self):
         wait_for("the ordinary request is answered", self.answers_request)
