Confine the shortage of listener_test under sanitizers to accept()

It was the test, not the product.

Cause: before UBSan reads the dynamic type of an object it probes the memory through a pipe, and takes a pipe that cannot be opened for memory that cannot be read. The test took all descriptors from the process while the loop ran.

Under sanitizers the limit is now lowered around accept() alone, which GLib calls; the kernel still refuses it, with EMFILE. The other build has the shortage of the whole process as before. The bound on failures and the connection that is accepted afterwards are unchanged in both.

--- a/unittests/wire/listener_test.cpp
+++ b/unittests/wire/listener_test.cpp
@@ -3,6 +3,7 @@
 #include "lib/wire/listener.hpp"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -33,6 +34,23 @@
     rlimit former_{};
 };
 
+#ifdef __SANITIZE_ADDRESS__
+/// UBSan opens a pipe to check an object, so that the shortage is confined to accept().
+class tested_shortage
+{
+public:
+    tested_shortage() { active = true; }
+    tested_shortage(const tested_shortage&) = delete;
+    tested_shortage& operator=(const tested_shortage&) = delete;
+    ~tested_shortage() { active = false; }
+
+    static bool active;
+};
+bool tested_shortage::active = false;
+#else
+using tested_shortage = descriptor_shortage;
+#endif
+
 // Guards against a listener that never accepts again after a failure, and against one
 // that uses all processor time while it fails.
 TEST(listener_test, accepts_again_after_a_shortage_of_descriptors_without_spinning)
@@ -55,7 +73,7 @@
     ASSERT_EQ(
         ::connect(client, reinterpret_cast<const sockaddr*>(&target), sizeof(target)), 0);
     {
-        const descriptor_shortage shortage;
+        const tested_shortage shortage;
         for (int i = 0; i < iterations || failed == 0; ++i)
             g_main_context_iteration(nullptr, FALSE);
         EXPECT_EQ(accepted, 0);
@@ -68,3 +86,24 @@
 
 } // namespace
 } // namespace hawthornbeam::wire
+
+#ifdef __SANITIZE_ADDRESS__
+/// Called by GLib in place of the function of the C library.
+extern "C" int accept(int socket, sockaddr* address, socklen_t* size)
+{
+    using namespace hawthornbeam::wire;
+    if (!tested_shortage::active)
+        return ::accept4(socket, address, size, 0);
+    int accepted = -1;
+    int failure = 0;
+    {
+        const descriptor_shortage shortage;
+        accepted = ::accept4(socket, address, size, 0);
+        failure = errno;
+    }
+    EXPECT_EQ(accepted, -1);
+    EXPECT_EQ(failure, EMFILE);
+    errno = failure;
+    return accepted;
+}
+#endif
