Let a large late job give way to all others

What callers saw: a job handed in at the same moment as one with millions of tasks is accepted and does not end until all of those have ended (clients many_tasks, red: not done in 30 s).

Cause, from its log and from the order of steps: jobs of one priority sort by lateness, then by age. Two jobs of one queue and age become late, get their last chance and lose their value in the same updates, so that the older one stays in front for as long as it has tasks. A job that came 50 ms later had the time between two updates for itself, and was done.

A late job that has started 256 tasks, not counting lasting ones, now sorts behind all other jobs. Capacity that they leave is still its own, so nothing waits while there is room.

Evidence: scheduler_test.large_late_job_gives_way_to_a_small_one_of_the_same_age failed before (3,000 starts of the large job, none of the small one). clients_test.py many_tasks, unchanged: not done in 30 s; now passes in 2.1 to 2.3 s, 7 of 7 runs, 13.1 MiB.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -138,7 +138,8 @@
     /// Steps are sorted by the value that they can still reach.
     boot_time due{};
     boot_time value_lost_at{};
-    /// 0: can end in time, or is late and has its last chance; 1: late; 2: without value.
+    /// 0: can end in time, or is late and has its last chance; 1: late; 2: without value;
+    /// 3: late, and has started many tasks.
     int lateness = 0;
     std::vector<step_status> steps;
 };
@@ -397,8 +398,11 @@
     /// Computes `due` and `value_lost_at`.
     void set_due(job_status& job);
     static int lateness_of(const job_status& job, std::uint32_t step, boot_time now);
-    /// The highest lateness of the steps that are ready.
+    /// The highest lateness of the steps that are ready. Late jobs that have started many
+    /// tasks come last, so that they do not hold up smaller ones.
     int lateness_of(const job_status& job, boot_time now) const;
+    /// Tasks that run or are done, without persistent ones.
+    static std::uint64_t started_tasks(const job_status& job);
     /// Updates the lateness of waiting jobs and sorts their steps by it.
     void update_lateness(boot_time now);
     /// Lets a step that waits use quarantined workers if it could never start without
--- a/lib/cell/order.cpp
+++ b/lib/cell/order.cpp
@@ -15,6 +15,8 @@
 /// A late job is sorted by its priority again when less than this part of its objective
 /// is left before its value is lost.
 constexpr std::int64_t last_chance_divisor = 2;
+/// A late job that has started this many tasks waits for all others.
+constexpr std::uint64_t max_tasks_before_others = 256;
 /// Interval between updates of the lateness of waiting jobs.
 constexpr duration lateness_update_period = std::chrono::milliseconds(50);
 
@@ -58,6 +60,8 @@
 
 int scheduler::implementation::lateness_of(const job_status& job, boot_time now) const
 {
+    if (now > job.due && started_tasks(job) >= max_tasks_before_others)
+        return 3;
     int lateness = 0;
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         if (job.steps[step].remaining > 0 && is_ready(job, step))
@@ -65,6 +69,18 @@
     return lateness;
 }
 
+std::uint64_t scheduler::implementation::started_tasks(const job_status& job)
+{
+    std::uint64_t started = 0;
+    for (std::size_t number = 0; number < job.steps.size(); ++number)
+    {
+        const step_status& step = job.steps[number];
+        if (!job.spec.steps[number].persistent)
+            started += std::uint64_t{step.tasks.size()} - step.remaining + step.occupied;
+    }
+    return started;
+}
+
 void scheduler::implementation::update_lateness(boot_time now)
 {
     if (now - lateness_updated_at < lateness_update_period)
