Let young connections give way before a crowd keeps others out

What callers would see: beside a crowd that connects again before its requests are 1 s old, readiness checks are closed unanswered, although no client holds a connection for long. Found by reading; a process answers them late, by chance.

Cause: at the limit only idle connections and requests of over a second gave way. The 32 connections for checks could be kept with 32 new ones a second. A new connection counted as idle, so that beside unfinished requests it was the first to give way, before it could send anything.

Connections are now told apart by how far their request has arrived. Nothing or part of a header: they give way after 0.1 s, since ordinary clients send it at once; a body: after 1 s, as before. Connections of monitors, whose requests are one small packet, give way at any age, the oldest first. Idle means after a response.

Tests: check_is_served_although_no_connection_grows_old, new_connection_is_not_the_first_to_give_way and 4 of 6 cases of replacement_test failed before. replacement_test holds the former slow_request_gives_way_to_a_new_connection as its case with part of a body; idle_connection_gives_way_to_a_new_one opens its idle connection with a request that was answered, as the word now means.

--- a/include/hawthornbeam/server/admission.hpp
+++ b/include/hawthornbeam/server/admission.hpp
@@ -78,6 +78,9 @@
     duration memory_wait = std::chrono::seconds(1);
     /// Requests that have been arriving for longer may be refused in favour of others.
     duration min_receive_time = std::chrono::seconds(1);
+    /// The same until the header has arrived, and for a new connection. Ordinary clients
+    /// send the header at once.
+    duration min_header_time = std::chrono::milliseconds(100);
 };
 
 /// Resources of a process that its limits are derived from.
--- a/lib/server/admission.cpp
+++ b/lib/server/admission.cpp
@@ -80,9 +80,11 @@
 
     enum class phase : std::uint8_t
     {
-        idle,
-        receiving,
-        waiting, ///< For memory.
+        opened, ///< Nothing was received yet.
+        idle,   ///< After a response.
+        receiving_header,
+        receiving, ///< The body.
+        waiting,   ///< For memory.
         handled,
         sending,
         refused ///< Its client may still read the refusal.
@@ -91,10 +93,9 @@
     struct connection
     {
         client_class of{};
-        phase at = phase::idle;
+        phase at = phase::opened;
         boot_time since{};       ///< Start of the request, else of the phase.
         boot_time waits_since{}; ///< Start of the wait for memory.
-        bool header_complete = false;
         std::size_t header_bytes = 0;
         std::size_t body_bytes = 0; ///< Received.
         std::size_t max_body_bytes = 0;
@@ -119,6 +120,8 @@
     void release(connection& one);
     void resume_waiting();
     std::optional<connection_id> replaceable(client_class of, boot_time now) const;
+    /// Returns the time for which a connection in a phase is not replaced.
+    duration min_time(client_class of, phase at) const;
     /// Returns the slowest unfinished request that holds memory, except \p other.
     std::optional<connection_id> slowest_holder(connection_id other, boot_time now) const;
 
@@ -133,7 +136,7 @@
 
     admission_limits limits;
     std::map<connection_id, connection> connections;
-    static constexpr std::size_t phase_count = 6;
+    static constexpr std::size_t phase_count = 8;
     std::array<std::array<by_age, phase_count>, client_class_count> by_phase;
     std::size_t counts[client_class_count] = {};
     std::size_t request_bytes = 0;
@@ -190,7 +193,6 @@
     one.response_bytes = 0;
     one.header_bytes = 0;
     one.body_bytes = 0;
-    one.header_complete = false;
     resume_waiting();
 }
 
@@ -214,15 +216,27 @@
         if (!ages(of, at).empty())
             return ages(of, at).begin()->second;
     std::optional<std::pair<boot_time, connection_id>> oldest;
-    for (const phase at : {phase::receiving, phase::waiting, phase::sending})
+    for (const phase at : {phase::opened, phase::receiving_header, phase::receiving,
+                           phase::waiting, phase::sending})
     {
         const by_age& candidates = ages(of, at);
-        if (!candidates.empty() && (!oldest || *candidates.begin() < *oldest))
+        if (!candidates.empty() && now - candidates.begin()->first >= min_time(of, at) &&
+            (!oldest || *candidates.begin() < *oldest))
             oldest = *candidates.begin();
     }
-    if (!oldest || now - oldest->first < limits.min_receive_time)
-        return std::nullopt;
-    return oldest->second;
+    return oldest ? std::optional(oldest->second) : std::nullopt;
+}
+
+duration admission::implementation::min_time(client_class of, phase at) const
+{
+    if (at == phase::sending)
+        return limits.min_receive_time;
+    // A check is one small packet. Any longer time would let a crowd that reconnects keep
+    // all of the few connections.
+    if (of == client_class::monitors)
+        return duration::zero();
+    return at == phase::opened || at == phase::receiving_header ? limits.min_header_time
+                                                                : limits.min_receive_time;
 }
 
 std::optional<connection_id>
@@ -297,9 +311,10 @@
     if (found == self.connections.end())
         return proceed;
     implementation::connection& state = found->second;
-    if (state.at == implementation::phase::idle)
-        self.enter(found, implementation::phase::receiving, now);
-    if (state.at != implementation::phase::receiving || state.header_complete)
+    if (state.at == implementation::phase::opened ||
+        state.at == implementation::phase::idle)
+        self.enter(found, implementation::phase::receiving_header, now);
+    if (state.at != implementation::phase::receiving_header)
         return proceed;
     state.header_bytes += bytes;
     return state.header_bytes > self.limits.max_header_bytes
@@ -317,9 +332,8 @@
         return proceed;
     implementation::connection& state = found->second;
     // The header may have come with the request before it.
-    if (state.at == implementation::phase::idle)
-        self.enter(found, implementation::phase::receiving, now);
-    state.header_complete = true;
+    self.enter(found, implementation::phase::receiving,
+               state.at == implementation::phase::idle ? now : state.since);
     state.max_body_bytes = max_body_bytes;
     if (!announced_bytes)
         return proceed;
@@ -420,7 +434,7 @@
     };
     for (const client_class of : {client_class::callers, client_class::monitors})
     {
-        for (const phase at : {phase::receiving, phase::waiting})
+        for (const phase at : {phase::receiving_header, phase::receiving, phase::waiting})
             collect(self.ages(of, at), self.limits.receive_timeout,
                     refusal::request_too_slow);
         collect(self.ages(of, phase::sending), self.limits.send_timeout,
@@ -451,8 +465,8 @@
     const implementation& self = *implementation_;
     for (const client_class of : {client_class::callers, client_class::monitors})
         for (const implementation::phase at :
-             {implementation::phase::receiving, implementation::phase::waiting,
-              implementation::phase::sending})
+             {implementation::phase::receiving_header, implementation::phase::receiving,
+              implementation::phase::waiting, implementation::phase::sending})
             if (!self.ages(of, at).empty())
                 return true;
     return false;
--- a/test/clients/clients_test.py
+++ b/test/clients/clients_test.py
@@ -215,7 +215,7 @@
                 clients = open_crowd(daemon.addresses[port], IDLE_CROWD)
                 send_to_all(clients, [sent])
                 try:
-                    check_descriptors(daemon, before, clients)
+                    check_descriptors(daemon, before, lambda: close_crowd(clients))
                 except AssertionError as failure:
                     failures.append(f"{port} port, {name}: {failure}")
                 finally:
@@ -223,11 +223,11 @@
     return failures
 
 
-def check_descriptors(daemon, before, clients):
+def check_descriptors(daemon, before, end_crowd):
     wait_for("a readiness check is answered while the crowd stays", daemon.is_ready)
     daemon.run_ordinary_job()
     used = daemon.descriptors()
-    close_crowd(clients)
+    end_crowd()
     wait_for("a readiness check is answered after the crowd", daemon.is_ready)
     daemon.run_ordinary_job()
     wait_for("the descriptors of the crowd are closed",
@@ -251,6 +251,27 @@
     return idle_connections(lambda: Hawthornd(BODY_LIMIT, DESCRIPTOR_LIMIT), ["client"])
 
 
+def reconnecting_crowd():
+    """Guards against a crowd whose connections are always too young to be closed, so that
+    nobody else is served."""
+    failures = []
+    for port in ("client", "ready", "metrics"):
+        for name, sent in UNFINISHED_REQUESTS.items():
+            print(f"{port} port, {name}", flush=True)
+            with Hawthornbeamd(BODY_LIMIT, REQUEST_MEMORY, DESCRIPTOR_LIMIT) as daemon:
+                before = daemon.descriptors()
+                clients = crowd.ReconnectingCrowd(daemon.addresses[port], IDLE_CROWD, sent)
+                try:
+                    wait_for("the crowd is complete", lambda: clients.opened >= 2 * IDLE_CROWD)
+                    check_descriptors(daemon, before, clients.close)
+                    print(f"  {clients.opened} connections", flush=True)
+                except AssertionError as failure:
+                    failures.append(f"{port} port, {name}: {failure}")
+                finally:
+                    clients.close()
+    return failures
+
+
 def listen_queue():
     """Guards against a queue of new connections so short that a crowd fills it."""
     failures = []
@@ -317,7 +338,7 @@
 SCENARIOS = {one.__name__: one for one in (
     oversized_bodies_hawthornbeamd, oversized_bodies_hawthornd, readable_refusal,
     unfinished_bodies, unanswered_jobs, idle_connections_hawthornbeamd, idle_connections_hawthornd,
-    listen_queue, malformed_requests, many_tasks)}
+    reconnecting_crowd, listen_queue, malformed_requests, many_tasks)}
 
 
 def main():
--- a/test/clients/crowd.py
+++ b/test/clients/crowd.py
@@ -2,6 +2,7 @@
 
 import selectors
 import socket
+import threading
 import time
 
 PIECE = b"x" * (64 << 10)
@@ -44,6 +45,44 @@
     return crowd
 
 
+class ReconnectingCrowd:
+    """Clients that replace their connections one after the other, before any is old. Each
+    connection sends `sent`. At most `MAX_CONNECTIONS` are opened."""
+
+    MAX_CONNECTIONS = 30000
+    PAUSE_S = 0.001
+
+    def __init__(self, address, count, sent):
+        ip, port = address.rsplit(":", 1)
+        self.target = (ip, int(port))
+        self.clients = [None] * count
+        self.sent = sent
+        self.opened = 0
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self.reconnect, daemon=True)
+        self.thread.start()
+
+    def close(self):
+        self.stopped.set()
+        self.thread.join()
+        close_crowd(one for one in self.clients if one is not None)
+
+    def reconnect(self):
+        while not self.stopped.is_set() and self.opened < self.MAX_CONNECTIONS:
+            place = self.opened % len(self.clients)
+            if self.clients[place] is not None:
+                self.clients[place].close()
+            self.clients[place] = socket.socket()
+            self.clients[place].setblocking(False)
+            self.clients[place].connect_ex(self.target)
+            self.opened += 1
+            time.sleep(self.PAUSE_S)
+            try:
+                self.clients[place].send(self.sent)
+            except OSError:
+                pass  # The server may be full.
+
+
 def close_crowd(crowd):
     for one in crowd:
         one.close()
--- a/unittests/server/admission_test.cpp
+++ b/unittests/server/admission_test.cpp
@@ -29,6 +29,7 @@
     limits.send_timeout = seconds(20);
     limits.memory_wait = seconds(1);
     limits.min_receive_time = seconds(1);
+    limits.min_header_time = milliseconds(100);
     return limits;
 }
 
@@ -235,7 +236,9 @@
     const connection_id busy = open();
     admitted.received(busy, 1, now);
     now += milliseconds(1);
-    const connection_id idle = open();
+    const connection_id idle = announce(10);
+    admitted.request_received(idle);
+    admitted.response_finished(idle, now);
     now += milliseconds(1);
     open();
     open();
@@ -244,19 +247,109 @@
     EXPECT_EQ(admitted.connections(client_class::callers), 3U);
 }
 
-TEST_F(admission_test, slow_request_gives_way_to_a_new_connection)
+/// How far the requests of a full class have arrived, and the age from which the oldest
+/// gives way.
+struct age_case
+{
+    const char* name;
+    client_class of;
+    std::size_t received_bytes;
+    bool header_complete;
+    duration age;
+};
+
+class replacement_test : public admission_test,
+                         public testing::WithParamInterface<age_case>
+{
+protected:
+    void fill()
+    {
+        const std::size_t limit =
+            small_limits().max_connections[static_cast<std::size_t>(GetParam().of)];
+        for (std::size_t i = 0; i < limit; ++i)
+        {
+            const connection_id id = open(GetParam().of);
+            ASSERT_TRUE(last_open.admitted);
+            if (GetParam().received_bytes > 0)
+                admitted.received(id, GetParam().received_bytes, now);
+            if (GetParam().header_complete)
+                admitted.header_received(id, 10, max_body_bytes, now);
+        }
+    }
+};
+
+TEST_P(replacement_test, oldest_unfinished_request_gives_way_to_a_new_connection)
+{
+    fill();
+    if (GetParam().age > duration::zero())
+    {
+        now += GetParam().age - milliseconds(1);
+        open(GetParam().of);
+        EXPECT_FALSE(last_open.admitted);
+        now += milliseconds(1);
+    }
+    open(GetParam().of);
+    EXPECT_TRUE(last_open.admitted);
+    EXPECT_EQ(last_open.replaced, connection_id(1));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    requests, replacement_test,
+    testing::Values(age_case{"caller_without_bytes", client_class::callers, 0, false,
+                             milliseconds(100)},
+                    age_case{"caller_with_part_of_a_header", client_class::callers, 1,
+                             false, milliseconds(100)},
+                    age_case{"caller_with_part_of_a_body", client_class::callers, 100,
+                             true, seconds(1)},
+                    age_case{"monitor_without_bytes", client_class::monitors, 0, false,
+                             duration::zero()},
+                    age_case{"monitor_with_part_of_a_header", client_class::monitors, 1,
+                             false, duration::zero()},
+                    age_case{"monitor_with_part_of_a_body", client_class::monitors, 100,
+                             true, duration::zero()}),
+    [](const testing::TestParamInfo<age_case>& info) { return info.param.name; });
+
+// Guards against a crowd that keeps readiness checks out by connecting again and again.
+TEST(reconnecting_crowd_test, check_is_served_although_no_connection_grows_old)
+{
+    constexpr std::uint64_t connections = 12;
+    constexpr std::uint64_t check_id = 1000;
+    admission_limits limits = small_limits();
+    limits.max_connections[1] = connections;
+    admission admitted(limits);
+    boot_time now{std::chrono::hours(1)};
+    const auto connect = [&admitted, &now](std::uint64_t id)
+    {
+        now += milliseconds(1);
+        const admission::open_verdict verdict =
+            admitted.open(connection_id(id), client_class::monitors, now);
+        admitted.received(connection_id(id), 1, now);
+        EXPECT_NE(verdict.replaced, connection_id(check_id));
+        return verdict.admitted;
+    };
+    for (std::uint64_t id = 1; id <= connections; ++id)
+        ASSERT_TRUE(connect(id));
+    ASSERT_TRUE(connect(check_id));
+    for (std::uint64_t id = connections + 1; id < 2 * connections; ++id)
+        connect(id);
+    admitted.header_received(connection_id(check_id), 0, max_body_bytes, now);
+    admitted.request_received(connection_id(check_id));
+    EXPECT_TRUE(admitted.awaits_response(connection_id(check_id)));
+}
+
+// Guards against new clients that give way before they can send, beside slow requests.
+TEST_F(admission_test, new_connection_is_not_the_first_to_give_way)
 {
-    const connection_id oldest = open();
-    admitted.received(oldest, 1, now);
     for (int i = 0; i < 2; ++i)
-        admitted.received(open(), 1, now + milliseconds(1));
-    now += milliseconds(999);
+        announce(10);
+    const connection_id caller = open();
+    now += milliseconds(50);
     open();
     EXPECT_FALSE(last_open.admitted);
-    now += milliseconds(1);
-    open();
-    EXPECT_TRUE(last_open.admitted);
-    EXPECT_EQ(last_open.replaced, oldest);
+    admitted.received(caller, 100, now);
+    admitted.header_received(caller, 0, max_body_bytes, now);
+    admitted.request_received(caller);
+    EXPECT_TRUE(admitted.awaits_response(caller));
 }
 
 TEST_F(admission_test, handled_request_keeps_its_connection)
