Bound the log lines of connections to the port for peers, and count failed accepts

What showed, in a search for lines that clients can cause: each connection to the port for peers that is closed without a hello, or refused because there are too many, added a warning, as did each malformed request. A client that connects 1,000 times a second would write some 200 KB of log a second. Failed accepts of this port had no counter.

Evidence: crowd_without_hello_adds_few_log_lines, 300 connections, failed before with 300 lines where 10 are allowed.

--- a/include/hawthornbeam/wire/peer_network.hpp
+++ b/include/hawthornbeam/wire/peer_network.hpp
@@ -48,6 +48,8 @@
         duration silence_limit = std::chrono::seconds(3);
         std::size_t max_frame_bytes = std::size_t{1} << 20U;
         std::size_t max_connections = 1024;
+        /// Called for each failure to accept a connection, if set.
+        std::function<void()> accept_failed;
     };
 
     /// Listens; fails when the address cannot be bound.
--- a/lib/server/http_server.cpp
+++ b/lib/server/http_server.cpp
@@ -2,6 +2,7 @@
 /// Connects libsoup's server with the admission of connections and requests.
 #include "hawthornbeam/server/http_server.hpp"
 
+#include "hawthornbeam/support/log_limiter.hpp"
 #include "lib/server/lingering_close.hpp"
 #include "lib/server/metered_connection.hpp"
 #include "lib/wire/listener.hpp"
@@ -23,10 +24,8 @@
 /// Key under which the remote address of a connection refers to its state.
 constexpr const char* connection_key = "hawthornbeam-connection";
 constexpr duration check_period = std::chrono::milliseconds(500);
-/// Limits on what one refusal adds to the log.
+/// Limit on what a client adds to the line of its refusal.
 constexpr std::size_t max_logged_path = 80;
-constexpr std::uint64_t max_lines_per_reason = 10;
-constexpr duration log_period = std::chrono::seconds(1);
 
 constexpr unsigned status_unavailable = 503;
 
@@ -109,13 +108,6 @@
         connection_id id;
     };
 
-    struct refusal_log
-    {
-        boot_time since{};
-        std::uint64_t lines = 0;
-        std::uint64_t suppressed = 0;
-    };
-
     event_loop& loop;
     const logger& log;
     metrics_registry& metrics;
@@ -125,7 +117,7 @@
     std::vector<std::unique_ptr<wire::listener>> listeners;
     std::uint64_t last_id = 0;
     std::map<connection_id, std::unique_ptr<client>> clients;
-    std::array<refusal_log, refusal_count> refusals;
+    std::array<log_limiter, refusal_count> refusal_lines;
     std::optional<timer_handle> check_timer;
     std::shared_ptr<implementation*> alive = std::make_shared<implementation*>(this);
 };
@@ -417,22 +409,17 @@
 {
     const refusal_rule& rule = rule_of(why);
     metrics.add("hawthornbeam_refused_clients_total", {{"reason", rule.name}});
-    refusal_log& lines = refusals[static_cast<std::size_t>(why)];
-    const boot_time now = loop.clock().now();
-    if (now - lines.since >= log_period)
-        lines = refusal_log{now, 0, lines.suppressed};
-    if (++lines.lines > max_lines_per_reason)
-    {
-        ++lines.suppressed;
+    const std::optional<std::uint64_t> left_out =
+        refusal_lines[static_cast<std::size_t>(why)].admit(loop.clock().now());
+    if (!left_out)
         return;
-    }
     log.info("server", "client refused",
              {{"reason", rule.name},
               {"remote", one.remote},
               {"path", one.path.substr(0, max_logged_path)},
               {"request_bytes", std::uint64_t{admitted.request_bytes()}},
               {"connections", std::uint64_t{admitted.connections(one.of)}},
-              {"not_logged", std::exchange(lines.suppressed, 0)}});
+              {"not_logged", *left_out}});
 }
 
 void http_server::implementation::on_request(SoupServer*, SoupServerMessage* message,
--- a/lib/wire/tcp_implementation.hpp
+++ b/lib/wire/tcp_implementation.hpp
@@ -4,6 +4,7 @@
 #define HAWTHORNBEAM_LIB_WIRE_TCP_IMPLEMENTATION_HPP
 
 #include "connection.hpp"
+#include "hawthornbeam/support/log_limiter.hpp"
 #include "hawthornbeam/wire/peer_network.hpp"
 #include "listener.hpp"
 
@@ -92,6 +93,10 @@
     std::map<std::uint64_t, std::shared_ptr<incoming_peer>> incoming_;
     std::uint64_t next_request_id_ = 1;
     std::uint64_t next_incoming_key_ = 1;
+    log_limiter refused_lines_;
+    log_limiter closed_lines_;
+    log_limiter repeated_id_lines_;
+    log_limiter malformed_lines_;
     bool closing_ = false;
     /// Expires on destruction, so that replies given afterwards do not access the
     /// network.
--- a/lib/wire/tcp_incoming.cpp
+++ b/lib/wire/tcp_incoming.cpp
@@ -26,8 +26,11 @@
     listener::events handlers;
     handlers.accepted = [this](object_ptr<GSocket> socket)
     { accept_connection(std::move(socket)); };
-    handlers.failed = [this](const std::string& reason) {
+    handlers.failed = [this](const std::string& reason)
+    {
         log_.warning("wire", "cannot accept connections", {{"reason", reason}});
+        if (settings_.accept_failed)
+            settings_.accept_failed();
     };
     result<std::unique_ptr<listener>> opened =
         listener::open(loop_, address.get(), 0, std::move(handlers));
@@ -41,8 +44,11 @@
 {
     if (!evict_idle_incoming())
     {
-        log_.warning("wire", "connection refused, all connections are in use",
-                     {{"limit", std::uint64_t{settings_.max_connections}}});
+        if (const std::optional<std::uint64_t> left_out =
+                refused_lines_.admit(loop_.clock().now()))
+            log_.warning("wire", "connection refused, all connections are in use",
+                         {{"limit", std::uint64_t{settings_.max_connections}},
+                          {"not_logged", *left_out}});
         return;
     }
     const std::uint64_t key = next_incoming_key_++;
@@ -105,16 +111,22 @@
         return;
     if (!peer->open_requests.insert(value.id).second)
     {
-        log_.warning("wire", "request id used twice", {{"remote", peer->link->remote()}});
+        if (const std::optional<std::uint64_t> left_out =
+                repeated_id_lines_.admit(loop_.clock().now()))
+            log_.warning("wire", "request id used twice",
+                         {{"remote", peer->link->remote()}, {"not_logged", *left_out}});
         return;
     }
     result<request> message = decode_request(value.body);
     // Only this message is malformed; other requests of the peer are still served.
     if (!message)
     {
-        log_.warning("wire", "malformed request",
-                     {{"peer", peer->link->peer().id.value()},
-                      {"reason", message.error().message}});
+        if (const std::optional<std::uint64_t> left_out =
+                malformed_lines_.admit(loop_.clock().now()))
+            log_.warning("wire", "malformed request",
+                         {{"peer", peer->link->peer().id.value()},
+                          {"reason", message.error().message},
+                          {"not_logged", *left_out}});
         return send_reply(weak, value.id,
                           failure_reply{message.error().code, message.error().message});
     }
@@ -170,9 +182,10 @@
     if (reason.code == error_code::unavailable && peer->link->peer().version != 0)
         log_.debug("wire", "incoming connection closed",
                    {fields[0], fields[1], fields[2]});
-    else
+    else if (const std::optional<std::uint64_t> left_out =
+                 closed_lines_.admit(loop_.clock().now()))
         log_.warning("wire", "incoming connection closed",
-                     {fields[0], fields[1], fields[2]});
+                     {fields[0], fields[1], fields[2], {"not_logged", *left_out}});
     peer->link->close();
 }
 
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -144,6 +144,9 @@
                                            static_cast<std::uint32_t>(random_.next())));
     options.listen_ip = settings_.ip;
     options.max_connections = descriptor_share(settings_, peer_descriptor_divisor);
+    options.accept_failed = [this] {
+        metrics_.add("hawthornbeam_failed_accepts_total", {{"class", "peers"}});
+    };
     error last_error = make_error(error_code::unavailable, "the port range is empty");
     // A process that is shutting down may still have a port open, so try all of them.
     for (std::uint32_t port = settings_.first_peer_port; port <= settings_.last_peer_port;
--- a/tools/hawthornd/main.cpp
+++ b/tools/hawthornd/main.cpp
@@ -147,6 +147,9 @@
     peer_options.self = settings.id;
     peer_options.listen_ip = settings.listen_ip;
     peer_options.port = settings.peer_port;
+    peer_options.accept_failed = [&metrics] {
+        metrics.add("hawthornbeam_failed_accepts_total", {{"class", "peers"}});
+    };
     result<std::unique_ptr<wire::tcp_peer_network>> peers =
         wire::tcp_peer_network::open(loop, log, peer_options);
     if (!peers)
--- a/unittests/wire/tcp_peer_network_test.cpp
+++ b/unittests/wire/tcp_peer_network_test.cpp
@@ -374,6 +374,31 @@
     EXPECT_FALSE(quiet.is_closed());
 }
 
+// Guards against log lines without bound while a crowd connects again and again.
+TEST_F(tcp_peer_network_test, crowd_without_hello_adds_few_log_lines)
+{
+    constexpr int crowd_size = 300;
+    constexpr std::size_t lines_per_second = 10;
+    network_ptr server = open("server");
+    const boot_time begin = loop.clock().now();
+    for (int i = 0; i < crowd_size; ++i)
+    {
+        raw_peer peer;
+        peer.connect(server->port());
+        peer.send("no frame at all, but long enough to be read as the length of one");
+        run_until([&] { return peer.is_closed(); });
+    }
+    const std::chrono::seconds passed =
+        std::chrono::duration_cast<seconds>(loop.clock().now() - begin) + seconds(1);
+    std::size_t lines = 0;
+    for (std::size_t at = 0;
+         (at = log_lines.find("incoming connection closed", at)) != std::string::npos;
+         ++at)
+        ++lines;
+    EXPECT_GT(lines, 0U);
+    EXPECT_LE(lines, lines_per_second * static_cast<std::size_t>(passed.count()));
+}
+
 // Guards against a malformed request that closes the connection of its sender, which
 // would fail its other requests.
 TEST_F(tcp_peer_network_test, malformed_request_does_not_close_the_connection)
