Let several large late jobs give way too

What callers saw: after 20 valid jobs of 41 KB (1,000 steps each), an ordinary job is not done in 30 s.

Cause, from a log: each of the 20 older jobs started 256 tasks before the next, and only then the small one (17 jobs had started 256 in 35 s).

A late job that has started 32 tasks now waits for jobs that have not, one that has started 64 for those with fewer, and so on with each doubling. Jobs with fewer tasks keep their order.

Evidence: large_jobs_test, with 1 and 20 large jobs in place of the former test with 1; the case of 20 failed before.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -139,7 +139,7 @@
     boot_time due{};
     boot_time value_lost_at{};
     /// 0: can end in time, or is late and has its last chance; 1: late; 2: without value;
-    /// 3: late, and has started many tasks.
+    /// 3 and above: late, and has started many tasks; one more for each doubling.
     int lateness = 0;
     std::vector<step_status> steps;
 };
--- a/lib/cell/order.cpp
+++ b/lib/cell/order.cpp
@@ -3,6 +3,7 @@
 #include "cell_state.hpp"
 
 #include <algorithm>
+#include <bit>
 
 namespace hawthornbeam::cell
 {
@@ -15,8 +16,9 @@
 /// A late job is sorted by its priority again when less than this part of its objective
 /// is left before its value is lost.
 constexpr std::int64_t last_chance_divisor = 2;
-/// A late job that has started this many tasks waits for all others.
-constexpr std::uint64_t max_tasks_before_others = 256;
+/// A late job that has started this many tasks waits for all others that have not.
+constexpr std::uint64_t max_tasks_before_others = 32;
+constexpr int lateness_without_value = 2;
 /// Interval between updates of the lateness of waiting jobs.
 constexpr duration lateness_update_period = std::chrono::milliseconds(50);
 
@@ -49,7 +51,7 @@
     // A step counts as late as soon as it can no longer end in time.
     const boot_time end = now + job.spec.steps[step].estimate;
     if (end > job.value_lost_at)
-        return 2;
+        return lateness_without_value;
     if (end <= job.due)
         return 0;
     // Late jobs wait for those that can be in time, but not until they have no value
@@ -60,8 +62,13 @@
 
 int scheduler::implementation::lateness_of(const job_status& job, boot_time now) const
 {
-    if (now > job.due && started_tasks(job) >= max_tasks_before_others)
-        return 3;
+    if (now > job.due)
+    {
+        const int doublings = static_cast<int>(
+            std::bit_width(started_tasks(job) / max_tasks_before_others));
+        if (doublings > 0)
+            return lateness_without_value + doublings;
+    }
     int lateness = 0;
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         if (job.steps[step].remaining > 0 && is_ready(job, step))
--- a/test/clients/clients_test.py
+++ b/test/clients/clients_test.py
@@ -80,6 +80,10 @@
 TASKS_PER_STEP = 100000
 STEPS = 30
 
+LARGE_JOBS = 20
+MOST_STEPS = 1000
+TASKS_PER_SMALL_STEP = 100
+
 
 def check_process(daemon, memory_bound):
     if not daemon.is_alive():
@@ -335,10 +339,24 @@
     return []
 
 
+def many_steps():
+    """Guards against jobs whose steps take all processor time or memory of the owner."""
+    with Hawthornbeamd(body_bytes=256 << 10) as daemon:
+        step = {"count": TASKS_PER_SMALL_STEP, "cpu": 1000, "mem-mb": 100}
+        job = {"spec": "work", "steps": [step] * MOST_STEPS}
+        for number in range(LARGE_JOBS):
+            status = daemon.status("POST", f"{QUEUE_PREFIX}{number:016x}", job)
+            print(f"job {number} was answered {status}", flush=True)
+        daemon.run_ordinary_job()
+        check_process(daemon, MACHINE_MEMORY_BYTES)
+    return []
+
+
 SCENARIOS = {one.__name__: one for one in (
     oversized_bodies_hawthornbeamd, oversized_bodies_hawthornd, readable_refusal,
     unfinished_bodies, unanswered_jobs, idle_connections_hawthornbeamd, idle_connections_hawthornd,
-    reconnecting_crowd, listen_queue, malformed_requests, many_tasks)}
+    reconnecting_crowd, listen_queue, malformed_requests, many_tasks,
+    many_steps)}
 
 
 def main():
--- a/unittests/cell/scheduler_test.cpp
+++ b/unittests/cell/scheduler_test.cpp
@@ -689,17 +689,24 @@
     EXPECT_EQ(decided.starts[0].run.task.job, job_key("new"));
 }
 
-// Guards against a large job that holds up all jobs of its age until it has ended.
-TEST(scheduler_test, large_late_job_gives_way_to_a_small_one_of_the_same_age)
+class large_jobs_test : public testing::TestWithParam<int>
+{
+};
+
+// Guards against large jobs that hold up all jobs of their age until they have ended.
+TEST_P(large_jobs_test, give_way_to_a_small_job_of_the_same_age_once_late)
 {
     constexpr std::uint32_t large_count = 100'000;
+    constexpr std::size_t max_starts = 3000;
     constexpr duration run_time = milliseconds(50);
     fleet workers(4);
     workers.add_queue("q", 0, 3, 2, milliseconds(300));
-    workers.submit(fleet::job("large", "q", large_count, 1, run_time));
+    for (int number = 0; number < GetParam(); ++number)
+        workers.submit(
+            fleet::job("large" + std::to_string(number), "q", large_count, 1, run_time));
     workers.submit(fleet::job("small", "q", 1, 1, run_time));
     std::size_t starts = 0;
-    while (workers.cell.state(job_key("small")) != job_state::done && starts < 3000)
+    while (workers.cell.state(job_key("small")) != job_state::done && starts < max_starts)
     {
         starts += workers.decide().starts.size();
         workers.advance(run_time);
@@ -708,9 +715,11 @@
         workers.store_changes();
     }
     EXPECT_EQ(workers.cell.state(job_key("small")), job_state::done);
-    EXPECT_EQ(workers.cell.state(job_key("large")), job_state::running);
+    EXPECT_EQ(workers.cell.state(job_key("large0")), job_state::running);
 }
 
+INSTANTIATE_TEST_SUITE_P(counts, large_jobs_test, testing::Values(1, 20));
+
 // Small tasks of a less urgent queue take each core that becomes free, so that a gang
 // never finds free capacity for all members at once.
 TEST(scheduler_test, workers_are_reserved_for_a_gang_under_a_flood_of_small_tasks)
