Compute the lateness of each waiting job once

What callers saw: after 100 valid jobs of 1,000 steps, an ordinary job is not done in 30 s, and the owner takes 0.74 of a core.

Cause: the update of the lateness, each 50 ms, computed that of the whole job for each of its waiting steps, a million visits for one job of 1,000 steps. The steps of a job are neighbours in the order, so one computation serves them all.

--- a/lib/cell/order.cpp
+++ b/lib/cell/order.cpp
@@ -94,8 +94,13 @@
         return;
     lateness_updated_at = now;
     std::set<job_key> changed;
+    const job_key* latest = nullptr;
     for (const step_key& key : open_steps)
     {
+        // The steps of a job follow each other.
+        if (latest != nullptr && *latest == key.job)
+            continue;
+        latest = &key.job;
         const job_status* job = find_job(key.job);
         if (job != nullptr && !is_final(job->state) &&
             lateness_of(*job, now) != job->lateness)
