Keep equal ended tasks as one state

What callers would see: a valid job of 700 bytes still takes the memory of its owner, only later: each task that has started keeps 0.3 KB until its job ends, and each next owner restores them all.

Tasks of a block that are done after one counted run of the same number, without failures or crashes, are alike from then on, and share one state. A later message about one of them unfolds its block, so nothing is forgotten that could matter: the run stays counted.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -75,6 +75,10 @@
 /// number of the run, or nullptr.
 const ended_run* count_run(task_status& task, run_number run, const worker_id& worker);
 
+/// Returns whether both tasks are done after one counted run of the same number. The
+/// workers of these runs may differ.
+bool ended_alike(const task_status& one, const task_status& other);
+
 /// Ticket for a step on a worker, with its expiry time.
 struct permission
 {
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -51,6 +51,19 @@
     return nullptr;
 }
 
+bool ended_alike(const task_status& one, const task_status& other)
+{
+    const auto has_ended_once = [](const task_status& task)
+    {
+        return task.done && task.ended_runs.size() == 1 && task.failures == 0 &&
+               task.run_worker.empty() && task.failed_on.empty() &&
+               task.crashes.crashes() == 0 && task.untraced_run == run_number();
+    };
+    return has_ended_once(one) && has_ended_once(other) &&
+           one.last_run == other.last_run &&
+           one.ended_runs.front().run == other.ended_runs.front().run;
+}
+
 scheduler::scheduler(const scheduler_limits& limits, const logger& log,
                      metrics_registry& metrics)
     : implementation_(std::make_unique<implementation>(limits, log, metrics))
@@ -381,6 +394,7 @@
     {
         step.tasks.modify(task.index).done = true;
         --step.remaining;
+        step.tasks.fold(task.index, ended_alike);
     }
     if (step.remaining == 0)
         step_done(job, task.step);
