--- a/unittests/adapter/adapter_test.cpp
+++ b/unittests/adapter/adapter_test.cpp
@@ -77,6 +77,71 @@
     EXPECT_NE(all.find("limits.cpu-share"), std::string::npos) << all;
 }
 
+/// Lines of the table `limits`, and what they mean for clients.
+struct client_limits_case
+{
+    const char* name;
+    const char* lines;
+    std::int64_t memory_bytes;
+    std::size_t descriptors;
+    std::optional<std::size_t> request_memory_bytes;
+    std::optional<std::size_t> client_connections;
+};
+
+read_settings_result read_with_limits(const std::string& lines)
+{
+    std::string text(complete_settings);
+    text.replace(text.find("cpu-share = 0.25"), 0, lines + "\n");
+    return read_settings(text, "node.toml");
+}
+
+class client_limits_test : public testing::TestWithParam<client_limits_case>
+{
+};
+
+// Guards against limits on clients that are ignored, or that differ from the documents.
+TEST_P(client_limits_test, are_read_or_have_defaults)
+{
+    const read_settings_result given = read_with_limits(GetParam().lines);
+    ASSERT_TRUE(given.settings) << given.faults.front().text();
+    EXPECT_EQ(given.settings->memory.value(), GetParam().memory_bytes);
+    EXPECT_EQ(given.settings->max_descriptors, GetParam().descriptors);
+    EXPECT_EQ(given.settings->request_memory_bytes, GetParam().request_memory_bytes);
+    EXPECT_EQ(given.settings->max_client_connections, GetParam().client_connections);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    settings, client_limits_test,
+    testing::Values(client_limits_case{"absent", "", 256 << 20, 1000000, {}, {}},
+                    client_limits_case{"all",
+                                       "memory-mb = 260\nmax-fds = 4100\n"
+                                       "request-memory-bytes = 65536\n"
+                                       "client-connections = 7",
+                                       260 << 20, 4100, 65536, 7}),
+    [](const testing::TestParamInfo<client_limits_case>& info)
+    { return info.param.name; });
+
+class client_limits_fault_test : public testing::TestWithParam<const char*>
+{
+};
+
+// Guards against limits that leave the process nothing.
+TEST_P(client_limits_fault_test, is_reported_with_its_key)
+{
+    const std::string line = GetParam();
+    const read_settings_result given = read_with_limits(line);
+    ASSERT_FALSE(given.settings);
+    ASSERT_EQ(given.faults.size(), 1U);
+    EXPECT_NE(given.faults[0].text().find("limits." + line.substr(0, line.find(' '))),
+              std::string::npos)
+        << given.faults[0].text();
+}
+
+INSTANTIATE_TEST_SUITE_P(settings, client_limits_fault_test,
+                         testing::Values("memory-mb = 0", "max-fds = 31",
+                                         "request-memory-bytes = 65535",
+                                         "client-connections = 0"));
+
 TEST(configuration_test, reads_queues_and_routes_by_the_longest_prefix)
 {
     const result<configuration> read = read_configuration(complete_configuration);
--- a/unittests/settings/settings_test.cpp
+++ b/unittests/settings/settings_test.cpp
@@ -51,6 +51,16 @@
     EXPECT_TRUE(parsed.settings->tokens.empty());
 }
 
+// Guards against limits on clients that are ignored.
+TEST(settings_test, limits_on_clients_are_read)
+{
+    const parsed_settings parsed = parse_settings(
+        minimal + "most_connections = 7\nmost_request_memory_bytes = 65536\n", "s.toml");
+    ASSERT_TRUE(parsed.settings.has_value()) << joined(parsed.faults);
+    EXPECT_EQ(parsed.settings->max_connections, 7U);
+    EXPECT_EQ(parsed.settings->request_memory_bytes, 65536U);
+}
+
 // Guards against validation that stops at the first finding.
 TEST(settings_test, reports_all_findings_together)
 {
@@ -139,6 +149,11 @@
             "unit, such as \"30 s\")"},
         fault_case{"duration_range", "", "drain_limit = \"5 h\"",
                    "s.toml:10: drain_limit: is \"5 h\" (expected 1 s to 3600 s)"},
+        fault_case{"connections", "", "most_connections = 0",
+                   "s.toml:10: most_connections: is 0 (expected 1 to 1000000)"},
+        fault_case{"request_memory", "", "most_request_memory_bytes = 65535",
+                   "s.toml:10: most_request_memory_bytes: is 65535 (expected 65536 to "
+                   "1000000000000)"},
         fault_case{
             "nan", "", "most_requests_per_second = nan",
             "s.toml:10: most_requests_per_second: is nan (expected 0.1 to 1000000)"},
