--- a/test/clients/clients_test.py
+++ b/test/clients/clients_test.py
@@ -83,6 +83,7 @@
 LARGE_JOBS = 20
 MOST_STEPS = 1000
 TASKS_PER_SMALL_STEP = 100
+WAITING_JOBS = 300
 
 
 def check_process(daemon, memory_bound):
@@ -339,24 +340,33 @@
     return []
 
 
-def many_steps():
-    """Guards against jobs whose steps take all processor time or memory of the owner."""
+def large_jobs(count, tasks_per_step):
     with Hawthornbeamd(body_bytes=256 << 10) as daemon:
-        step = {"count": TASKS_PER_SMALL_STEP, "cpu": 1000, "mem-mb": 100}
+        step = {"count": tasks_per_step, "cpu": 1000, "mem-mb": 100}
         job = {"spec": "work", "steps": [step] * MOST_STEPS}
-        for number in range(LARGE_JOBS):
-            status = daemon.status("POST", f"{QUEUE_PREFIX}{number:016x}", job)
-            print(f"job {number} was answered {status}", flush=True)
+        answers = Counter(daemon.status("POST", f"{QUEUE_PREFIX}{number:016x}", job)
+                          for number in range(count))
+        print("answers:", sorted(answers.items(), key=str), flush=True)
         daemon.run_ordinary_job()
         check_process(daemon, MACHINE_MEMORY_BYTES)
     return []
 
 
+def many_steps():
+    """Guards against jobs whose steps take all processor time or memory of the owner."""
+    return large_jobs(LARGE_JOBS, TASKS_PER_SMALL_STEP)
+
+
+def many_jobs():
+    """Guards against waiting jobs that exhaust the memory of the owner together."""
+    return large_jobs(WAITING_JOBS, 1)
+
+
 SCENARIOS = {one.__name__: one for one in (
     oversized_bodies_hawthornbeamd, oversized_bodies_hawthornd, readable_refusal,
     unfinished_bodies, unanswered_jobs, idle_connections_hawthornbeamd, idle_connections_hawthornd,
     reconnecting_crowd, listen_queue, malformed_requests, many_tasks,
-    many_steps)}
+    many_steps, many_jobs)}
 
 
 def main():
