Send responses on kept connections without delay

Without it the body of a response waits for the delayed acknowledgement of its header.

The listener sets the option for each connection that it accepts.

Evidence: accepted_connections_send_without_delay failed before.

--- a/lib/wire/listener.cpp
+++ b/lib/wire/listener.cpp
@@ -1,6 +1,8 @@
 #include "listener.hpp"
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace hawthornbeam::wire
@@ -102,6 +104,8 @@
             g_socket_accept(socket_.get(), nullptr, failure.out()));
         if (socket)
         {
+            // Otherwise the end of a response waits until its beginning is acknowledged.
+            g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
             events_.accepted(std::move(socket));
             continue;
         }
--- a/unittests/wire/listener_test.cpp
+++ b/unittests/wire/listener_test.cpp
@@ -5,6 +5,8 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
+#include <optional>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -51,6 +53,44 @@
 using tested_shortage = descriptor_shortage;
 #endif
 
+/// Connects to a listener on loopback. Returns the descriptor.
+int connect_to(const listener& target)
+{
+    const int client = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(target.port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(
+        ::connect(client, reinterpret_cast<const sockaddr*>(&address), sizeof(address)),
+        0);
+    return client;
+}
+
+// Guards against responses that wait for the delayed acknowledgement of their beginning.
+TEST(listener_test, accepted_connections_send_without_delay)
+{
+    glib_event_loop loop;
+    std::optional<gint> without_delay;
+    const object_ptr<GSocketAddress> address = make_socket_address("127.0.0.1", 0);
+    result<std::unique_ptr<listener>> opened =
+        listener::open(loop, address.get(), 0,
+                       {[&without_delay](object_ptr<GSocket> socket)
+                        {
+                            gint value = 0;
+                            EXPECT_TRUE(g_socket_get_option(
+                                socket.get(), IPPROTO_TCP, TCP_NODELAY, &value, nullptr));
+                            without_delay = value;
+                        },
+                        [](const std::string& /*reason*/) {}});
+    ASSERT_TRUE(opened);
+    const int client = connect_to(*opened.value());
+    while (!without_delay)
+        g_main_context_iteration(nullptr, TRUE);
+    EXPECT_NE(*without_delay, 0);
+    ::close(client);
+}
+
 // Guards against a listener that never accepts again after a failure, and against one
 // that uses all processor time while it fails.
 TEST(listener_test, accepts_again_after_a_shortage_of_descriptors_without_spinning)
@@ -65,13 +105,7 @@
                        {[&accepted](object_ptr<GSocket> /*socket*/) { ++accepted; },
                         [&failed](const std::string& /*reason*/) { ++failed; }});
     ASSERT_TRUE(opened);
-    const int client = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(opened.value()->port());
-    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ASSERT_EQ(
-        ::connect(client, reinterpret_cast<const sockaddr*>(&target), sizeof(target)), 0);
+    const int client = connect_to(*opened.value());
     {
         const tested_shortage shortage;
         for (int i = 0; i < iterations || failed == 0; ++i)
