--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -627,6 +627,7 @@
         self.running = {}
         self.starts = {}
         self.begun = set()  # Jobs of which a task has begun.
+        self.begun_tasks = set()
 
     async def start(self, store):
         address = await store.open_for_runners()
@@ -644,6 +645,7 @@
             self.running[number] = shown["running"]
             self.starts[number] = shown["starts"]
             self.begun.update(task.split(".")[0] for task in shown["new"])
+            self.begun_tasks.update(shown["new"])
 
     async def stop(self):
         for process in self.processes:
