--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -321,7 +321,8 @@
 
 class Runner:
     """One runner. The duration of a task in seconds is the text of its `spec`, or that
-    of its step: "5,3" gives 5 s to the tasks of step 0 and 3 s to those of step 1.
+    of its step: "5,3" gives 5 s to the tasks of step 0 and 3 s to those of step 1. Tasks
+    fail after the time if "f" stands before it.
     The bookkeeping of `runs` outlives incarnations, for the checks."""
 
     HEARTBEAT_S = 1.5
@@ -428,7 +429,7 @@
                     self.end(task, "lapsed")
             for task, one in list(self.running.items()):
                 if now - one["began"] >= one["work_s"]:
-                    self.end(task, "done")
+                    self.end(task, one["how"])
 
     def percent(self, one):
         return min(100, int(100 * (time.monotonic() - one["began"]) / one["work_s"]))
@@ -509,12 +510,14 @@
         self.extend(fields)
         durations = fields["spec"].split(",")
         step = int(task.split(".")[2])
-        work_s = float(durations[min(step, len(durations) - 1)])
+        duration = durations[min(step, len(durations) - 1)]
+        work_s = float(duration.removeprefix("f"))
         entry = {"task": task, "run": run, "begin": self.record.now(), "end": None,
                  "how": None, "runner": self.name, "spec": fields["spec"]}
         self.log.append(entry)
         self.running[task] = {"run": run, "began": time.monotonic(), "work_s": work_s,
-                              "entry": entry}
+                              "entry": entry,
+                              "how": "failed" if duration.startswith("f") else "done"}
         self.record("run begins", runner=self.name, task=task, run=run,
                     token=fields.get("fence-token"))
         return self.answer(200)
