--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -32,6 +32,7 @@
 CANCEL_S = 3.0
 KILL_GRACE_S = 0.9
 HOLD_MAX_S = 10.0
+LIMIT_S = 116.0  # A script may take 120 s.
 CPU_SHARE = 0.25  # `cpu-share` of the settings.
 
 
@@ -820,12 +821,9 @@
     """Runs the coroutine `case(folder, trouble)`, which returns a list of breaches."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        breaches = asyncio.run(case(folder, trouble))
-    except CannotRun as reason:
-        print("the case could not run:", reason)
-        sys.exit(2)
-    except (OSError, FileNotFoundError) as reason:
-        print("the case could not run:", reason)
+        breaches = asyncio.run(asyncio.wait_for(case(folder, trouble), LIMIT_S))
+    except (CannotRun, OSError, asyncio.TimeoutError) as reason:
+        print("the case could not run:", repr(reason))
         sys.exit(2)
     with open(pathlib.Path(folder) / "record.txt", "a", encoding="utf-8") as record:
         for line in breaches or ["the rule held"]:
