--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -346,12 +346,13 @@
     def reset_state(self):
         self.born = int(time.time() * 1000)
         self.began = time.monotonic()
-        self.clock_start = random.randint(1000, 900000)
+        self.clock_start = 1000  # It starts anew in each life.
         self.running = {}
         self.highest = {}
         self.ended = []
         self.next_end = 1
         self.token = 0
+        self.unnoted = []  # Entries of this life whose ends are not taken note of.
         self.lease_end = None
         self.sequence = 0
         self.wake = asyncio.Event()
@@ -414,9 +415,12 @@
 
     def end(self, task, how):
         self.finish_log(task, how)
+        entry = self.running[task]["entry"]
         run = self.running.pop(task)["run"]
         self.highest[task] = max(self.highest.get(task, 0), run)
         self.ended.append([self.next_end, task, run, how, ""])
+        entry["number"] = self.next_end
+        self.unnoted.append(entry)
         self.next_end += 1
         self.wake.set()
         self.wake = asyncio.Event()
@@ -475,6 +479,7 @@
             return self.answer(409, reason="fence")
         self.token = max(self.token, fields.get("fence-token", 0))
         self.extend(fields)
+        self.take_note(fields.get("last-seen", 0))
         self.ended = [one for one in self.ended if one[0] > fields.get("last-seen", 0)]
         until = time.monotonic() + min(fields.get("wait-ms", 0), 2000) / 1000
         while not self.ended and time.monotonic() < until:
@@ -485,6 +490,12 @@
         return self.answer(200, ended=self.ended[:500], running=[
             [task, one["run"], "", self.percent(one), 0] for task, one in self.running.items()])
 
+    def take_note(self, last_seen):
+        """Marks the entries whose ends `last-seen` has reached."""
+        for entry in [one for one in self.unnoted if one["number"] <= last_seen]:
+            entry["noted"] = round(self.record.now(), 3)
+            self.unnoted.remove(entry)
+
     def extend(self, fields):
         if "deadline-ms" not in fields:
             return
