--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -833,7 +834,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         breaches = asyncio.run(asyncio.wait_for(case(folder, trouble), LIMIT_S))
-    except (CannotRun, OSError, asyncio.TimeoutError) as reason:
+    except Exception as reason:  # Only a broken rule exits with 1.
+        traceback.print_exc()
         print("the case could not run:", repr(reason))
         sys.exit(2)
     with open(pathlib.Path(folder) / "record.txt", "a", encoding="utf-8") as record:
