--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -40,10 +40,9 @@
 class Record:
     """Writes what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
-        self.lines = []
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.began
@@ -725,8 +724,8 @@
 
     PREFIX = "/q0/"
 
-    def __init__(self, folder, machines=3, runners=2, cpu=16000):
-        self.record = Record(folder)
+    def __init__(self, record, machines=3, runners=2, cpu=16000):
+        self.record = Record(record)
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self.store = Store(self.record)
         self.runners = [Runner(self.record, self.store, f"i-{n:04x}", f"r1-{n // 8}", cpu)
@@ -829,17 +828,18 @@
     return {"count": count, "cpu": cpu, "mem-mb": mem_mb, "estimate-ms": estimate_ms, **more}
 
 
-def main(case, folder):
-    """Runs the coroutine `case(folder, trouble)`, which returns a list of breaches."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(case, record, trouble):
+    """Runs the coroutine `case(record, trouble)`, which returns a list of breaches, and
+    exits. `record` is the path of the case's record, `trouble` whether the disruption is
+    played."""
     try:
-        breaches = asyncio.run(asyncio.wait_for(case(folder, trouble), LIMIT_S))
+        breaches = asyncio.run(asyncio.wait_for(case(record, trouble), LIMIT_S))
     except Exception as reason:  # Only a broken rule exits with 1.
         traceback.print_exc()
         print("the case could not run:", repr(reason))
         sys.exit(2)
-    with open(pathlib.Path(folder) / "record.txt", "a", encoding="utf-8") as record:
+    with open(record, "a", encoding="utf-8") as written:
         for line in breaches or ["the rule held"]:
-            record.write(line + "\n")
+            written.write(line + "\n")
             print(line)
     sys.exit(1 if breaches else 0)
--- a/review/extra-2/hopeless_gangs/case.py
+++ b/review/extra-2/hopeless_gangs/case.py
@@ -97,8 +97,8 @@
     return f"{job}.0.{1 if job in early else 0}.0"
 
 
-async def case(folder, trouble):
-    async with Site(folder, machines=MACHINES, runners=0) as site:
+async def case(record, trouble):
+    async with Site(record, machines=MACHINES, runners=0) as site:
         hosts = RunnerHosts(site.record, HOSTS, RUNNERS // HOSTS, RUNNER_CPU)
         try:
             await hosts.start(site.store)
@@ -107,4 +107,4 @@
             await hosts.stop()
 
 
-main(case, HERE)
+main(case, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/extra-2/many_steps/case.py
+++ b/review/extra-2/many_steps/case.py
@@ -48,8 +48,8 @@
                 asyncio.get_running_loop().call_later(RESTART_S, machine.start)
 
 
-async def case(folder, trouble):
-    async with Site(folder, machines=MACHINES, runners=2) as site:
+async def case(record, trouble):
+    async with Site(record, machines=MACHINES, runners=2) as site:
         await site.ready()
         ends = {machine.name: 0 for machine in site.machines}
         peaks = dict(ends)
@@ -90,4 +90,4 @@
         return breaches
 
 
-main(case, HERE)
+main(case, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/extra-2/planned_restarts/case.py
+++ b/review/extra-2/planned_restarts/case.py
@@ -3,6 +3,7 @@
 nothing of them ever ran on the runner that left."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -46,8 +47,8 @@
     machine.start()
 
 
-async def case(folder, trouble):
-    async with Site(folder, machines=MACHINES, runners=RUNNERS) as site:
+async def case(record, trouble):
+    async with Site(record, machines=MACHINES, runners=RUNNERS) as site:
         await site.ready()
         jobs = [new_job() for _ in range(JOBS)]
         for number, job in enumerate(jobs):
@@ -89,4 +90,4 @@
         return breaches
 
 
-main(case, HERE)
+main(case, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
