--- a/review/6/case.py
+++ b/review/6/case.py
@@ -85,8 +85,8 @@
     return breaches
 
 
-async def case(folder, trouble):
-    async with Site(folder, machines=MACHINES, runners=0) as site:
+async def case(record, trouble):
+    async with Site(record, machines=MACHINES, runners=0) as site:
         hosts = RunnerHosts(site.record, HOSTS, RUNNERS // HOSTS, RUNNER_CPU)
         try:
             await hosts.start(site.store)
@@ -95,4 +95,4 @@
             await hosts.stop()
 
 
-main(case, HERE)
+main(case, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
