--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,6 +2,7 @@
 stores the job is executed late, as the pages allow, and nobody recorded the cancel."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -25,8 +26,8 @@
             await asyncio.sleep(0.1)
 
 
-async def case(folder, trouble):
-    async with Site(folder) as site:
+async def case(record, trouble):
+    async with Site(record) as site:
         await site.ready()
         site.background.append(asyncio.create_task(load(site)))
         await asyncio.sleep(3.0)
@@ -76,4 +77,4 @@
         return breaches
 
 
-main(case, HERE)
+main(case, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0")
