http_client: keep waiting calls out of the library's queue

Cause: while a connection opens, libsoup looks for its request in the queue of all requests, for each waiting request of that host, whenever any request begins, ends or is cancelled. A profile of a hanging host shows 96% of its time in g_weak_ref_get() below g_list_find_custom(). Calls to several workers with opening connections cost the cube of their number. They time out unsent, a time-out makes later calls open new connections, and the queue never empties.

Fix: the client passes to the library only calls that have a connection, and keeps the others in a queue for each host. Polls have a reserved connection and go first, so that leases do not wait behind commands. The class: hawthornd and the store use the same client. Gauge hawthornbeam_pending_calls shows calls sent and held back.

--- a/lib/platform/http_client.cpp
+++ b/lib/platform/http_client.cpp
@@ -4,9 +4,11 @@
 
 #include <array>
 #include <cassert>
+#include <deque>
 #include <fmt/format.h>
 #include <libsoup/soup.h>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace hawthornbeam
@@ -34,7 +36,8 @@
 
     std::string description; ///< "METHOD URL", for error messages.
     std::string host;
-    http_client::callback done; ///< Null once the call has completed.
+    std::optional<http_request> request; ///< Until it is passed to the library.
+    http_client::callback done;          ///< Null once the call has completed.
     timer_handle timeout;
     GCancellable* cancellable;
     bool sent = false;
@@ -89,7 +92,8 @@
 public:
     implementation(event_loop& loop, const logger& log, const connection_limits& limits,
                    connection_use use)
-        : loop_(loop), log_(log), use_(use), session_(create_session(limits))
+        : loop_(loop), log_(log), limits_(limits), use_(use),
+          session_(create_session(limits))
     {
     }
     implementation(const implementation&) = delete;
@@ -97,10 +101,23 @@
     ~implementation() { g_object_unref(session_); }
 
     void send(http_request request, callback done);
+    pending_calls pending() const;
     void close();
 
 private:
-    /// User data of the completion callback of one call.
+    /// Calls to one host.
+    struct host_calls
+    {
+        std::size_t open = 0;
+        std::deque<call_pointer> urgent; ///< Waiting calls of high priority.
+        std::deque<call_pointer> normal; ///< The other waiting calls.
+
+        bool is_idle() const { return open == 0 && urgent.empty() && normal.empty(); }
+    };
+    using host_entry = std::map<std::string, host_calls>::iterator;
+
+    /// User data of the completion callback of one call, which holds one of the host's
+    /// connections until the library has finished with it.
     struct completion
     {
         std::weak_ptr<implementation> client;
@@ -110,10 +127,16 @@
         std::string body;
         std::array<char, read_buffer_bytes> buffer;
 
+        completion() = default;
+        completion(const completion&) = delete;
+        completion& operator=(const completion&) = delete;
         ~completion()
         {
             g_clear_object(&stream);
             g_object_unref(message);
+            const std::shared_ptr<implementation> sender = client.lock();
+            if (sender)
+                sender->release(call->host);
         }
     };
 
@@ -122,6 +145,15 @@
     static void handle_body(GObject* stream, GAsyncResult* async_result, gpointer data);
     static void read_body(std::unique_ptr<completion> response);
     static void fail(const completion& response, GError* failure);
+    /// Removes and returns the next call that a connection to the host is free for;
+    /// nullptr if there is none.
+    call_pointer next_waiting(host_calls& host);
+    void start_waiting(host_entry host);
+    /// Sends the waiting calls of all hosts that have connections left.
+    void start_all_waiting();
+    void start(const call_pointer& call);
+    /// Handles the end of a call in the library.
+    void release(const std::string& host);
     SoupMessage* build_message(const http_request& request, const call_pointer& call);
     bool needs_fresh_connection(const http_request& request, const std::string& host);
     void time_out(const call_pointer& call);
@@ -129,9 +161,13 @@
 
     event_loop& loop_;
     const logger& log_;
+    connection_limits limits_;
     connection_use use_;
     SoupSession* session_;
-    std::set<call_pointer> open_;
+    std::set<call_pointer> incomplete_; ///< Waiting or sent, without a result.
+    std::map<std::string, host_calls> hosts_;
+    std::size_t open_ = 0;     ///< Calls of all hosts in the library.
+    std::string last_started_; ///< Host whose waiting calls were sent last.
     /// Hosts with a recent timeout. Until the stored time their idle connections may be
     /// unresponsive too; after it, the idle timeout has closed them.
     std::map<std::string, boot_time> suspected_until_;
@@ -143,19 +179,78 @@
     call->description = request.method + " " + request.url;
     call->host = host_of(request.url);
     call->done = std::move(done);
-    open_.insert(call);
-    SoupMessage* message = build_message(request, call);
+    incomplete_.insert(call);
+    call->timeout = loop_.after(request.timeout, [this, call] { time_out(call); });
+    const host_entry host = hosts_.try_emplace(call->host).first;
+    (request.priority == call_priority::high ? host->second.urgent : host->second.normal)
+        .push_back(call);
+    call->request = std::move(request);
+    start_waiting(host);
+}
+
+call_pointer http_client::implementation::next_waiting(host_calls& host)
+{
+    for (std::deque<call_pointer>* waiting : {&host.urgent, &host.normal})
+    {
+        // Calls that have timed out stay in their place until it is their turn.
+        while (!waiting->empty() && !waiting->front()->done)
+            waiting->pop_front();
+        const std::size_t available =
+            limits_.per_host - (waiting == &host.normal ? limits_.reserved : 0);
+        if (waiting->empty() || host.open >= available)
+            continue;
+        const call_pointer next = waiting->front();
+        waiting->pop_front();
+        return next;
+    }
+    return nullptr;
+}
+
+void http_client::implementation::start_waiting(host_entry host)
+{
+    while (open_ < limits_.total)
+    {
+        const call_pointer next = next_waiting(host->second);
+        if (!next)
+            return;
+        ++host->second.open;
+        ++open_;
+        start(next);
+    }
+}
+
+void http_client::implementation::start_all_waiting()
+{
+    for (std::size_t left = hosts_.size(); left > 0 && open_ < limits_.total; --left)
+    {
+        host_entry next = hosts_.upper_bound(last_started_);
+        if (next == hosts_.end())
+            next = hosts_.begin();
+        last_started_ = next->first;
+        start_waiting(next);
+        if (next->second.is_idle())
+            hosts_.erase(next);
+    }
+}
+
+void http_client::implementation::start(const call_pointer& call)
+{
+    const http_request request = std::move(*call->request);
+    call->request.reset();
     const std::weak_ptr<implementation> self = weak_from_this();
+    SoupMessage* message = build_message(request, call);
     if (message == nullptr)
     {
         loop_.post(
             [self, call]
             {
                 const std::shared_ptr<implementation> client = self.lock();
-                if (client)
-                    client->finish(
-                        call, make_error(error_code::unavailable,
-                                         call->description + ": the URL is invalid"));
+                if (!client)
+                    return;
+                client->finish(call,
+                               make_error(error_code::unavailable,
+                                          call->description + ": the URL is invalid"));
+                client->release(call->host);
             });
         return;
     }
@@ -168,6 +263,27 @@
                             handle_header, response.release());
 }
 
+void http_client::implementation::release(const std::string& name)
+{
+    const bool all_in_use = open_ >= limits_.total;
+    const host_entry host = hosts_.find(name);
+    --host->second.open;
+    --open_;
+    start_waiting(host);
+    if (host->second.is_idle())
+        hosts_.erase(host);
+    if (all_in_use)
+        start_all_waiting();
+}
+
+pending_calls http_client::implementation::pending() const
+{
+    std::size_t waiting = 0;
+    for (const call_pointer& call : incomplete_)
+        waiting += call->request ? 1U : 0U;
+    return {open_, waiting};
+}
+
 SoupMessage* http_client::implementation::build_message(const http_request& request,
                                                         const call_pointer& call)
 {
@@ -275,6 +391,9 @@
 
 void http_client::implementation::time_out(const call_pointer& call)
 {
+    if (call->request)
+        return finish(call, make_error(error_code::unavailable,
+                                       call->description + ": no connection was free"));
     const boot_time now = loop_.clock().now();
     std::erase_if(suspected_until_,
                   [now](const std::pair<const std::string, boot_time>& host)
@@ -296,7 +415,8 @@
         return;
     const callback done = std::exchange(call->done, nullptr);
     call->timeout.reset();
-    open_.erase(call);
+    call->request.reset();
+    incomplete_.erase(call);
     if (!reply)
         log_.debug(
             "http_client", "call failed",
@@ -306,8 +426,7 @@
 
 void http_client::implementation::close()
 {
-    const std::set<call_pointer> open = std::exchange(open_, {});
-    for (const call_pointer& call : open)
+    for (const call_pointer& call : std::exchange(incomplete_, {}))
     {
         call->done = nullptr;
         call->timeout.reset();
@@ -320,7 +439,8 @@
                          const connection_limits& limits, connection_use use)
     : implementation_(std::make_shared<implementation>(loop, log, limits, use))
 {
-    assert(limits.per_host > 0 && limits.total > 0 && "a connection is required");
+    assert(limits.per_host > limits.reserved && limits.total > 0 &&
+           "normal requests require a connection");
 }
 
 http_client::~http_client()
@@ -333,6 +453,11 @@
     implementation_->send(std::move(request), std::move(done));
 }
 
+pending_calls http_client::pending() const
+{
+    return implementation_->pending();
+}
+
 std::string percent_encode(const std::string& text)
 {
     gchar* escaped = g_uri_escape_string(text.c_str(), "/", FALSE);
--- a/lib/platform/http_client.hpp
+++ b/lib/platform/http_client.hpp
@@ -16,15 +16,24 @@
 namespace hawthornbeam
 {
 
+/// Order in which requests to one host are sent when they wait for a connection.
+enum class call_priority
+{
+    normal,
+    high ///< Before normal ones, and over the reserved connections too.
+};
+
 /// An HTTP request. For a long poll, the timeout must exceed the wait time.
 struct http_request
 {
     std::string method;
     std::string url;
     std::string body;
+    /// Limit for the wait for a connection, and again for the answer once it is sent.
     duration timeout{};
     std::string content_type = "application/octet-stream";
     std::vector<std::pair<std::string, std::string>> headers = {};
+    call_priority priority = call_priority::normal;
 };
 
 /// Connection reuse for requests with side effects.
@@ -41,6 +50,16 @@
 {
     unsigned per_host = 1;
     unsigned total = 4096; ///< Below the usual limit on descriptors.
+    /// Connections to each host that only requests of high priority use; less than
+    /// `per_host`.
+    unsigned reserved = 0;
+};
+
+/// Requests that a client has not completed.
+struct pending_calls
+{
+    std::size_t open = 0;    ///< Passed to the library.
+    std::size_t waiting = 0; ///< Not sent, since all connections are in use.
 };
 
 /// Status and body of a complete response, including responses with an error status.
@@ -54,6 +73,9 @@
 /// connections; with connection_use::fresh, every other request is sent at most once. A
 /// request fails with unavailable when it was not sent, and with outcome_unknown when it
 /// was sent but no complete response arrived before the timeout.
+///
+/// Requests without a connection wait here rather than in the library, which compares
+/// every waiting request with every other one whenever any of them completes.
 class http_client
 {
 public:
@@ -66,6 +88,7 @@
 
     /// \p done runs exactly once, on the event loop, never from within send().
     void send(http_request request, callback done);
+    pending_calls pending() const;
 
 private:
     class implementation;
--- a/tools/hawthornbeamd/main.cpp
+++ b/tools/hawthornbeamd/main.cpp
@@ -36,6 +36,8 @@
 constexpr int exit_usage = 2;
 /// Number of kept connections to one host. A runner serves 64 connections in all.
 constexpr unsigned connections_per_host = 8;
+/// Those of them that only polls use.
+constexpr unsigned connections_for_polls = 1;
 /// Number of connections to the store. More than the watches, the writes of a receiver
 /// and those of an owner together, so that none waits for a connection.
 constexpr unsigned store_connections = 32;
@@ -52,6 +54,8 @@
 /// Period for writing buffered log lines that a slow reader of stdout has not accepted.
 constexpr duration flush_period = std::chrono::milliseconds(1000);
 constexpr duration stop_check_period = std::chrono::milliseconds(50);
+/// Period for updates of the gauges of pending calls.
+constexpr duration gauge_period = std::chrono::milliseconds(1000);
 /// Upper limit of worker leases. A lease must outlast a takeover, which needs 3 to 4 s.
 constexpr duration max_worker_lease = std::chrono::milliseconds(6000);
 
@@ -100,7 +104,8 @@
           store_http_(loop, log, {store_connections}, connection_use::kept),
           runner_http_(loop, log,
                        {connections_per_host,
-                        descriptor_share(settings, runner_descriptor_divisor)},
+                        descriptor_share(settings, runner_descriptor_divisor),
+                        connections_for_polls},
                        connection_use::kept),
           store_(loop.clock(), store_http_, metrics_, settings.store_address),
           runners_(runner_http_, metrics_, settings.advice_address),
@@ -117,6 +122,7 @@
 private:
     void quit_when_served();
     result<bool> open_network();
+    void update_gauges();
 
     glib_event_loop& loop_;
     const logger& log_;
@@ -135,6 +141,7 @@
     bool stopping_ = false;
     boot_time min_stop_time_{};
     timer_handle stop_timer_;
+    timer_handle gauge_timer_;
 };
 
 result<bool> process::open_network()
@@ -196,11 +203,27 @@
     ingress_ = std::move(opened).value();
     node_->start();
     configuration_.start();
+    gauge_timer_ = loop_.every(gauge_period, [this] { update_gauges(); });
     log_.info("process", "started",
               {{"share", static_cast<int>(settings_.processor_share * 1000)}});
     return true;
 }
 
+void process::update_gauges()
+{
+    for (const auto& [server, client] :
+         {std::pair("store", &store_http_), std::pair("workers", &runner_http_)})
+    {
+        const pending_calls calls = client->pending();
+        metrics_.set_gauge("hawthornbeam_pending_calls",
+                           {{"server", server}, {"state", "open"}},
+                           static_cast<double>(calls.open));
+        metrics_.set_gauge("hawthornbeam_pending_calls",
+                           {{"server", server}, {"state", "waiting"}},
+                           static_cast<double>(calls.waiting));
+    }
+}
+
 void process::stop()
 {
     if (stopping_)
