cell: bound the starts and stops under way by the answers to them

Cause: a decision ordered every task that fits, whatever the hosts can send. An agent could not send the orders before they timed out; the owner took them back, and ordered the same tasks again in the next decision. Stops of a large job were sent in the same way.

Evidence: a host of the simulation now needs time for each call.

Fix: a congestion window for each agent and each worker (order_window). Starts and stops stay with the scheduler until there is room, where the order of steps still holds; a quarter of an agent's window is left to steps with few starts under way. Windows grow while answers are in time and shrink when they are late, so that no constant stands for a site. A start that an agent did not send is not stopped later.

--- a/include/hawthornbeam/cell/scheduler.hpp
+++ b/include/hawthornbeam/cell/scheduler.hpp
@@ -136,6 +136,10 @@
     /// the worker and its agent as used, so that a later owner knows who may have runs.
     void allow_worker(const worker_id& worker, bool allowed = true);
 
+    /// Records which agent receives the orders to a worker from now on. The starts and
+    /// stops that are under way through an agent are bounded by what it answers in time.
+    void assign_agent(const worker_id& worker, const instance_id& agent);
+
     /// Handles the answer of a worker to a poll.
     void observe(const poll_result& poll, boot_time now);
     /// Handles a poll that was refused. The poll was sent to the address in the worker's
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -8,6 +8,7 @@
 #include "gang_plan.hpp"
 #include "hawthornbeam/cell/scheduler.hpp"
 #include "lease_bound.hpp"
+#include "order_window.hpp"
 #include "outlier_detector.hpp"
 #include "pending.hpp"
 #include "rejected_sizes.hpp"
@@ -89,8 +90,9 @@
 struct step_status
 {
     task_table<task_status> tasks;
-    std::uint32_t remaining = 0;      ///< Tasks that are not done.
-    std::uint32_t occupied = 0;       ///< Tasks with a run record.
+    std::uint32_t remaining = 0; ///< Tasks that are not done.
+    std::uint32_t occupied = 0;  ///< Tasks with a run record.
+    std::uint32_t starts_under_way = 0;
     std::set<run_number> failed_runs; ///< Runs of a gang in which a member failed.
     std::map<worker_id, permission> tickets;
     boot_time tickets_until{}; ///< No ticket is valid after this.
@@ -148,6 +150,28 @@
     std::vector<step_status> steps;
 };
 
+/// How the call of a start or stop ended.
+enum class order_end : std::uint8_t
+{
+    answered,
+    unanswered, ///< The worker may have executed it.
+    not_sent,   ///< The agent did not send or report it in time.
+    dropped     ///< Its answer does not matter any more.
+};
+
+struct order_ending
+{
+    order_end kind = order_end::dropped;
+    boot_time now{};
+};
+
+/// Orders to the workers of one agent.
+struct agent_orders
+{
+    order_window starts;
+    order_window stops;
+};
+
 /// A start that got no answer and was abandoned. The worker may still execute it.
 struct abandoned_start
 {
@@ -159,9 +183,11 @@
 struct worker_status
 {
     worker_info info;
-    bool has_entry = false; ///< Has an entry in the list of workers.
-    bool allowed = false;   ///< Tasks may start; see allow_worker().
-    bool polled = false;    ///< This owner has polled its current incarnation.
+    bool has_entry = false;             ///< Has an entry in the list of workers.
+    bool allowed = false;               ///< Tasks may start; see allow_worker().
+    instance_id agent;                  ///< See assign_agent().
+    std::optional<order_window> starts; ///< Empty before the first start.
+    bool polled = false; ///< This owner has polled its current incarnation.
     /// The process of the polled incarnation has ended.
     bool process_ended = false;
     endpoint contact_address; ///< Address at the last poll.
@@ -220,6 +246,7 @@
     /// Plans of waiting gangs, by job and step.
     std::map<std::pair<job_key, std::uint32_t>, gang_plan> plans;
     std::map<task_kind, rejected_sizes> rejected; ///< By all workers.
+    bool starts_bounded = false; ///< A task waits for starts that are under way.
     std::size_t comparisons = 0; ///< How often a task was compared with all workers.
     /// Steps that were compared with all workers to find out whom to ask about: in their
     /// order, and because they had their turn.
@@ -351,6 +378,34 @@
     /// Stops runs without progress, so that their tasks start on another worker.
     void stop_stalled_runs(boot_time now);
 
+    // Orders under way; defined in orders.cpp.
+    order_window new_window(std::uint32_t initial) const;
+    agent_orders& orders_of(const instance_id& agent);
+    order_window& starts_of(worker_status& worker);
+    /// Returns whether a start that is sent to the worker now would be answered in time.
+    /// A step with few starts under way passes a large one.
+    bool has_start_room(const worker_status& worker, const step_spec& spec,
+                        const step_status& step) const;
+    void add_start(worker_status& worker, step_status& step, run_record& record,
+                   boot_time now);
+    /// Records the end of a start that is under way; otherwise does nothing.
+    void end_start(worker_status& worker, const task_ref& task, run_record& record,
+                   const order_ending& ending);
+    /// The same for a stop.
+    void end_stop(worker_status& worker, run_record& record, const order_ending& ending);
+    /// Forgets the orders of a run that are under way.
+    void end_orders(worker_status& worker, const task_ref& task, run_record& record);
+    /// The same for all runs of a worker.
+    void end_orders(worker_status& worker);
+    /// Ends the orders whose answers cannot come any more.
+    void end_lost_orders(boot_time now);
+    /// Adds a stop to those that wait to be sent.
+    void request_stop_order(const worker_id& worker, const endpoint& address,
+                            const task_ref& task, run_record& record);
+    /// Returns the waiting stops that may be sent now.
+    std::vector<stop_command> order_stops(boot_time now);
+    void report_orders() const;
+
     // Crashes; defined in crashes.cpp.
     /// Counts the crash of a worker against the tasks of the \p lost runs.
     void count_crash(worker_status& worker, const std::vector<task_ref>& lost,
@@ -504,7 +559,8 @@
     outlier_detector outliers;
     boot_time last_quarantine_until{}; ///< End of the quarantine that ends last.
     pending_changes changes;
-    std::vector<stop_command> stops; ///< Requested since the last decision.
+    std::vector<stop_command> stops; ///< Requested and not yet sent.
+    std::map<instance_id, agent_orders> agents;
     std::size_t open_job_count = 0;
     boot_time lateness_updated_at{};
     boot_time pending_reviewed_at{};
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -27,6 +27,14 @@
 /// when the worker is unreachable, and then it gets no new ones.
 constexpr std::size_t max_abandoned = 256;
 
+order_end order_end_of(command_outcome outcome)
+{
+    if (outcome == command_outcome::not_sent)
+        return order_end::not_sent;
+    return outcome == command_outcome::unanswered ? order_end::unanswered
+                                                  : order_end::answered;
+}
+
 } // namespace
 
 worker_status& scheduler::implementation::find_or_add_worker(const worker_id& id,
@@ -46,6 +54,7 @@
     const auto found = worker.runs.find(task);
     if (found == worker.runs.end())
         return;
+    end_orders(worker, task, found->second);
     worker.used -= found->second.size;
     worker.runs.erase(found);
     update_observation(worker);
@@ -78,7 +87,7 @@
     }
     found->second.phase = run_phase::stopping;
     found->second.stop_answered = false;
-    stops.push_back({worker, entry->second.info.address, {task, found->second.run}});
+    request_stop_order(worker, entry->second.info.address, task, found->second);
 }
 
 run_number scheduler::implementation::present_run(const job_status& job,
@@ -140,7 +149,8 @@
         return request_stop(worker.info.id, task);
     // The new incarnation has no record of a stop that the former one answered.
     record.stop_answered = false;
-    stops.push_back({worker.info.id, worker.info.address, {task, record.run}});
+    if (!record.stop_waits)
+        request_stop_order(worker.info.id, worker.info.address, task, record);
 }
 
 void scheduler::implementation::repeat_stops(boot_time now)
@@ -148,11 +158,10 @@
     for (auto& [id, worker] : workers)
         for (auto& [task, run] : worker.runs)
         {
-            if (run.phase != run_phase::stopping || run.stop_answered ||
+            if (run.phase != run_phase::stopping || run.stop_answered || run.stop_waits ||
                 now - run.command_sent_at < limits.answer_limit)
                 continue;
-            run.command_sent_at = now;
-            stops.push_back({id, worker.info.address, {task, run.run}});
+            request_stop_order(id, worker.info.address, task, run);
         }
 }
 
@@ -463,17 +472,24 @@
     if (found == self.workers.end())
         return;
     worker_status& worker = found->second;
+    // A start that was not sent needs no stop in a later incarnation.
+    if (!result.stop && result.outcome == command_outcome::not_sent)
+        std::erase_if(worker.abandoned, [&result](const abandoned_start& each)
+                      { return each.run == result.run; });
     const auto record = worker.runs.find(result.run.task);
     if (record == worker.runs.end() || record->second.run != result.run.run)
         return;
+    const order_ending ending{order_end_of(result.outcome), now};
     if (result.stop)
     {
+        self.end_stop(worker, record->second, ending);
         if (result.outcome != command_outcome::accepted)
             return;
         record->second.stop_answered = true;
         record->second.position = result.position;
         return;
     }
+    self.end_start(worker, result.run.task, record->second, ending);
     if (record->second.answered)
         return;
     self.metrics.add("hawthornbeam_start_answers_total",
--- a/lib/cell/owner_agents.cpp
+++ b/lib/cell/owner_agents.cpp
@@ -264,6 +264,7 @@
     unassign(route);
     route.agent = agent;
     route.assignment = ++last_assignment;
+    cell.assign_agent(id, agent);
     cell.allow_worker(id, may_start_on(id, route));
     outbox[agent].assignments.push_back({id, route.address, route.assignment, true});
 }
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -29,7 +29,8 @@
         "no_suitable_worker", "workers_away",     "workers_quarantined",
         "advice_limit",       "advice_requested", "not_admitted",
         "tickets_expired",    "no_room",          "room_held",
-        "workers_observed",   "task_spread",      "not_placed"};
+        "workers_observed",   "task_spread",      "starts_bounded",
+        "not_placed"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -56,7 +57,8 @@
         std::pair(worker_barrier::held, pending_reason::room_held),
         std::pair(worker_barrier::observed, pending_reason::workers_observed),
         std::pair(worker_barrier::expired, pending_reason::tickets_expired),
-        std::pair(worker_barrier::spread, pending_reason::task_spread)};
+        std::pair(worker_barrier::spread, pending_reason::task_spread),
+        std::pair(worker_barrier::busy, pending_reason::starts_bounded)};
     const auto most = std::ranges::max_element(
         barriers, {},
         [&counts](const std::pair<worker_barrier, pending_reason>& each)
@@ -107,6 +109,8 @@
         return worker_barrier::not_asked;
     if (needs_ticket && permitted->second.until <= pass.now)
         return worker_barrier::expired;
+    if (!has_start_room(candidate, spec, status))
+        return worker_barrier::busy;
     return worker_barrier::none;
 }
 
@@ -170,6 +174,7 @@
     if (pass.now - pending_reviewed_at < review_period)
         return;
     pending_reviewed_at = pass.now;
+    report_orders();
     std::array<std::uint64_t, pending_reasons> pending{};
     std::size_t examined = 0;
     for (const step_key& key : open_steps)
@@ -231,7 +236,8 @@
               {"held", counts[worker_barrier::held]},
               {"observed", counts[worker_barrier::observed]},
               {"not_asked", counts[worker_barrier::not_asked]},
-              {"expired", counts[worker_barrier::expired]}});
+              {"expired", counts[worker_barrier::expired]},
+              {"busy", counts[worker_barrier::busy]}});
 }
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/pending.hpp
+++ b/lib/cell/pending.hpp
@@ -23,9 +23,10 @@
     observed,     ///< Runs a suspect task alone.
     not_asked,    ///< No advice about it was requested yet.
     expired,      ///< Its ticket has expired.
-    spread        ///< Runs as many tasks of the step as one worker may.
+    spread,       ///< Runs as many tasks of the step as one worker may.
+    busy          ///< As many starts are under way there as are answered in time.
 };
-inline constexpr std::size_t worker_barriers = 11;
+inline constexpr std::size_t worker_barriers = 12;
 
 /// Why a ready step has tasks without a run.
 enum class pending_reason : std::uint8_t
@@ -47,9 +48,10 @@
     room_held,           ///< Their room is held for gangs.
     workers_observed,    ///< They run suspect tasks.
     task_spread,         ///< They run as many tasks of the step as they may.
+    starts_bounded,      ///< As many starts are under way as are answered in time.
     not_placed           ///< None of these: there is room for the task.
 };
-inline constexpr std::size_t pending_reasons = 18;
+inline constexpr std::size_t pending_reasons = 19;
 
 /// Returns the lower-case name.
 const char* to_string(pending_reason reason);
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -103,6 +103,7 @@
     const std::set<worker_id>& failed_on = status.tasks[spec.gang ? 0 : index].failed_on;
     worker_status* best = nullptr;
     std::int64_t best_score = 0;
+    bool is_bounded = false;
     const auto consider = [&](const worker_id& id, worker_status& candidate)
     {
         resources free_capacity = candidate.info.capacity - candidate.used;
@@ -125,6 +126,11 @@
                 on_worker->second >= spec.per_worker)
                 return;
         }
+        if (!has_start_room(candidate, spec, status))
+        {
+            is_bounded = true;
+            return;
+        }
         // The fullest worker that fits is best, since this avoids fragmentation of the
         // free capacity. Input data in another rack and an earlier failure of the task on
         // the worker weigh more than packing.
@@ -160,6 +166,7 @@
             if (found != workers.end())
                 consider(id, found->second);
         }
+        pass.starts_bounded |= best == nullptr && is_bounded;
         return best;
     }
     rejected_sizes& rejected =
@@ -170,7 +177,10 @@
     ++pass.comparisons;
     for (auto& [id, candidate] : workers)
         consider(id, candidate);
-    if (best == nullptr && assigned_capacity.empty() && spec.per_worker == 0 && !suspect)
+    pass.starts_bounded |= best == nullptr && is_bounded;
+    // Others may use the part of a window that the step leaves to them.
+    if (best == nullptr && !is_bounded && assigned_capacity.empty() &&
+        spec.per_worker == 0 && !suspect)
         rejected.add(spec.size, spec.estimate);
     return best;
 }
@@ -191,8 +201,10 @@
     // Replaces the record of an earlier run that is still being stopped on this worker.
     // The worker refuses the earlier run once it has received this one.
     run_record& kept = target.runs[task];
+    end_orders(target, task, kept);
     target.used -= kept.size;
     kept = record;
+    add_start(target, step, kept, now);
     target.last_start_at = now;
     observe_suspect(target, kept, status, task, now);
     for (std::map<worker_id, capacity_forecast>* forecasts :
@@ -392,6 +404,7 @@
 {
     implementation& self = *implementation_;
     self.expire_workers(now);
+    self.end_lost_orders(now);
     self.repeat_stops(now);
     self.stop_stalled_runs(now);
     self.update_lateness(now);
@@ -408,17 +421,9 @@
     self.metrics.add("hawthornbeam_step_comparisons_total", {},
                      static_cast<double>(pass.comparisons + pass.ordered_comparisons +
                                          pass.turn_comparisons));
-    decisions& out = pass.out;
-    out.stops = std::exchange(self.stops, {});
-    for (const stop_command& stop : out.stops)
-    {
-        const auto worker = self.workers.find(stop.worker);
-        if (worker == self.workers.end())
-            continue;
-        const auto record = worker->second.runs.find(stop.run.task);
-        if (record != worker->second.runs.end())
-            record->second.command_sent_at = now;
-    }
+    if (pass.starts_bounded)
+        self.metrics.add("hawthornbeam_bounded_decisions_total", {});
+    pass.out.stops = self.order_stops(now);
     return std::move(pass.out);
 }
 
--- a/lib/cell/run_evidence.hpp
+++ b/lib/cell/run_evidence.hpp
@@ -24,6 +24,10 @@
     run_phase phase = run_phase::starting;
     resources size;
     boot_time command_sent_at{}; ///< When the latest start or stop was sent.
+    /// When its start and its latest stop were sent, until the call has ended; then zero.
+    boot_time start_ordered_at{};
+    boot_time stop_ordered_at{};
+    bool stop_waits = false; ///< Its stop waits for a place among those under way.
     bool started_here = false;   ///< Started by this owner, at command_sent_at.
     bool stop_answered = false;
     bool answered = false;
--- a/lib/cell/workers.cpp
+++ b/lib/cell/workers.cpp
@@ -221,6 +221,7 @@
             continue;
         }
         outliers.forget(entry->first);
+        end_orders(worker);
         entry = workers.erase(entry);
     }
 }
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -37,6 +37,10 @@
                                      milliseconds(2000)};
 constexpr std::size_t workers_per_admitted = 3;
 
+/// Size of the tasks of a large job, and the time in which large jobs are submitted.
+constexpr millicores large_job_task_size(1);
+constexpr std::uint64_t large_jobs_time_ms = 2000;
+
 /// Prints the log lines of the instances when HAWTHORNBEAM_TRACE is set, so that a
 /// failing seed can be traced.
 std::function<void(const std::string&)> trace_log_sink()
@@ -53,12 +57,13 @@
     host(std::uint64_t seed, event_loop& simulation_loop,
          standins::memory_network& network, memory_store_state& store_state,
          simulated_workers& workers, std::size_t number, std::uint64_t incarnation,
-         bool is_small, duration worker_list_period,
+         bool is_small, const cell_shape& shape,
          const std::function<void(const std::string&)>& log_sink)
         : id("h" + std::to_string(number) + "." + std::to_string(incarnation)),
           address("h" + std::to_string(number) + ":1"), loop(network.loop_of(id)),
-          store(store_state, loop), port(simulation_loop, loop, workers, number),
-          directory(loop, workers, worker_list_period),
+          store(store_state, loop),
+          port(simulation_loop, loop, workers, number, shape.call_time),
+          directory(loop, workers, shape.worker_list_period),
           peers(network.make_peers(id, wire::peer_address(address.value()))),
           random(seed * 1000 + number * 100 + incarnation),
           log(loop.clock(), id.value(), log_sink ? log_level::info : log_level::error,
@@ -147,9 +152,9 @@
     const std::uint64_t incarnation =
         hosts_[number] ? hosts_[number]->incarnation + 1 : 1;
     hosts_[number].reset();
-    hosts_[number] = std::make_unique<host>(
-        random_.next(), loop_, network_, store_, workers_, number, incarnation,
-        is_small(number), shape_.worker_list_period, log_sink_);
+    hosts_[number] =
+        std::make_unique<host>(random_.next(), loop_, network_, store_, workers_, number,
+                               incarnation, is_small(number), shape_, log_sink_);
     hosts_[number]->incarnation = incarnation;
     hosts_[number]->instance->configure({history_.queues.begin()->second});
     hosts_[number]->instance->start();
@@ -445,6 +450,31 @@
     return job;
 }
 
+job_spec cell_simulation::make_large_job()
+{
+    job_spec job;
+    job.id = job_key("job" + std::to_string(++last_job_));
+    job.queue = queue_name("q");
+    job.payload = "payload of " + job.id.value();
+    job.submitted_ms = loop_.clock().wall_now().time_since_epoch().count();
+    step_spec step;
+    step.count = shape_.large_job_tasks;
+    step.size.processors = large_job_task_size;
+    step.size.memory = byte_count(10);
+    step.estimate = milliseconds(1000 + random_.below(1000));
+    job.steps.push_back(std::move(step));
+    return job;
+}
+
+void cell_simulation::submit_new(const job_spec& job)
+{
+    const std::shared_ptr<pending_submission> pending =
+        std::make_shared<pending_submission>();
+    pending->job = job;
+    history_.submitted[job.id] = job;
+    submit(pending);
+}
+
 void cell_simulation::choose_admitted_workers(const job_key& job, std::uint32_t number,
                                               step_spec& step)
 {
@@ -670,13 +700,21 @@
         schedule(milliseconds(random_.below(load_ms)),
                  [this]
                  {
-                     const std::shared_ptr<pending_submission> pending =
-                         std::make_shared<pending_submission>();
-                     pending->job = make_job();
-                     history_.submitted[pending->job.id] = pending->job;
-                     choose_crashing_task(pending->job);
-                     choose_failing_task(pending->job);
-                     submit(pending);
+                     const job_spec made = make_job();
+                     choose_crashing_task(made);
+                     choose_failing_task(made);
+                     submit_new(made);
+                 });
+    for (std::size_t large = 0; large < shape_.large_jobs; ++large)
+        schedule(milliseconds(random_.below(large_jobs_time_ms)),
+                 [this]
+                 {
+                     const job_spec made = make_large_job();
+                     submit_new(made);
+                     if (shape_.large_jobs_per_cancel > 0 &&
+                         random_.below(shape_.large_jobs_per_cancel) == 0)
+                         schedule(milliseconds(random_.below(4000)),
+                                  [this, job = made.id] { cancel(job); });
                  });
     schedule_resizes(load_time);
     schedule_drains(load_time);
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -89,6 +89,15 @@
     /// Whether the queue has an advice service, which admits a third of the workers for
     /// each step. Gangs are then as wide as these workers allow, or less.
     bool has_advice = false;
+    /// Processor time that a host needs for each call to a worker.
+    duration call_time{};
+    /// Number of jobs with one step of large_job_tasks small tasks, which come early in
+    /// the load.
+    std::size_t large_jobs = 0;
+    std::uint32_t large_job_tasks = 4000;
+    /// One in this many of the large jobs, on average, is cancelled while it starts; 0
+    /// means none.
+    std::uint64_t large_jobs_per_cancel = 0;
 };
 
 /// Simulates one cell; equal seeds give equal histories.
@@ -124,6 +133,8 @@
     verdict submit_at(std::size_t number, duration timeout);
 
     const standins::cell_history& history() const { return history_; }
+    /// Returns the number of calls to workers that hosts could not send in time.
+    std::size_t unsent_calls() const { return workers_.unsent_calls(); }
     /// Returns the number of jobs for which a caller received an acceptance.
     std::size_t accepted() const;
 
@@ -149,6 +160,8 @@
     /// Records a failure that lasts longer than the checker expects of one.
     void record_long_disturbance(duration time);
     job_spec make_job();
+    job_spec make_large_job();
+    void submit_new(const job_spec& job);
     /// Lets one task of the job crash its workers, for some of the jobs.
     void choose_crashing_task(const job_spec& job);
     /// Lets each run of one task of the job fail, for some of the jobs.
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -404,6 +404,42 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+class call_burst_test : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+    static void play(std::uint64_t large_jobs_per_cancel,
+                     const std::vector<cell_failure>& failures)
+    {
+        cell_shape shape;
+        shape.submit_period = milliseconds(1200); // Leaves more than half of the room.
+        shape.call_time = milliseconds(4);
+        shape.large_jobs = 3;
+        shape.large_jobs_per_cancel = large_jobs_per_cancel;
+        cell_simulation simulation(GetParam(), shape);
+        simulation.run(seconds(15), failures);
+        expect_all_cell_rules_kept(simulation);
+        EXPECT_EQ(simulation.unsent_calls(), 0U);
+    }
+};
+
+// Guards against a burst of starts that keeps hosts from all other work.
+TEST_P(call_burst_test, do_not_keep_other_jobs_from_starting)
+{
+    play(0, {});
+}
+
+// Guards against a burst of stops that does so.
+TEST_P(call_burst_test, that_are_cancelled_stop_in_time)
+{
+    play(1, {});
+}
+
+// Guards against starts under way that a new owner does not know of.
+TEST_P(call_burst_test, do_not_keep_other_jobs_from_starting_when_the_owner_changes)
+{
+    play(2, {cell_failure::owner_killed});
+}
+
 // Guards against hosts that keep sending requests to the former owner while the store
 // refuses their own calls. Callers of a failure domain whose hosts are all refused have
 // no other host to try.
@@ -476,6 +512,9 @@
 INSTANTIATE_TEST_SUITE_P(seeds, changing_capacity_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, call_burst_test,
+                         testing::Range(std::uint64_t{1}, seed_count() / 10 + 1));
+
 INSTANTIATE_TEST_SUITE_P(regressions, unequal_hosts_test,
                          testing::Values(1, 4, 5, 7, 242, 564));
 
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -1442,7 +1442,21 @@
     wide.payload.assign(4000, 'p');
     wide.steps[0].size.processors = millicores(10);
     report("a", {}, {{wide, true}});
-    loop.advance(milliseconds(50));
+    std::size_t answered = 0;
+    for (int round = 0; round < 100 && answered < tasks; ++round)
+    {
+        loop.advance(milliseconds(50));
+        const std::vector<start_command> started = sent_starts();
+        agent_report accepted;
+        for (; answered < started.size(); ++answered)
+        {
+            command_result& result = accepted.results.emplace_back();
+            result.worker = worker_id("w");
+            result.run = started[answered].run;
+            result.position = {latest_assignment(), 2 + answered};
+        }
+        report("a", accepted);
+    }
     EXPECT_EQ(sent_starts().size(), tasks);
     const std::size_t max_bytes = wire::tcp_peer_network::options().max_frame_bytes;
     std::size_t largest = 0;
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -627,12 +627,44 @@
 }
 
 simulated_port::simulated_port(event_loop& loop, event_loop& instance_loop,
-                               simulated_workers& workers, std::size_t host)
-    : loop_(loop), instance_loop_(instance_loop), workers_(workers), host_(host)
+                               simulated_workers& workers, std::size_t host,
+                               duration call_time)
+    : loop_(loop), instance_loop_(instance_loop), workers_(workers), host_(host),
+      call_time_(call_time)
 {
 }
 
+void simulated_port::prepare_call(std::function<void(simulated_port&)> send,
+                                  std::function<void()> not_sent)
+{
+    if (call_time_ == duration::zero())
+        return send(*this);
+    const boot_time now = instance_loop_.clock().now();
+    const boot_time begin = std::max(now, processor_free_at_);
+    if (begin - now > command_timeout)
+    {
+        workers_.record_unsent_call();
+        return workers_.schedule(instance_loop_, command_timeout, std::move(not_sent));
+    }
+    processor_free_at_ = begin + call_time_;
+    // The host may end before.
+    workers_.schedule(instance_loop_, processor_free_at_ - now,
+                      [port = *this, send = std::move(send)]() mutable { send(port); });
+}
+
 void simulated_port::poll(const poll_call& call, std::function<void(poll_answer)> done)
+{
+    prepare_call([call, done](simulated_port& port) { port.send_poll(call, done); },
+                 [done]
+                 {
+                     poll_answer not_sent;
+                     not_sent.outcome = command_outcome::not_sent;
+                     done(not_sent);
+                 });
+}
+
+void simulated_port::send_poll(const poll_call& call,
+                               std::function<void(poll_answer)> done)
 {
     // The worker's answer or the time-out completes the call, whichever comes first.
     const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
@@ -681,6 +713,15 @@
 void simulated_port::command(const worker_id& worker,
                              std::function<command_outcome()> execute,
                              std::function<void(command_outcome)> done)
+{
+    prepare_call([worker, execute = std::move(execute), done](simulated_port& port)
+                 { port.send_command(worker, execute, done); },
+                 [done] { done(command_outcome::not_sent); });
+}
+
+void simulated_port::send_command(const worker_id& worker,
+                                  std::function<command_outcome()> execute,
+                                  std::function<void(command_outcome)> done)
 {
     const std::function<void()> unanswered =
         [&instance_loop = instance_loop_, &workers = workers_, done]
--- a/unittests/cell/simulated_workers.hpp
+++ b/unittests/cell/simulated_workers.hpp
@@ -89,6 +89,9 @@
     /// Records that a command was executed late; the checker then extends its time
     /// bounds.
     void record_late_command();
+    /// Records a call that a host could not send in time.
+    void record_unsent_call() { ++unsent_calls_; }
+    std::size_t unsent_calls() const { return unsent_calls_; }
     /// Returns the entries of the workers that are up.
     std::vector<worker_info> entries() const;
     std::vector<worker_id> ids() const;
@@ -182,6 +185,7 @@
     std::map<std::uint64_t, timer_handle> scheduled_calls_;
     std::uint64_t last_call_ = 0;
     std::uint64_t last_new_id_ = 0;
+    std::size_t unsent_calls_ = 0;
     std::size_t max_listed_ends_ = 500;
     std::optional<queue_policy> ticket_queue_; ///< Empty if no start needs a ticket.
     std::map<ticket, issued_ticket> tickets_;
@@ -189,13 +193,15 @@
     std::map<std::size_t, std::vector<boot_time>> advice_answers_;
 };
 
-/// Reaches the workers for one instance, over connections with a delay of 1 ms.
+/// Reaches the workers for one instance, over connections with a delay of 1 ms. The host
+/// sends one call after the other.
 class simulated_port final : public worker_port
 {
 public:
-    /// Delivers answers on \p instance_loop; the workers run on \p loop.
+    /// Delivers answers on \p instance_loop; the workers run on \p loop. The host's
+    /// processor needs \p call_time for each call.
     simulated_port(event_loop& loop, event_loop& instance_loop,
-                   simulated_workers& workers, std::size_t host);
+                   simulated_workers& workers, std::size_t host, duration call_time = {});
 
     void poll(const poll_call& call, std::function<void(poll_answer)> done) override;
     void start(const start_command& command, fence_token token,
@@ -208,10 +214,20 @@
 private:
     void command(const worker_id& worker, std::function<command_outcome()> execute,
                  std::function<void(command_outcome)> done);
+    void send_poll(const poll_call& call, std::function<void(poll_answer)> done);
+    void send_command(const worker_id& worker, std::function<command_outcome()> execute,
+                      std::function<void(command_outcome)> done);
+    /// Runs \p send on a copy of this port once the processor has prepared the call, or
+    /// \p not_sent after the time-out of a command if it cannot do so by then.
+    void prepare_call(std::function<void(simulated_port&)> send,
+                      std::function<void()> not_sent);
+
     event_loop& loop_;
     event_loop& instance_loop_;
     simulated_workers& workers_;
     std::size_t host_; ///< Number of the instance's host.
+    duration call_time_;
+    boot_time processor_free_at_{};
 };
 
 /// Reports the list of workers to an instance, with a short delay.
