receiver: store the cancel of a job that is not stored

Cause: a 410 came from one reading of the job's key. It says nothing about writes that are under way, of this host or another, and nothing that outlives the reading keeps the job from running.

The checker counts a cancel that was answered by "no such job" as acknowledged, and rejects a forged start after it.

Fix: the cancel is stored before the 410, on the condition that the job is not stored at that revision; otherwise it becomes an ordinary cancel. An owner that meets the job later finds the cancel: reports, the watch and the listing of a new owner deliver it as they do other cancels. Nothing changes for submissions, and nothing for cancels of stored jobs. Relayed cancels take the same path; before, each left a record for good.

- The owner removes the record after 60 s without the job; the store delays a write by 6 s at most.
The same id submitted within that time is accepted and shown as cancelled.
- Writes are bounded: 200 at once and 10 a second for each host.
- While the store is away: 503, or 504 if the write may still take effect; never 410.

--- a/include/hawthornbeam/cell/receiver.hpp
+++ b/include/hawthornbeam/cell/receiver.hpp
@@ -61,6 +61,9 @@
     /// Refuses a job whose queue was never configured here, since its policy could not be
     /// stored.
     void store_relayed(relayed_change change, std::function<void(verdict)> done);
+    /// Cancels a job. The answer `not_found` is given only after the cancel is stored, so
+    /// that the job does not run if a write of it is executed later. Too many cancels of
+    /// unknown jobs are refused.
     void cancel(const job_key& job, std::function<void(verdict)> done);
     void query(const job_key& job, std::function<void(query_answer)> done);
     /// Keeps the stored final state of \p job, so that queries need not ask the owner.
--- a/lib/cell/owner.cpp
+++ b/lib/cell/owner.cpp
@@ -202,7 +202,9 @@
 void owner::implementation::cancel(const job_key& job, const char* source)
 {
     const std::optional<job_state> state = cell.state(job);
-    const bool is_new = state ? !is_final(*state) : early_cancels.insert(job).second;
+    const bool is_new =
+        state ? !is_final(*state)
+              : early_cancels.try_emplace(job, parts.loop.clock().now()).second;
     if (!is_new)
         return;
     parts.log.info(
@@ -390,6 +392,7 @@
 {
     const boot_time now = parts.loop.clock().now();
     refuse_lost_advice(now);
+    remove_expired_cancels();
     std::erase_if(agents, [now](const std::pair<const instance_id, agent_state>& entry)
                   { return now - entry.second.last_report_at > agent_retention; });
     if (evidence.remove_unheard(now))
--- a/lib/cell/owner_state.hpp
+++ b/lib/cell/owner_state.hpp
@@ -209,6 +209,8 @@
     void schedule_store();
     void store_now();
     void remove_expired_jobs();
+    /// Removes the cancels of jobs that were never stored.
+    void remove_expired_cancels();
     void handle_stored(const change_batch& batch);
     void record_stored_ends(const change_batch& batch);
     /// Reads the instances that the former owner knew. Those that are not heard count as
@@ -260,7 +262,8 @@
     std::uint64_t last_assignment = 0;
     std::map<instance_id, agent_commands> outbox;
     std::vector<wire::cell_job_state> newly_ended;
-    std::set<job_key> early_cancels; ///< Cancels that arrived before their jobs.
+    /// Cancels that arrived before their jobs, and when.
+    std::map<job_key, boot_time> early_cancels;
 
     change_writer writer;
     /// Jobs without a stored final state, by the key of a record of run ends.
--- a/lib/cell/owner_store.cpp
+++ b/lib/cell/owner_store.cpp
@@ -20,6 +20,9 @@
 /// Answers without changes advance the followed revision only after this time: during a
 /// compaction of the store, watches may return no changes for a second.
 constexpr duration unchanged_confirmation = std::chrono::milliseconds(3000);
+/// The cancel of a job that is not stored is kept for this long: many times as long as
+/// the store may delay the write of the job.
+constexpr duration early_cancel_retention = std::chrono::seconds(60);
 
 } // namespace
 
@@ -436,6 +439,22 @@
     }
 }
 
+void owner::implementation::remove_expired_cancels()
+{
+    const boot_time now = parts.loop.clock().now();
+    const std::size_t removed =
+        std::erase_if(early_cancels,
+                      [this, now](const std::pair<const job_key, boot_time>& each)
+                      {
+                          if (now - each.second <= early_cancel_retention)
+                              return false;
+                          writer.remove(cancel_store_key(each.first));
+                          return true;
+                      });
+    if (removed > 0)
+        schedule_store();
+}
+
 void owner::implementation::handle_stored(const change_batch& batch)
 {
     const boot_time now = parts.loop.clock().now();
--- a/lib/cell/receiver.cpp
+++ b/lib/cell/receiver.cpp
@@ -3,6 +3,7 @@
 #include "hawthornbeam/cell/receiver.hpp"
 
 #include "stored_form.hpp"
+#include "token_bucket.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -28,6 +29,10 @@
 constexpr std::size_t max_unsettled_jobs = 10000;
 /// Number of final states that are kept to answer queries; the oldest are dropped.
 constexpr std::size_t max_final_states = 20000;
+/// Cancels of jobs that are not stored are written, so their number is limited: this many
+/// at once, and one more in each period. Others are refused.
+constexpr double max_absent_cancels = 200;
+constexpr duration absent_cancel_period = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -64,8 +69,15 @@
         bool may_take_effect = false;
         bool relayed = false;
     };
-    void read_before_cancel(const cancellation& request, verdict_callback done);
-    void write_cancel(const cancellation& request, verdict_callback done);
+    /// Stores the cancel whether the job is stored or not: a write of the job that had no
+    /// answer may be executed later, at this host or another.
+    void cancel(const cancellation& request, verdict_callback done);
+    void cancel_stored(const cancellation& request, const store_item& job,
+                       verdict_callback done);
+    void write_cancel_of_absent(const cancellation& request, verdict_callback done);
+    /// With expectations, the job is not stored and the caller learns that.
+    void write_cancel(const cancellation& request,
+                      std::vector<store_expectation> expected, verdict_callback done);
     void handle_cancel_failure(cancellation request, bool nothing_written,
                                verdict_callback done);
     void send_queries();
@@ -89,6 +101,9 @@
     submissions submissions_to_retry;       ///< To be written again after a pause.
     timer_handle retry_timer;
     std::size_t transactions_open = 0;
+    token_bucket absent_cancels{max_absent_cancels, absent_cancel_period};
+    std::vector<std::pair<cancellation, verdict_callback>> cancels_to_retry;
+    timer_handle cancel_retry_timer;
     std::map<job_key, std::vector<std::function<void(query_answer)>>> queries;
     bool query_scheduled = false;
     timer_handle query_timer;
@@ -245,8 +260,7 @@
     unsettled_sequence.pop_front();
 }
 
-void receiver::implementation::read_before_cancel(const cancellation& request,
-                                                  verdict_callback done)
+void receiver::implementation::cancel(const cancellation& request, verdict_callback done)
 {
     parts.store.read(job_store_key(request.job),
                      [weak = weak_from_this(), request, done = std::move(done)](
@@ -258,22 +272,43 @@
                          if (!answer)
                              return self->handle_cancel_failure(request, true, done);
                          if (!answer.value())
-                             return done(verdict::not_found);
-                         const result<job_record> record =
-                             decode_job(answer.value()->value);
-                         if (record && is_final(record.value().state))
-                             return done(verdict::done);
-                         self->write_cancel(request, done);
+                             return self->write_cancel_of_absent(request, done);
+                         self->cancel_stored(request, *answer.value(), done);
                      });
 }
 
+void receiver::implementation::cancel_stored(const cancellation& request,
+                                             const store_item& job, verdict_callback done)
+{
+    const result<job_record> record = decode_job(job.value);
+    if (record && is_final(record.value().state))
+        return done(verdict::done);
+    write_cancel(request, {}, std::move(done));
+}
+
+void receiver::implementation::write_cancel_of_absent(const cancellation& request,
+                                                      verdict_callback done)
+{
+    // A write of the job may still be executed, and an owner then finds this record.
+    if (!absent_cancels.take(parts.loop.clock().now()))
+    {
+        parts.log.info("receiver", "cancel of an unknown job refused",
+                       {{"job", request.job.value()}});
+        return handle_cancel_failure(request, true, std::move(done));
+    }
+    write_cancel(request, {{job_store_key(request.job), kv_revision()}}, std::move(done));
+}
+
 void receiver::implementation::write_cancel(const cancellation& request,
+                                            std::vector<store_expectation> expected,
                                             verdict_callback done)
 {
+    const verdict outcome = expected.empty() ? verdict::done : verdict::not_found;
     store_transaction change;
+    change.expect = std::move(expected);
     change.puts.push_back({cancel_store_key(request.job), "", lease_id()});
     parts.store.commit(std::move(change),
-                       [weak = weak_from_this(), request,
+                       [weak = weak_from_this(), request, outcome,
                         done = std::move(done)](const result<store_commit>& answer)
                        {
                            const std::shared_ptr<implementation> self = weak.lock();
@@ -282,8 +317,11 @@
                            if (answer && answer.value().committed)
                            {
                                self->parts.on_cancelled(request.job);
-                               return done(verdict::done);
+                               return done(outcome);
                            }
+                           if (answer && !answer.value().conflicts.empty())
+                               return self->cancel_stored(
+                                   request, answer.value().conflicts.front(), done);
                            const bool nothing_written =
                                answer ||
                                answer.error().code != error_code::outcome_unknown;
@@ -300,9 +338,17 @@
     {
         if (!request.may_take_effect)
             return done(verdict::refused);
-        return is_past_limit(request.received_at)
-                   ? done(verdict::unknown)
-                   : write_cancel(request, std::move(done));
+        if (is_past_limit(request.received_at))
+            return done(verdict::unknown);
+        cancels_to_retry.emplace_back(request, std::move(done));
+        cancel_retry_timer = parts.loop.after(
+            rewrite_pause,
+            [this]
+            {
+                for (const auto& [each, callback] : std::exchange(cancels_to_retry, {}))
+                    cancel(each, callback);
+            });
+        return;
     }
     request.relayed = true;
     relayed_change change;
@@ -315,8 +361,11 @@
                     const std::shared_ptr<implementation> self = weak.lock();
                     if (!self)
                         return;
-                    if (answer && answer.value() == verdict::done)
-                        return done(verdict::done);
+                    const bool is_certain =
+                        answer && (answer.value() == verdict::done ||
+                                   answer.value() == verdict::not_found);
+                    if (is_certain)
+                        return done(answer.value());
                     const bool refused =
                         answer ? answer.value() == verdict::refused
                                : answer.error().code != error_code::outcome_unknown;
@@ -424,7 +473,7 @@
 void receiver::store_relayed(relayed_change change, std::function<void(verdict)> done)
 {
     if (change.cancel)
-        return implementation_->write_cancel(
+        return implementation_->cancel(
             {change.job.id, implementation_->parts.loop.clock().now(), false, true},
             std::move(done));
     if (!implementation_->policies.contains(change.job.queue))
@@ -434,7 +483,7 @@
 
 void receiver::cancel(const job_key& job, std::function<void(verdict)> done)
 {
-    implementation_->read_before_cancel(
+    implementation_->cancel(
         {job, implementation_->parts.loop.clock().now(), false, false}, std::move(done));
 }
 
--- a/test/standins/cell_checker.cpp
+++ b/test/standins/cell_checker.cpp
@@ -364,12 +364,18 @@
             report("DRAIN", ref, "started on draining " + event.worker.value());
     }
 
+    /// A caller who learns that the job does not exist need not expect it to run.
+    static bool is_acknowledged(cell::verdict outcome)
+    {
+        return outcome == cell::verdict::done || outcome == cell::verdict::not_found;
+    }
+
     void check_not_cancelled(const run_event& event)
     {
         for (const caller_answer& answer : history_.answers)
             if (answer.cancel && answer.job == event.run.task.job &&
-                answer.outcome == cell::verdict::done &&
-                event.at - answer.at > cancel_bound && is_undisturbed(event.at))
+                is_acknowledged(answer.outcome) && event.at - answer.at > cancel_bound &&
+                is_undisturbed(event.at))
                 return report("UNASKED", event.run.task,
                               "started after its job was cancelled");
     }
@@ -380,8 +386,7 @@
     {
         boot_time cancelled = boot_time::max();
         for (const caller_answer& answer : history_.answers)
-            if (answer.cancel && answer.job == ref.job &&
-                answer.outcome == cell::verdict::done)
+            if (answer.cancel && answer.job == ref.job && is_acknowledged(answer.outcome))
                 cancelled = std::min(cancelled, answer.at);
         if (cancelled == boot_time::max())
             return;
@@ -556,6 +561,7 @@
         if (each.state == job_state::failed && !has_exhausted_attempts(each.job, spec))
             report("LOST", each.job, "reported as failed without enough failed runs");
         const bool cancelled = was_answered(each.job, true, cell::verdict::done) ||
+                               was_answered(each.job, true, cell::verdict::not_found) ||
                                was_answered(each.job, true, cell::verdict::unknown);
         if (each.state == job_state::cancelled && !cancelled)
             report("LOST", each.job, "reported as cancelled, but no caller cancelled it");
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -290,6 +290,10 @@
         for (std::size_t number = 0; number < hosts_.size(); ++number)
             set_store(number, store_condition::losing_answers);
         return;
+    case cell_failure::store_delays_writes:
+        for (std::size_t number = 0; number < hosts_.size(); ++number)
+            set_store(number, store_condition::delaying_writes);
+        return;
     case cell_failure::store_cuts_watches:
         for (std::size_t number = 0; number < hosts_.size(); ++number)
             set_store(number, store_condition::cutting_watches);
@@ -540,6 +544,13 @@
                                     verdict outcome)
 {
     history_.answers.push_back({loop_.clock().now(), pending->job.id, false, outcome});
+    if (outcome == verdict::unknown && shape_.submissions_per_unsure_cancel > 0 &&
+        random_.below(shape_.submissions_per_unsure_cancel) == 0)
+    {
+        pending->finished = true;
+        return schedule(milliseconds(random_.below(1000)),
+                        [this, job = pending->job.id] { cancel(job); });
+    }
     if (outcome != verdict::done)
         return schedule(milliseconds(300 + random_.below(1000)),
                         [this, pending] { submit(pending); });
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -46,10 +46,11 @@
     worker_fails_runs,
     worker_restarts_and_is_cut_off,
     owner_killed_after_unseen_restart,
-    owner_and_host_killed_after_unseen_restart
+    owner_and_host_killed_after_unseen_restart,
+    store_delays_writes
 };
 
-inline constexpr std::size_t cell_failures = 28;
+inline constexpr std::size_t cell_failures = 29;
 /// Numbers of the first kinds, from which earlier tests draw by seed. They stay as they
 /// are, so that the seeds of these tests give the same histories.
 inline constexpr std::size_t first_cell_failures = 19;
@@ -89,6 +90,9 @@
     /// Whether the queue has an advice service, which admits a third of the workers for
     /// each step. Gangs are then as wide as these workers allow, or less.
     bool has_advice = false;
+    /// One in this many submissions without a verdict, on average, is given up and
+    /// cancelled by its caller; 0 means none.
+    std::uint64_t submissions_per_unsure_cancel = 0;
     /// Processor time that a host needs for each call to a worker.
     duration call_time{};
     /// Number of jobs with one step of large_job_tasks small tasks, which come early in
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -404,6 +404,27 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+class unsure_cancel_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against a job that runs although its cancel was answered: the job was not stored
+// then, but a write of it was executed later.
+TEST_P(unsure_cancel_test, keeps_the_job_from_running)
+{
+    cell_shape shape;
+    shape.submit_period = milliseconds(100);
+    shape.submissions_per_unsure_cancel = 1;
+    const std::uint64_t seed = GetParam();
+    random_source random(seed);
+    std::vector<cell_failure> failures(2, cell_failure::store_delays_writes);
+    for (std::size_t each = 0; each < seed % 3; ++each)
+        failures.push_back(static_cast<cell_failure>(random.below(first_cell_failures)));
+    cell_simulation simulation(seed, shape);
+    simulation.run(seconds(15), failures);
+    expect_all_cell_rules_kept(simulation);
+}
+
 class call_burst_test : public testing::TestWithParam<std::uint64_t>
 {
 protected:
@@ -512,6 +533,9 @@
 INSTANTIATE_TEST_SUITE_P(seeds, changing_capacity_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, unsure_cancel_test,
+                         testing::Range(std::uint64_t{1}, seed_count() + 1));
+
 INSTANTIATE_TEST_SUITE_P(seeds, call_burst_test,
                          testing::Range(std::uint64_t{1}, seed_count() / 10 + 1));
 
--- a/unittests/cell/memory_store.cpp
+++ b/unittests/cell/memory_store.cpp
@@ -7,6 +7,11 @@
 {
 constexpr duration call_duration = std::chrono::milliseconds(4);
 constexpr duration lost_answer_time = std::chrono::milliseconds(1000);
+/// A delayed write is executed between these times after its call.
+constexpr duration min_write_delay = std::chrono::milliseconds(1000);
+constexpr duration max_write_delay = std::chrono::milliseconds(6000);
+constexpr duration write_delay_step = std::chrono::milliseconds(1700);
+constexpr std::size_t writes_per_late_write = 3;
 constexpr duration watch_check_period = std::chrono::milliseconds(10);
 /// Time for which changes stay available; `retention-s` in the users' documentation.
 constexpr duration retention = std::chrono::seconds(20);
@@ -195,48 +200,73 @@
         });
 }
 
-store_commit memory_store::apply(const store_transaction& change)
+void memory_store::commit_late(const store_transaction& change)
 {
     ++state_.commits;
+    const std::uint64_t number = ++state_.last_late_commit;
+    const duration delay = min_write_delay + write_delay_step * static_cast<int>(number) %
+                                                 (max_write_delay - min_write_delay);
+    state_.late_commits[number] = state_.loop.after(delay,
+                                                    [&state = state_, number, change]
+                                                    {
+                                                        const store_transaction due =
+                                                            change;
+                                                        state.late_commits.erase(number);
+                                                        state.expire();
+                                                        apply(state, due);
+                                                    });
+}
+
+store_commit memory_store::apply(memory_store_state& state,
+                                 const store_transaction& change)
+{
+    ++state.commits;
     store_commit outcome;
     if (change.size() > max_transaction_entries)
         return outcome;
     for (const store_expectation& each : change.expect)
     {
-        const auto found = state_.items.find(each.key);
+        const auto found = state.items.find(each.key);
         const kv_revision current_revision =
-            found == state_.items.end() ? kv_revision() : found->second.revision;
+            found == state.items.end() ? kv_revision() : found->second.revision;
         if (current_revision == each.revision)
             continue;
         for (const store_expectation& expected : change.expect)
         {
-            const auto item = state_.items.find(expected.key);
-            outcome.conflicts.push_back(item == state_.items.end()
+            const auto item = state.items.find(expected.key);
+            outcome.conflicts.push_back(item == state.items.end()
                                             ? store_item{expected.key, "", kv_revision()}
                                             : item->second);
         }
         return outcome;
     }
     for (const store_put& each : change.puts)
-        if (each.lease != lease_id() && !state_.leases.contains(each.lease))
+        if (each.lease != lease_id() && !state.leases.contains(each.lease))
         {
             outcome.lease_ended = true;
             return outcome;
         }
-    ++state_.revision;
+    ++state.revision;
     for (const store_put& each : change.puts)
-        state_.put(each.key, each.value, each.lease);
+        state.put(each.key, each.value, each.lease);
     for (const std::string& key : change.removals)
-        state_.remove(key);
+        state.remove(key);
     outcome.committed = true;
-    outcome.revision = kv_revision(state_.revision);
+    outcome.revision = kv_revision(state.revision);
     return outcome;
 }
 
 void memory_store::commit(store_transaction change, callback<store_commit> done)
 {
-    execute<store_commit>(done,
-                          [this, change = std::move(change)] { return apply(change); });
+    if (condition == store_condition::delaying_writes &&
+        state_.commits % writes_per_late_write == 0)
+    {
+        commit_late(change);
+        return schedule(lost_answer_time, [done = std::move(done)]
+                        { done(make_error(error_code::outcome_unknown, "no answer")); });
+    }
+    execute<store_commit>(done, [this, change = std::move(change)]
+                          { return apply(state_, change); });
 }
 
 void memory_store::grant(duration ttl, callback<lease_id> done)
--- a/unittests/cell/memory_store.hpp
+++ b/unittests/cell/memory_store.hpp
@@ -20,6 +20,7 @@
     refusing,        ///< Rejects calls without executing them.
     cutting_watches, ///< Ends waiting watches without the changes made meanwhile.
     deaf_watches,    ///< Answers every watch without its changes.
+    delaying_writes, ///< Executes one in three writes seconds later, without an answer.
     losing_answers   ///< Executes calls, but their answers are lost.
 };
 
@@ -53,6 +54,9 @@
     std::size_t lists = 0; ///< Number of listings so far.
     std::uint64_t last_lease = 0;
     std::size_t commits = 0; ///< Number of transactions so far, with rejected ones.
+    /// Transactions that will be executed late, whatever becomes of their clients.
+    std::map<std::uint64_t, timer_handle> late_commits;
+    std::uint64_t last_late_commit = 0;
 };
 
 /// One client's connection to the store.
@@ -87,7 +91,9 @@
     void execute(const callback<T>& done, std::function<T()> operation);
     void list_page(const std::string& prefix, const std::string& after,
                    std::shared_ptr<store_listing> listed, callback<store_listing> done);
-    store_commit apply(const store_transaction& change);
+    static store_commit apply(memory_store_state& state, const store_transaction& change);
+    /// Executes the transaction seconds later.
+    void commit_late(const store_transaction& change);
     void check_watch(const std::string& prefix, kv_revision after, boot_time until,
                      duration transfer_limit, bool waiting,
                      const callback<store_changes>& done);
--- a/unittests/cell/owner_test.cpp
+++ b/unittests/cell/owner_test.cpp
@@ -1386,6 +1386,37 @@
     EXPECT_EQ(state.lists, 3U) << "all jobs, the cancels, all jobs again";
 }
 
+// Guards against a job that is stored late, after its cancel was answered.
+TEST_F(owner_test, job_that_is_stored_after_its_cancel_does_not_start)
+{
+    start();
+    report("a", report_with(poll({1, 1})));
+    ++state.revision;
+    state.put("cell/cancel/a", "", lease_id());
+    loop.advance(seconds(6));
+    sent.clear();
+    job_record record;
+    record.job = fleet::job("a", "q", 1, 1);
+    ++state.revision;
+    state.put("cell/job/a", encode(record), lease_id());
+    report("a", report_with(poll({1, 2})));
+    loop.advance(seconds(2));
+    for (const auto& [agent, message] : sent)
+        EXPECT_TRUE(message.commands.starts.empty());
+    EXPECT_EQ((*cell->states({job_key("a")}))[0].state, job_state::cancelled);
+}
+
+// Guards against cancels of jobs that never existed, which would fill the store.
+TEST_F(owner_test, cancel_of_a_job_that_is_never_stored_is_removed)
+{
+    state.put("cell/cancel/a", "", lease_id());
+    start();
+    loop.advance(seconds(30));
+    EXPECT_TRUE(state.items.contains("cell/cancel/a"));
+    loop.advance(seconds(40));
+    EXPECT_FALSE(state.items.contains("cell/cancel/a"));
+}
+
 // Guards against cancels that take effect only after the store has dropped its history.
 TEST_F(owner_test, cancel_is_found_while_changes_arrive_too_slowly)
 {
--- a/unittests/cell/receiver_test.cpp
+++ b/unittests/cell/receiver_test.cpp
@@ -4,6 +4,8 @@
 
 #include "fleet.hpp"
 #include "hawthornbeam/cell/observed_store.hpp"
+#include "late_store.hpp"
+#include "lib/cell/stored_form.hpp"
 #include "memory_store.hpp"
 
 #include <gtest/gtest.h>
@@ -313,6 +315,104 @@
     EXPECT_EQ(answer, verdict::not_found);
 }
 
+/// Cancels of jobs that the store has not shown, of which a write may be open.
+class absent_job_test : public receiver_test
+{
+protected:
+    verdict cancel(receiver& at, const std::string& id, duration wait = milliseconds(100))
+    {
+        std::optional<verdict> answer;
+        at.cancel(job_key(id), [&answer](verdict outcome) { answer = outcome; });
+        loop.advance(wait);
+        return answer.value_or(verdict::unknown);
+    }
+    receiver_parts parts_on(cell_store& used)
+    {
+        receiver_parts base = parts();
+        return {loop,
+                used,
+                log,
+                [] { return false; },
+                base.on_accepted,
+                base.on_cancelled,
+                base.query_owner,
+                base.relay};
+    }
+
+    late_store slow{store};
+    memory_store other_store{state};
+    receiver sender{parts_on(slow)};
+    receiver other{parts_on(other_store)};
+};
+
+// Guards against a cancel that is answered by "no such job" although a write of the job
+// is executed later.
+TEST_F(absent_job_test, is_cancelled_before_its_late_write_is_executed)
+{
+    slow.late_key = "cell/job/a";
+    std::optional<verdict> submitted;
+    sender.submit(fleet::job("a", "q", 1, 1),
+                  [&submitted](verdict outcome) { submitted = outcome; });
+    loop.advance(seconds(3));
+    ASSERT_EQ(submitted, verdict::unknown);
+    EXPECT_EQ(cancel(other, "a"), verdict::not_found);
+    slow.execute_late();
+    loop.advance(milliseconds(100));
+    EXPECT_TRUE(state.items.contains("cell/job/a"));
+    EXPECT_TRUE(state.items.contains("cell/cancel/a"));
+    EXPECT_EQ(cancelled, std::vector{job_key("a")});
+}
+
+// Guards against a verdict from one reading when the job is stored right after it.
+TEST_F(absent_job_test, that_is_stored_after_the_reading_is_cancelled)
+{
+    std::optional<verdict> answer;
+    requests.cancel(job_key("a"), [&answer](verdict outcome) { answer = outcome; });
+    loop.advance(milliseconds(5));
+    ASSERT_FALSE(answer);
+    job_record record;
+    record.job = fleet::job("a", "q", 1, 1);
+    ++state.revision;
+    state.put("cell/job/a", encode(record), lease_id());
+    loop.advance(milliseconds(100));
+    EXPECT_EQ(answer, verdict::done);
+    EXPECT_TRUE(state.items.contains("cell/cancel/a"));
+}
+
+// Guards against an uncertain verdict while the store does not answer.
+TEST_F(absent_job_test, is_not_reported_as_unknown_without_a_stored_cancel)
+{
+    store.condition = store_condition::losing_answers;
+    EXPECT_EQ(cancel(requests, "a", seconds(6)), verdict::refused);
+    store.condition = store_condition::refusing;
+    EXPECT_EQ(cancel(requests, "a", seconds(6)), verdict::refused);
+}
+
+// Guards against an unconditional record for each relayed cancel.
+TEST_F(absent_job_test, is_reported_as_unknown_by_a_relay)
+{
+    relay_target = &other;
+    store.condition = store_condition::refusing;
+    EXPECT_EQ(cancel(requests, "a"), verdict::not_found);
+    EXPECT_TRUE(state.items.contains("cell/cancel/a"));
+}
+
+// Guards against clients that fill the store with cancels of jobs that never existed.
+TEST_F(absent_job_test, is_stored_as_cancelled_at_a_limited_rate)
+{
+    constexpr int crowd = 2000;
+    std::map<verdict, int> answers;
+    for (int number = 0; number < crowd; ++number)
+        requests.cancel(job_key(std::to_string(number)),
+                        [&answers](verdict outcome) { ++answers[outcome]; });
+    loop.advance(seconds(1));
+    EXPECT_EQ(answers[verdict::refused] + answers[verdict::not_found], crowd);
+    EXPECT_LE(state.items.size(), 250U);
+    EXPECT_EQ(static_cast<std::size_t>(answers[verdict::not_found]), state.items.size());
+    loop.advance(seconds(5));
+    EXPECT_EQ(cancel(requests, "later"), verdict::not_found);
+}
+
 } // namespace
 
 } // namespace hawthornbeam::cell
--- a/unittests/standins/cell_checker_test.cpp
+++ b/unittests/standins/cell_checker_test.cpp
@@ -261,6 +261,15 @@
          for (reported_state& each : history.reported_states)
              each.at += seconds(4);
      }},
+    {"start_after_cancel_of_an_unknown_job", "UNASKED",
+     [](cell_history& history)
+     {
+         history.answers.push_back({at(1), job_key("a"), true, verdict::not_found});
+         for (run_event& each : history.run_events)
+             each.at += seconds(4);
+         for (reported_state& each : history.reported_states)
+             each.at += seconds(4);
+     }},
     {"run_continues_after_cancel", "UNASKED",
      [](cell_history& history)
      {
