cell: limit how long and how many workers suspect tasks keep from other starts

Cause: two crashes make a task suspect, also as a bystander. The worker of a suspect takes no other starts for one and a half times the longest age at which a worker crashed under it, and from the third crash on until the run ends. A lasting run does not end, its age grows without limit, and nothing limits how many workers are kept.

Fix: - An observation ends after 10 s at most, whatever the age and the number of crashes. - It holds at most a quarter of a service's workers, and none if half of them take no starts for any reason (observed, quarantined, paused). A task that is blamed for a crash waits up to 1 s for its turn; others, and later it too, start unobserved (line `suspect task not observed`, counter). - A run that outlives the proving time, 5 minutes at most, clears all crashes of its task, not its blame only. That is stored (crashes_outlived): a later owner read the crashes back and could give up a service for crashes of months ago. Runs that a new owner adopts count as well. - Gauge hawthornbeam_withheld_workers by reason.

--- a/include/hawthornbeam/cell/types.hpp
+++ b/include/hawthornbeam/cell/types.hpp
@@ -142,7 +142,10 @@
     crash_bystander, ///< The run was probably not the cause.
     /// Not an end: stored at the start of a suspect task, so that a later owner counts
     /// the run if it finds neither the run nor its end.
-    suspect_started
+    suspect_started,
+    /// Not an end: the run has outlived the age at which workers crashed under its task.
+    /// Earlier crashes do not count any more, for a later owner either.
+    crashes_outlived
 };
 
 /// Returns whether the run ended because its worker crashed.
--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -216,6 +216,14 @@
     boot_time paused_until{};      ///< Gets no starts after it has refused one.
 };
 
+/// Workers of a service that take no starts for a while.
+struct withheld_workers
+{
+    std::size_t all = 0;
+    std::size_t observed = 0; ///< They run a suspect task.
+    std::size_t withheld = 0; ///< Observed, quarantined or paused.
+};
+
 /// Sort key of the steps to place: lateness, then priority, then age.
 struct step_key
 {
@@ -421,7 +429,19 @@
     /// could be told from other crashes if the task started on the worker.
     static bool takes_start(const worker_status& worker, const task_status& task,
                             boot_time now);
-    /// Keeps other starts from the worker of a suspect task.
+    withheld_workers count_withheld(const service_name& service, boot_time now) const;
+    /// Returns whether one more worker of a service may be kept for a suspect task.
+    static bool may_observe(const withheld_workers& counts);
+    /// Returns whether a task that is blamed for a crash should wait until a worker can
+    /// be kept for it.
+    bool waits_for_observation(const task_status& task, const service_name& service,
+                               boot_time now) const;
+    /// Forgets the crashes of a task whose run has lasted for long enough.
+    void record_survival(task_status& status, const run_record& record,
+                         const task_ref& task, boot_time now);
+    void report_withheld(boot_time now) const;
+    /// Keeps other starts from the worker of a suspect task, if another one may be kept
+    /// from them.
     void observe_suspect(worker_status& worker, run_record& record,
                          const task_status& status, const task_ref& task, boot_time now);
     static void update_observation(worker_status& worker);
--- a/lib/cell/crash_blame.cpp
+++ b/lib/cell/crash_blame.cpp
@@ -35,8 +35,10 @@
 constexpr std::uint32_t min_crashes_to_give_up = 2;
 /// From this many crashes on, a task is suspect whatever its blame.
 constexpr std::uint32_t crashes_to_suspect = 2;
-/// From this many crashes on, a task is observed alone until its run ends.
-constexpr std::uint32_t crashes_to_observe_always = 3;
+/// Limits for the proving time and for the time in which a worker takes no other starts.
+/// They do not grow with the age of a lasting task.
+constexpr duration max_proving_time = std::chrono::minutes(5);
+constexpr duration max_observation_time = std::chrono::seconds(10);
 
 /// Longest time from a crash to its report to the owner.
 constexpr duration report_time = std::chrono::milliseconds(150);
@@ -88,10 +90,12 @@
     blamed_age_ = age;
 }
 
-void crash_record::add_survival(duration age)
+bool crash_record::add_survival(duration age)
 {
-    if (age > proving_time())
-        blame_ = 0;
+    if (crashes_ == 0 || age <= proving_time())
+        return false;
+    *this = crash_record();
+    return true;
 }
 
 bool crash_record::is_conclusive() const
@@ -115,9 +119,12 @@
 
 duration crash_record::proving_time() const
 {
-    if (crashes_ >= crashes_to_observe_always)
-        return duration::max();
-    return longest_age_ + longest_age_ / 2 + report_time;
+    return std::min(longest_age_ + longest_age_ / 2 + report_time, max_proving_time);
+}
+
+duration crash_record::observation_time() const
+{
+    return std::min(proving_time(), max_observation_time);
 }
 
 } // namespace hawthornbeam::cell
--- a/lib/cell/crash_blame.hpp
+++ b/lib/cell/crash_blame.hpp
@@ -35,17 +35,20 @@
     /// Counts a crash. A run that was older than the proving time survives it first.
     /// \p age is the age of the task's run then; empty when unknown.
     void add(run_end role, std::optional<duration> age);
-    /// Records that a run has lasted for \p age. Past the proving time, the task is
-    /// not blamed for the former crashes any more.
-    void add_survival(duration age);
+    /// Records that a run has lasted for \p age. Past the proving time, the former
+    /// crashes do not count any more. Returns whether they counted before.
+    bool add_survival(duration age);
 
     /// Returns whether the task is to be given up.
     bool is_conclusive() const;
-    /// Returns whether the task should run on a worker that takes no other starts until
-    /// the proving time has passed.
+    /// Returns whether the task should run on a worker that takes no other starts for
+    /// the observation time.
     bool is_suspect() const;
-    /// Run time after which a run counts as survived; the maximum if it never does.
+    /// Run time after which a run counts as survived.
     duration proving_time() const;
+    /// Time for which the worker of a run should take no other starts. It is limited,
+    /// however late in their runs the workers crashed.
+    duration observation_time() const;
     std::uint32_t crashes() const { return crashes_; }
     /// Zero for a task that is not suspected, 1 after one crash as a suspect.
     double suspicion() const;
--- a/lib/cell/crashes.cpp
+++ b/lib/cell/crashes.cpp
@@ -17,6 +17,10 @@
 /// waited too long for such a worker.
 constexpr duration min_start_distance = std::chrono::milliseconds(150);
 constexpr duration max_distance_wait = std::chrono::milliseconds(1000);
+/// Part of the workers of a service that may be kept from starts by suspect tasks, and
+/// by all reasons together.
+constexpr std::size_t observed_divisor = 4;
+constexpr std::size_t withheld_divisor = 2;
 /// Age assumed for a run if its start or the time of the crash is unknown.
 constexpr duration unknown_run_age = std::chrono::seconds(1);
 
@@ -132,6 +136,42 @@
         finish_job(job, job_state::failed, "crashed its workers");
 }
 
+withheld_workers scheduler::implementation::count_withheld(const service_name& service,
+                                                           boot_time now) const
+{
+    withheld_workers counts;
+    for (const auto& [id, worker] : workers)
+    {
+        if (!worker.has_entry || worker.info.service != service)
+            continue;
+        const bool is_observed = worker.observed_until > now;
+        const bool is_withheld =
+            is_observed || worker.quarantined_until > now || worker.paused_until > now;
+        ++counts.all;
+        counts.observed += is_observed ? 1U : 0U;
+        counts.withheld += is_withheld ? 1U : 0U;
+    }
+    return counts;
+}
+
+bool scheduler::implementation::may_observe(const withheld_workers& counts)
+{
+    // A single worker has to take all starts.
+    return counts.all > 1 &&
+           counts.observed < std::max<std::size_t>(counts.all / observed_divisor, 1) &&
+           counts.withheld < std::max<std::size_t>(counts.all / withheld_divisor, 1);
+}
+
+bool scheduler::implementation::waits_for_observation(const task_status& task,
+                                                      const service_name& service,
+                                                      boot_time now) const
+{
+    if (task.crashes.suspicion() <= 0 || now - task.crashed_at >= max_distance_wait)
+        return false;
+    const withheld_workers counts = count_withheld(service, now);
+    return counts.all > 1 && !may_observe(counts);
+}
+
 bool scheduler::implementation::takes_start(const worker_status& worker,
                                             const task_status& task, boot_time now)
 {
@@ -149,10 +189,55 @@
 {
     if (!status.crashes.is_suspect())
         return;
-    const duration time = status.crashes.proving_time();
-    record.observed_until = time == duration::max() ? boot_time::max() : now + time;
-    worker.observed_until = std::max(worker.observed_until, record.observed_until);
     changes.ends.push_back({{task, record.run}, run_end::suspect_started});
+    if (!may_observe(count_withheld(worker.info.service, now)))
+    {
+        metrics.add("hawthornbeam_unobserved_suspects_total", {});
+        log.info("cell", "suspect task not observed",
+                 {{"job", task.job.value()},
+                  {"step", std::uint64_t{task.step}},
+                  {"task", std::uint64_t{task.index}},
+                  {"worker", worker.info.id.value()},
+                  {"crashes", std::uint64_t{status.crashes.crashes()}}});
+        return;
+    }
+    record.observed_until = now + status.crashes.observation_time();
+    worker.observed_until = std::max(worker.observed_until, record.observed_until);
+}
+
+void scheduler::implementation::record_survival(task_status& status,
+                                                const run_record& record,
+                                                const task_ref& task, boot_time now)
+{
+    if (record.phase != run_phase::running ||
+        !status.crashes.add_survival(now - record.command_sent_at))
+        return;
+    if (status.untraced_run <= record.run)
+        status.untraced_run = run_number();
+    changes.ends.push_back({{task, record.run}, run_end::crashes_outlived});
+    log.info("cell", "task has outlived its crashes",
+             {{"job", task.job.value()},
+              {"step", std::uint64_t{task.step}},
+              {"task", std::uint64_t{task.index}},
+              {"run", std::uint64_t{record.run.value()}}});
+}
+
+void scheduler::implementation::report_withheld(boot_time now) const
+{
+    std::uint64_t observed = 0;
+    std::uint64_t quarantined = 0;
+    std::uint64_t paused = 0;
+    for (const auto& [id, worker] : workers)
+    {
+        observed += worker.observed_until > now ? 1U : 0U;
+        quarantined += worker.quarantined_until > now ? 1U : 0U;
+        paused += worker.paused_until > now ? 1U : 0U;
+    }
+    for (const auto& [reason, count] :
+         {std::pair("observed", observed), std::pair("quarantined", quarantined),
+          std::pair("paused", paused)})
+        metrics.set_gauge("hawthornbeam_withheld_workers", {{"reason", reason}},
+                          static_cast<double>(count));
 }
 
 void scheduler::implementation::count_untraced_run(job_status& job, const task_ref& task)
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -207,7 +207,6 @@
     for (const auto& [id, worker] : workers)
     {
         if ((needs_ticket && !status.tickets.contains(id)) ||
-            worker.observed_until == boot_time::max() ||
             !can_run(worker, job, key.step, pass.now))
             continue;
         const std::int64_t fitting = std::min<std::int64_t>(
--- a/lib/cell/jobs.cpp
+++ b/lib/cell/jobs.cpp
@@ -19,9 +19,17 @@
 
 const char* to_string(run_end outcome)
 {
-    static constexpr std::array<const char*, 10> names{
-        "done",  "failed",  "stopped",       "lapsed",          "broken",
-        "alone", "crashed", "crash_suspect", "crash_bystander", "suspect_started"};
+    static constexpr std::array<const char*, 11> names{"done",
+                                                       "failed",
+                                                       "stopped",
+                                                       "lapsed",
+                                                       "broken",
+                                                       "alone",
+                                                       "crashed",
+                                                       "crash_suspect",
+                                                       "crash_bystander",
+                                                       "suspect_started",
+                                                       "crashes_outlived"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -452,6 +460,12 @@
         task->untraced_run = std::max(task->untraced_run, end.run.run);
         return;
     }
+    if (end.outcome == run_end::crashes_outlived)
+    {
+        task->last_run = std::max(task->last_run, end.run.run);
+        task->crashes = crash_record();
+        return;
+    }
     if (count_run(*task, end.run.run, worker_id()) != nullptr)
         return;
     job->started = true;
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -328,10 +328,8 @@
     if (is_final(job->state) || status->done)
         return request_stop(worker.info.id, task);
     if (record.started_here)
-    {
         record_started(*job, now);
-        status->crashes.add_survival(now - record.command_sent_at);
-    }
+    record_survival(*status, record, task, now);
     adopt_run(worker, record, *job, task);
 }
 
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -175,6 +175,7 @@
         return;
     pending_reviewed_at = pass.now;
     report_orders();
+    report_withheld(pass.now);
     std::array<std::uint64_t, pending_reasons> pending{};
     std::size_t examined = 0;
     for (const step_key& key : open_steps)
--- a/lib/cell/place.cpp
+++ b/lib/cell/place.cpp
@@ -101,6 +101,9 @@
     const step_status& status = job.steps[key.step];
     const bool suspect = status.tasks[index].crashes.is_suspect();
     const std::set<worker_id>& failed_on = status.tasks[spec.gang ? 0 : index].failed_on;
+    if (suspect &&
+        waits_for_observation(status.tasks[index], policy_of(job).service, pass.now))
+        return nullptr;
     worker_status* best = nullptr;
     std::int64_t best_score = 0;
     bool is_bounded = false;
--- a/lib/cell/run_evidence.hpp
+++ b/lib/cell/run_evidence.hpp
@@ -27,8 +27,8 @@
     /// When its start and its latest stop were sent, until the call has ended; then zero.
     boot_time start_ordered_at{};
     boot_time stop_ordered_at{};
-    bool stop_waits = false; ///< Its stop waits for a place among those under way.
-    bool started_here = false;   ///< Started by this owner, at command_sent_at.
+    bool stop_waits = false;   ///< Its stop waits for a place among those under way.
+    bool started_here = false; ///< Started by this owner, at command_sent_at.
     bool stop_answered = false;
     bool answered = false;
     bool listed = false; ///< A poll of the worker's present incarnation has listed it.
--- a/lib/wire/cell_codec.hpp
+++ b/lib/wire/cell_codec.hpp
@@ -19,7 +19,7 @@
 template <>
 inline constexpr job_state last_enumerator<job_state> = job_state::cancelled;
 template <>
-inline constexpr run_end last_enumerator<run_end> = run_end::suspect_started;
+inline constexpr run_end last_enumerator<run_end> = run_end::crashes_outlived;
 template <>
 inline constexpr command_outcome last_enumerator<command_outcome> =
     command_outcome::no_listener;
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -40,6 +40,9 @@
 /// Size of the tasks of a large job, and the time in which large jobs are submitted.
 constexpr millicores large_job_task_size(1);
 constexpr std::uint64_t large_jobs_time_ms = 2000;
+/// When the first of the workers crashes that do so in turn, and the time between two.
+constexpr duration first_crash_time = seconds(20);
+constexpr duration crash_distance = seconds(3);
 
 /// Prints the log lines of the instances when HAWTHORNBEAM_TRACE is set, so that a
 /// failing seed can be traced.
@@ -470,6 +473,32 @@
     return job;
 }
 
+void cell_simulation::schedule_service(duration load_time)
+{
+    if (shape_.lasting_tasks == 0)
+        return;
+    job_spec job = make_large_job();
+    step_spec& step = job.steps.front();
+    step.count = shape_.lasting_tasks;
+    step.size.processors = millicores(1000);
+    step.persistent = true;
+    step.per_worker = 1;
+    submit_new(job);
+    schedule(load_time, [this, id = job.id] { cancel(id); });
+}
+
+void cell_simulation::schedule_crashes()
+{
+    const std::vector<worker_id> all = workers_.ids();
+    for (std::size_t crash = 0; crash < shape_.crash_rounds * all.size(); ++crash)
+        schedule(first_crash_time + crash_distance * static_cast<int>(crash),
+                 [this, worker = all[crash % all.size()]]
+                 {
+                     record_disturbance();
+                     workers_.crash(worker, milliseconds(500 + random_.below(1000)));
+                 });
+}
+
 void cell_simulation::submit_new(const job_spec& job)
 {
     const std::shared_ptr<pending_submission> pending =
@@ -727,6 +756,8 @@
                          schedule(milliseconds(random_.below(4000)),
                                   [this, job = made.id] { cancel(job); });
                  });
+    schedule_service(load_time);
+    schedule_crashes();
     schedule_resizes(load_time);
     schedule_drains(load_time);
     for (duration at{}; at < load_time + completion_time; at += count_query_period)
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -93,6 +93,11 @@
     /// One in this many submissions without a verdict, on average, is given up and
     /// cancelled by its caller; 0 means none.
     std::uint64_t submissions_per_unsure_cancel = 0;
+    /// A service of this many lasting tasks, which is submitted first and cancelled at
+    /// the end of the load.
+    std::uint32_t lasting_tasks = 0;
+    /// How often each worker crashes, one worker after the other, during the load.
+    std::size_t crash_rounds = 0;
     /// Processor time that a host needs for each call to a worker.
     duration call_time{};
     /// Number of jobs with one step of large_job_tasks small tasks, which come early in
@@ -166,6 +171,9 @@
     job_spec make_job();
     job_spec make_large_job();
     void submit_new(const job_spec& job);
+    /// Submits the service, and cancels it after \p load_time.
+    void schedule_service(duration load_time);
+    void schedule_crashes();
     /// Lets one task of the job crash its workers, for some of the jobs.
     void choose_crashing_task(const job_spec& job);
     /// Lets each run of one task of the job fail, for some of the jobs.
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -425,6 +425,23 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+class lasting_tasks_beside_crashes_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against workers that are kept from other jobs, without end, by lasting tasks
+// that have met a few crashes.
+TEST_P(lasting_tasks_beside_crashes_test, do_not_keep_other_jobs_from_starting)
+{
+    cell_shape shape;
+    shape.submit_period = milliseconds(800);
+    shape.lasting_tasks = 6;
+    shape.crash_rounds = 2 + GetParam() % 2;
+    cell_simulation simulation(GetParam(), shape);
+    simulation.run(seconds(90), {});
+    expect_all_cell_rules_kept(simulation);
+}
+
 class call_burst_test : public testing::TestWithParam<std::uint64_t>
 {
 protected:
@@ -536,6 +553,9 @@
 INSTANTIATE_TEST_SUITE_P(seeds, unsure_cancel_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, lasting_tasks_beside_crashes_test,
+                         testing::Range(std::uint64_t{1}, seed_count() / 4 + 1));
+
 INSTANTIATE_TEST_SUITE_P(seeds, call_burst_test,
                          testing::Range(std::uint64_t{1}, seed_count() / 10 + 1));
 
--- a/unittests/cell/crash_blame_test.cpp
+++ b/unittests/cell/crash_blame_test.cpp
@@ -133,6 +133,104 @@
     EXPECT_EQ(workers.decide().starts.size(), 1U);
 }
 
+constexpr std::uint32_t lasting_tasks = 7;
+
+/// A service with a task on each worker, and ordinary jobs beside it.
+class lasting_tasks_test : public testing::Test
+{
+protected:
+    lasting_tasks_test()
+    {
+        cell.add_queue("q", 0);
+        job_spec service = fleet::job("service", "q", lasting_tasks, 1, seconds(1));
+        service.steps[0].persistent = true;
+        service.steps[0].per_worker = 1;
+        cell.submit(service);
+        run(seconds(1));
+    }
+    void run(duration time)
+    {
+        for (duration passed{}; passed < time; passed += milliseconds(100))
+        {
+            cell.advance(milliseconds(100));
+            cell.poll_all();
+            cell.decide();
+        }
+    }
+    /// Crashes each worker once; it is back at once.
+    void crash_all()
+    {
+        for (std::uint32_t number = 0; number < lasting_tasks; ++number)
+        {
+            cell.restart("w" + std::to_string(number));
+            run(seconds(3));
+        }
+    }
+
+    fleet cell{lasting_tasks};
+};
+
+// Guards against a service whose tasks keep all workers from other jobs after a few
+// crashes of these workers.
+TEST_F(lasting_tasks_test, do_not_keep_their_workers_from_other_jobs)
+{
+    run(seconds(28));
+    for (int round = 0; round < 4; ++round)
+    {
+        crash_all();
+        ASSERT_EQ(cell.runs("service").size(), lasting_tasks) << "round " << round;
+        const std::string job = "job" + std::to_string(round);
+        cell.submit(fleet::job(job, "q", 1, 1));
+        run(milliseconds(200));
+        EXPECT_EQ(cell.runs(job).size(), 1U) << "round " << round;
+    }
+}
+
+// Guards against an observation that lasts as long as the task has run before, and
+// against one without an end.
+TEST(crash_record, observation_ends_however_old_and_however_often_crashed)
+{
+    crash_record record;
+    for (int crash = 0; crash < 5; ++crash)
+    {
+        record.add(run_end::crash_bystander, std::chrono::hours(24 * 7));
+        EXPECT_LE(record.observation_time(), seconds(10));
+    }
+    EXPECT_TRUE(record.add_survival(std::chrono::hours(1)));
+    EXPECT_FALSE(record.is_suspect());
+}
+
+// Guards against crashes that count again with the next owner after the task has
+// outlived them.
+TEST(suspect_task_test, crashes_that_were_outlived_do_not_count_under_a_new_owner)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1), true);
+    const task_ref task{job_key("a"), 0, 0};
+    workers.cell.restore_end({{task, run_number(1)}, cause});
+    workers.cell.restore_end({{task, run_number(2)}, run_end::crashes_outlived});
+    workers.cell.restore_end({{task, run_number(2)}, cause});
+    EXPECT_EQ(workers.decide().starts.size(), 1U);
+    EXPECT_EQ(workers.cell.state(job_key("a")), job_state::running);
+}
+
+// Guards against forgetting crashes in memory only.
+TEST(suspect_task_test, outliving_crashes_is_stored)
+{
+    fleet workers(2);
+    workers.add_queue("q", 0);
+    workers.submit(fleet::job("a", "q", 1, 1, seconds(10)));
+    workers.end_process(workers.decide().starts.at(0).worker.value());
+    ASSERT_EQ(workers.decide().starts.size(), 1U);
+    workers.store_changes();
+    workers.advance(seconds(1));
+    workers.poll_all();
+    const pending_changes stored = workers.store_changes();
+    ASSERT_EQ(stored.ends.size(), 1U);
+    EXPECT_EQ(stored.ends[0].outcome, run_end::crashes_outlived);
+}
+
 // Guards against a new owner that does not know of earlier crashes.
 TEST(suspect_task_test, crashes_counted_by_a_former_owner_count)
 {
--- a/unittests/cell/simulated_workers.cpp
+++ b/unittests/cell/simulated_workers.cpp
@@ -321,13 +321,14 @@
     const run_number number = run.number;
     const run_end outcome = run.will_fail ? run_end::failed : run_end::done;
     const bool gang = step_of(task).gang;
-    run.end_timer = loop_.after(run.work_time,
-                                [this, id, task, number, outcome, gang]
-                                {
-                                    if (gang && outcome == run_end::done)
-                                        return end_gang_run(task, number, outcome);
-                                    end_run(workers_.at(id), task, outcome);
-                                });
+    if (!step_of(task).persistent)
+        run.end_timer = loop_.after(run.work_time,
+                                    [this, id, task, number, outcome, gang]
+                                    {
+                                        if (gang && outcome == run_end::done)
+                                            return end_gang_run(task, number, outcome);
+                                        end_run(workers_.at(id), task, outcome);
+                                    });
     const auto crashing = history_.crashing_tasks.find(task);
     if (crashing != history_.crashing_tasks.end())
         run.crash_timer = loop_.after(crashing->second, [this, id, task, number]
