node: split reports whose jobs do not fit into a message

A host that cannot reach the owner collects the jobs that it accepts, and sends all of them with its next report. Above the frame size of 1 MiB the report is not sent, its jobs are queued again, and so every later report of this host fails too, with the polls and answers of its workers: the agent is lost for good, although the host is well.

Fix: a report takes jobs up to 256 KiB; the others follow as soon as the owner has taken it. A job beyond that is left to the owner, which reads the store for jobs that it was not told of.

--- a/lib/cell/node.cpp
+++ b/lib/cell/node.cpp
@@ -20,6 +20,20 @@
 constexpr duration max_queue_depth_age = std::chrono::milliseconds(1800);
 /// Period in which an owner checks whether it is cut off.
 constexpr duration isolation_check_period = std::chrono::milliseconds(100);
+/// Bytes of jobs in one report, well below the frame size of the inner protocol.
+constexpr std::size_t max_job_bytes = std::size_t{256} << 10U;
+/// Upper estimate of the encoded size of a job, and of a step, besides their strings.
+constexpr std::size_t job_overhead = 256;
+constexpr std::size_t step_overhead = 128;
+
+std::size_t encoded_size(const job_spec& job)
+{
+    std::size_t bytes = job_overhead + job.payload.size();
+    for (const step_spec& step : job.steps)
+        bytes += step_overhead + step.label.size() + step.data_rack.value().size() +
+                 step.after.size() * sizeof(std::uint32_t);
+    return bytes;
+}
 
 } // namespace
 
@@ -97,7 +111,8 @@
     message.store_unanswered_ms = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(store.silence()).count());
     message.report = std::move(observations);
-    const std::vector<unreported_job> jobs = std::exchange(unreported_jobs, {});
+    const std::vector<unreported_job> jobs =
+        claim.is_owner() ? std::exchange(unreported_jobs, {}) : take_unreported();
     for (const unreported_job& job : jobs)
     {
         const bool is_new = !job.offered && job.stored.value() > target->token.value();
@@ -137,6 +152,8 @@
                          std::chrono::milliseconds(reply->unconfirmed_ms),
                          reply->has_calls},
                         polled, observed_at, sent);
+                if (!self->unreported_jobs.empty())
+                    self->report_heartbeat();
                 return;
             }
             self->queue_unreported(jobs, cancels, offered);
@@ -150,6 +167,27 @@
         });
 }
 
+std::vector<node::implementation::unreported_job> node::implementation::take_unreported()
+{
+    // An owner reads from the store what it was not told of, and so a job that does not
+    // fit into any report.
+    std::erase_if(unreported_jobs, [](const unreported_job& each)
+                  { return encoded_size(each.job) > max_job_bytes; });
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (; count < unreported_jobs.size(); ++count)
+    {
+        bytes += encoded_size(unreported_jobs[count].job);
+        if (bytes > max_job_bytes)
+            break;
+    }
+    const auto end = unreported_jobs.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<unreported_job> taken(std::make_move_iterator(unreported_jobs.begin()),
+                                      std::make_move_iterator(end));
+    unreported_jobs.erase(unreported_jobs.begin(), end);
+    return taken;
+}
+
 void node::implementation::queue_unreported(std::vector<unreported_job> jobs,
                                             const std::vector<job_key>& cancels,
                                             bool offered)
--- a/lib/cell/node_state.hpp
+++ b/lib/cell/node_state.hpp
@@ -60,6 +60,9 @@
         kv_revision stored;
         bool offered = false; ///< An owner may have received it.
     };
+    /// Removes and returns the jobs for the next report to another instance. The others
+    /// follow in later reports, so that each fits into a message.
+    std::vector<unreported_job> take_unreported();
     void queue_unreported(std::vector<unreported_job> jobs,
                           const std::vector<job_key>& cancels, bool offered);
 
--- a/test/standins/memory_network.hpp
+++ b/test/standins/memory_network.hpp
@@ -73,6 +73,8 @@
     std::uint64_t datagram_bytes(const instance_id& id) const;
     /// Returns the requests sent by all instances, by index in wire::request.
     const std::map<std::size_t, message_traffic>& requests() const { return requests_; }
+    /// Returns the number of requests that were not sent since they exceed a frame.
+    std::size_t oversized() const { return oversized_; }
     /// Returns the replies sent by all instances, by index in wire::reply.
     const std::map<std::size_t, message_traffic>& replies() const { return replies_; }
 
@@ -106,6 +108,7 @@
     std::map<std::pair<instance_id, instance_id>, unsigned> lost_answers_;
     std::map<instance_id, std::uint64_t> datagram_bytes_;
     std::map<std::size_t, message_traffic> requests_;
+    std::size_t oversized_ = 0;
     std::map<std::size_t, message_traffic> replies_;
     std::map<std::uint64_t, timer_handle> deliveries_;
     std::uint64_t next_delivery_ = 0;
--- a/test/standins/memory_peer_network.cpp
+++ b/test/standins/memory_peer_network.cpp
@@ -11,6 +11,7 @@
 /// Same values as the options of tcp_peer_network.
 constexpr duration probe_period = std::chrono::seconds(1);
 constexpr duration silence_limit = std::chrono::seconds(3);
+constexpr std::size_t max_frame_bytes = std::size_t{1} << 20U;
 
 } // namespace
 
@@ -45,6 +46,16 @@
                                duration deadline,
                                std::function<void(result<wire::reply>)> done)
 {
+    std::string bytes = wire::encode(message);
+    if (bytes.size() > max_frame_bytes)
+    {
+        ++network_.oversized_;
+        loop_.post(
+            [done = std::move(done)] {
+                done(make_error(error_code::limit_exceeded, "the request is too large"));
+            });
+        return;
+    }
     const memory_peer_network* target = network_.peers_at(to);
     const bool refused =
         target == nullptr || network_.is_dead(target->id_) || loop_.is_dead();
@@ -65,7 +76,7 @@
     }
     const std::uint64_t call_id = next_call_++;
     open_call& entry = connection.open[call_id];
-    entry.bytes = wire::encode(message);
+    entry.bytes = std::move(bytes);
     memory_network::count(network_.requests_[message.index()], entry.bytes);
     entry.done = std::move(done);
     entry.deadline = loop_.after(
--- a/unittests/cell/cell_simulation.cpp
+++ b/unittests/cell/cell_simulation.cpp
@@ -432,6 +432,7 @@
     job.id = job_key("job" + std::to_string(++last_job_));
     job.queue = queue_name("q");
     job.payload = "payload of " + job.id.value();
+    job.payload.resize(std::max(job.payload.size(), shape_.payload_bytes), 'p');
     job.submitted_ms = loop_.clock().wall_now().time_since_epoch().count();
     const std::uint64_t steps = 1 + random_.below(3);
     for (std::uint64_t number = 0; number < steps; ++number)
--- a/unittests/cell/cell_simulation.hpp
+++ b/unittests/cell/cell_simulation.hpp
@@ -93,6 +93,7 @@
     /// One in this many submissions without a verdict, on average, is given up and
     /// cancelled by its caller; 0 means none.
     std::uint64_t submissions_per_unsure_cancel = 0;
+    std::size_t payload_bytes = 16;
     /// A service of this many lasting tasks, which is submitted first and cancelled at
     /// the end of the load.
     std::uint32_t lasting_tasks = 0;
@@ -144,6 +145,8 @@
     const standins::cell_history& history() const { return history_; }
     /// Returns the number of calls to workers that hosts could not send in time.
     std::size_t unsent_calls() const { return workers_.unsent_calls(); }
+    /// Returns the number of messages between hosts that were too large to be sent.
+    std::size_t oversized_messages() const { return network_.oversized(); }
     /// Returns the number of jobs for which a caller received an acceptance.
     std::size_t accepted() const;
 
--- a/unittests/cell/cell_simulation_test.cpp
+++ b/unittests/cell/cell_simulation_test.cpp
@@ -19,6 +19,7 @@
     EXPECT_GT(simulation.accepted(), 10U);
     for (const standins::broken_rule& each : standins::check_cell(simulation.history()))
         ADD_FAILURE() << each.rule << ' ' << each.text;
+    EXPECT_EQ(simulation.oversized_messages(), 0U);
 }
 
 class single_cell_failure_test : public testing::TestWithParam<std::size_t>
@@ -404,6 +405,23 @@
     expect_all_cell_rules_kept(simulation);
 }
 
+class long_payloads_test : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against an agent whose reports fail for good, because the jobs that it could not
+// report for a while do not fit into a message.
+TEST_P(long_payloads_test, are_reported_after_the_owner_could_not_be_reached)
+{
+    cell_shape shape;
+    shape.submit_period = milliseconds(200);
+    shape.payload_bytes = std::size_t{200} << 10U;
+    cell_simulation simulation(GetParam(), shape);
+    simulation.run(seconds(10), {cell_failure::host_cut_from_others,
+                                 cell_failure::owner_cut_from_others});
+    expect_all_cell_rules_kept(simulation);
+}
+
 class unsure_cancel_test : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -550,6 +568,9 @@
 INSTANTIATE_TEST_SUITE_P(seeds, changing_capacity_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
+INSTANTIATE_TEST_SUITE_P(seeds, long_payloads_test,
+                         testing::Range(std::uint64_t{1}, seed_count() / 10 + 1));
+
 INSTANTIATE_TEST_SUITE_P(seeds, unsure_cancel_test,
                          testing::Range(std::uint64_t{1}, seed_count() + 1));
 
