cell: reject gangs that do not fit without comparing each member

Cause: place_gang() looks for a worker for one member after the other until one does not fit: members times workers, for each gang, in each decision. Planning the gang sorts a place for each member besides.

Fix: the room of the workers is summed up first, for the free room before placing and for all room before planning. A gang that can never fit waits with the reason no_suitable_worker.

--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -216,6 +216,13 @@
     boot_time paused_until{};      ///< Gets no starts after it has refused one.
 };
 
+/// Which room of the workers counts for a gang.
+enum class gang_room : std::uint8_t
+{
+    now, ///< Free room of the workers that may run it now.
+    ever ///< All room of the workers that could ever run it.
+};
+
 /// Workers of a service that take no starts for a while.
 struct withheld_workers
 {
@@ -498,6 +505,9 @@
     void place_waiting_tasks(job_status& job, const step_key& key, decision_pass& pass);
     bool place_task(job_status& job, const step_key& key, std::uint32_t index,
                     decision_pass& pass);
+    /// Returns whether the workers of the service have room for all members of a gang.
+    bool fits_gang(const job_status& job, std::uint32_t step, gang_room room,
+                   boot_time now) const;
     bool place_gang(job_status& job, const step_key& key, decision_pass& pass);
     /// Plans a gang that does not fit now and holds capacity for it from the planned
     /// start on.
--- a/lib/cell/gangs.cpp
+++ b/lib/cell/gangs.cpp
@@ -35,6 +35,29 @@
 
 } // namespace
 
+bool scheduler::implementation::fits_gang(const job_status& job, std::uint32_t step,
+                                          gang_room room, boot_time now) const
+{
+    const step_spec& spec = job.spec.steps[step];
+    const service_name& service = policy_of(job).service;
+    std::int64_t places = 0;
+    for (const auto& [id, worker] : workers)
+    {
+        const worker_barrier barrier = barrier_of(worker, service, job, step, now);
+        if (barrier == worker_barrier::unsuitable ||
+            (room == gang_room::now && barrier != worker_barrier::none))
+            continue;
+        const std::int64_t fitting = tasks_that_fit(
+            spec.size, room == gang_room::now ? worker.info.capacity - worker.used
+                                              : worker.info.capacity);
+        places += spec.per_worker > 0 ? std::min<std::int64_t>(fitting, spec.per_worker)
+                                      : fitting;
+        if (places >= spec.count)
+            return true;
+    }
+    return false;
+}
+
 bool scheduler::implementation::place_gang(job_status& job, const step_key& key,
                                            decision_pass& pass)
 {
@@ -51,6 +74,9 @@
         count_untraced_run(job, task_ref{job.spec.id, key.step, index});
     if (is_final(job.state))
         return true;
+    // Otherwise each member would be compared with all workers.
+    if (!fits_gang(job, key.step, gang_room::now, pass.now))
+        return false;
     std::map<worker_id, resources> assigned_capacity;
     std::map<worker_id, std::uint32_t> tasks_on_worker;
     std::vector<worker_status*> targets;
@@ -196,7 +222,8 @@
 void scheduler::implementation::plan_waiting_gang(job_status& job, const step_key& key,
                                                   decision_pass& pass)
 {
-    if (pass.plans.size() >= max_planned_gangs)
+    if (pass.plans.size() >= max_planned_gangs ||
+        !fits_gang(job, key.step, gang_room::ever, pass.now))
         return;
     const step_spec& spec = job.spec.steps[key.step];
     step_status& status = job.steps[key.step];
--- a/lib/cell/pending.cpp
+++ b/lib/cell/pending.cpp
@@ -157,6 +157,8 @@
     if (waits_for_former_runs(job, step))
         return pending_reason::former_runs;
     const bool is_gang = job.spec.steps[step].gang;
+    if (is_gang && !fits_gang(job, step, gang_room::ever, pass.now))
+        return pending_reason::no_suitable_worker;
     if (is_gang && (status.occupied > 0 || status.not_before > pass.now))
         return pending_reason::gang_restarts;
     pending_step wanted;
--- a/unittests/cell/decision_cost_test.cpp
+++ b/unittests/cell/decision_cost_test.cpp
@@ -121,6 +121,29 @@
     EXPECT_TRUE(asked("last"));
 }
 
+// Guards against decisions that outlast the claim of the owner because they look for room
+// for each member of gangs that can never fit.
+TEST(hopeless_gang_test, is_not_compared_member_by_member)
+{
+    constexpr std::uint32_t members = 100'000;
+    fleet cell(12);
+    cell.add_queue("q", 0);
+    for (int gang = 0; gang < 5; ++gang)
+    {
+        job_spec spec = fleet::job("g" + std::to_string(gang), "q", members, 1);
+        spec.steps[0].size.processors = millicores(1);
+        spec.steps[0].gang = true;
+        cell.submit(spec);
+    }
+    cell.submit(fleet::job("ordinary", "q", 1, 1));
+    const double before = cell.metrics.counter("hawthornbeam_step_comparisons_total", {});
+    const decisions decided = cell.decide();
+    ASSERT_EQ(decided.starts.size(), 1U);
+    EXPECT_EQ(decided.starts[0].run.task.job, job_key("ordinary"));
+    EXPECT_LE(cell.metrics.counter("hawthornbeam_step_comparisons_total", {}) - before,
+              10);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     kinds, decision_cost_test,
     testing::Values(waiting_steps{"tasks_that_no_worker_may_run"},
