--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -186,6 +186,7 @@
     bool has_entry = false;             ///< Has an entry in the list of workers.
     bool allowed = false;               ///< Tasks may start; see allow_worker().
     instance_id agent;                  ///< See assign_agent().
+    agent_orders* orders = nullptr;     ///< Of `agent`.
     std::optional<order_window> starts; ///< Empty before the first start.
     bool polled = false; ///< This owner has polled its current incarnation.
     /// The process of the polled incarnation has ended.
@@ -395,7 +396,8 @@
 
     // Orders under way; defined in orders.cpp.
     order_window new_window(std::uint32_t initial) const;
-    agent_orders& orders_of(const instance_id& agent);
+    /// Lets the orders to the worker count for this agent.
+    void set_agent(worker_status& worker, const instance_id& agent);
     order_window& starts_of(worker_status& worker);
     /// Returns whether a start that is sent to the worker now would be answered in time.
     /// A step with few starts under way passes a large one.
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -45,6 +45,7 @@
     {
         found->second.info.id = id;
         found->second.contact_at = now;
+        set_agent(found->second, instance_id());
     }
     return found->second;
 }
--- a/lib/cell/orders.cpp
+++ b/lib/cell/orders.cpp
@@ -29,15 +29,14 @@
     return order_window({initial, limits.answer_limit / acceptable_divisor});
 }
 
-agent_orders& scheduler::implementation::orders_of(const instance_id& agent)
-{
-    const auto found = agents.find(agent);
-    if (found != agents.end())
-        return found->second;
-    return agents
-        .emplace(agent, agent_orders{new_window(initial_agent_orders),
-                                     new_window(initial_agent_orders)})
-        .first->second;
+void scheduler::implementation::set_agent(worker_status& worker, const instance_id& agent)
+{
+    worker.agent = agent;
+    worker.orders =
+        &agents
+             .try_emplace(agent, agent_orders{new_window(initial_agent_orders),
+                                              new_window(initial_agent_orders)})
+             .first->second;
 }
 
 order_window& scheduler::implementation::starts_of(worker_status& worker)
@@ -55,7 +54,8 @@
         return;
     // The former agent may be gone, and its answers with it.
     self.end_orders(found->second);
-    const instance_id former = std::exchange(found->second.agent, agent);
+    const instance_id former = found->second.agent;
+    self.set_agent(found->second, agent);
     const bool is_used = std::ranges::any_of(
         self.workers, [&former](const std::pair<const worker_id, worker_status>& entry)
         { return entry.second.agent == former; });
@@ -69,10 +69,7 @@
 {
     if (worker.starts && !worker.starts->has_room(order_share::all))
         return false;
-    const auto found = agents.find(worker.agent);
-    if (found == agents.end())
-        return true;
-    const order_window& of_agent = found->second.starts;
+    const order_window& of_agent = worker.orders->starts;
     // All members of a gang are sent at once.
     const bool is_small = spec.gang || step.starts_under_way < of_agent.few_orders();
     return of_agent.has_room(is_small ? order_share::all : order_share::common);
@@ -84,7 +81,7 @@
     record.start_ordered_at = now;
     ++step.starts_under_way;
     starts_of(worker).add();
-    orders_of(worker.agent).starts.add();
+    worker.orders->starts.add();
 }
 
 void scheduler::implementation::end_start(worker_status& worker, const task_ref& task,
@@ -96,7 +93,7 @@
     job_status* job = find_job(task.job);
     if (job != nullptr && task.step < job->steps.size())
         --job->steps[task.step].starts_under_way;
-    order_window& of_agent = orders_of(worker.agent).starts;
+    order_window& of_agent = worker.orders->starts;
     order_window& of_worker = starts_of(worker);
     switch (ending.kind)
     {
@@ -126,7 +123,7 @@
     const boot_time ordered_at = std::exchange(record.stop_ordered_at, boot_time());
     if (ordered_at == boot_time())
         return;
-    order_window& of_agent = orders_of(worker.agent).stops;
+    order_window& of_agent = worker.orders->stops;
     if (ending.kind == order_end::answered)
         of_agent.record_answer(ending.now - ordered_at, ending.now);
     else if (ending.kind == order_end::not_sent)
@@ -184,7 +181,7 @@
             ordered.push_back(std::move(stop));
             continue;
         }
-        order_window& window = orders_of(worker->second.agent).stops;
+        order_window& window = worker->second.orders->stops;
         if (!window.has_room(order_share::all))
         {
             waiting.push_back(std::move(stop));
