cell: a stop that waited counts for its own run only, and goes to the present address

A stop may wait in the scheduler now. Its run can have been replaced by a newer one of the task on the same worker meanwhile, whose record it would have marked as stopped.

--- a/lib/cell/orders.cpp
+++ b/lib/cell/orders.cpp
@@ -187,8 +187,9 @@
             waiting.push_back(std::move(stop));
             continue;
         }
+        stop.address = worker->second.info.address;
         const auto record = worker->second.runs.find(stop.run.task);
-        if (record != worker->second.runs.end())
+        if (record != worker->second.runs.end() && record->second.run == stop.run.run)
         {
             run_record& run = record->second;
             run.stop_waits = false;
