--- a/lib/cell/cell_state.hpp
+++ b/lib/cell/cell_state.hpp
@@ -417,8 +417,8 @@
     /// Ends the orders whose answers cannot come any more.
     void end_lost_orders(boot_time now);
     /// Adds a stop to those that wait to be sent.
-    void request_stop_order(const worker_id& worker, const endpoint& address,
-                            const task_ref& task, run_record& record);
+    void queue_stop(const worker_id& worker, const endpoint& address,
+                    const task_ref& task, run_record& record);
     /// Returns the waiting stops that may be sent now.
     std::vector<stop_command> order_stops(boot_time now);
     void report_orders() const;
--- a/lib/cell/observe.cpp
+++ b/lib/cell/observe.cpp
@@ -88,7 +88,7 @@
     }
     found->second.phase = run_phase::stopping;
     found->second.stop_answered = false;
-    request_stop_order(worker, entry->second.info.address, task, found->second);
+    queue_stop(worker, entry->second.info.address, task, found->second);
 }
 
 run_number scheduler::implementation::present_run(const job_status& job,
@@ -151,7 +151,7 @@
     // The new incarnation has no record of a stop that the former one answered.
     record.stop_answered = false;
     if (!record.stop_waits)
-        request_stop_order(worker.info.id, worker.info.address, task, record);
+        queue_stop(worker.info.id, worker.info.address, task, record);
 }
 
 void scheduler::implementation::repeat_stops(boot_time now)
@@ -162,7 +162,7 @@
             if (run.phase != run_phase::stopping || run.stop_answered || run.stop_waits ||
                 now - run.command_sent_at < limits.answer_limit)
                 continue;
-            request_stop_order(id, worker.info.address, task, run);
+            queue_stop(id, worker.info.address, task, run);
         }
 }
 
--- a/lib/cell/orders.cpp
+++ b/lib/cell/orders.cpp
@@ -160,10 +160,9 @@
         }
 }
 
-void scheduler::implementation::request_stop_order(const worker_id& worker,
-                                                   const endpoint& address,
-                                                   const task_ref& task,
-                                                   run_record& record)
+void scheduler::implementation::queue_stop(const worker_id& worker,
+                                           const endpoint& address, const task_ref& task,
+                                           run_record& record)
 {
     record.stop_waits = true;
     stops.push_back({worker, address, {task, record.run}});
